--- /dev/null
+++ b/include/yuccapick/placement.h
@@ -0,0 +1,85 @@
+#ifndef YUCCAPICK_PLACEMENT_H_
+#define YUCCAPICK_PLACEMENT_H_
+
+/// @file
+/// Chooses the engine that answers a model request.
+
+#include <concepts>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "yuccapick/ids.h"
+#include "yuccapick/link_messages.h"
+#include "yuccapick/prefix.h"
+#include "yuccapick/upstream.h"
+
+namespace yuccapick {
+
+/// A model request that needs an engine.
+struct PlacementRequest {
+  CacheScope scope;
+  ServiceId service;
+  std::vector<PrefixPiece> pieces;
+  std::uint64_t prompt_bytes = 0;
+  bool urgent = false;
+  double reuse_weight = 0.5;         ///< Of the service; see ServiceConfig.
+  std::vector<UpstreamId> excluded;  ///< Tried already, or ejected.
+};
+
+/// The engine that was chosen and why.
+struct PlacementDecision {
+  UpstreamId upstream;
+  Incarnation agent_incarnation;
+  Incarnation engine_incarnation;
+  std::uint64_t expected_prompt_tokens = 0;
+  std::uint64_t expected_cached_tokens = 0;
+  std::chrono::microseconds expected_first_token{0};
+  std::optional<UpstreamId> import_from;  ///< Kept-KV store to import from.
+};
+
+struct PlacementOptions {
+  FailureDomain domain;
+  Region region;
+  std::uint64_t seed = 0;
+};
+
+/// Chooses engines by rendezvous homes, cache picture and priced cost. Not
+/// thread-safe.
+class Placement {
+ public:
+  explicit Placement(PlacementOptions options);
+  ~Placement();
+  Placement(const Placement&) = delete;
+  Placement& operator=(const Placement&) = delete;
+
+  // Commands.
+
+  /// Adds, changes or removes (`kGone`) an upstream.
+  void ApplyUpstream(const UpstreamInfo& upstream, TimePoint now);
+  /// Takes load, loaded weights and digest of a report.
+  void ApplyReport(const AgentReport& report, TimePoint now);
+  /// The attempt was sent as decided.
+  void OnDispatched(const AttemptId& attempt, const PlacementRequest& request,
+                    const PlacementDecision& decision, TimePoint now);
+  /// The first token of the attempt arrived.
+  void OnFirstToken(const AttemptId& attempt, TimePoint now);
+  /// The attempt ended; `usage` is the engine's own word, if it gave one.
+  void OnFinished(const AttemptId& attempt, const std::optional<Usage>& usage,
+                  TimePoint now);
+
+  // Queries.
+
+  /// Returns the best engine, or nothing if none can answer.
+  std::optional<PlacementDecision> Choose(const PlacementRequest& request,
+                                          TimePoint now) const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace yuccapick
+
+#endif  // YUCCAPICK_PLACEMENT_H_
--- /dev/null
+++ b/src/shell/commands.h
@@ -0,0 +1,27 @@
+#ifndef YUCCAPICK_SHELL_COMMANDS_H_
+#define YUCCAPICK_SHELL_COMMANDS_H_
+
+/// @file
+/// Entry points of the subcommands. Each parses its own arguments and returns
+/// the process's exit code.
+
+namespace yuccapick {
+
+/// Exit codes of every subcommand.
+enum ExitCode {
+  kExitOk = 0,
+  kExitFailed = 1,    ///< The work was tried and failed.
+  kExitUsage = 2,     ///< The command line or the settings are wrong.
+  kExitConflict = 3,  ///< Another operator published first.
+  kExitUnknown = 4,   ///< The platform did not say whether it took effect.
+};
+
+int RunRouter(int argc, char** argv);
+int RunAgent(int argc, char** argv);
+int RunPublish(int argc, char** argv);
+int RunCheck(int argc, char** argv);
+int RunShow(int argc, char** argv);
+
+}  // namespace yuccapick
+
+#endif  // YUCCAPICK_SHELL_COMMANDS_H_
