--- /dev/null
+++ b/include/yuccapick/placement_cost.h
@@ -0,0 +1,31 @@
+#ifndef YUCCAPICK_PLACEMENT_COST_H_
+#define YUCCAPICK_PLACEMENT_COST_H_
+
+/// @file
+/// The cost by which candidates for a request are compared.
+
+namespace yuccapick {
+
+/// What the cost of one candidate depends on. Times are in seconds.
+struct CostInputs {
+  double wait = 0;          ///< Until the engine would begin the request.
+  double queue = 0;         ///< Of work in the engine, whatever its class.
+  double prefill = 0;       ///< Of the tokens that the engine does not hold.
+  double hop = 0;           ///< To the engine's failure domain and back.
+  double utilisation = 0;   ///< Of the fleet, from 0 to 1.
+  double mean_prefill = 0;  ///< Of one request, over the fleet.
+  double reuse_weight = 0.5;
+  bool urgent = false;
+};
+
+/// Returns how many requests are delayed by work that is added to the engine:
+/// those that arrive before its busy period ends.
+double DelayedRequests(const CostInputs& inputs);
+
+/// Returns the expected time to first token plus the delay that the request's
+/// prefill causes to others.
+double PlacementCost(const CostInputs& inputs);
+
+}  // namespace yuccapick
+
+#endif  // YUCCAPICK_PLACEMENT_COST_H_
--- /dev/null
+++ b/include/yuccapick/rendezvous.h
@@ -0,0 +1,33 @@
+#ifndef YUCCAPICK_RENDEZVOUS_H_
+#define YUCCAPICK_RENDEZVOUS_H_
+
+/// @file
+/// Rendezvous hashing: every process ranks the same nodes for a key alike.
+
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+namespace yuccapick {
+
+/// Returns the hash that stands for a node in scores.
+std::uint64_t RendezvousNodeHash(std::string_view node);
+
+/// Returns the score of a node for a key; the highest score is the home.
+constexpr std::uint64_t RendezvousScore(std::uint64_t key,
+                                        std::uint64_t node_hash) {
+  std::uint64_t x = key ^ (node_hash * 0x9E3779B97F4A7C15ULL);
+  x = (x ^ (x >> 30)) * 0xBF58476D1CE4E5B9ULL;
+  x = (x ^ (x >> 27)) * 0x94D049BB133111EBULL;
+  return x ^ (x >> 31);
+}
+
+/// Returns the positions in `node_hashes` of the `count` highest scores for
+/// `key`, the highest first. A shorter list is a prefix of a longer one.
+std::vector<std::uint32_t> RendezvousHomes(
+    std::uint64_t key, const std::vector<std::uint64_t>& node_hashes,
+    std::size_t count);
+
+}  // namespace yuccapick
+
+#endif  // YUCCAPICK_RENDEZVOUS_H_
--- /dev/null
+++ b/src/cache_picture.cc
@@ -0,0 +1,146 @@
+#include "yuccapick/cache_picture.h"
+
+#include <algorithm>
+
+namespace yuccapick {
+namespace {
+
+constexpr double kLifetimeSmoothing = 0.05;
+/// Entries are trusted a little beyond the mean idle time at eviction.
+constexpr double kLifetimeMargin = 1.5;
+constexpr std::chrono::milliseconds kLongestLifetime{600'000};
+
+double Seconds(std::chrono::steady_clock::duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+}  // namespace
+
+CachePicture::CachePicture(std::size_t entries_per_engine)
+    : entries_per_engine_(entries_per_engine) {}
+
+CachePicture::Engine& CachePicture::EngineAt(EngineSlot slot) {
+  if (slot >= engines_.size()) engines_.resize(slot + 1);
+  return engines_[slot];
+}
+
+void CachePicture::Reset(EngineSlot slot) {
+  Clear(slot);
+  engines_[slot].lifetime_seconds = 0;
+  ++engines_[slot].generation;
+}
+
+void CachePicture::Clear(EngineSlot slot) {
+  Engine& engine = EngineAt(slot);
+  for (const Stored& stored : engine.order) Erase(slot, stored.chain_hash);
+  engine.order.clear();
+  engine.size = 0;
+}
+
+PrefixHolder* CachePicture::Find(EngineSlot slot, std::uint64_t chain_hash) {
+  const auto it = holders_.find(chain_hash);
+  if (it == holders_.end()) return nullptr;
+  for (PrefixHolder& holder : it->second) {
+    if (holder.slot == slot) return &holder;
+  }
+  return nullptr;
+}
+
+bool CachePicture::Erase(EngineSlot slot, std::uint64_t chain_hash) {
+  const auto it = holders_.find(chain_hash);
+  if (it == holders_.end()) return false;
+  HolderList& list = it->second;
+  const auto found = std::find_if(
+      list.begin(), list.end(),
+      [slot](const PrefixHolder& holder) { return holder.slot == slot; });
+  if (found == list.end()) return false;
+  *found = list.back();
+  list.pop_back();
+  if (list.empty()) holders_.erase(it);
+  return true;
+}
+
+void CachePicture::Store(EngineSlot slot, std::uint64_t chain_hash,
+                         TimePoint used) {
+  Engine& engine = EngineAt(slot);
+  if (PrefixHolder* holder = Find(slot, chain_hash)) {
+    holder->last_used = std::max(holder->last_used, used);
+    return;
+  }
+  holders_[chain_hash].push_back({slot, engine.generation, used});
+  engine.order.push_back({chain_hash, used});
+  ++engine.size;
+  Trim(slot);
+}
+
+void CachePicture::Evict(EngineSlot slot, std::uint64_t chain_hash,
+                         TimePoint now) {
+  Engine& engine = EngineAt(slot);
+  const PrefixHolder* holder = Find(slot, chain_hash);
+  if (holder == nullptr) return;
+  const double idle = std::max(0.0, Seconds(now - holder->last_used));
+  if (engine.lifetime_seconds == 0) engine.lifetime_seconds = idle;
+  engine.lifetime_seconds +=
+      kLifetimeSmoothing * (idle - engine.lifetime_seconds);
+  Erase(slot, chain_hash);
+  --engine.size;
+}
+
+void CachePicture::Trim(EngineSlot slot) {
+  Engine& engine = engines_[slot];
+  while (engine.size > entries_per_engine_ ||
+         engine.order.size() > 2 * entries_per_engine_) {
+    const Stored oldest = engine.order.front();
+    engine.order.pop_front();
+    const PrefixHolder* holder = Find(slot, oldest.chain_hash);
+    // The order also names entries that were evicted before.
+    if (holder == nullptr) continue;
+    if (holder->last_used > oldest.when) {
+      engine.order.push_back({oldest.chain_hash, holder->last_used});
+      continue;
+    }
+    Erase(slot, oldest.chain_hash);
+    --engine.size;
+  }
+}
+
+std::span<const PrefixHolder> CachePicture::Holders(
+    std::uint64_t chain_hash) const {
+  const auto it = holders_.find(chain_hash);
+  if (it == holders_.end()) return {};
+  return {it->second.data(), it->second.size()};
+}
+
+bool CachePicture::Valid(const PrefixHolder& holder, TimePoint now) const {
+  if (holder.slot >= engines_.size()) return false;
+  if (engines_[holder.slot].generation != holder.generation) return false;
+  return now - holder.last_used <= Lifetime(holder.slot);
+}
+
+std::chrono::milliseconds CachePicture::Lifetime(EngineSlot slot) const {
+  if (slot >= engines_.size() || engines_[slot].lifetime_seconds == 0) {
+    return kLongestLifetime;
+  }
+  const double lifetime = kLifetimeMargin * engines_[slot].lifetime_seconds;
+  return std::min(kLongestLifetime,
+                  std::chrono::milliseconds(
+                      static_cast<std::int64_t>(lifetime * 1000.0) + 1));
+}
+
+std::size_t CachePicture::Size(EngineSlot slot) const {
+  return slot < engines_.size() ? engines_[slot].size : 0;
+}
+
+std::size_t CachePicture::MemoryBytes() const {
+  std::size_t bytes = engines_.capacity() * sizeof(Engine);
+  for (const Engine& engine : engines_) {
+    bytes += engine.order.size() * sizeof(Stored);
+  }
+  bytes += holders_.capacity() * (sizeof(std::uint64_t) + sizeof(HolderList));
+  for (const auto& [chain_hash, list] : holders_) {
+    if (list.size() > 1) bytes += list.capacity() * sizeof(PrefixHolder);
+  }
+  return bytes;
+}
+
+}  // namespace yuccapick
--- /dev/null
+++ b/src/engine_table.cc
@@ -0,0 +1,144 @@
+#include "engine_table.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "yuccapick/rendezvous.h"
+
+namespace yuccapick {
+namespace {
+
+constexpr std::chrono::milliseconds kReportAge{200};
+/// Round trips beyond the engine's own failure domain and region.
+constexpr double kDomainHopSeconds = 0.001;
+constexpr double kRegionHopSeconds = 0.040;
+
+std::uint64_t GroupKey(const ModelId& model, const AdapterId& adapter,
+                       const WeightVersion& weights) {
+  return CacheSalt({TeamId(), model, adapter, weights});
+}
+
+bool Contains(const EngineGroup& group, EngineSlot slot) {
+  return std::find(group.slots.begin(), group.slots.end(), slot) !=
+         group.slots.end();
+}
+
+}  // namespace
+
+EngineTable::EngineTable(FailureDomain domain, Region region)
+    : domain_(std::move(domain)), region_(std::move(region)) {}
+
+bool EngineTable::Older(const UpstreamInfo& info,
+                        const UpstreamInfo& known) const {
+  if (info.agent_incarnation.value == 0) return false;
+  if (info.agent_incarnation < known.agent_incarnation) return true;
+  return info.agent_incarnation == known.agent_incarnation &&
+         info.engine_incarnation.value != 0 &&
+         info.engine_incarnation < known.engine_incarnation;
+}
+
+void EngineTable::Merge(const UpstreamInfo& info, UpstreamInfo& known) const {
+  const UpstreamInfo former = known;
+  known = info;
+  if (info.agent_incarnation.value == 0) {
+    known.agent_incarnation = former.agent_incarnation;
+  }
+  if (info.engine_incarnation.value == 0) {
+    known.engine_incarnation = former.engine_incarnation;
+    known.loaded = former.loaded;
+  }
+  const bool same_life = known.agent_incarnation == former.agent_incarnation;
+  if (same_life && former.life >= UpstreamLife::kLeaving) {
+    known.life = std::max(known.life, former.life);
+  }
+}
+
+std::optional<CacheFate> EngineTable::Apply(const UpstreamInfo& info,
+                                            TimePoint now) {
+  const std::optional<EngineSlot> found = Find(info.id);
+  if (!found) {
+    Link(Insert(info));
+    return CacheFate::kLost;
+  }
+  EngineEntry& entry = entries_[*found];
+  if (Older(info, entry.info)) return std::nullopt;
+  const Incarnation former = entry.info.engine_incarnation;
+  Unlink(*found);
+  Merge(info, entry.info);
+  entry.hop_seconds = HopSeconds(entry.info);
+  Link(*found);
+  if (entry.info.engine_incarnation == former) return CacheFate::kKept;
+  entry.load.Reset(now);
+  return CacheFate::kLost;
+}
+
+EngineSlot EngineTable::Insert(const UpstreamInfo& info) {
+  EngineEntry entry{info, RendezvousNodeHash(info.id.value), HopSeconds(info),
+                    true, LoadModel(kReportAge)};
+  EngineSlot slot = static_cast<EngineSlot>(entries_.size());
+  if (free_.empty()) {
+    entries_.push_back(std::move(entry));
+  } else {
+    slot = free_.back();
+    free_.pop_back();
+    entries_[slot] = std::move(entry);
+  }
+  slots_[info.id] = slot;
+  return slot;
+}
+
+void EngineTable::Remove(EngineSlot slot) {
+  Unlink(slot);
+  slots_.erase(entries_[slot].info.id);
+  entries_[slot].present = false;
+  free_.push_back(slot);
+}
+
+void EngineTable::Link(EngineSlot slot) {
+  const EngineEntry& entry = entries_[slot];
+  if (entry.info.life >= UpstreamLife::kSuspect) return;
+  if (entry.info.kind == UpstreamKind::kKvStore) stores_.push_back(slot);
+  if (entry.info.kind != UpstreamKind::kModelEngine) return;
+  for (const LoadedModel& loaded : entry.info.loaded) {
+    EngineGroup& group =
+        groups_[GroupKey(loaded.model, loaded.adapter, loaded.weights)];
+    if (Contains(group, slot)) continue;
+    group.slots.push_back(slot);
+    group.node_hashes.push_back(entry.node_hash);
+  }
+}
+
+void EngineTable::Unlink(EngineSlot slot) {
+  std::erase(stores_, slot);
+  for (const LoadedModel& loaded : entries_[slot].info.loaded) {
+    const auto it =
+        groups_.find(GroupKey(loaded.model, loaded.adapter, loaded.weights));
+    if (it == groups_.end()) continue;
+    EngineGroup& group = it->second;
+    const auto at = std::find(group.slots.begin(), group.slots.end(), slot);
+    if (at == group.slots.end()) continue;
+    group.node_hashes.erase(group.node_hashes.begin() +
+                            (at - group.slots.begin()));
+    group.slots.erase(at);
+    if (group.slots.empty()) groups_.erase(it);
+  }
+}
+
+std::optional<EngineSlot> EngineTable::Find(const UpstreamId& id) const {
+  const auto it = slots_.find(id);
+  if (it == slots_.end()) return std::nullopt;
+  return it->second;
+}
+
+const EngineGroup* EngineTable::Group(const CacheScope& scope) const {
+  const auto it =
+      groups_.find(GroupKey(scope.model, scope.adapter, scope.weights));
+  return it == groups_.end() ? nullptr : &it->second;
+}
+
+double EngineTable::HopSeconds(const UpstreamInfo& info) const {
+  if (info.region != region_) return kRegionHopSeconds;
+  return info.domain == domain_ ? 0.0 : kDomainHopSeconds;
+}
+
+}  // namespace yuccapick
--- /dev/null
+++ b/src/engine_table.h
@@ -0,0 +1,81 @@
+#ifndef YUCCAPICK_ENGINE_TABLE_H_
+#define YUCCAPICK_ENGINE_TABLE_H_
+
+/// @file
+/// The engines that a placement knows, by slot and by loaded weights.
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "yuccapick/cache_picture.h"
+#include "yuccapick/ids.h"
+#include "yuccapick/load_model.h"
+#include "yuccapick/prefix.h"
+#include "yuccapick/upstream.h"
+
+namespace yuccapick {
+
+/// One engine or kept-KV store.
+struct EngineEntry {
+  UpstreamInfo info;
+  std::uint64_t node_hash = 0;
+  double hop_seconds = 0;
+  bool present = false;
+  LoadModel load;
+};
+
+/// Live engines that can answer with the same weights.
+struct EngineGroup {
+  std::vector<EngineSlot> slots;
+  std::vector<std::uint64_t> node_hashes;  ///< Of `slots`, in their order.
+};
+
+/// What a change of an upstream means for its cache.
+enum class CacheFate : std::uint8_t { kKept, kLost };
+
+/// Slots, identities and groups of engines.
+class EngineTable {
+ public:
+  EngineTable(FailureDomain domain, Region region);
+
+  // Commands.
+
+  /// Adds or changes an upstream; nothing if it is older than what is known.
+  std::optional<CacheFate> Apply(const UpstreamInfo& info, TimePoint now);
+  /// Forgets an upstream.
+  void Remove(EngineSlot slot);
+  LoadModel& Load(EngineSlot slot) { return entries_[slot].load; }
+
+  // Queries.
+
+  std::optional<EngineSlot> Find(const UpstreamId& id) const;
+  const EngineEntry& At(EngineSlot slot) const { return entries_[slot]; }
+  /// Returns the live engines that can answer in `scope`, or null.
+  const EngineGroup* Group(const CacheScope& scope) const;
+  /// Returns the live kept-KV stores.
+  const std::vector<EngineSlot>& Stores() const { return stores_; }
+  /// Returns the number of slots, free ones included.
+  std::size_t Slots() const { return entries_.size(); }
+
+ private:
+  EngineSlot Insert(const UpstreamInfo& info);
+  bool Older(const UpstreamInfo& info, const UpstreamInfo& known) const;
+  void Merge(const UpstreamInfo& info, UpstreamInfo& known) const;
+  void Link(EngineSlot slot);
+  void Unlink(EngineSlot slot);
+  double HopSeconds(const UpstreamInfo& info) const;
+
+  FailureDomain domain_;
+  Region region_;
+  std::vector<EngineEntry> entries_;
+  std::vector<EngineSlot> free_;
+  std::vector<EngineSlot> stores_;
+  absl::flat_hash_map<UpstreamId, EngineSlot> slots_;
+  absl::flat_hash_map<std::uint64_t, EngineGroup> groups_;
+};
+
+}  // namespace yuccapick
+
+#endif  // YUCCAPICK_ENGINE_TABLE_H_
