--- /dev/null
+++ b/src/shell/http_transfer.cc
@@ -0,0 +1,201 @@
+#include "shell/http_transfer.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+#include <utility>
+
+namespace yuccapick {
+namespace {
+
+constexpr std::size_t kMaxAnswerHeaderBytes = 64 << 10;
+constexpr long kFirstFinalStatus = 200;
+constexpr long kSwitchingProtocols = 101;
+
+bool HasLineBreakOrNul(std::string_view text) {
+  return text.find_first_of(std::string_view("\r\n\0", 3)) !=
+         std::string_view::npos;
+}
+
+std::string_view Trimmed(std::string_view text) {
+  constexpr std::string_view kBlank = " \t\r\n";
+  const std::size_t first = text.find_first_not_of(kBlank);
+  if (first == std::string_view::npos) return {};
+  return text.substr(first, text.find_last_not_of(kBlank) - first + 1);
+}
+
+std::string LowerCase(std::string_view text) {
+  std::string lower(text);
+  std::transform(lower.begin(), lower.end(), lower.begin(),
+                 [](unsigned char c) { return std::tolower(c); });
+  return lower;
+}
+
+long StatusOfLine(std::string_view line) {
+  const std::size_t space = line.find(' ');
+  if (space == std::string_view::npos) return 0;
+  long status = 0;
+  const char* begin = line.data() + space + 1;
+  std::from_chars(begin, line.data() + line.size(), status);
+  return status;
+}
+
+absl::Status StatusOf(CURLcode code, const std::string& url) {
+  if (code == CURLE_OK) return absl::OkStatus();
+  const std::string message =
+      fmt::format("{}: {}; check that the peer runs and answers whole", url,
+                  curl_easy_strerror(code));
+  if (code == CURLE_OPERATION_TIMEDOUT) {
+    return absl::DeadlineExceededError(message);
+  }
+  return absl::UnavailableError(message);
+}
+
+}  // namespace
+
+HttpTransfer::HttpTransfer(RequestHandle id, HttpRequest request,
+                           HttpCallbacks callbacks)
+    : id_(id),
+      request_(std::move(request)),
+      callbacks_(std::move(callbacks)),
+      easy_(curl_easy_init()) {}
+
+HttpTransfer::~HttpTransfer() {
+  curl_easy_cleanup(easy_);
+  curl_slist_free_all(header_list_);
+}
+
+absl::Status HttpTransfer::Prepare() {
+  if (easy_ == nullptr) {
+    return absl::ResourceExhaustedError("libcurl gave no handle; free memory");
+  }
+  if (absl::Status status = BuildHeaderList(); !status.ok()) return status;
+  SetMethodAndBody();
+  curl_easy_setopt(easy_, CURLOPT_URL, request_.url.c_str());
+  curl_easy_setopt(easy_, CURLOPT_PROTOCOLS_STR, "http,https");
+  curl_easy_setopt(easy_, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt(easy_, CURLOPT_PROXY, "");
+  curl_easy_setopt(easy_, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy_, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(easy_, CURLOPT_HTTPHEADER, header_list_);
+  const long connect_ms = request_.timeouts.connect.count();
+  const long total_ms = request_.timeouts.total.count();
+  curl_easy_setopt(easy_, CURLOPT_CONNECTTIMEOUT_MS, connect_ms);
+  curl_easy_setopt(easy_, CURLOPT_TIMEOUT_MS, total_ms);
+  curl_easy_setopt(easy_, CURLOPT_FRESH_CONNECT, request_.repeatable ? 0L : 1L);
+  curl_easy_setopt(easy_, CURLOPT_PRIVATE, this);
+  curl_easy_setopt(easy_, CURLOPT_PREREQFUNCTION, &BeforeRequest);
+  curl_easy_setopt(easy_, CURLOPT_PREREQDATA, this);
+  curl_easy_setopt(easy_, CURLOPT_HEADERFUNCTION, &HeaderArrived);
+  curl_easy_setopt(easy_, CURLOPT_HEADERDATA, this);
+  curl_easy_setopt(easy_, CURLOPT_WRITEFUNCTION, &DataArrived);
+  curl_easy_setopt(easy_, CURLOPT_WRITEDATA, this);
+  return absl::OkStatus();
+}
+
+absl::Status HttpTransfer::BuildHeaderList() {
+  if (HasLineBreakOrNul(request_.method) || request_.method.empty()) {
+    return absl::InvalidArgumentError("HTTP method is empty or has controls");
+  }
+  for (const Header& header : request_.headers) {
+    if (header.name.empty() || HasLineBreakOrNul(header.name) ||
+        header.name.find(':') != std::string::npos ||
+        HasLineBreakOrNul(header.value)) {
+      return absl::InvalidArgumentError(fmt::format(
+          "HTTP header '{}' is malformed; remove its control characters",
+          header.name));
+    }
+    const std::string line = header.value.empty()
+                                 ? header.name + ";"
+                                 : header.name + ": " + header.value;
+    header_list_ = curl_slist_append(header_list_, line.c_str());
+  }
+  header_list_ = curl_slist_append(header_list_, "Expect:");
+  return absl::OkStatus();
+}
+
+void HttpTransfer::SetMethodAndBody() {
+  const bool has_body = !request_.body.empty() || request_.method == "POST" ||
+                        request_.method == "PUT" || request_.method == "PATCH";
+  if (has_body) {
+    const auto size = static_cast<curl_off_t>(request_.body.size());
+    curl_easy_setopt(easy_, CURLOPT_POSTFIELDS, request_.body.data());
+    curl_easy_setopt(easy_, CURLOPT_POSTFIELDSIZE_LARGE, size);
+  }
+  if (request_.method == "HEAD") {
+    curl_easy_setopt(easy_, CURLOPT_NOBODY, 1L);
+  } else if (request_.method != "GET" || has_body) {
+    curl_easy_setopt(easy_, CURLOPT_CUSTOMREQUEST, request_.method.c_str());
+  }
+}
+
+void HttpTransfer::Finish(CURLcode code) {
+  if (cancelled_) return;
+  cancelled_ = true;
+  if (!callbacks_.on_done) return;
+  HttpResult result;
+  result.status = StatusOf(code, request_.url);
+  result.http_status = http_status_;
+  result.sent = times_sent_ > 0;
+  callbacks_.on_done(result);
+}
+
+void HttpTransfer::Refuse(const absl::Status& status) {
+  if (cancelled_) return;
+  cancelled_ = true;
+  if (callbacks_.on_done) callbacks_.on_done({status, 0, false});
+}
+
+std::size_t HttpTransfer::HeaderArrived(char* data, std::size_t size,
+                                        std::size_t count, void* self) {
+  auto& transfer = *static_cast<HttpTransfer*>(self);
+  const std::size_t n = size * count;
+  return transfer.TakeHeaderLine({data, n}) ? n : 0;
+}
+
+bool HttpTransfer::TakeHeaderLine(std::string_view line) {
+  answer_header_bytes_ += line.size();
+  if (answer_header_bytes_ > kMaxAnswerHeaderBytes) return false;
+  const std::string_view text = Trimmed(line);
+  if (text.substr(0, 5) == "HTTP/" &&
+      text.find(':') == std::string_view::npos) {
+    http_status_ = StatusOfLine(text);
+    answer_headers_.clear();
+    return http_status_ != kSwitchingProtocols;
+  }
+  if (!text.empty()) {
+    const std::size_t colon = text.find(':');
+    if (colon == std::string_view::npos) return true;
+    answer_headers_.push_back({LowerCase(Trimmed(text.substr(0, colon))),
+                               std::string(Trimmed(text.substr(colon + 1)))});
+    return true;
+  }
+  if (http_status_ < kFirstFinalStatus || cancelled_) return true;
+  if (callbacks_.on_head) callbacks_.on_head(http_status_, answer_headers_);
+  return true;
+}
+
+std::size_t HttpTransfer::DataArrived(char* data, std::size_t size,
+                                      std::size_t count, void* self) {
+  auto& transfer = *static_cast<HttpTransfer*>(self);
+  const std::size_t n = size * count;
+  if (transfer.cancelled_) return 0;
+  if (transfer.paused_) return CURL_WRITEFUNC_PAUSE;
+  if (transfer.callbacks_.on_data) transfer.callbacks_.on_data({data, n});
+  return transfer.cancelled_ ? 0 : n;
+}
+
+int HttpTransfer::BeforeRequest(void* self, char* /*peer*/, char* /*local*/,
+                                int /*peer_port*/, int /*local_port*/) {
+  auto& transfer = *static_cast<HttpTransfer*>(self);
+  // libcurl sends again by itself when a pooled connection turns out closed.
+  if (transfer.times_sent_ > 0 && !transfer.request_.repeatable) {
+    return CURL_PREREQFUNC_ABORT;
+  }
+  ++transfer.times_sent_;
+  return CURL_PREREQFUNC_OK;
+}
+
+}  // namespace yuccapick
--- /dev/null
+++ b/test/shell/http_client_test.cc
@@ -0,0 +1,201 @@
+#include "shell/http_client.h"
+
+#include <catch2/catch.hpp>
+#include <optional>
+
+#include "test/shell/scripted_server.h"
+
+namespace yuccapick {
+namespace {
+
+constexpr std::size_t kMaxBody = 1 << 20;
+
+bool HasWholeHead(const ScriptedServer::Connection& c) {
+  return c.input.find("\r\n\r\n") != std::string::npos;
+}
+
+HttpAnswer FetchOnce(asio::io_context& loop, HttpClient& client,
+                     HttpRequest request, std::size_t max_body = kMaxBody) {
+  std::optional<HttpAnswer> answer;
+  client.Fetch(std::move(request), max_body,
+               [&](HttpAnswer a) { answer = std::move(a); });
+  REQUIRE(RunUntil(loop, [&] { return answer.has_value(); }));
+  return *std::move(answer);
+}
+
+TEST_CASE("An HTTP answer arrives whole with its headers") {
+  asio::io_context loop;
+  ScriptedServer server(loop, [](ScriptedServer::Connection& c) {
+    if (!HasWholeHead(c)) return;
+    c.Write(
+        "HTTP/1.1 201 Created\r\nX-Kind: Demo\r\nContent-Length: 5\r\n\r\n"
+        "hello");
+  });
+  HttpClient client(loop);
+  HttpRequest request{"POST", server.url("/a"), {{"x-team", "moor"}}, "body"};
+  const HttpAnswer answer = FetchOnce(loop, client, request);
+  CHECK(answer.result.status.ok());
+  CHECK(answer.result.http_status == 201);
+  CHECK(answer.body == "hello");
+  CHECK(answer.headers.at(0) == Header{"x-kind", "Demo"});
+  const std::string& input = server.connections.at(0)->input;
+  CHECK(input.find("POST /a HTTP/1.1\r\n") == 0);
+  CHECK(input.find("x-team: moor\r\n") != std::string::npos);
+  CHECK(client.active() == 0);
+}
+
+TEST_CASE("A refused connection counts as not sent") {
+  asio::io_context loop;
+  std::uint16_t port = 0;
+  {
+    ScriptedServer server(loop, [](auto&) {});
+    port = server.port();
+  }
+  HttpClient client(loop);
+  HttpRequest request;
+  request.url = "http://127.0.0.1:" + std::to_string(port) + "/";
+  const HttpAnswer answer = FetchOnce(loop, client, request);
+  CHECK_FALSE(answer.result.status.ok());
+  CHECK_FALSE(answer.result.sent);
+}
+
+TEST_CASE("A truncated answer fails and counts as sent") {
+  asio::io_context loop;
+  ScriptedServer server(loop, [](ScriptedServer::Connection& c) {
+    c.Write("HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhello");
+    c.Close();
+  });
+  HttpClient client(loop);
+  HttpRequest request;
+  request.url = server.url("/");
+  const HttpAnswer answer = FetchOnce(loop, client, request);
+  CHECK_FALSE(answer.result.status.ok());
+  CHECK(answer.result.sent);
+}
+
+TEST_CASE("A request that may not repeat is sent once by pooled connections") {
+  asio::io_context loop;
+  int requests = 0;
+  ScriptedServer server(loop, [&](ScriptedServer::Connection& c) {
+    if (!HasWholeHead(c)) return;
+    c.input.clear();
+    if (++requests == 1) {
+      c.Write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    } else {
+      c.Close();
+    }
+  });
+  HttpClient client(loop);
+  HttpRequest request{"POST", server.url("/"), {}, "x"};
+  CHECK(FetchOnce(loop, client, request).result.status.ok());
+  const HttpAnswer second = FetchOnce(loop, client, request);
+  CHECK_FALSE(second.result.status.ok());
+  CHECK(second.result.sent);
+  CHECK(requests == 2);
+}
+
+TEST_CASE("Requests that may repeat share a kept-alive connection") {
+  asio::io_context loop;
+  ScriptedServer server(loop, [&](ScriptedServer::Connection& c) {
+    if (!HasWholeHead(c)) return;
+    c.input.clear();
+    c.Write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  });
+  HttpClient client(loop);
+  HttpRequest request;
+  request.url = server.url("/");
+  request.repeatable = true;
+  CHECK(FetchOnce(loop, client, request).result.status.ok());
+  CHECK(FetchOnce(loop, client, request).result.status.ok());
+  CHECK(server.connections.size() == 1);
+}
+
+TEST_CASE("Cancel closes the connection and calls nothing back") {
+  asio::io_context loop;
+  ScriptedServer server(loop, [](ScriptedServer::Connection& c) {
+    c.Write("HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhello");
+  });
+  HttpClient client(loop);
+  HttpRequest request;
+  request.url = server.url("/");
+  bool got_data = false;
+  bool done = false;
+  RequestHandle handle{};
+  HttpCallbacks callbacks;
+  callbacks.on_data = [&](std::string_view) {
+    got_data = true;
+    client.Cancel(handle);
+  };
+  callbacks.on_done = [&](const HttpResult&) { done = true; };
+  handle = client.Start(request, callbacks);
+  REQUIRE(RunUntil(loop, [&] {
+    return got_data && server.connections.at(0)->closed_by_peer;
+  }));
+  CHECK_FALSE(done);
+  CHECK(client.active() == 0);
+}
+
+TEST_CASE("A paused request receives nothing until it is resumed") {
+  asio::io_context loop;
+  const std::string body(4 << 20, 'a');
+  bool answered = false;
+  ScriptedServer server(loop, [&](ScriptedServer::Connection& c) {
+    if (!HasWholeHead(c) || answered) return;
+    answered = true;
+    const std::string head =
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+        "\r\n\r\n";
+    auto text = std::make_shared<std::string>(head + body);
+    asio::async_write(c.socket, asio::buffer(*text),
+                      [text](asio::error_code, std::size_t) {});
+  });
+  HttpClient client(loop);
+  HttpRequest request;
+  request.url = server.url("/");
+  std::size_t received = 0;
+  int calls = 0;
+  std::optional<HttpResult> result;
+  RequestHandle handle{};
+  HttpCallbacks callbacks;
+  callbacks.on_data = [&](std::string_view data) {
+    received += data.size();
+    if (++calls == 1) client.Pause(handle);
+  };
+  callbacks.on_done = [&](const HttpResult& r) { result = r; };
+  handle = client.Start(request, callbacks);
+  REQUIRE(RunUntil(loop, [&] { return calls == 1; }));
+  while (loop.poll_one() > 0) {
+  }
+  CHECK(calls == 1);
+  client.Resume(handle);
+  REQUIRE(RunUntil(loop, [&] { return result.has_value(); }));
+  CHECK(result->status.ok());
+  CHECK(received == body.size());
+}
+
+TEST_CASE("An answer longer than allowed fails") {
+  asio::io_context loop;
+  ScriptedServer server(loop, [](ScriptedServer::Connection& c) {
+    c.Write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello");
+  });
+  HttpClient client(loop);
+  HttpRequest request;
+  request.url = server.url("/");
+  const HttpAnswer answer = FetchOnce(loop, client, request, 4);
+  CHECK(answer.result.status.code() == absl::StatusCode::kResourceExhausted);
+  REQUIRE(RunUntil(loop, [&] { return client.active() == 0; }));
+}
+
+TEST_CASE("A header with a line break is refused before anything is sent") {
+  asio::io_context loop;
+  HttpClient client(loop);
+  HttpRequest request;
+  request.url = "http://127.0.0.1:1/";
+  request.headers = {{"x-a", "b\r\nx-c: d"}};
+  const HttpAnswer answer = FetchOnce(loop, client, request);
+  CHECK(answer.result.status.code() == absl::StatusCode::kInvalidArgument);
+  CHECK_FALSE(answer.result.sent);
+}
+
+}  // namespace
+}  // namespace yuccapick
