Carry requests through the router's and agent's decisions

The shells need both cores for the whole path. The router admits by configuration, places, sends one attempt at a time, checks positions and retries on another upstream; the agent gates by incarnation, configuration, weights and drain, and remembers keyed operations.

Non-idempotent calls are refused until claims are in. A refusal of a call that carries the caller's own key says unknown: it may repeat one that has run.

--- /dev/null
+++ b/include/yuccapick/upstream_directory.h
@@ -0,0 +1,68 @@
+#ifndef YUCCAPICK_UPSTREAM_DIRECTORY_H_
+#define YUCCAPICK_UPSTREAM_DIRECTORY_H_
+
+/// @file
+/// A router's view of the upstreams: life, incarnations and work in flight.
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+#include "yuccapick/ids.h"
+#include "yuccapick/link_messages.h"
+#include "yuccapick/upstream.h"
+
+namespace yuccapick {
+
+/// Holds the upstreams. A leaving mark stays for the whole incarnation.
+class UpstreamDirectory {
+ public:
+  // Commands.
+
+  void Apply(const UpstreamInfo& upstream);
+  /// Marks one incarnation as leaving, whatever the list says of it.
+  void MarkLeaving(const UpstreamId& id, Incarnation agent);
+  void OnSent(const UpstreamId& id);
+  void OnEnded(const UpstreamId& id);
+
+  // Queries.
+
+  /// Returns the upstream or null.
+  const UpstreamInfo* Find(const UpstreamId& id) const;
+  /// True if `id` may get new work.
+  bool IsLive(const UpstreamId& id) const;
+  /// True if that agent incarnation is known to have ended.
+  bool HasEnded(const UpstreamId& id, Incarnation agent) const;
+  /// Live plain upstream of `service` with the least work in flight; ties go to
+  /// the rendezvous home of `key`.
+  std::optional<UpstreamId> PickPlain(
+      const ServiceId& service, std::string_view key,
+      const std::vector<UpstreamId>& excluded) const;
+  /// Rendezvous home of `key` among the live upstreams of `service`.
+  std::optional<UpstreamId> Home(const ServiceId& service, std::string_view key,
+                                 const std::vector<UpstreamId>& excluded) const;
+  std::uint32_t InFlight(const UpstreamId& id) const;
+  bool empty() const { return entries_.empty(); }
+  /// Live upstreams of the kind.
+  std::size_t CountLive(UpstreamKind kind) const;
+
+ private:
+  struct Entry {
+    UpstreamInfo info;
+    std::uint32_t in_flight = 0;
+  };
+
+  bool Serves(const Entry& entry, const ServiceId& service,
+              const std::vector<UpstreamId>& excluded) const;
+
+  std::map<UpstreamId, Entry> entries_;
+};
+
+/// Weight of `id` for `key`; the highest weight is the home.
+std::uint64_t RendezvousWeight(const UpstreamId& id, std::string_view key);
+
+}  // namespace yuccapick
+
+#endif  // YUCCAPICK_UPSTREAM_DIRECTORY_H_
--- /dev/null
+++ b/src/agent_core.cc
@@ -0,0 +1,135 @@
+#include "yuccapick/agent_core.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "agent_impl.h"
+
+namespace yuccapick {
+
+AgentCore::AgentCore(AgentCoreOptions options)
+    : impl_(std::make_unique<Impl>(std::move(options))) {}
+
+AgentCore::~AgentCore() = default;
+
+AgentActions AgentCore::Handle(const AgentEvent& event, TimePoint now) {
+  return impl_->Handle(event, now);
+}
+
+AgentReport AgentCore::FullReport(TimePoint now) const {
+  return impl_->FullReport(now);
+}
+
+const UpstreamInfo& AgentCore::Upstream() const { return impl_->Upstream(); }
+
+AgentCore::Impl::Impl(AgentCoreOptions options) : options_(std::move(options)) {
+  UpstreamInfo& upstream = options_.upstream;
+  upstream.engine_incarnation =
+      std::max(upstream.engine_incarnation, upstream.agent_incarnation);
+}
+
+AgentActions AgentCore::Impl::Handle(const AgentEvent& event, TimePoint now) {
+  now_ = std::max(now_, now);
+  std::visit([this](const auto& typed) { On(typed); }, event);
+  if (!next_report_ || *next_report_ <= now_) Push();
+  CheckDrained();
+  actions_.push_back(WakeAt{*next_report_});
+  return std::exchange(actions_, {});
+}
+
+AgentReport AgentCore::Impl::FullReport(TimePoint /*now*/) const {
+  AgentReport report = MakeReport();
+  report.digest_is_full = true;
+  return report;
+}
+
+AgentReport AgentCore::Impl::MakeReport() const {
+  AgentReport report;
+  report.upstream = options_.upstream;
+  report.config = gate_.config();
+  report.sequence = sequence_;
+  report.load = load_;
+  return report;
+}
+
+void AgentCore::Impl::Push() {
+  ++sequence_;
+  actions_.push_back(PushReport{MakeReport()});
+  next_report_ = now_ + options_.report_interval;
+}
+
+void AgentCore::Impl::On(const UpstreamPolled& event) {
+  const bool restarted = !boot_id_.empty() && boot_id_ != event.boot_id;
+  boot_id_ = event.boot_id;
+  UpstreamInfo& upstream = options_.upstream;
+  if (restarted) {
+    upstream.engine_incarnation = upstream.engine_incarnation.Next();
+    BreakAll("the upstream restarted");
+  }
+  load_ = event.load;
+  const bool loaded_changed = upstream.loaded != event.loaded;
+  upstream.loaded = event.loaded;
+  const bool back = upstream.life == UpstreamLife::kSuspect;
+  if (back) upstream.life = UpstreamLife::kLive;
+  if (restarted || loaded_changed || back) Push();
+}
+
+void AgentCore::Impl::On(const UpstreamUnreachable& /*event*/) {
+  UpstreamInfo& upstream = options_.upstream;
+  if (upstream.life != UpstreamLife::kLive) return;
+  upstream.life = UpstreamLife::kSuspect;
+  Push();
+}
+
+void AgentCore::Impl::On(const CacheEventsArrived& /*event*/) {}
+
+void AgentCore::Impl::On(const OrderArrived& event) {
+  std::optional<Error> error = orders_.Check(event.order, options_.upstream);
+  if (!error) {
+    actions_.push_back(ForwardOrder{event.order});
+    return;
+  }
+  actions_.push_back(
+      ReplyOrder{{event.order.id, false, *error, orders_.highest()}});
+}
+
+void AgentCore::Impl::On(const OrderAnswered& event) {
+  OrderResult result;
+  result.id = event.order;
+  result.accepted = event.accepted;
+  result.highest_fence = orders_.highest();
+  if (!event.accepted) {
+    result.error = {ErrorKind::kUpstreamFailed, Execution::kNotRun,
+                    event.reason, std::nullopt};
+  }
+  actions_.push_back(ReplyOrder{std::move(result)});
+}
+
+void AgentCore::Impl::On(const LeaveRequested& event) {
+  if (drain_deadline_) return;
+  drain_deadline_ = now_ + event.deadline;
+  options_.upstream.life = UpstreamLife::kLeaving;
+  Push();
+}
+
+void AgentCore::Impl::On(const ConfigChanged& event) {
+  if (event.config != nullptr) gate_.ObserveConfig(event.config->version);
+}
+
+void AgentCore::Impl::On(const TableCommitted& /*event*/) {}
+
+void AgentCore::Impl::On(const TableRead& /*event*/) {}
+
+void AgentCore::Impl::On(const Tick& /*event*/) {
+  CancelExpired();
+  memory_.Sweep(now_);
+}
+
+void AgentCore::Impl::CheckDrained() {
+  if (!drain_deadline_ || drain_reported_) return;
+  if (!running_.empty() && now_ < *drain_deadline_) return;
+  drain_reported_ = true;
+  actions_.push_back(DrainComplete{});
+}
+
+}  // namespace yuccapick
--- /dev/null
+++ b/src/agent_impl.h
@@ -0,0 +1,82 @@
+#ifndef YUCCAPICK_SRC_AGENT_IMPL_H_
+#define YUCCAPICK_SRC_AGENT_IMPL_H_
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "yuccapick/agent_core.h"
+#include "yuccapick/attempt_gate.h"
+#include "yuccapick/operation_memory.h"
+#include "yuccapick/order_fence.h"
+
+namespace yuccapick {
+
+/// An attempt that the upstream works on.
+struct RunningAttempt {
+  AttemptRequest request;
+  TimePoint deadline;
+  bool watched = true;  ///< A router still waits for the answer.
+};
+
+/// The stages of `AgentCore`, joined by the attempts that run.
+class AgentCore::Impl {
+ public:
+  explicit Impl(AgentCoreOptions options);
+
+  AgentActions Handle(const AgentEvent& event, TimePoint now);
+  AgentReport FullReport(TimePoint now) const;
+  const UpstreamInfo& Upstream() const { return options_.upstream; }
+
+ private:
+  // Attempts: agent_attempts.cc.
+  void On(const AttemptArrived& event);
+  void On(const AttemptAbandoned& event);
+  void On(const UpstreamHead& event);
+  void On(const UpstreamChunk& event);
+  void On(const UpstreamEnd& event);
+  void On(const UpstreamFailed& event);
+  void PassOn(const AttemptRequest& request);
+  void AnswerFromMemory(const AttemptRequest& request,
+                        OperationMemory::Verdict verdict);
+  void ReplayAnswer(const AttemptRequest& request, const StoredAnswer& answer);
+  void Refuse(const AttemptId& attempt, const Error& error);
+  RunningAttempt* Running(const AttemptId& attempt);
+  void BreakAll(const std::string& reason);
+
+  // Life: agent_core.cc.
+  void On(const UpstreamPolled& event);
+  void On(const UpstreamUnreachable& event);
+  void On(const CacheEventsArrived& event);
+  void On(const OrderArrived& event);
+  void On(const OrderAnswered& event);
+  void On(const LeaveRequested& event);
+  void On(const ConfigChanged& event);
+  void On(const TableCommitted& event);
+  void On(const TableRead& event);
+  void On(const Tick& event);
+
+  AgentReport MakeReport() const;
+  void Push();
+  void CancelExpired();
+  void CheckDrained();
+
+  AgentCoreOptions options_;
+  TimePoint now_;
+  AgentActions actions_;
+  AttemptGate gate_;
+  OperationMemory memory_;
+  OrderFence orders_;
+  std::map<AttemptId, RunningAttempt> running_;
+  std::string boot_id_;
+  LoadReport load_;
+  std::uint64_t sequence_ = 0;
+  std::optional<TimePoint> next_report_;
+  std::optional<TimePoint> drain_deadline_;
+  bool drain_reported_ = false;
+};
+
+}  // namespace yuccapick
+
+#endif  // YUCCAPICK_SRC_AGENT_IMPL_H_
--- /dev/null
+++ b/src/router_requests.cc
@@ -0,0 +1,167 @@
+#include <fmt/format.h>
+
+#include <utility>
+
+#include "router_impl.h"
+
+namespace yuccapick {
+namespace {
+
+constexpr std::chrono::milliseconds kNoUpstreamRetryAfter{1'000};
+constexpr std::uint64_t kPieceBytes = 16 << 10;
+
+Error DrainingError(const CallerRequest& request) {
+  return {ErrorKind::kDraining, RefusalExecution(request, request.key.empty()),
+          "this router is stopping; send the request again to another one",
+          std::chrono::milliseconds(0)};
+}
+
+std::uint64_t TotalBytes(const std::vector<std::string>& levels) {
+  std::uint64_t n = 0;
+  for (const std::string& level : levels) n += level.size();
+  return n;
+}
+
+PlacementRequest MakePlacement(const CallerRequest& request,
+                               const AdmittedRequest& admitted) {
+  PlacementRequest placement;
+  placement.scope = {request.team, request.model, request.adapter,
+                     admitted.weights};
+  placement.service = request.service;
+  placement.pieces = CutPrefix(placement.scope, request.levels, kPieceBytes);
+  placement.prompt_bytes = TotalBytes(request.levels);
+  placement.urgent = admitted.route.urgent;
+  placement.reuse_weight = admitted.service->reuse_weight;
+  return placement;
+}
+
+}  // namespace
+
+void RouterCore::Impl::On(const RequestArrived& event) {
+  const CallerRequest& request = event.request;
+  if (drain_deadline_) {
+    actions_.push_back(FailRequest{request.id, DrainingError(request)});
+    return;
+  }
+  AdmissionResult result = Admit(config_, request, now_);
+  if (auto* error = std::get_if<Error>(&result)) {
+    error->execution = RefusalExecution(request, request.key.empty());
+    actions_.push_back(FailRequest{request.id, std::move(*error)});
+    return;
+  }
+  Flight flight;
+  flight.request = request;
+  flight.admitted = std::get<AdmittedRequest>(std::move(result));
+  flight.arrived = now_;
+  if (request.kind != RequestKind::kPlain) {
+    flight.placement = MakePlacement(request, flight.admitted);
+  }
+  auto [it, inserted] = flights_.emplace(request.id, std::move(flight));
+  if (inserted) Dispatch(it->second);
+}
+
+void RouterCore::Impl::On(const CallerGone& event) {
+  auto it = flights_.find(event.request);
+  if (it == flights_.end()) return;
+  Forget(it->second, false,
+         {ErrorKind::kCancelled, Execution::kUnknown,
+          "the caller closed its connection", std::nullopt});
+}
+
+void RouterCore::Impl::Dispatch(Flight& flight) {
+  if (!flight.admitted.route.idempotent) {
+    Fail(flight, {ErrorKind::kPlatformUnavailable,
+                  RefusalExecution(flight.request, false),
+                  "operations cannot be claimed yet; call an idempotent route",
+                  std::nullopt});
+    return;
+  }
+  std::optional<Attempt> attempt = Choose(flight);
+  if (!attempt) {
+    Fail(flight,
+         {ErrorKind::kNoUpstream, RefusalExecution(flight.request, true),
+          fmt::format("no live upstream can serve {}; retry later or "
+                      "add one",
+                      flight.request.service.value),
+          kNoUpstreamRetryAfter});
+    return;
+  }
+  Send(flight, *std::move(attempt));
+}
+
+std::optional<Attempt> RouterCore::Impl::Choose(Flight& flight) {
+  Attempt attempt;
+  const CallerRequest& request = flight.request;
+  if (request.kind != RequestKind::kPlain) {
+    flight.placement.excluded = flight.excluded;
+    std::optional<PlacementDecision> decision =
+        placement_.Choose(flight.placement, now_);
+    if (!decision) return std::nullopt;
+    attempt.upstream = decision->upstream;
+    attempt.agent_incarnation = decision->agent_incarnation;
+    attempt.engine_incarnation = decision->engine_incarnation;
+  } else {
+    std::optional<UpstreamId> id =
+        upstreams_.PickPlain(request.service, request.target, flight.excluded);
+    if (!id) return std::nullopt;
+    attempt.upstream = *id;
+    attempt.agent_incarnation = upstreams_.Find(*id)->agent_incarnation;
+  }
+  attempt.id =
+      AttemptId(fmt::format("{}-{}-{}", options_.instance.value,
+                            options_.incarnation.value, ++attempts_started_));
+  return attempt;
+}
+
+void RouterCore::Impl::Send(Flight& flight, Attempt attempt) {
+  AttemptRequest message = MakeAttempt(flight, attempt);
+  if (flight.attempts_made == 0) flight.first_sent = now_;
+  ++flight.attempts_made;
+  upstreams_.OnSent(attempt.upstream);
+  if (flight.request.kind != RequestKind::kPlain) {
+    PlacementDecision decision;
+    decision.upstream = attempt.upstream;
+    decision.agent_incarnation = attempt.agent_incarnation;
+    decision.engine_incarnation = attempt.engine_incarnation;
+    placement_.OnDispatched(attempt.id, flight.placement, decision, now_);
+  }
+  attempt_owners_[attempt.id] = flight.request.id;
+  actions_.push_back(SendAttempt{attempt.upstream, std::move(message)});
+  flight.attempts.push_back(std::move(attempt));
+}
+
+AttemptRequest RouterCore::Impl::MakeAttempt(const Flight& flight,
+                                             const Attempt& attempt) const {
+  const CallerRequest& request = flight.request;
+  AttemptRequest message;
+  message.attempt = attempt.id;
+  message.team = request.team;
+  message.service = request.service;
+  message.kind = request.kind;
+  message.agent_incarnation = attempt.agent_incarnation;
+  message.engine_incarnation = attempt.engine_incarnation;
+  message.config = flight.admitted.config->version;
+  message.model = request.model;
+  message.adapter = request.adapter;
+  message.weights = flight.admitted.weights;
+  for (const PrefixPiece& piece : flight.placement.pieces) {
+    message.chain.push_back(piece.chain_hash);
+  }
+  if (request.kind != RequestKind::kPlain) {
+    message.cache_salt = CacheSalt(flight.placement.scope);
+  }
+  message.urgent = flight.admitted.route.urgent;
+  message.streamed = request.streamed;
+  message.deadline = std::chrono::duration_cast<std::chrono::milliseconds>(
+      flight.admitted.deadline - now_);
+  message.resume_from = flight.answer.next();
+  message.resume_attempt = flight.resume_attempt;
+  message.continuation = flight.answer.text();
+  message.method = request.method;
+  message.target = request.target;
+  message.headers = request.headers;
+  message.body = request.body;
+  return message;
+}
+
+}  // namespace yuccapick
--- /dev/null
+++ b/src/upstream_directory.cc
@@ -0,0 +1,128 @@
+#include "yuccapick/upstream_directory.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace yuccapick {
+namespace {
+
+template <typename Id>
+bool Contains(const std::vector<Id>& ids, const Id& id) {
+  return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
+}  // namespace
+
+std::uint64_t RendezvousWeight(const UpstreamId& id, std::string_view key) {
+  const std::uint64_t seed = XXH64(id.value.data(), id.value.size(), 0);
+  return XXH64(key.data(), key.size(), seed);
+}
+
+void UpstreamDirectory::Apply(const UpstreamInfo& upstream) {
+  auto it = entries_.find(upstream.id);
+  if (it == entries_.end()) {
+    entries_[upstream.id].info = upstream;
+    return;
+  }
+  UpstreamInfo& held = it->second.info;
+  if (upstream.agent_incarnation < held.agent_incarnation) return;
+  const bool same_life = upstream.agent_incarnation == held.agent_incarnation;
+  const UpstreamLife before = held.life;
+  const bool sticky = same_life && before >= UpstreamLife::kLeaving;
+  held = upstream;
+  if (sticky) held.life = std::max(before, upstream.life);
+  if (!same_life) it->second.in_flight = 0;
+}
+
+void UpstreamDirectory::MarkLeaving(const UpstreamId& id, Incarnation agent) {
+  auto it = entries_.find(id);
+  if (it == entries_.end()) return;
+  if (it->second.info.agent_incarnation != agent) return;
+  it->second.info.life = std::max(it->second.info.life, UpstreamLife::kLeaving);
+}
+
+void UpstreamDirectory::OnSent(const UpstreamId& id) {
+  ++entries_[id].in_flight;
+}
+
+void UpstreamDirectory::OnEnded(const UpstreamId& id) {
+  auto it = entries_.find(id);
+  if (it != entries_.end() && it->second.in_flight > 0) --it->second.in_flight;
+}
+
+const UpstreamInfo* UpstreamDirectory::Find(const UpstreamId& id) const {
+  auto it = entries_.find(id);
+  return it == entries_.end() ? nullptr : &it->second.info;
+}
+
+bool UpstreamDirectory::IsLive(const UpstreamId& id) const {
+  const UpstreamInfo* upstream = Find(id);
+  return upstream != nullptr && upstream->life == UpstreamLife::kLive;
+}
+
+bool UpstreamDirectory::HasEnded(const UpstreamId& id,
+                                 Incarnation agent) const {
+  const UpstreamInfo* upstream = Find(id);
+  if (upstream == nullptr) return false;
+  if (upstream->agent_incarnation > agent) return true;
+  return upstream->agent_incarnation == agent &&
+         upstream->life == UpstreamLife::kGone;
+}
+
+bool UpstreamDirectory::Serves(const Entry& entry, const ServiceId& service,
+                               const std::vector<UpstreamId>& excluded) const {
+  const UpstreamInfo& info = entry.info;
+  return info.kind == UpstreamKind::kPlainService &&
+         info.life == UpstreamLife::kLive && Contains(info.services, service) &&
+         !Contains(excluded, info.id);
+}
+
+std::optional<UpstreamId> UpstreamDirectory::PickPlain(
+    const ServiceId& service, std::string_view key,
+    const std::vector<UpstreamId>& excluded) const {
+  const Entry* best = nullptr;
+  std::uint64_t best_weight = 0;
+  for (const auto& [id, entry] : entries_) {
+    if (!Serves(entry, service, excluded)) continue;
+    const std::uint64_t weight = RendezvousWeight(id, key);
+    const bool better =
+        best == nullptr || entry.in_flight < best->in_flight ||
+        (entry.in_flight == best->in_flight && weight > best_weight);
+    if (!better) continue;
+    best = &entry;
+    best_weight = weight;
+  }
+  if (best == nullptr) return std::nullopt;
+  return best->info.id;
+}
+
+std::optional<UpstreamId> UpstreamDirectory::Home(
+    const ServiceId& service, std::string_view key,
+    const std::vector<UpstreamId>& excluded) const {
+  std::optional<UpstreamId> home;
+  std::uint64_t best_weight = 0;
+  for (const auto& [id, entry] : entries_) {
+    if (!Serves(entry, service, excluded)) continue;
+    const std::uint64_t weight = RendezvousWeight(id, key);
+    if (home && weight <= best_weight) continue;
+    home = id;
+    best_weight = weight;
+  }
+  return home;
+}
+
+std::uint32_t UpstreamDirectory::InFlight(const UpstreamId& id) const {
+  auto it = entries_.find(id);
+  return it == entries_.end() ? 0 : it->second.in_flight;
+}
+
+std::size_t UpstreamDirectory::CountLive(UpstreamKind kind) const {
+  return static_cast<std::size_t>(
+      std::count_if(entries_.begin(), entries_.end(), [kind](const auto& it) {
+        return it.second.info.kind == kind &&
+               it.second.info.life == UpstreamLife::kLive;
+      }));
+}
+
+}  // namespace yuccapick
