Follow one engine's cache at its agent

Cache events come late and with gaps. The picture orders them by sequence, counts gaps, ages what a gap may have hidden by the idle time at which the engine evicts, and takes usage reports as proof that a prefix is cached. AttemptRequest carries the byte ends of its pieces, which the agent needs to match the engine's token positions with pieces.

--- a/include/yuccapick/link_messages.h
+++ b/include/yuccapick/link_messages.h
@@ -60,6 +60,9 @@
   std::string target;  ///< Path and query below the service.
   std::vector<Header> headers;
   std::string body;
+
+  /// Prompt bytes up to the end of each piece of `chain`; may be empty.
+  std::vector<std::uint64_t> chain_end_bytes;
 };
 
 /// Tokens that an engine reports for one answer.
--- /dev/null
+++ b/src/engine_picture.cc
@@ -0,0 +1,260 @@
+#include "yuccapick/engine_picture.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace yuccapick {
+namespace {
+
+constexpr std::size_t kMostEntries = 4096;
+constexpr std::size_t kMostBlocks = 65'536;
+constexpr std::size_t kMostAttempts = 4096;
+constexpr double kLifetimeSmoothing = 0.05;
+/// Entries that no event confirmed since a gap are dropped beyond this multiple
+/// of the mean idle time at eviction.
+constexpr double kLifetimeMargin = 1.5;
+constexpr double kTokensPerByteSmoothing = 0.1;
+/// How far a block may end before a piece to count as the piece's end.
+constexpr double kEndTolerance = 0.03;
+constexpr std::chrono::milliseconds kAnnounceUseAfter{2'000};
+
+double Seconds(std::chrono::steady_clock::duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+DigestEntry MakeDigestEntry(std::uint64_t chain_hash, std::uint32_t tokens,
+                            TimePoint last_used, TimePoint now) {
+  const auto idle =
+      std::chrono::duration_cast<std::chrono::milliseconds>(now - last_used);
+  return {chain_hash, tokens, std::max(idle, std::chrono::milliseconds(0))};
+}
+
+}  // namespace
+
+void EnginePicture::Clear() {
+  for (const auto& [chain_hash, entry] : entries_) {
+    if (entry.is_announced) evicted_.insert(chain_hash);
+  }
+  entries_.clear();
+  blocks_.clear();
+  attempts_.clear();
+  attempt_order_.clear();
+  changed_.clear();
+  next_sequence_ = 0;
+  lifetime_seconds_ = 0;
+}
+
+void EnginePicture::Apply(const std::string& boot_id,
+                          const std::vector<CacheEvent>& events,
+                          TimePoint now) {
+  if (boot_id != boot_id_) {
+    if (!boot_id_.empty()) Clear();
+    boot_id_ = boot_id;
+  }
+  for (const CacheEvent& event : events) ApplyOne(event, now);
+  DropOrphans();
+  DropStale(now);
+  TrimEntries();
+}
+
+void EnginePicture::ApplyOne(const CacheEvent& event, TimePoint now) {
+  if (next_sequence_ != 0 && event.sequence < next_sequence_) return;
+  if (next_sequence_ != 0 && event.sequence > next_sequence_) ++gaps_;
+  next_sequence_ = event.sequence + 1;
+  switch (event.kind) {
+    case CacheEvent::Kind::kStored:
+      OnStored(event, now);
+      return;
+    case CacheEvent::Kind::kEvicted:
+      OnEvicted(event, now);
+      return;
+    case CacheEvent::Kind::kCleared:
+      for (const auto& [chain_hash, entry] : entries_) {
+        if (entry.is_announced) evicted_.insert(chain_hash);
+      }
+      entries_.clear();
+      blocks_.clear();
+      return;
+  }
+}
+
+std::uint32_t EnginePicture::TokensUpTo(const Attempt& attempt,
+                                        std::size_t piece) const {
+  if (piece >= attempt.end_bytes.size()) return 0;
+  return static_cast<std::uint32_t>(
+      tokens_per_byte_ * static_cast<double>(attempt.end_bytes[piece]));
+}
+
+void EnginePicture::OnStored(const CacheEvent& event, TimePoint now) {
+  const auto it = attempts_.find(event.attempt);
+  if (it == attempts_.end()) return;
+  const Attempt& attempt = it->second;
+  for (std::size_t n = 0; n < attempt.end_bytes.size(); ++n) {
+    const double end = TokensUpTo(attempt, n);
+    if (event.end_token > end * (1.0 + kEndTolerance)) continue;
+    if (blocks_.size() < kMostBlocks) blocks_[event.block] = attempt.chain[n];
+    const bool ends_piece = event.end_token >= end * (1.0 - kEndTolerance);
+    Touch(attempt, ends_piece ? n + 1 : n, now);
+    return;
+  }
+}
+
+void EnginePicture::OnEvicted(const CacheEvent& event, TimePoint now) {
+  const auto it = blocks_.find(event.block);
+  if (it == blocks_.end()) return;
+  const std::uint64_t chain_hash = it->second;
+  blocks_.erase(it);
+  const auto found = entries_.find(chain_hash);
+  if (found == entries_.end()) return;
+  const double idle = std::max(0.001, Seconds(now - found->second.last_used));
+  if (lifetime_seconds_ == 0) lifetime_seconds_ = idle;
+  lifetime_seconds_ += kLifetimeSmoothing * (idle - lifetime_seconds_);
+  Drop(chain_hash);
+}
+
+void EnginePicture::Drop(std::uint64_t chain_hash) {
+  const auto it = entries_.find(chain_hash);
+  if (it == entries_.end()) return;
+  if (it->second.is_announced) evicted_.insert(chain_hash);
+  changed_.erase(chain_hash);
+  entries_.erase(it);
+  dropped_ = true;
+}
+
+void EnginePicture::DropOrphans() {
+  // A piece is of no use without all pieces before it.
+  while (std::exchange(dropped_, false)) {
+    std::vector<std::uint64_t> orphans;
+    for (const auto& [chain_hash, entry] : entries_) {
+      if (entry.parent != 0 && !entries_.contains(entry.parent)) {
+        orphans.push_back(chain_hash);
+      }
+    }
+    for (const std::uint64_t orphan : orphans) Drop(orphan);
+  }
+}
+
+bool EnginePicture::Stale(const Entry& entry, TimePoint now) const {
+  if (entry.gaps == gaps_ || lifetime_seconds_ == 0) return false;
+  return Seconds(now - entry.last_used) > kLifetimeMargin * lifetime_seconds_;
+}
+
+void EnginePicture::DropStale(TimePoint now) {
+  std::vector<std::uint64_t> stale;
+  for (const auto& [chain_hash, entry] : entries_) {
+    if (Stale(entry, now)) stale.push_back(chain_hash);
+  }
+  for (const std::uint64_t chain_hash : stale) Drop(chain_hash);
+  DropOrphans();
+}
+
+void EnginePicture::TrimEntries() {
+  if (entries_.size() <= kMostEntries) return;
+  std::vector<std::pair<TimePoint, std::uint64_t>> by_use;
+  for (const auto& [chain_hash, entry] : entries_) {
+    by_use.emplace_back(entry.last_used, chain_hash);
+  }
+  const std::size_t excess = entries_.size() - kMostEntries * 7 / 8;
+  std::nth_element(by_use.begin(),
+                   by_use.begin() + static_cast<std::ptrdiff_t>(excess),
+                   by_use.end());
+  for (std::size_t n = 0; n < excess; ++n) Drop(by_use[n].second);
+  DropOrphans();
+}
+
+void EnginePicture::Touch(const Attempt& attempt, std::size_t pieces,
+                          TimePoint now) {
+  std::uint64_t parent = 0;
+  for (std::size_t n = 0; n < pieces; ++n) {
+    const std::uint64_t chain_hash = attempt.chain[n];
+    Entry& entry = entries_[chain_hash];
+    entry.parent = parent;
+    entry.tokens = TokensUpTo(attempt, n);
+    entry.last_used = std::max(entry.last_used, now);
+    entry.gaps = gaps_;
+    evicted_.erase(chain_hash);
+    if (!entry.is_announced || now - entry.announced > kAnnounceUseAfter) {
+      changed_.insert(chain_hash);
+    }
+    parent = chain_hash;
+  }
+}
+
+void EnginePicture::OnAttempt(const AttemptId& attempt,
+                              std::vector<std::uint64_t> chain,
+                              std::vector<std::uint64_t> end_bytes,
+                              TimePoint /*now*/) {
+  if (chain.empty()) return;
+  if (end_bytes.size() != chain.size()) end_bytes.clear();
+  const auto [it, inserted] = attempts_.try_emplace(
+      attempt, Attempt{std::move(chain), std::move(end_bytes)});
+  if (!inserted) return;
+  attempt_order_.push_back(attempt);
+  if (attempt_order_.size() <= kMostAttempts) return;
+  attempts_.erase(attempt_order_.front());
+  attempt_order_.pop_front();
+}
+
+void EnginePicture::OnUsage(const AttemptId& attempt, const Usage& usage,
+                            TimePoint now) {
+  const auto it = attempts_.find(attempt);
+  if (it == attempts_.end() || it->second.answered) return;
+  it->second.answered = true;
+  const Attempt& answered = it->second;
+  if (!answered.end_bytes.empty() && answered.end_bytes.back() > 0) {
+    const double ratio = static_cast<double>(usage.prompt_tokens) /
+                         static_cast<double>(answered.end_bytes.back());
+    tokens_per_byte_ += kTokensPerByteSmoothing * (ratio - tokens_per_byte_);
+  }
+  Touch(answered, answered.chain.size(), now);
+  TrimEntries();
+}
+
+PictureDelta EnginePicture::TakeDelta(TimePoint now, std::size_t most) {
+  DropStale(now);
+  PictureDelta delta;
+  while (!changed_.empty() && delta.added.size() < most) {
+    const std::uint64_t chain_hash = *changed_.begin();
+    changed_.erase(changed_.begin());
+    Entry& entry = entries_[chain_hash];
+    entry.is_announced = true;
+    entry.announced = entry.last_used;
+    delta.added.push_back(
+        MakeDigestEntry(chain_hash, entry.tokens, entry.last_used, now));
+  }
+  while (!evicted_.empty() && delta.evicted.size() < most) {
+    delta.evicted.push_back(*evicted_.begin());
+    evicted_.erase(evicted_.begin());
+  }
+  return delta;
+}
+
+std::vector<DigestEntry> EnginePicture::FullDigest(TimePoint now,
+                                                   std::size_t most) const {
+  std::vector<DigestEntry> digest;
+  for (const auto& [chain_hash, entry] : entries_) {
+    if (Stale(entry, now)) continue;
+    digest.push_back(
+        MakeDigestEntry(chain_hash, entry.tokens, entry.last_used, now));
+  }
+  std::sort(digest.begin(), digest.end(),
+            [](const DigestEntry& a, const DigestEntry& b) {
+              if (a.idle != b.idle) return a.idle < b.idle;
+              return a.chain_hash < b.chain_hash;
+            });
+  if (digest.size() > most) digest.resize(most);
+  return digest;
+}
+
+std::size_t EnginePicture::CachedPieces(const std::vector<std::uint64_t>& chain,
+                                        TimePoint now) const {
+  std::size_t cached = 0;
+  for (const std::uint64_t chain_hash : chain) {
+    const auto it = entries_.find(chain_hash);
+    if (it == entries_.end() || Stale(it->second, now)) break;
+    ++cached;
+  }
+  return cached;
+}
+
+}  // namespace yuccapick
