Read the configuration without changing compiler options

The reader's name clashed with the settings reader, and a toml++ built without exceptions did not link safely beside one built with them: the first test crashed. Both now use toml++ as it comes. The false -Wrestrict came from assigning a one-character literal; the code avoids it, so the compiler options stay as they were.

--- a/src/config_parser.cc
+++ b/src/config_parser.cc
@@ -1,13 +1,12 @@
 #include "yuccapick/config_parser.h"
 
 #include <fmt/format.h>
-#include <fmt/ranges.h>
 
 #include <algorithm>
 #include <map>
 #include <optional>
 
-#include "toml_reader.h"
+#include "config_reader.h"
 
 namespace yuccapick {
 namespace {
@@ -38,8 +37,8 @@
          std::all_of(text.begin(), text.end(), hex);
 }
 
-void CheckName(TomlReader& reader, std::string_view kind,
-               const TomlText& name) {
+void CheckName(ConfigReader& reader, std::string_view kind,
+               const ConfigText& name) {
   if (IsName(name.value)) return;
   reader.Report(
       name.line, kind,
@@ -53,16 +52,15 @@
 
 template <typename Id>
 std::string UseOneOf(const NameSet<Id>& known) {
-  std::vector<std::string> names;
+  if (known.empty()) return "";
+  std::string out = " or use one of:";
+  std::size_t named = 0;
   for (const Id& id : known) {
-    if (names.size() == kMaxNamesInRemedy) {
-      names.emplace_back("...");
-      break;
-    }
-    names.push_back(id.value);
+    if (named == kMaxNamesInRemedy) return fmt::format("{}, ...", out);
+    out += fmt::format("{} {}", named == 0 ? "" : ",", id.value);
+    ++named;
   }
-  if (names.empty()) return "";
-  return fmt::format(" or use one of: {}", fmt::join(names, ", "));
+  return out;
 }
 
 /// What the services' files may refer to.
@@ -73,12 +71,12 @@
 };
 
 template <typename Id>
-void ReadReferences(TomlReader& reader, std::string_view key,
+void ReadReferences(ConfigReader& reader, std::string_view key,
                     std::string_view kind, std::string_view place,
                     const NameSet<Id>& known, std::vector<Id>& out) {
-  std::vector<TomlText> names;
+  std::vector<ConfigText> names;
   reader.TextList(key, names);
-  for (const TomlText& name : names) {
+  for (const ConfigText& name : names) {
     const Id id(name.value);
     if (!known.contains(id)) {
       reader.Report(
@@ -100,13 +98,14 @@
 
 std::optional<toml::table> ParseFile(const ConfigFile& file,
                                      std::vector<ConfigProblem>& problems) {
-  toml::parse_result result = toml::parse(file.text, file.path);
-  if (result.succeeded()) return std::move(result).table();
-  const toml::parse_error& error = result.error();
-  problems.push_back({file.path, error.source().begin.line, "",
-                      std::string(error.description()),
-                      "correct the TOML syntax"});
-  return std::nullopt;
+  try {
+    return toml::parse(file.text, file.path);
+  } catch (const toml::parse_error& error) {
+    problems.push_back({file.path, error.source().begin.line, "",
+                        std::string(error.description()),
+                        "correct the TOML syntax"});
+    return std::nullopt;
+  }
 }
 
 class DeploymentParser {
@@ -117,13 +116,13 @@
   KnownNames Parse() {
     const auto table = ParseFile(file_, out_.problems);
     if (!table) return {};
-    TomlReader reader(file_.path, *table, out_.problems);
+    ConfigReader reader(file_.path, *table, out_.problems);
     reader.NamedTables("teams",
-                       [this](const TomlText& name, const toml::table& t) {
+                       [this](const ConfigText& name, const toml::table& t) {
                          ParseTeam(name, t);
                        });
     reader.NamedTables("models",
-                       [this](const TomlText& name, const toml::table& t) {
+                       [this](const ConfigText& name, const toml::table& t) {
                          ParseModel(name, t);
                        });
     if (!reader.Has("teams")) {
@@ -135,8 +134,8 @@
   }
 
  private:
-  void ParseTeam(const TomlText& name, const toml::table& table) {
-    TomlReader reader(file_.path, table, out_.problems);
+  void ParseTeam(const ConfigText& name, const toml::table& table) {
+    ConfigReader reader(file_.path, table, out_.problems);
     CheckName(reader, "team", name);
     TeamConfig team;
     team.id = TeamId(name.value);
@@ -147,8 +146,9 @@
     out_.snapshot.teams.push_back(std::move(team));
   }
 
-  void ParseTokens(TomlReader& reader, const TomlText& name, TeamConfig& team) {
-    std::vector<TomlText> tokens;
+  void ParseTokens(ConfigReader& reader, const ConfigText& name,
+                   TeamConfig& team) {
+    std::vector<ConfigText> tokens;
     reader.TextList("token_sha256", tokens);
     if (!reader.Has("token_sha256")) {
       reader.Report(name.line, "token_sha256",
@@ -156,7 +156,7 @@
                     "add the SHA-256 of its bearer token: "
                     "printf %s TOKEN | sha256sum");
     }
-    for (const TomlText& token : tokens) {
+    for (const ConfigText& token : tokens) {
       if (!IsSha256(token.value)) {
         reader.Report(token.line, "token_sha256",
                       "'token_sha256' holds something that is no SHA-256",
@@ -173,8 +173,8 @@
     }
   }
 
-  void ParseModel(const TomlText& name, const toml::table& table) {
-    TomlReader reader(file_.path, table, out_.problems);
+  void ParseModel(const ConfigText& name, const toml::table& table) {
+    ConfigReader reader(file_.path, table, out_.problems);
     CheckName(reader, "model", name);
     ModelConfig model;
     model.id = ModelId(name.value);
@@ -194,10 +194,10 @@
     out_.snapshot.models.push_back(std::move(model));
   }
 
-  void ParseAdapters(TomlReader& reader, ModelConfig& model) {
-    std::vector<TomlText> adapters;
+  void ParseAdapters(ConfigReader& reader, ModelConfig& model) {
+    std::vector<ConfigText> adapters;
     reader.TextList("adapters", adapters);
-    for (const TomlText& adapter : adapters) {
+    for (const ConfigText& adapter : adapters) {
       CheckName(reader, "adapter", adapter);
       model.adapters.emplace_back(adapter.value);
       known_.adapters.insert(AdapterId(adapter.value));
@@ -219,7 +219,7 @@
   void Parse(const ConfigFile& file) {
     const auto table = ParseFile(file, out_.problems);
     if (!table) return;
-    TomlReader reader(file.path, *table, out_.problems);
+    ConfigReader reader(file.path, *table, out_.problems);
     ServiceConfig service;
     ParseIdentity(reader, file, service);
     ReadReferences(reader, "teams", "team", "[teams]", known_.teams,
@@ -241,7 +241,7 @@
   }
 
  private:
-  void ParseIdentity(TomlReader& reader, const ConfigFile& file,
+  void ParseIdentity(ConfigReader& reader, const ConfigFile& file,
                      ServiceConfig& service) {
     reader.Text("service", service.id.value);
     const std::uint32_t line = reader.LineOf("service");
@@ -268,7 +268,7 @@
     }
   }
 
-  static void ParseOutage(TomlReader& reader, ServiceConfig& service) {
+  static void ParseOutage(ConfigReader& reader, ServiceConfig& service) {
     std::string outage = "refuse";
     reader.Text("outage", outage);
     if (outage == "agent_memory") service.outage = OutagePolicy::kAgentMemory;
@@ -279,7 +279,7 @@
     }
   }
 
-  static void ParseLimits(TomlReader& reader, ServiceConfig& service) {
+  static void ParseLimits(ConfigReader& reader, ServiceConfig& service) {
     reader.Real("reuse_weight", {0, 1}, service.reuse_weight);
     auto body = static_cast<std::int64_t>(service.max_body_bytes);
     reader.Integer("max_body_bytes", {1, kMaxBodyBytes}, body);
@@ -294,7 +294,7 @@
 
   void ParseRoute(const ConfigFile& file, const toml::table& table,
                   ServiceConfig& service) {
-    TomlReader reader(file.path, table, out_.problems);
+    ConfigReader reader(file.path, table, out_.problems);
     RouteRule rule;
     rule.idempotent = service.idempotent;
     rule.urgent = service.urgent;
@@ -305,7 +305,7 @@
                     fmt::format("'{}' is no HTTP method", rule.method),
                     "write it in capitals, such as POST");
     }
-    rule.path_prefix = "/";
+    rule.path_prefix = std::string(1, '/');
     reader.Text("path_prefix", rule.path_prefix);
     if (!rule.path_prefix.starts_with('/')) {
       reader.Report(reader.LineOf("path_prefix"), "path_prefix",
@@ -319,7 +319,7 @@
     service.routes.push_back(std::move(rule));
   }
 
-  static void CheckKind(TomlReader& reader, const ServiceConfig& service) {
+  static void CheckKind(ConfigReader& reader, const ServiceConfig& service) {
     if (service.kind == ServiceKind::kModel && !reader.Has("models")) {
       reader.Report(1, "models", "a model service names no 'models'",
                     "add models = [...] or set kind = \"plain\"");
--- a/src/toml_reader.cc
+++ b/src/config_reader.cc
@@ -1,34 +1,34 @@
-#include "toml_reader.h"
+#include "config_reader.h"
 
 #include <fmt/format.h>
 #include <fmt/ranges.h>
 
 namespace yuccapick {
 
-const toml::node* TomlReader::Find(std::string_view key) {
+const toml::node* ConfigReader::Find(std::string_view key) {
   known_.emplace(key);
   return table_.get(key);
 }
 
-std::uint32_t TomlReader::LineOf(std::string_view key) const {
+std::uint32_t ConfigReader::LineOf(std::string_view key) const {
   const toml::node* node = table_.get(key);
   return node == nullptr ? table_.source().begin.line
                          : node->source().begin.line;
 }
 
-void TomlReader::Report(std::uint32_t line, std::string_view key,
-                        std::string message, std::string remedy) {
+void ConfigReader::Report(std::uint32_t line, std::string_view key,
+                          std::string message, std::string remedy) {
   if (line == 0) line = std::max(1U, table_.source().begin.line);
   problems_.push_back(
       {file_, line, std::string(key), std::move(message), std::move(remedy)});
 }
 
-void TomlReader::ReportType(std::string_view key, std::string_view expected) {
+void ConfigReader::ReportType(std::string_view key, std::string_view expected) {
   Report(LineOf(key), key, fmt::format("'{}' has the wrong type", key),
          fmt::format("write {}", expected));
 }
 
-void TomlReader::Text(std::string_view key, std::string& out) {
+void ConfigReader::Text(std::string_view key, std::string& out) {
   const toml::node* node = Find(key);
   if (node == nullptr) return;
   const auto value = node->value_exact<std::string>();
@@ -36,7 +36,7 @@
   out = *value;
 }
 
-void TomlReader::Flag(std::string_view key, bool& out) {
+void ConfigReader::Flag(std::string_view key, bool& out) {
   const toml::node* node = Find(key);
   if (node == nullptr) return;
   const auto value = node->value_exact<bool>();
@@ -44,8 +44,8 @@
   out = *value;
 }
 
-void TomlReader::Real(std::string_view key, TomlRange<double> range,
-                      double& out) {
+void ConfigReader::Real(std::string_view key, ConfigRange<double> range,
+                        double& out) {
   const toml::node* node = Find(key);
   if (node == nullptr) return;
   if (!node->is_number()) return ReportType(key, "a number");
@@ -57,8 +57,8 @@
   out = value;
 }
 
-void TomlReader::Integer(std::string_view key, TomlRange<std::int64_t> range,
-                         std::int64_t& out) {
+void ConfigReader::Integer(std::string_view key,
+                           ConfigRange<std::int64_t> range, std::int64_t& out) {
   const toml::node* node = Find(key);
   if (node == nullptr) return;
   const auto value = node->value_exact<std::int64_t>();
@@ -70,7 +70,8 @@
   out = *value;
 }
 
-void TomlReader::TextList(std::string_view key, std::vector<TomlText>& out) {
+void ConfigReader::TextList(std::string_view key,
+                            std::vector<ConfigText>& out) {
   const toml::node* node = Find(key);
   if (node == nullptr) return;
   const toml::array* list = node->as_array();
@@ -82,8 +83,9 @@
   }
 }
 
-void TomlReader::Tables(std::string_view key,
-                        const std::function<void(const toml::table&)>& visit) {
+void ConfigReader::Tables(
+    std::string_view key,
+    const std::function<void(const toml::table&)>& visit) {
   const toml::node* node = Find(key);
   if (node == nullptr) return;
   const toml::array* list = node->as_array();
@@ -99,9 +101,9 @@
   }
 }
 
-void TomlReader::NamedTables(
+void ConfigReader::NamedTables(
     std::string_view key,
-    const std::function<void(const TomlText&, const toml::table&)>& visit) {
+    const std::function<void(const ConfigText&, const toml::table&)>& visit) {
   const toml::node* node = Find(key);
   if (node == nullptr) return;
   const toml::table* tables = node->as_table();
@@ -120,7 +122,7 @@
   }
 }
 
-void TomlReader::Finish() {
+void ConfigReader::Finish() {
   for (const auto& [key, node] : table_) {
     if (known_.contains(key.str())) continue;
     Report(node.source().begin.line, key.str(),
--- a/src/toml_reader.h
+++ b/src/config_reader.h
@@ -1,10 +1,9 @@
-#ifndef YUCCAPICK_SRC_TOML_READER_H_
-#define YUCCAPICK_SRC_TOML_READER_H_
+#ifndef YUCCAPICK_SRC_CONFIG_READER_H_
+#define YUCCAPICK_SRC_CONFIG_READER_H_
 
 /// @file
 /// Typed access to a TOML table that collects problems and unknown keys.
 
-#define TOML_EXCEPTIONS 0
 #include <toml++/toml.h>
 
 #include <cstdint>
@@ -19,41 +18,41 @@
 namespace yuccapick {
 
 /// A string element of a list with its place.
-struct TomlText {
+struct ConfigText {
   std::string value;
   std::uint32_t line = 0;
 };
 
 /// Bounds of a number, both inclusive.
 template <typename T>
-struct TomlRange {
+struct ConfigRange {
   T low;
   T high;
 };
 
 /// Reads one table. Every key that is read counts as known; `Finish` reports
 /// the others.
-class TomlReader {
+class ConfigReader {
  public:
-  TomlReader(std::string file, const toml::table& table,
-             std::vector<ConfigProblem>& problems)
+  ConfigReader(std::string file, const toml::table& table,
+               std::vector<ConfigProblem>& problems)
       : file_(std::move(file)), table_(table), problems_(problems) {}
 
   // Each leaves `out` alone if the key is absent or wrong.
   void Text(std::string_view key, std::string& out);
   void Flag(std::string_view key, bool& out);
-  void Real(std::string_view key, TomlRange<double> range, double& out);
-  void Integer(std::string_view key, TomlRange<std::int64_t> range,
+  void Real(std::string_view key, ConfigRange<double> range, double& out);
+  void Integer(std::string_view key, ConfigRange<std::int64_t> range,
                std::int64_t& out);
   /// Takes a list of strings.
-  void TextList(std::string_view key, std::vector<TomlText>& out);
+  void TextList(std::string_view key, std::vector<ConfigText>& out);
   /// Calls `visit` for each table of the array of tables `key`.
   void Tables(std::string_view key,
               const std::function<void(const toml::table&)>& visit);
   /// Calls `visit` for each named table below the table `key`.
   void NamedTables(
       std::string_view key,
-      const std::function<void(const TomlText&, const toml::table&)>& visit);
+      const std::function<void(const ConfigText&, const toml::table&)>& visit);
 
   /// Reports every key that was not read.
   void Finish();
@@ -77,4 +76,4 @@
 
 }  // namespace yuccapick
 
-#endif  // YUCCAPICK_SRC_TOML_READER_H_
+#endif  // YUCCAPICK_SRC_CONFIG_READER_H_
--- a/src/shell/check_command.cc
+++ b/src/shell/check_command.cc
@@ -1,6 +1,7 @@
 #include <fmt/format.h>
 #include <getopt.h>
 
+#include <array>
 #include <cstdio>
 #include <string>
 
@@ -24,7 +25,8 @@
 int CheckDirectory(const std::string& directory) {
   const auto files = ReadConfigDirectory(directory);
   if (!files.ok()) {
-    fmt::print(stderr, "{}\n", std::string(files.status().message()));
+    const std::string text(files.status().message());
+    fmt::print(stderr, "{}\n", text);
     return kExitFailed;
   }
   const ParsedConfig parsed = ParseConfig(*files);
@@ -46,14 +48,15 @@
 }  // namespace
 
 int RunCheck(int argc, char** argv) {
-  const option options[] = {{"help", no_argument, nullptr, 'h'}, {}};
+  const std::array<option, 2> options{
+      {{"help", no_argument, nullptr, 'h'}, {nullptr, 0, nullptr, 0}}};
   optind = 1;
-  for (int c = 0; (c = getopt_long(argc, argv, "h", options, nullptr)) != -1;) {
-    std::FILE* stream = c == 'h' ? stdout : stderr;
-    fmt::print(stream, "{}", kCheckUsage);
-    return c == 'h' ? kExitOk : kExitUsage;
+  const int c = getopt_long(argc, argv, "h", options.data(), nullptr);
+  if (c == 'h') {
+    fmt::print("{}", kCheckUsage);
+    return kExitOk;
   }
-  if (optind + 1 != argc) {
+  if (c != -1 || optind + 1 != argc) {
     fmt::print(stderr, "{}", kCheckUsage);
     return kExitUsage;
   }
