Add the stand-ins: engine, plain service, kept-KV store and platform

The whole path, the demo and the measurements need an outside to run against. One program plays it in four roles over HTTP, with faults that are switched on by POST /faults.

--- /dev/null
+++ b/standin/answer_writer.h
@@ -0,0 +1,51 @@
+#ifndef YUCCAPICK_STANDIN_ANSWER_WRITER_H_
+#define YUCCAPICK_STANDIN_ANSWER_WRITER_H_
+
+/// @file
+/// Writes an engine's answer in the OpenAI-compatible form.
+
+#include <cstdint>
+#include <string>
+
+#include "standin/engine_model.h"
+#include "standin/http_server.h"
+
+namespace yuccapick::standin {
+
+/// Form of an answer.
+struct AnswerForm {
+  std::string id;
+  std::string model;
+  std::string weights;
+  bool chat = true;
+  bool streamed = true;
+  std::uint64_t truncate_after = 0;  ///< 0 writes the whole answer.
+};
+
+/// Follows one generation and writes what is new.
+class AnswerWriter {
+ public:
+  /// @param from position of the first event to write
+  AnswerWriter(AnswerForm form, ResponderPtr responder, std::uint64_t from);
+
+  /// Writes what is there. Returns false once nothing is left to write.
+  bool Update(const Generation& generation);
+
+ private:
+  bool UpdateStream(const Generation& generation);
+  void WriteWhole(const Generation& generation);
+  std::string TokenEvent(const Generation& generation,
+                         std::uint64_t token) const;
+  std::string LastEvent(const Generation& generation) const;
+
+  AnswerForm form_;
+  ResponderPtr responder_;
+  std::string head_;  ///< Fields that all events share.
+  std::uint64_t next_position_;
+  std::uint64_t written_ = 0;
+  bool begun_ = false;
+};
+
+}  // namespace yuccapick::standin
+
+#endif  // YUCCAPICK_STANDIN_ANSWER_WRITER_H_
--- /dev/null
+++ b/standin/event_log.h
@@ -0,0 +1,112 @@
+#ifndef YUCCAPICK_STANDIN_EVENT_LOG_H_
+#define YUCCAPICK_STANDIN_EVENT_LOG_H_
+
+/// @file
+/// Cache events that an engine publishes, with gaps and delay.
+
+#include <fmt/format.h>
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "standin/prefix_cache.h"
+#include "standin/role.h"
+
+namespace yuccapick::standin {
+
+/// Keeps the latest events and answers those who wait for more.
+class EventLog {
+ public:
+  explicit EventLog(Context& context) : context_(context) {}
+
+  /// Publishes events; lost ones leave a gap in the sequence.
+  void Publish(const std::vector<BlockEvent>& events) {
+    std::vector<nlohmann::json> kept;
+    for (const BlockEvent& event : events) {
+      ++sequence_;
+      if (context_.Strikes(context_.faults.event_loss)) continue;
+      kept.push_back({{"sequence", sequence_},
+                      {"kind", event.kind},
+                      {"block", fmt::format("{:016x}", event.block)},
+                      {"request", event.request},
+                      {"end_token", event.end_token}});
+    }
+    if (kept.empty()) return;
+    if (context_.faults.event_delay.count() == 0) return Show(std::move(kept));
+    context_.After(context_.faults.event_delay,
+                   [this, kept, life = life_]() mutable {
+                     if (life == life_) Show(std::move(kept));
+                   });
+  }
+
+  /// Answers with the events after `after`, at once or when there are some.
+  void Answer(std::uint64_t after, const ResponderPtr& responder) {
+    auto waiter = std::make_shared<Waiter>(Waiter{after, responder});
+    if (HasEvents(after)) return Send(*waiter);
+    waiters_.push_back(waiter);
+    context_.After(kLongestWait, [this, waiter] {
+      if (waiter->responder != nullptr) Send(*waiter);
+      std::erase(waiters_, waiter);
+    });
+  }
+
+  void Crash() {
+    ++life_;
+    shown_.clear();
+    waiters_.clear();
+    sequence_ = 0;
+    boot_id_ = NewBootId();
+  }
+
+  const std::string& boot_id() const { return boot_id_; }
+
+ private:
+  struct Waiter {
+    std::uint64_t after = 0;
+    ResponderPtr responder;  ///< Null once it was answered.
+  };
+
+  static constexpr std::chrono::milliseconds kLongestWait{1000};
+  static constexpr std::size_t kKeptEvents = 8192;
+  static constexpr std::size_t kEventsAtOnce = 1024;
+
+  bool HasEvents(std::uint64_t after) const {
+    return !shown_.empty() && shown_.back()["sequence"] > after;
+  }
+
+  void Show(std::vector<nlohmann::json> events) {
+    for (nlohmann::json& event : events) shown_.push_back(std::move(event));
+    while (shown_.size() > kKeptEvents) shown_.pop_front();
+    for (const auto& waiter : std::exchange(waiters_, {})) Send(*waiter);
+  }
+
+  void Send(Waiter& waiter) {
+    nlohmann::json list = nlohmann::json::array();
+    std::uint64_t next = waiter.after;
+    for (const nlohmann::json& event : shown_) {
+      const auto sequence = event["sequence"].get<std::uint64_t>();
+      if (sequence <= waiter.after) continue;
+      if (list.size() == kEventsAtOnce) break;
+      list.push_back(event);
+      next = sequence;
+    }
+    std::exchange(waiter.responder, nullptr)
+        ->SendJson(200, {{"boot_id", boot_id_},
+                         {"next", next},
+                         {"events", std::move(list)}});
+  }
+
+  Context& context_;
+  std::deque<nlohmann::json> shown_;
+  std::vector<std::shared_ptr<Waiter>> waiters_;
+  std::uint64_t sequence_ = 0;
+  std::uint64_t life_ = 0;
+  std::string boot_id_ = NewBootId();
+};
+
+}  // namespace yuccapick::standin
+
+#endif  // YUCCAPICK_STANDIN_EVENT_LOG_H_
--- /dev/null
+++ b/standin/weight_loader.h
@@ -0,0 +1,20 @@
+#ifndef YUCCAPICK_STANDIN_WEIGHT_LOADER_H_
+#define YUCCAPICK_STANDIN_WEIGHT_LOADER_H_
+
+/// @file
+/// Fetches weights from the weight store for an engine.
+
+#include <functional>
+
+#include "standin/role.h"
+
+namespace yuccapick::standin {
+
+/// Fetches `weights`, then waits for the engine's own loading time.
+/// @param done gets false if the weight store did not answer
+void LoadWeights(Context& context, const Weights& weights,
+                 std::function<void(bool)> done);
+
+}  // namespace yuccapick::standin
+
+#endif  // YUCCAPICK_STANDIN_WEIGHT_LOADER_H_
