--- a/standin/http_server.cc
+++ b/standin/http_server.cc
@@ -124,7 +124,7 @@
   return {view.data(), view.size()};
 }
 
-Request ToRequest(restinio::request_t& source) {
+Request ToRequest(const restinio::request_t& source) {
   Request request;
   request.method = source.header().method().c_str();
   request.path = Text(source.header().path());
@@ -139,7 +139,7 @@
   source.header().for_each_field([&request](const auto& field) {
     request.headers[Lower(field.name())] = field.value();
   });
-  request.body = std::move(source.body());
+  request.body = source.body();
   return request;
 }
 
@@ -179,7 +179,8 @@
               .read_next_http_message_timelimit(kNoLimit)
               .write_http_response_timelimit(kNoLimit)
               .handle_request_timeout(kNoLimit)
-              .request_handler([handler](restinio::request_handle_t request) {
+              .request_handler([handler](
+                                   const restinio::request_handle_t& request) {
                 const Request plain = ToRequest(*request);
                 handler(plain, std::make_shared<RestinioResponder>(request));
                 return restinio::request_accepted();
