Claim operations in the table before they run

A non-idempotent call with the caller's key is claimed by put-if-absent in group commits. Writes whose result is unknown are committed again on the same condition. A claim is taken over only through the agent incarnation that it names, with a higher fencing token that the agent notes even when it refuses. Answers are kept up to 64 KiB; larger ones are recorded as run without a body, which needs no second write to the object store.

Keys that the router makes are not claimed in the table: no caller can repeat them, so the router's own retries through one agent keep them at most once.

AttemptRequest gains take_over and key_made, the router events gain OperationQueried, OperationFound and ScanTable.

--- a/include/yuccapick/agent_core.h
+++ b/include/yuccapick/agent_core.h
@@ -8,6 +8,7 @@
 #include <memory>
 
 #include "yuccapick/agent_events.h"
+#include "yuccapick/guards.h"
 #include "yuccapick/ids.h"
 
 namespace yuccapick {
@@ -17,6 +18,7 @@
   UpstreamInfo upstream;  ///< Identity and address; agent incarnation set.
   std::chrono::milliseconds report_interval{500};
   std::uint64_t seed = 0;
+  Guards guards = {};  ///< Switched off only by mutation tests.
 };
 
 /// Decides what reaches the upstream. Not thread-safe.
--- a/include/yuccapick/attempt_gate.h
+++ b/include/yuccapick/attempt_gate.h
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "yuccapick/error.h"
+#include "yuccapick/guards.h"
 #include "yuccapick/ids.h"
 #include "yuccapick/link_messages.h"
 #include "yuccapick/upstream.h"
@@ -20,23 +21,32 @@
 /// Checks each attempt at the moment of use. A refusal is always not run.
 class AttemptGate {
  public:
+  explicit AttemptGate(const Guards& guards = {}) : guards_(guards) {}
+
   // Commands.
 
   /// Takes a configuration version that was seen; only rises.
   void ObserveConfig(ConfigVersion version);
-  /// Checks `request` against the upstream as it is now.
-  /// @return nothing if it may pass
-  std::optional<Error> Check(const AttemptRequest& request,
-                             const UpstreamInfo& upstream);
+  /// Remembers the attempt; false for a copy of one that arrived before.
+  bool Remember(const AttemptId& attempt);
+  /// Checks that `request` was decided for this agent's life.
+  /// @return nothing if it was
+  std::optional<Error> CheckAddress(const AttemptRequest& request,
+                                    const UpstreamInfo& upstream) const;
+  /// Checks that the upstream as it is now may take `request`.
+  /// @return nothing if it may
+  std::optional<Error> CheckUse(const AttemptRequest& request,
+                                const UpstreamInfo& upstream);
 
   // Queries.
 
   ConfigVersion config() const { return config_; }
 
  private:
-  /// Remembers the id; false if it was seen before.
-  bool Remember(const AttemptId& attempt);
+  std::optional<Error> CheckCache(const AttemptRequest& request,
+                                  const UpstreamInfo& upstream) const;
 
+  Guards guards_;
   ConfigVersion config_;
   std::set<AttemptId> seen_;
   std::deque<AttemptId> order_;
--- a/include/yuccapick/operation_memory.h
+++ b/include/yuccapick/operation_memory.h
@@ -12,36 +12,18 @@
 #include <string>
 #include <vector>
 
+#include "yuccapick/guards.h"
 #include "yuccapick/ids.h"
 #include "yuccapick/link_messages.h"
+#include "yuccapick/operation_record.h"
 
 namespace yuccapick {
 
-/// Names an operation: an idempotency key within its team and service.
-struct OperationId {
-  TeamId team;
-  ServiceId service;
-  IdempotencyKey key;
-
-  auto operator<=>(const OperationId&) const = default;
-};
-
-/// A whole answer as it is kept for repeats.
-struct StoredAnswer {
-  std::uint32_t status = 200;
-  std::vector<Header> headers;
-  std::vector<std::string> parts;
-  bool complete = false;  ///< The end mark arrived.
-  bool oversize = false;  ///< Parts were dropped for their size.
-};
-
-/// Digest of method, target and body: equal for true repeats only.
-std::string RequestDigest(const AttemptRequest& request);
-
 struct OperationMemoryOptions {
   std::size_t max_operations = 20'000;
   std::size_t max_answer_bytes = 64 << 10;
-  std::chrono::milliseconds retention{600'000};
+  std::chrono::milliseconds retention{3'600'000};
+  Guards guards;
 };
 
 /// Remembers each key's highest fencing token and whether it was passed on.
@@ -61,7 +43,8 @@
 
   // Commands.
 
-  /// Decides on one arrival and remembers it.
+  /// Decides on one arrival and remembers it, with its fencing token even if
+  /// the caller refuses it afterwards (`OnNotRun`).
   Verdict Accept(const AttemptRequest& request, TimePoint now);
   /// The attempt's call certainly did not run; a higher token may try again.
   void OnNotRun(const AttemptId& attempt);
@@ -76,7 +59,7 @@
   // Queries.
 
   /// The kept answer of an operation, or null.
-  const StoredAnswer* Answer(const OperationId& id) const;
+  const StoredAnswer* Answer(const AttemptRequest& request) const;
   /// True if `attempt` is the one that was passed on for its key.
   bool Owns(const AttemptId& attempt) const;
   std::size_t size() const { return entries_.size(); }
@@ -95,10 +78,14 @@
   };
 
   Entry* EntryOf(const AttemptId& attempt);
+  OperationId IdOf(const AttemptRequest& request) const;
+  /// Forgets the operation that was idle for longest; false if none ended.
+  bool MakeRoom();
 
   OperationMemoryOptions options_;
   std::map<OperationId, Entry> entries_;
   std::map<AttemptId, OperationId> owners_;
+  bool forgot_any_ = false;  ///< A key that is not held may have run.
 };
 
 }  // namespace yuccapick
--- a/include/yuccapick/router_core.h
+++ b/include/yuccapick/router_core.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <memory>
 
+#include "yuccapick/guards.h"
 #include "yuccapick/ids.h"
 #include "yuccapick/router_events.h"
 
@@ -20,6 +21,7 @@
   FailureDomain domain;
   Region region;
   std::uint64_t seed = 0;  ///< Of jitter and sampling.
+  Guards guards = {};      ///< Switched off only by mutation tests.
 };
 
 /// Decides for every caller's request. Not thread-safe.
--- a/include/yuccapick/router_events.h
+++ b/include/yuccapick/router_events.h
@@ -93,6 +93,13 @@
 struct DrainRequested {
   std::chrono::milliseconds deadline{0};
 };
+/// A team asks what became of one of its operations.
+struct OperationQueried {
+  RequestId request;  ///< Names the query; of the same numbers as requests.
+  TeamId team;
+  ServiceId service;
+  IdempotencyKey key;
+};
 /// Time passed; sent no later than the last `WakeAt` asked for.
 struct Tick {};
 
@@ -100,7 +107,8 @@
     std::variant<RequestArrived, CallerGone, AnswerHeadArrived,
                  AnswerChunkArrived, AnswerEndArrived, AttemptFailedArrived,
                  AttemptLost, ReportArrived, UpstreamChanged, ConfigChanged,
-                 TableCommitted, TableRead, DrainRequested, Tick>;
+                 TableCommitted, TableRead, DrainRequested, Tick,
+                 OperationQueried>;
 
 // Actions.
 
@@ -142,6 +150,13 @@
   std::uint64_t command = 0;
   std::vector<std::string> keys;
 };
+/// Reads rows in key order; answered by `TableRead`.
+struct ScanTable {
+  std::uint64_t command = 0;
+  std::string prefix;
+  std::string after;  ///< Only rows with a greater key.
+  std::size_t limit = 0;
+};
 struct WakeAt {
   TimePoint when;
 };
@@ -163,10 +178,26 @@
   Usage usage;
 };
 
+/// What became of an operation.
+enum class OperationStatus : std::uint8_t {
+  kAbsent,      ///< The table knows nothing of it.
+  kInProgress,  ///< A router holds the claim.
+  kNotRun,      ///< It did not run and its claim was handed back.
+  kDone,        ///< It ran; repeating the request gives the answer again.
+  kUnknown,     ///< It may have run.
+  kUnavailable  ///< The table cannot be read now.
+};
+/// Answer to `OperationQueried`.
+struct OperationFound {
+  RequestId request;
+  OperationStatus status = OperationStatus::kUnavailable;
+  std::uint32_t answer_status = 0;  ///< HTTP status of a kept answer.
+};
+
 using RouterAction =
     std::variant<SendAttempt, CancelAttempt, BeginAnswer, SendAnswerData,
                  FinishAnswer, FailRequest, CommitTable, ReadTable, WakeAt,
-                 DrainComplete, RequestFinished>;
+                 DrainComplete, RequestFinished, ScanTable, OperationFound>;
 using RouterActions = std::vector<RouterAction>;
 
 }  // namespace yuccapick
--- a/include/yuccapick/upstream_directory.h
+++ b/include/yuccapick/upstream_directory.h
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include "yuccapick/guards.h"
 #include "yuccapick/ids.h"
 #include "yuccapick/link_messages.h"
 #include "yuccapick/upstream.h"
@@ -19,11 +20,15 @@
 /// Holds the upstreams. A leaving mark stays for the whole incarnation.
 class UpstreamDirectory {
  public:
+  explicit UpstreamDirectory(const Guards& guards = {}) : guards_(guards) {}
+
   // Commands.
 
   void Apply(const UpstreamInfo& upstream);
   /// Marks one incarnation as leaving, whatever the list says of it.
   void MarkLeaving(const UpstreamId& id, Incarnation agent);
+  /// An agent answered with this incarnation, whatever the list says.
+  void ObserveIncarnation(const UpstreamId& id, Incarnation agent);
   void OnSent(const UpstreamId& id);
   void OnEnded(const UpstreamId& id);
 
@@ -51,12 +56,14 @@
  private:
   struct Entry {
     UpstreamInfo info;
+    Incarnation highest_seen;
     std::uint32_t in_flight = 0;
   };
 
   bool Serves(const Entry& entry, const ServiceId& service,
               const std::vector<UpstreamId>& excluded) const;
 
+  Guards guards_;
   std::map<UpstreamId, Entry> entries_;
 };
 
--- a/src/agent_attempts.cc
+++ b/src/agent_attempts.cc
@@ -54,33 +54,41 @@
 
 void AgentCore::Impl::On(const AttemptArrived& event) {
   const AttemptRequest& request = event.request;
-  std::optional<Error> error = gate_.Check(request, options_.upstream);
-  if (error && error->kind == ErrorKind::kConflict) return;
-  if (error) {
+  const UpstreamInfo& upstream = options_.upstream;
+  if (std::optional<Error> error = gate_.CheckAddress(request, upstream)) {
     Refuse(request.attempt, *error);
     return;
   }
-  if (request.key.empty()) {
-    PassOn(request);
-    return;
+  if (!gate_.Remember(request.attempt)) return;
+  const bool remembered =
+      !request.key.empty() && options_.guards.operation_memory;
+  if (remembered) {
+    const OperationMemory::Verdict verdict = memory_.Accept(request, now_);
+    if (verdict != OperationMemory::Verdict::kPassOn) {
+      AnswerFromMemory(request, verdict);
+      return;
+    }
   }
-  const OperationMemory::Verdict verdict = memory_.Accept(request, now_);
-  if (verdict == OperationMemory::Verdict::kPassOn) {
-    PassOn(request);
+  if (std::optional<Error> error = gate_.CheckUse(request, upstream)) {
+    memory_.OnNotRun(request.attempt);
+    Refuse(request.attempt, *error);
     return;
   }
-  AnswerFromMemory(request, verdict);
+  PassOn(request);
 }
 
 void AgentCore::Impl::PassOn(const AttemptRequest& request) {
   running_[request.attempt] = {request, now_ + request.deadline, true};
+  if (request.kind != RequestKind::kPlain) {
+    picture_.OnAttempt(request.attempt, request.chain, request.chain_end_bytes,
+                       now_);
+  }
   actions_.push_back(ForwardAttempt{request});
 }
 
 void AgentCore::Impl::AnswerFromMemory(const AttemptRequest& request,
                                        OperationMemory::Verdict verdict) {
-  const OperationId id{request.team, request.service, request.key};
-  const StoredAnswer* answer = memory_.Answer(id);
+  const StoredAnswer* answer = memory_.Answer(request);
   const bool answered = verdict == OperationMemory::Verdict::kAnswered;
   if (answered && answer != nullptr && !answer->oversize) {
     ReplayAnswer(request, *answer);
@@ -88,6 +96,8 @@
   }
   Error error = MemoryError(verdict, request.key.value);
   if (answered) error.execution = Execution::kRan;
+  const bool full = verdict == OperationMemory::Verdict::kFull;
+  if (full && request.take_over) error.execution = Execution::kUnknown;
   Refuse(request.attempt, error);
 }
 
@@ -129,6 +139,9 @@
   RunningAttempt* attempt = Running(event.end.attempt);
   if (attempt == nullptr) return;
   memory_.OnEnd(event.end);
+  if (attempt->request.kind != RequestKind::kPlain) {
+    picture_.OnUsage(event.end.attempt, event.end.usage, now_);
+  }
   if (attempt->watched) actions_.push_back(ReplyEnd{event.end});
   running_.erase(event.end.attempt);
 }
--- a/src/agent_core.cc
+++ b/src/agent_core.cc
@@ -6,6 +6,15 @@
 #include "agent_impl.h"
 
 namespace yuccapick {
+namespace {
+
+OperationMemoryOptions MemoryOptions(const AgentCoreOptions& options) {
+  OperationMemoryOptions memory;
+  memory.guards = options.guards;
+  return memory;
+}
+
+}  // namespace
 
 AgentCore::AgentCore(AgentCoreOptions options)
     : impl_(std::make_unique<Impl>(std::move(options))) {}
@@ -22,7 +31,10 @@
 
 const UpstreamInfo& AgentCore::Upstream() const { return impl_->Upstream(); }
 
-AgentCore::Impl::Impl(AgentCoreOptions options) : options_(std::move(options)) {
+AgentCore::Impl::Impl(AgentCoreOptions options)
+    : options_(std::move(options)),
+      gate_(options_.guards),
+      memory_(MemoryOptions(options_)) {
   UpstreamInfo& upstream = options_.upstream;
   upstream.engine_incarnation =
       std::max(upstream.engine_incarnation, upstream.agent_incarnation);
@@ -37,8 +49,9 @@
   return std::exchange(actions_, {});
 }
 
-AgentReport AgentCore::Impl::FullReport(TimePoint /*now*/) const {
+AgentReport AgentCore::Impl::FullReport(TimePoint now) const {
   AgentReport report = MakeReport();
+  report.digest = picture_.FullDigest(now);
   report.digest_is_full = true;
   return report;
 }
@@ -54,7 +67,11 @@
 
 void AgentCore::Impl::Push() {
   ++sequence_;
-  actions_.push_back(PushReport{MakeReport()});
+  AgentReport report = MakeReport();
+  PictureDelta delta = picture_.TakeDelta(now_);
+  report.digest = std::move(delta.added);
+  report.evicted = std::move(delta.evicted);
+  actions_.push_back(PushReport{std::move(report)});
   next_report_ = now_ + options_.report_interval;
 }
 
@@ -64,6 +81,7 @@
   UpstreamInfo& upstream = options_.upstream;
   if (restarted) {
     upstream.engine_incarnation = upstream.engine_incarnation.Next();
+    picture_.Clear();
     BreakAll("the upstream restarted");
   }
   load_ = event.load;
@@ -81,7 +99,9 @@
   Push();
 }
 
-void AgentCore::Impl::On(const CacheEventsArrived& /*event*/) {}
+void AgentCore::Impl::On(const CacheEventsArrived& event) {
+  picture_.Apply(event.boot_id, event.events, now_);
+}
 
 void AgentCore::Impl::On(const OrderArrived& event) {
   std::optional<Error> error = orders_.Check(event.order, options_.upstream);
--- a/src/agent_impl.h
+++ b/src/agent_impl.h
@@ -8,6 +8,7 @@
 
 #include "yuccapick/agent_core.h"
 #include "yuccapick/attempt_gate.h"
+#include "yuccapick/engine_picture.h"
 #include "yuccapick/operation_memory.h"
 #include "yuccapick/order_fence.h"
 
@@ -68,6 +69,7 @@
   AttemptGate gate_;
   OperationMemory memory_;
   OrderFence orders_;
+  EnginePicture picture_;
   std::map<AttemptId, RunningAttempt> running_;
   std::string boot_id_;
   LoadReport load_;
--- a/src/operation_memory.cc
+++ b/src/operation_memory.cc
@@ -1,39 +1,53 @@
 #include "yuccapick/operation_memory.h"
 
-#include <fmt/format.h>
-#include <openssl/sha.h>
-
-#include <array>
 #include <utility>
 
 namespace yuccapick {
 
-std::string RequestDigest(const AttemptRequest& request) {
-  const std::string text =
-      fmt::format("{}\n{}\n{}\n{}", request.method, request.target.size(),
-                  request.target, request.body);
-  std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
-  SHA256(reinterpret_cast<const unsigned char*>(text.data()), text.size(),
-         digest.data());
-  std::string hex;
-  for (const unsigned char byte : digest) hex += fmt::format("{:02x}", byte);
-  return hex;
-}
-
 OperationMemory::OperationMemory(OperationMemoryOptions options)
     : options_(options) {}
 
+OperationId OperationMemory::IdOf(const AttemptRequest& request) const {
+  const bool scoped = options_.guards.team_scope;
+  return {scoped ? request.team : TeamId(), request.service, request.key};
+}
+
+bool OperationMemory::MakeRoom() {
+  auto oldest = entries_.end();
+  for (auto it = entries_.begin(); it != entries_.end(); ++it) {
+    if (it->second.state == State::kRunning) continue;
+    const bool older =
+        oldest == entries_.end() || it->second.touched < oldest->second.touched;
+    if (older) oldest = it;
+  }
+  if (oldest == entries_.end()) return false;
+  owners_.erase(oldest->second.attempt);
+  entries_.erase(oldest);
+  forgot_any_ = true;
+  return true;
+}
+
 OperationMemory::Verdict OperationMemory::Accept(const AttemptRequest& request,
                                                  TimePoint now) {
-  const OperationId id{request.team, request.service, request.key};
+  const OperationId id = IdOf(request);
+  const std::string digest =
+      RequestDigest(request.method, request.target, request.body);
   auto it = entries_.find(id);
   if (it == entries_.end()) {
-    if (entries_.size() >= options_.max_operations) return Verdict::kFull;
+    const bool may_have_run = request.take_over && forgot_any_;
+    if (may_have_run && options_.guards.forgotten_claim) {
+      return Verdict::kUnknown;
+    }
+    if (entries_.size() >= options_.max_operations && !MakeRoom()) {
+      return Verdict::kFull;
+    }
     it = entries_.emplace(id, Entry{}).first;
-    it->second.digest = RequestDigest(request);
+    it->second.digest = digest;
   }
   Entry& entry = it->second;
-  if (entry.digest != RequestDigest(request)) return Verdict::kKeyReused;
+  if (options_.guards.body_digest && entry.digest != digest) {
+    return Verdict::kKeyReused;
+  }
   entry.touched = now;
   switch (entry.state) {
     case State::kAnswered:
@@ -45,7 +59,9 @@
     case State::kOpen:
       break;
   }
-  if (request.fence <= entry.fence) return Verdict::kStaleFence;
+  if (options_.guards.fence && request.fence <= entry.fence) {
+    return Verdict::kStaleFence;
+  }
   entry.fence = request.fence;
   entry.state = State::kRunning;
   entry.attempt = request.attempt;
@@ -108,11 +124,13 @@
     }
     owners_.erase(it->second.attempt);
     it = entries_.erase(it);
+    forgot_any_ = true;
   }
 }
 
-const StoredAnswer* OperationMemory::Answer(const OperationId& id) const {
-  auto it = entries_.find(id);
+const StoredAnswer* OperationMemory::Answer(
+    const AttemptRequest& request) const {
+  auto it = entries_.find(IdOf(request));
   if (it == entries_.end() || !it->second.answer.complete) return nullptr;
   return &it->second.answer;
 }
--- a/src/router_answers.cc
+++ b/src/router_answers.cc
@@ -8,14 +8,26 @@
 namespace {
 
 constexpr std::uint32_t kMaxAttempts = 4;
+constexpr std::size_t kMaxKeptAnswerBytes = 64 << 10;
 
 Attempt& AttemptIn(Flight& flight, const AttemptId& id) {
   return *std::find_if(flight.attempts.begin(), flight.attempts.end(),
                        [&](const Attempt& it) { return it.id == id; });
 }
 
+/// Keeps a part of an operation's answer for repeats.
+void KeepPart(OperationClaim& claim, const std::string& data) {
+  claim.answer_bytes += data.size();
+  if (claim.answer_bytes > kMaxKeptAnswerBytes) {
+    claim.answer.oversize = true;
+    claim.answer.parts.clear();
+    return;
+  }
+  claim.answer.parts.push_back(data);
+}
+
 Error LostError(const UpstreamId& upstream, bool sent) {
-  return {ErrorKind::kUpstreamFailed,
+  return {sent ? ErrorKind::kIncompleteAnswer : ErrorKind::kUpstreamFailed,
           sent ? Execution::kUnknown : Execution::kNotRun,
           fmt::format("the link to upstream {} broke; send the request again",
                       upstream.value),
@@ -35,6 +47,11 @@
 void RouterCore::Impl::Begin(Flight& flight, const Attempt& attempt) {
   if (flight.begun) return;
   flight.begun = true;
+  if (flight.operation) {
+    flight.operation->answer.status = attempt.head.status;
+    flight.operation->answer.headers = attempt.head.headers;
+  }
+  if (flight.detached) return;
   actions_.push_back(BeginAnswer{flight.request.id, attempt.head.status,
                                  attempt.head.headers});
 }
@@ -48,28 +65,39 @@
     Resume(*flight, chunk.attempt);
     return;
   }
-  switch (flight->answer.Accept(chunk)) {
+  AnswerAssembler::Verdict verdict = flight->answer.Accept(chunk);
+  if (!options_.guards.positions) verdict = AnswerAssembler::Verdict::kDeliver;
+  switch (verdict) {
     case AnswerAssembler::Verdict::kDuplicate:
       return;
     case AnswerAssembler::Verdict::kGap:
       Resume(*flight, chunk.attempt);
       return;
     case AnswerAssembler::Verdict::kDeliver:
-      break;
+      Deliver(*flight, attempt, chunk);
+      return;
   }
-  if (!flight->first_token) {
-    flight->first_token = now_;
+}
+
+void RouterCore::Impl::Deliver(Flight& flight, const Attempt& attempt,
+                               const AnswerChunk& chunk) {
+  if (!flight.first_token) {
+    flight.first_token = now_;
     placement_.OnFirstToken(chunk.attempt, now_);
   }
-  Begin(*flight, attempt);
-  actions_.push_back(SendAnswerData{flight->request.id, chunk.data});
+  Begin(flight, attempt);
+  if (flight.operation) KeepPart(*flight.operation, chunk.data);
+  if (flight.detached) return;
+  actions_.push_back(SendAnswerData{flight.request.id, chunk.data});
 }
 
 void RouterCore::Impl::On(const AnswerEndArrived& event) {
   Flight* flight = FlightOf(event.end.attempt, event.upstream);
   if (flight == nullptr) return;
   const Attempt& attempt = AttemptIn(*flight, event.end.attempt);
-  if (!attempt.has_head || !flight->answer.IsWhole(event.end.positions)) {
+  const bool whole =
+      flight->answer.IsWhole(event.end.positions) || !options_.guards.positions;
+  if (!attempt.has_head || !whole) {
     Resume(*flight, event.end.attempt);
     return;
   }
@@ -77,6 +105,10 @@
   flight->usage = event.end.usage;
   placement_.OnFinished(event.end.attempt, event.end.usage, now_);
   DropAttempt(*flight, event.end.attempt);
+  if (flight->operation && flight->operation->in_table) {
+    flight->operation->answer.complete = true;
+    ledger_.Record(flight->operation->id, flight->operation->answer);
+  }
   Complete(*flight);
 }
 
@@ -95,13 +127,18 @@
   if (failure.error.kind == ErrorKind::kDraining) {
     upstreams_.MarkLeaving(event.upstream, failure.agent_incarnation);
   }
+  upstreams_.ObserveIncarnation(event.upstream, failure.agent_incarnation);
+  // The agent has noted the token of this claim, so no lower one can run.
+  const bool noted = failure.error.kind != ErrorKind::kWrongIncarnation;
+  if (flight->operation && noted) flight->operation->take_over = false;
   OnAttemptOver(*flight, failure.attempt, failure.error);
 }
 
 void RouterCore::Impl::On(const AttemptLost& event) {
   Flight* flight = FlightOf(event.attempt, event.upstream);
   if (flight == nullptr) return;
-  flight->excluded.push_back(event.upstream);
+  const bool ask_again = flight->operation && event.sent;
+  if (!ask_again) flight->excluded.push_back(event.upstream);
   flight->resume_attempt = {};
   OnAttemptOver(*flight, event.attempt, LostError(event.upstream, event.sent));
 }
@@ -123,18 +160,20 @@
   placement_.OnFinished(id, std::nullopt, now_);
   DropAttempt(flight, id);
   if (!flight.attempts.empty()) return;
+  if (flight.operation) {
+    OnOperationOver(flight, error);
+    return;
+  }
   Retry(flight, error);
 }
 
 void RouterCore::Impl::Retry(Flight& flight, const Error& error) {
   const bool plain = flight.request.kind == RequestKind::kPlain;
   const bool spliced = plain && flight.answer.next() > 0;
-  const bool repeatable =
-      flight.admitted.route.idempotent || error.execution == Execution::kNotRun;
   const bool worth_it = flight.attempts_made < kMaxAttempts &&
                         error.kind != ErrorKind::kBadRequest &&
                         flight.admitted.deadline > now_;
-  if (!spliced && repeatable && worth_it) {
+  if (!spliced && worth_it) {
     Dispatch(flight);
     return;
   }
--- a/src/router_core.cc
+++ b/src/router_core.cc
@@ -8,6 +8,19 @@
 #include "router_impl.h"
 
 namespace yuccapick {
+namespace {
+
+ClaimLedgerOptions LedgerOptions(const RouterCoreOptions& options) {
+  ClaimLedgerOptions ledger;
+  ledger.writer =
+      fmt::format("{}-{}", options.instance.value, options.incarnation.value);
+  ledger.commits.seed = options.seed;
+  ledger.commits.settle_unknown = options.guards.three_way_result;
+  ledger.guards = options.guards;
+  return ledger;
+}
+
+}  // namespace
 
 RouterCore::RouterCore(RouterCoreOptions options)
     : impl_(std::make_unique<Impl>(std::move(options))) {}
@@ -22,12 +35,18 @@
 
 RouterCore::Impl::Impl(RouterCoreOptions options)
     : options_(std::move(options)),
-      placement_({options_.domain, options_.region, options_.seed}) {}
+      random_(options_.seed),
+      upstreams_(options_.guards),
+      placement_({options_.domain, options_.region, options_.seed}),
+      ledger_(LedgerOptions(options_)) {}
 
 RouterActions RouterCore::Impl::Handle(const RouterEvent& event,
                                        TimePoint now) {
   now_ = std::max(now_, now);
   std::visit([this](const auto& typed) { On(typed); }, event);
+  RunTimers();
+  RunClaimEvents();
+  CommitClaims();
   CheckDrained();
   ScheduleWake();
   return std::exchange(actions_, {});
@@ -48,6 +67,7 @@
 }
 
 void RouterCore::Impl::On(const UpstreamChanged& event) {
+  if (!first_view_) first_view_ = now_;
   upstreams_.Apply(event.upstream);
   placement_.ApplyUpstream(*upstreams_.Find(event.upstream.id), now_);
 }
@@ -59,15 +79,15 @@
   if (newer) config_ = event.config;
 }
 
-void RouterCore::Impl::On(const TableCommitted& /*event*/) {}
-
-void RouterCore::Impl::On(const TableRead& /*event*/) {}
+void RouterCore::Impl::On(const TableCommitted& event) {
+  ledger_.OnCommitted(event.command, event.result, now_);
+}
 
 void RouterCore::Impl::On(const DrainRequested& event) {
   if (!drain_deadline_) drain_deadline_ = now_ + event.deadline;
 }
 
-void RouterCore::Impl::On(const Tick& /*event*/) { ExpireFlights(); }
+void RouterCore::Impl::On(const Tick& /*event*/) {}
 
 Flight* RouterCore::Impl::FlightOf(const AttemptId& attempt,
                                    const UpstreamId& upstream) {
@@ -81,20 +101,25 @@
 }
 
 void RouterCore::Impl::Complete(Flight& flight) {
-  actions_.push_back(FinishAnswer{flight.request.id});
-  Forget(flight, true, {});
+  if (!flight.detached) {
+    actions_.push_back(FinishAnswer{flight.request.id});
+    ReportFinished(flight, true, {});
+  }
+  Forget(flight);
 }
 
 void RouterCore::Impl::Fail(Flight& flight, const Error& error) {
-  actions_.push_back(FailRequest{flight.request.id, error});
-  Forget(flight, false, error);
+  if (!flight.detached) {
+    actions_.push_back(FailRequest{flight.request.id, error});
+    ReportFinished(flight, false, error);
+  }
+  Forget(flight);
 }
 
-void RouterCore::Impl::Forget(Flight& flight, bool complete,
-                              const Error& error) {
+void RouterCore::Impl::ReportFinished(const Flight& flight, bool complete,
+                                      const Error& error) {
   using std::chrono::duration_cast;
   using std::chrono::microseconds;
-  CancelAttempts(flight);
   RequestFinished finished;
   finished.team = flight.request.team;
   finished.service = flight.request.service;
@@ -112,6 +137,14 @@
   finished.total = duration_cast<microseconds>(now_ - flight.arrived);
   finished.usage = flight.usage;
   actions_.push_back(std::move(finished));
+}
+
+void RouterCore::Impl::Forget(Flight& flight) {
+  CancelAttempts(flight);
+  if (flight.operation) {
+    ledger_.Forget(flight.operation->id);
+    operation_owners_.erase(flight.operation->id);
+  }
   flights_.erase(flight.request.id);
 }
 
@@ -134,43 +167,82 @@
 }
 
 void RouterCore::Impl::CheckDrained() {
-  if (!drain_deadline_ || drain_reported_ || !flights_.empty()) return;
+  if (!drain_deadline_ || drain_reported_) return;
+  const bool idle = flights_.empty() && ledger_.pending() == 0;
+  if (!idle && now_ < *drain_deadline_) return;
   drain_reported_ = true;
   actions_.push_back(DrainComplete{});
 }
 
-void RouterCore::Impl::ExpireFlights() {
-  std::vector<RequestId> expired;
-  const bool drain_over = drain_deadline_ && now_ >= *drain_deadline_;
-  for (const auto& [id, flight] : flights_) {
-    if (drain_over || flight.admitted.deadline <= now_) expired.push_back(id);
+void RouterCore::Impl::RunTimers() {
+  for (const RequestId& id : timers_.PopDue(now_)) {
+    auto it = flights_.find(id);
+    if (it != flights_.end()) OnDue(it->second);
   }
-  for (const RequestId& id : expired) {
-    Flight& flight = flights_.at(id);
-    const bool sent = flight.attempts_made > 0;
-    Fail(flight,
-         {drain_over ? ErrorKind::kDraining : ErrorKind::kDeadlineExceeded,
-          sent ? Execution::kUnknown
-               : RefusalExecution(flight.request,
-                                  flight.admitted.route.idempotent),
-          fmt::format("request of team {} to service {} ran out of time; send "
-                      "it again with a longer deadline",
-                      flight.request.team.value, flight.request.service.value),
-          std::nullopt});
+  const bool drain_over = drain_deadline_ && now_ >= *drain_deadline_;
+  if (!drain_over) return;
+  std::vector<RequestId> left;
+  for (const auto& [id, flight] : flights_) left.push_back(id);
+  for (const RequestId& id : left) {
+    OnDeadline(flights_.at(id));
+    auto it = flights_.find(id);
+    if (it != flights_.end()) Forget(it->second);
   }
 }
 
-void RouterCore::Impl::ScheduleWake() {
-  std::optional<TimePoint> next;
-  for (const auto& [id, flight] : flights_) {
-    if (!next || flight.admitted.deadline < *next) {
-      next = flight.admitted.deadline;
-    }
+void RouterCore::Impl::OnDue(Flight& flight) {
+  if (flight.admitted.deadline <= now_) {
+    OnDeadline(flight);
+    return;
+  }
+  if (!flight.operation || flight.operation->stage_until > now_) return;
+  const OperationClaim::Stage stage = flight.operation->stage;
+  if (stage == OperationClaim::Stage::kSettling) Settle(flight);
+  if (stage == OperationClaim::Stage::kClaiming) {
+    Fail(flight, {ErrorKind::kPlatformUnavailable, Execution::kUnknown,
+                  "the table service did not answer in time; repeat the "
+                  "request with the same key",
+                  std::chrono::milliseconds(1'000)});
   }
-  if (drain_deadline_ && !drain_reported_) {
-    next = next ? std::min(*next, *drain_deadline_) : *drain_deadline_;
+}
+
+void RouterCore::Impl::OnDeadline(Flight& flight) {
+  const bool idempotent = flight.admitted.route.idempotent;
+  const bool sent = flight.attempts_made > 0;
+  Error error{
+      ErrorKind::kDeadlineExceeded, Execution::kUnknown,
+      fmt::format("request of team {} to service {} ran out of time; "
+                  "repeat it with a longer deadline",
+                  flight.request.team.value, flight.request.service.value),
+      std::nullopt};
+  if (!sent) error.execution = RefusalExecution(flight.request, idempotent);
+  if (flight.operation && flight.operation->may_have_run) {
+    Detach(flight, error);
+    return;
   }
+  Fail(flight, error);
+}
+
+void RouterCore::Impl::CommitClaims() {
+  std::optional<GroupCommit> commit = ledger_.NextCommit(now_);
+  if (!commit) return;
+  actions_.push_back(
+      CommitTable{commit->command, std::move(commit->transaction)});
+}
+
+void RouterCore::Impl::ScheduleWake() {
+  std::optional<TimePoint> next = timers_.Next();
+  const auto consider = [&next](std::optional<TimePoint> when) {
+    if (when && (!next || *when < *next)) next = when;
+  };
+  consider(ledger_.WakeTime());
+  if (!drain_reported_) consider(drain_deadline_);
   if (next) actions_.push_back(WakeAt{*next});
 }
 
+TimePoint RouterCore::Impl::Jittered(std::chrono::milliseconds ceiling) {
+  std::uniform_int_distribution<std::int64_t> jitter(1, ceiling.count());
+  return now_ + std::chrono::milliseconds(jitter(random_));
+}
+
 }  // namespace yuccapick
--- a/src/router_impl.h
+++ b/src/router_impl.h
@@ -3,45 +3,19 @@
 
 #include <map>
 #include <optional>
+#include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
-#include "yuccapick/admission.h"
-#include "yuccapick/answer_assembler.h"
-#include "yuccapick/placement.h"
+#include "router_flight.h"
+#include "yuccapick/claim_ledger.h"
 #include "yuccapick/router_core.h"
+#include "yuccapick/timer_queue.h"
 #include "yuccapick/upstream_directory.h"
 
 namespace yuccapick {
 
-/// One attempt that may still bring an answer.
-struct Attempt {
-  AttemptId id;
-  UpstreamId upstream;
-  Incarnation agent_incarnation;
-  Incarnation engine_incarnation;
-  bool has_head = false;
-  AnswerHead head;
-};
-
-/// One caller's request from admission to its final answer.
-struct Flight {
-  CallerRequest request;
-  AdmittedRequest admitted;
-  TimePoint arrived;
-  TimePoint first_sent;
-  std::optional<TimePoint> first_token;
-  std::vector<Attempt> attempts;
-  std::uint32_t attempts_made = 0;
-  std::vector<UpstreamId> excluded;
-  AnswerAssembler answer;
-  bool begun = false;  ///< The caller has the head.
-  AttemptId resume_attempt;
-  std::optional<UpstreamId> resume_upstream;
-  PlacementRequest placement;
-  Usage usage;
-};
-
 /// The stages of `RouterCore`, joined by the flights they work on.
 class RouterCore::Impl {
  public:
@@ -59,6 +33,35 @@
   void Send(Flight& flight, Attempt attempt);
   AttemptRequest MakeAttempt(const Flight& flight,
                              const Attempt& attempt) const;
+  AttemptId NextAttemptId();
+  void RefuseArrival(const CallerRequest& request, Error error);
+
+  // Operations: router_claims.cc.
+  void StartOperation(Flight& flight);
+  bool AnswerLocally(Flight& flight);
+  void SendOperation(Flight& flight);
+  void RunClaimEvents();
+  void On(const ClaimHeld& event);
+  void On(const ClaimFound& event);
+  void On(const ClaimUnavailable& event);
+  void On(const ClaimReleased& event);
+  void DecideClaimed(Flight& flight, const OperationRecord& record);
+  void Reclaim(Flight& flight, bool take_over, const ClaimTarget& target);
+  void Replay(Flight& flight, const StoredAnswer& answer);
+  Flight* FlightOf(const OperationId& id);
+
+  // Outcomes of operations: router_settle.cc.
+  void OnOperationOver(Flight& flight, const Error& error);
+  void MoveOperation(Flight& flight, const Error& error);
+  void SettleLater(Flight& flight);
+  void Settle(Flight& flight);
+  void OutcomeUnknown(Flight& flight);
+  void Detach(Flight& flight, const Error& error);
+  bool TargetEnded(const ClaimTarget& target) const;
+
+  // Queries of operations: router_queries.cc.
+  void On(const OperationQueried& event);
+  void On(const TableRead& event);
 
   // Answers: router_answers.cc.
   void On(const AnswerHeadArrived& event);
@@ -67,6 +70,8 @@
   void On(const AttemptFailedArrived& event);
   void On(const AttemptLost& event);
   void Begin(Flight& flight, const Attempt& attempt);
+  void Deliver(Flight& flight, const Attempt& attempt,
+               const AnswerChunk& chunk);
   void Resume(Flight& flight, const AttemptId& attempt);
   void OnAttemptOver(Flight& flight, const AttemptId& id, const Error& error);
   void Retry(Flight& flight, const Error& error);
@@ -76,7 +81,6 @@
   void On(const UpstreamChanged& event);
   void On(const ConfigChanged& event);
   void On(const TableCommitted& event);
-  void On(const TableRead& event);
   void On(const DrainRequested& event);
   void On(const Tick& event);
 
@@ -84,22 +88,35 @@
   Flight* FlightOf(const AttemptId& attempt, const UpstreamId& upstream);
   void Complete(Flight& flight);
   void Fail(Flight& flight, const Error& error);
-  void Forget(Flight& flight, bool complete, const Error& error);
+  void ReportFinished(const Flight& flight, bool complete, const Error& error);
+  void Forget(Flight& flight);
   void DropAttempt(Flight& flight, const AttemptId& attempt);
   void CancelAttempts(Flight& flight);
   void CheckDrained();
-  void ExpireFlights();
+  void RunTimers();
+  void OnDue(Flight& flight);
+  void OnDeadline(Flight& flight);
+  void CommitClaims();
   void ScheduleWake();
+  TimePoint Jittered(std::chrono::milliseconds ceiling);
 
   RouterCoreOptions options_;
   TimePoint now_;
   RouterActions actions_;
+  std::mt19937_64 random_;
   ConfigPtr config_;
   UpstreamDirectory upstreams_;
+  std::optional<TimePoint> first_view_;
   Placement placement_;
+  ClaimLedger ledger_;
   std::map<RequestId, Flight> flights_;
   std::map<AttemptId, RequestId> attempt_owners_;
+  std::map<OperationId, RequestId> operation_owners_;
+  std::map<std::uint64_t, OperationQueried> queries_;
+  std::uint64_t next_query_ = 1;
+  TimerQueue<RequestId> timers_;
   std::uint64_t attempts_started_ = 0;
+  std::uint64_t keys_made_ = 0;
   std::optional<TimePoint> drain_deadline_;
   bool drain_reported_ = false;
 };
--- a/src/router_requests.cc
+++ b/src/router_requests.cc
@@ -10,8 +10,8 @@
 constexpr std::chrono::milliseconds kNoUpstreamRetryAfter{1'000};
 constexpr std::uint64_t kPieceBytes = 16 << 10;
 
-Error DrainingError(const CallerRequest& request) {
-  return {ErrorKind::kDraining, RefusalExecution(request, request.key.empty()),
+Error DrainingError() {
+  return {ErrorKind::kDraining, Execution::kNotRun,
           "this router is stopping; send the request again to another one",
           std::chrono::milliseconds(0)};
 }
@@ -37,16 +37,27 @@
 
 }  // namespace
 
+void RouterCore::Impl::RefuseArrival(const CallerRequest& request,
+                                     Error error) {
+  error.execution = RefusalExecution(request, request.key.empty());
+  actions_.push_back(FailRequest{request.id, error});
+  RequestFinished finished;
+  finished.team = request.team;
+  finished.service = request.service;
+  finished.error = error.kind;
+  finished.execution = error.execution;
+  actions_.push_back(std::move(finished));
+}
+
 void RouterCore::Impl::On(const RequestArrived& event) {
   const CallerRequest& request = event.request;
   if (drain_deadline_) {
-    actions_.push_back(FailRequest{request.id, DrainingError(request)});
+    RefuseArrival(request, DrainingError());
     return;
   }
   AdmissionResult result = Admit(config_, request, now_);
   if (auto* error = std::get_if<Error>(&result)) {
-    error->execution = RefusalExecution(request, request.key.empty());
-    actions_.push_back(FailRequest{request.id, std::move(*error)});
+    RefuseArrival(request, std::move(*error));
     return;
   }
   Flight flight;
@@ -57,38 +68,48 @@
     flight.placement = MakePlacement(request, flight.admitted);
   }
   auto [it, inserted] = flights_.emplace(request.id, std::move(flight));
-  if (inserted) Dispatch(it->second);
+  if (!inserted) return;
+  timers_.Arm(request.id, it->second.admitted.deadline);
+  Dispatch(it->second);
 }
 
 void RouterCore::Impl::On(const CallerGone& event) {
   auto it = flights_.find(event.request);
   if (it == flights_.end()) return;
-  Forget(it->second, false,
-         {ErrorKind::kCancelled, Execution::kUnknown,
-          "the caller closed its connection", std::nullopt});
+  Flight& flight = it->second;
+  const Error error{ErrorKind::kCancelled, Execution::kUnknown,
+                    "the caller closed its connection", std::nullopt};
+  if (flight.operation && flight.operation->may_have_run) {
+    Detach(flight, error);
+    return;
+  }
+  if (!flight.detached) ReportFinished(flight, false, error);
+  Forget(flight);
 }
 
 void RouterCore::Impl::Dispatch(Flight& flight) {
   if (!flight.admitted.route.idempotent) {
-    Fail(flight, {ErrorKind::kPlatformUnavailable,
-                  RefusalExecution(flight.request, false),
-                  "operations cannot be claimed yet; call an idempotent route",
-                  std::nullopt});
+    StartOperation(flight);
     return;
   }
   std::optional<Attempt> attempt = Choose(flight);
   if (!attempt) {
-    Fail(flight,
-         {ErrorKind::kNoUpstream, RefusalExecution(flight.request, true),
-          fmt::format("no live upstream can serve {}; retry later or "
-                      "add one",
-                      flight.request.service.value),
-          kNoUpstreamRetryAfter});
+    Fail(flight, {ErrorKind::kNoUpstream, Execution::kNotRun,
+                  fmt::format("no live upstream can serve {}; retry later or "
+                              "add one",
+                              flight.request.service.value),
+                  kNoUpstreamRetryAfter});
     return;
   }
   Send(flight, *std::move(attempt));
 }
 
+AttemptId RouterCore::Impl::NextAttemptId() {
+  return AttemptId(fmt::format("{}-{}-{}", options_.instance.value,
+                               options_.incarnation.value,
+                               ++attempts_started_));
+}
+
 std::optional<Attempt> RouterCore::Impl::Choose(Flight& flight) {
   Attempt attempt;
   const CallerRequest& request = flight.request;
@@ -107,9 +128,7 @@
     attempt.upstream = *id;
     attempt.agent_incarnation = upstreams_.Find(*id)->agent_incarnation;
   }
-  attempt.id =
-      AttemptId(fmt::format("{}-{}-{}", options_.instance.value,
-                            options_.incarnation.value, ++attempts_started_));
+  attempt.id = NextAttemptId();
   return attempt;
 }
 
@@ -141,11 +160,19 @@
   message.agent_incarnation = attempt.agent_incarnation;
   message.engine_incarnation = attempt.engine_incarnation;
   message.config = flight.admitted.config->version;
+  if (flight.operation) {
+    message.key = flight.operation->id.key;
+    message.fence = flight.operation->fence;
+    message.claimed = flight.operation->in_table;
+    message.key_made = !flight.operation->in_table;
+    message.take_over = flight.operation->take_over;
+  }
   message.model = request.model;
   message.adapter = request.adapter;
   message.weights = flight.admitted.weights;
   for (const PrefixPiece& piece : flight.placement.pieces) {
     message.chain.push_back(piece.chain_hash);
+    message.chain_end_bytes.push_back(piece.end_byte);
   }
   if (request.kind != RequestKind::kPlain) {
     message.cache_salt = CacheSalt(flight.placement.scope);
--- a/src/upstream_directory.cc
+++ b/src/upstream_directory.cc
@@ -29,7 +29,8 @@
   if (upstream.agent_incarnation < held.agent_incarnation) return;
   const bool same_life = upstream.agent_incarnation == held.agent_incarnation;
   const UpstreamLife before = held.life;
-  const bool sticky = same_life && before >= UpstreamLife::kLeaving;
+  const bool sticky =
+      guards_.leaving_mark && same_life && before >= UpstreamLife::kLeaving;
   held = upstream;
   if (sticky) held.life = std::max(before, upstream.life);
   if (!same_life) it->second.in_flight = 0;
@@ -42,6 +43,13 @@
   it->second.info.life = std::max(it->second.info.life, UpstreamLife::kLeaving);
 }
 
+void UpstreamDirectory::ObserveIncarnation(const UpstreamId& id,
+                                           Incarnation agent) {
+  auto it = entries_.find(id);
+  if (it == entries_.end()) return;
+  it->second.highest_seen = std::max(it->second.highest_seen, agent);
+}
+
 void UpstreamDirectory::OnSent(const UpstreamId& id) {
   ++entries_[id].in_flight;
 }
@@ -63,8 +71,10 @@
 
 bool UpstreamDirectory::HasEnded(const UpstreamId& id,
                                  Incarnation agent) const {
-  const UpstreamInfo* upstream = Find(id);
-  if (upstream == nullptr) return false;
+  auto it = entries_.find(id);
+  if (it == entries_.end()) return false;
+  if (it->second.highest_seen > agent) return true;
+  const UpstreamInfo* upstream = &it->second.info;
   if (upstream->agent_incarnation > agent) return true;
   return upstream->agent_incarnation == agent &&
          upstream->life == UpstreamLife::kGone;
