--- /dev/null
+++ b/include/yuccapick/config_documents.h
@@ -0,0 +1,64 @@
+#ifndef YUCCAPICK_CONFIG_DOCUMENTS_H_
+#define YUCCAPICK_CONFIG_DOCUMENTS_H_
+
+/// @file
+/// Canonical, content-addressed documents of a configuration. A change of one
+/// service changes that service's document and the index only.
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "yuccapick/config_snapshot.h"
+
+namespace yuccapick {
+
+/// Returns the SHA-256 of `text` in lower-case hex.
+std::string Sha256Hex(std::string_view text);
+
+/// Name of a document (`models`, `teams/3`, `services/bookings`) to the hash of
+/// its content.
+using ConfigIndex = std::map<std::string, std::string>;
+
+/// Contents by hash.
+using ConfigContents = std::map<std::string, std::string>;
+
+/// A configuration as documents.
+struct ConfigDocuments {
+  ConfigIndex index;
+  ConfigContents contents;
+
+  bool operator==(const ConfigDocuments&) const = default;
+};
+
+/// One document that differs between two configurations.
+struct ConfigChange {
+  std::string name;
+  std::string hash;  ///< Empty when the document was removed.
+
+  bool operator==(const ConfigChange&) const = default;
+};
+
+/// Splits a snapshot into documents. Equal snapshots give equal bytes.
+ConfigDocuments ToDocuments(const ConfigSnapshot& snapshot);
+
+/// Rebuilds a snapshot; its version is left zero.
+/// @param contents holds at least the hashes that `index` names
+absl::StatusOr<ConfigSnapshot> FromDocuments(const ConfigIndex& index,
+                                             const ConfigContents& contents);
+
+/// Canonical bytes of an index; their hash is the content hash of the whole.
+std::string SerialiseIndex(const ConfigIndex& index);
+absl::StatusOr<ConfigIndex> ParseIndex(const std::string& bytes);
+
+/// Changes that lead from `from` to `to`, by name.
+std::vector<ConfigChange> Diff(const ConfigIndex& from, const ConfigIndex& to);
+
+/// Applies changes to an index.
+ConfigIndex Apply(ConfigIndex index, const std::vector<ConfigChange>& changes);
+
+}  // namespace yuccapick
+
+#endif  // YUCCAPICK_CONFIG_DOCUMENTS_H_
--- /dev/null
+++ b/src/config_reader.h
@@ -0,0 +1,79 @@
+#ifndef YUCCAPICK_SRC_CONFIG_READER_H_
+#define YUCCAPICK_SRC_CONFIG_READER_H_
+
+/// @file
+/// Typed access to a TOML table that collects problems and unknown keys.
+
+#include <toml++/toml.h>
+
+#include <cstdint>
+#include <functional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "yuccapick/config_parser.h"
+
+namespace yuccapick {
+
+/// A string element of a list with its place.
+struct ConfigText {
+  std::string value;
+  std::uint32_t line = 0;
+};
+
+/// Bounds of a number, both inclusive.
+template <typename T>
+struct ConfigRange {
+  T low;
+  T high;
+};
+
+/// Reads one table. Every key that is read counts as known; `Finish` reports
+/// the others.
+class ConfigReader {
+ public:
+  ConfigReader(std::string file, const toml::table& table,
+               std::vector<ConfigProblem>& problems)
+      : file_(std::move(file)), table_(table), problems_(problems) {}
+
+  // Each leaves `out` alone if the key is absent or wrong.
+  void Text(std::string_view key, std::string& out);
+  void Flag(std::string_view key, bool& out);
+  void Real(std::string_view key, ConfigRange<double> range, double& out);
+  void Integer(std::string_view key, ConfigRange<std::int64_t> range,
+               std::int64_t& out);
+  /// Takes a list of strings.
+  void TextList(std::string_view key, std::vector<ConfigText>& out);
+  /// Calls `visit` for each table of the array of tables `key`.
+  void Tables(std::string_view key,
+              const std::function<void(const toml::table&)>& visit);
+  /// Calls `visit` for each named table below the table `key`.
+  void NamedTables(
+      std::string_view key,
+      const std::function<void(const ConfigText&, const toml::table&)>& visit);
+
+  /// Reports every key that was not read.
+  void Finish();
+
+  /// Reports a problem at `line`, or at the table if `line` is 0.
+  void Report(std::uint32_t line, std::string_view key, std::string message,
+              std::string remedy);
+
+  bool Has(std::string_view key) const { return table_.contains(key); }
+  std::uint32_t LineOf(std::string_view key) const;
+
+ private:
+  const toml::node* Find(std::string_view key);
+  void ReportType(std::string_view key, std::string_view expected);
+
+  std::string file_;
+  const toml::table& table_;
+  std::vector<ConfigProblem>& problems_;
+  std::set<std::string, std::less<>> known_;
+};
+
+}  // namespace yuccapick
+
+#endif  // YUCCAPICK_SRC_CONFIG_READER_H_
