Bind the platform's table, objects and instance list over HTTP

A commit is sent once, over a new connection, and has three results: only the table's own word makes it applied; no byte sent, a 429 or another 4xx makes it not applied; a lost answer, 5xx or anything malformed is unknown. Rates of reads and writes are bounded per process by a pure token bucket.

--- /dev/null
+++ b/test/shell/platform_client_test.cc
@@ -0,0 +1,149 @@
+#include "shell/platform_client.h"
+
+#include <catch2/catch.hpp>
+#include <optional>
+
+#include "test/shell/scripted_server.h"
+
+namespace yuccapick {
+namespace {
+
+using Connection = ScriptedServer::Connection;
+
+enum class Then { kKeepOpen, kClose };
+
+/// Answers each whole request with `answer`.
+std::function<void(Connection&)> Answer(std::string answer,
+                                        Then then = Then::kKeepOpen) {
+  return [answer = std::move(answer), then](Connection& c) {
+    const bool whole = c.input.ends_with("}") || c.input.ends_with("\r\n\r\n");
+    if (!whole) return;
+    c.input.clear();
+    c.Write(answer);
+    if (then == Then::kClose) c.Close();
+  };
+}
+
+std::string Http(const std::string& status, const std::string& body) {
+  return "HTTP/1.1 " + status +
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
+}
+
+PlatformChannelOptions Options() {
+  PlatformChannelOptions options;
+  options.deadline = std::chrono::milliseconds(20'000);
+  options.budget.first_backoff = std::chrono::milliseconds(1);
+  return options;
+}
+
+CommitResult CommitOnce(asio::io_context& loop, const std::string& url,
+                        const PlatformChannelOptions& options = Options()) {
+  HttpTableService table(std::make_shared<PlatformChannel>(loop, options), url);
+  std::optional<CommitResult> result;
+  table.Commit({{{"a", 1}}, {{"a", "x"}}, {}},
+               [&](CommitResult it) { result = std::move(it); });
+  REQUIRE_FALSE(result.has_value());
+  REQUIRE(RunUntil(loop, [&] { return result.has_value(); }));
+  return *result;
+}
+
+CommitResult CommitAnswered(const std::string& answer,
+                            Then then = Then::kKeepOpen) {
+  asio::io_context loop;
+  ScriptedServer server(loop, Answer(answer, then));
+  const CommitResult result = CommitOnce(loop, server.url("/table"));
+  CHECK(server.connections.size() == 1);
+  return result;
+}
+
+TEST_CASE("A commit is applied only if the table says so") {
+  CHECK(CommitAnswered(Http("200 OK", R"({"applied":true})")).result ==
+        WriteResult::kApplied);
+  CHECK(CommitAnswered(Http("200 OK", "welcome")).result ==
+        WriteResult::kUnknown);
+}
+
+TEST_CASE("A conflict names the rows as they are") {
+  const auto result = CommitAnswered(
+      Http("409 Conflict", R"({"applied":false,"conflicts":[)"
+                           R"({"key":"a","version":7,"value":"y"}]})"));
+  CHECK(result.result == WriteResult::kNotApplied);
+  CHECK(result.conflicts == std::vector<TableRow>{{"a", "y", 7}});
+}
+
+TEST_CASE("A commit whose answer is lost or doubtful is unknown") {
+  CHECK(CommitAnswered("", Then::kClose).result == WriteResult::kUnknown);
+  CHECK(CommitAnswered(Http("503 Unavailable", "{}")).result ==
+        WriteResult::kUnknown);
+  CHECK(CommitAnswered(Http("408 Timeout", "{}")).result ==
+        WriteResult::kUnknown);
+  const std::string cut = "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{";
+  CHECK(CommitAnswered(cut, Then::kClose).result == WriteResult::kUnknown);
+}
+
+TEST_CASE("A commit that the table turned away is not applied") {
+  const auto result = CommitAnswered(Http("429 Too Many", "{}"));
+  CHECK(result.result == WriteResult::kNotApplied);
+  CHECK(result.conflicts.empty());
+}
+
+TEST_CASE("A commit that never left the process is not applied") {
+  asio::io_context loop;
+  std::string url;
+  {
+    ScriptedServer server(loop, Answer(""));
+    url = server.url("/table");
+  }
+  CHECK(CommitOnce(loop, url).result == WriteResult::kNotApplied);
+  PlatformChannelOptions spent = Options();
+  spent.budget.write_burst = 0;
+  spent.budget.writes_per_second = 0;
+  CHECK(CommitOnce(loop, url, spent).result == WriteResult::kNotApplied);
+}
+
+TEST_CASE("A read is sent again after an outage's answer") {
+  asio::io_context loop;
+  int requests = 0;
+  ScriptedServer server(loop, [&](Connection& c) {
+    if (!c.input.ends_with("}")) return;
+    c.input.clear();
+    c.Write(++requests < 3
+                ? Http("503 Unavailable", "{}")
+                : Http("200 OK", R"({"rows":[{"key":"a","version":2,)"
+                                 R"("value":"v"}]})"));
+  });
+  HttpTableService table(std::make_shared<PlatformChannel>(loop, Options()),
+                         server.url("/table"));
+  std::optional<ReadResult> result;
+  table.Read({"a"}, [&](ReadResult it) { result = std::move(it); });
+  REQUIRE(RunUntil(loop, [&] { return result.has_value(); }));
+  REQUIRE(result->ok());
+  CHECK(**result == std::vector<TableRow>{{"a", "v", 2}});
+  CHECK(requests == 3);
+}
+
+TEST_CASE("Listed instances of an unknown kind are left out") {
+  asio::io_context loop;
+  ScriptedServer server(
+      loop,
+      Answer(Http("200 OK",
+                  R"({"instances":[{"id":"e1","kind":"model_engine",)"
+                  R"("host":"127.0.0.1","port":7,"failure_domain":"d1",)"
+                  R"("region":"r","state":"leaving"},)"
+                  R"({"id":"x","kind":"toaster","host":"h","port":1}]})")));
+  HttpInstanceList list(std::make_shared<PlatformChannel>(loop, Options()),
+                        server.url("/instances"));
+  std::optional<absl::StatusOr<std::vector<InstanceEntry>>> result;
+  list.List([&](auto it) { result = std::move(it); });
+  REQUIRE(RunUntil(loop, [&] { return result.has_value(); }));
+  REQUIRE(result->ok());
+  REQUIRE((*result)->size() == 1);
+  const InstanceEntry& entry = (*result)->front();
+  CHECK(entry.id == InstanceId("e1"));
+  CHECK(entry.kind == InstanceKind::kModelEngine);
+  CHECK(entry.leaving);
+}
+
+}  // namespace
+}  // namespace yuccapick
