--- /dev/null
+++ b/src/shell/caller_server.h
@@ -0,0 +1,70 @@
+#ifndef YUCCAPICK_SHELL_CALLER_SERVER_H_
+#define YUCCAPICK_SHELL_CALLER_SERVER_H_
+
+/// @file
+/// HTTP server for callers. Everything here runs on one event loop.
+
+#include <asio.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/status/status.h"
+#include "shell/settings.h"
+#include "yuccapick/caller_api.h"
+
+namespace yuccapick {
+
+/// One call and the answer to it. Calls after the answer ended, or after the
+/// caller went away, do nothing.
+class CallerExchange {
+ public:
+  virtual ~CallerExchange() = default;
+
+  /// Sends a whole answer.
+  virtual void Respond(std::uint32_t status, const std::vector<Header>& headers,
+                       std::string body) = 0;
+  /// Begins an answer whose body follows in parts.
+  virtual void Begin(std::uint32_t status,
+                     const std::vector<Header>& headers) = 0;
+  virtual void Send(std::string data) = 0;
+  /// Ends the body.
+  virtual void Finish() = 0;
+  /// Closes the connection without ending the body.
+  virtual void BreakOff() = 0;
+  /// Bytes handed to `Send` that the network has not taken yet.
+  virtual std::size_t UnsentBytes() const = 0;
+};
+
+/// Takes the calls of a server.
+class CallerHandler {
+ public:
+  virtual ~CallerHandler() = default;
+  /// @param connection identifies the connection for `OnConnectionClosed`
+  virtual void OnCall(std::uint64_t connection, HttpCall call,
+                      std::shared_ptr<CallerExchange> exchange) = 0;
+  virtual void OnConnectionClosed(std::uint64_t connection) = 0;
+};
+
+/// HTTP/1.1 server, with TLS if the settings name a certificate.
+class CallerServer {
+ public:
+  virtual ~CallerServer() = default;
+
+  /// Starts to listen; to be called on the loop.
+  virtual absl::Status Open() = 0;
+  /// Stops to accept connections and closes those that are open; to be called
+  /// on the loop.
+  virtual void Close() = 0;
+
+  static std::unique_ptr<CallerServer> Create(asio::io_context& loop,
+                                              const RouterSettings& settings,
+                                              const TlsSettings& tls,
+                                              CallerHandler& handler);
+};
+
+}  // namespace yuccapick
+
+#endif  // YUCCAPICK_SHELL_CALLER_SERVER_H_
