--- a/src/caller_api.cc
+++ b/src/caller_api.cc
@@ -125,20 +125,19 @@
   return std::nullopt;
 }
 
-ParsedRequest ParsePlain(HttpCall call, CallerRequest request,
+ParsedRequest ParsePlain(const HttpCall& call, CallerRequest request,
                          const ConfigSnapshot& config) {
-  const std::string_view rest =
-      std::string_view(call.target).substr(kServicesPath.size());
+  const std::string_view target = call.target;
+  const std::string_view rest = target.substr(kServicesPath.size());
   const std::size_t slash = rest.find_first_of("/?");
   const std::string name(rest.substr(0, slash));
   const ServiceConfig* service = config.FindService(ServiceId(name));
   if (service != nullptr && service->kind != ServiceKind::kPlain) {
     service = nullptr;
   }
-  if (auto error = CheckService(service, name, request.team, call.body.size());
-      error.has_value()) {
-    return *error;
-  }
+  std::optional<Error> error =
+      CheckService(service, name, request.team, call.body.size());
+  if (error.has_value()) return *std::move(error);
   request.service = service->id;
   request.kind = RequestKind::kPlain;
   request.target =
@@ -157,11 +156,10 @@
   request.adapter = AdapterId(parsed->adapter);
   const ServiceConfig* service =
       ModelServiceOf(call, request.team, request.model, config);
-  if (auto error = CheckService(service, call.HeaderValue(kServiceHeader),
-                                request.team, call.body.size());
-      error.has_value()) {
-    return *error;
-  }
+  std::optional<Error> error =
+      CheckService(service, call.HeaderValue(kServiceHeader), request.team,
+                   call.body.size());
+  if (error.has_value()) return *std::move(error);
   if (!Offers(*service, request.model) ||
       config.FindModel(request.model) == nullptr) {
     return Error{ErrorKind::kNotFound,
@@ -224,7 +222,8 @@
   CallerRequest request;
   request.team = team;
   request.method = call.method;
-  if (auto error = ReadCommon(call, request); error.has_value()) return *error;
+  std::optional<Error> error = ReadCommon(call, request);
+  if (error.has_value()) return *std::move(error);
   for (Header& header : call.headers) {
     if (IsForwarded(header.name)) request.headers.push_back(header);
   }
--- a/src/request_metrics.cc
+++ b/src/request_metrics.cc
@@ -135,8 +135,9 @@
   std::uint64_t tokens = 0;
 
   Series() {
-    for (std::size_t i = 0; i < kMeasureCount; ++i)
+    for (std::size_t i = 0; i < kMeasureCount; ++i) {
       distributions.emplace_back(i);
+    }
   }
 
   void Record(const RequestFinished& request);
--- a/src/shell/caller_server.cc
+++ b/src/shell/caller_server.cc
@@ -41,15 +41,16 @@
   using connection_state_listener_t = ConnectionListener;
   using request_handler_t =
       std::function<http::request_handling_status_t(http::request_handle_t)>;
+  // NOLINTNEXTLINE(readability-identifier-naming): the library reads it.
   static constexpr bool use_connection_count_limiter = true;
 };
 
-struct TlsTraits
-    : http::single_thread_tls_traits_t<http::asio_timer_manager_t,
-                                       http::null_logger_t> {
+struct TlsTraits : http::single_thread_tls_traits_t<http::asio_timer_manager_t,
+                                                    http::null_logger_t> {
   using connection_state_listener_t = ConnectionListener;
   using request_handler_t =
       std::function<http::request_handling_status_t(http::request_handle_t)>;
+  // NOLINTNEXTLINE(readability-identifier-naming): the library reads it.
   static constexpr bool use_connection_count_limiter = true;
 };
 
@@ -136,8 +137,8 @@
              const std::vector<Header>& headers) override {
     if (state_ != State::kWaiting) return;
     state_ = State::kBegun;
-    response_.emplace(request_->create_response<http::chunked_output_t>(
-        StatusLine(status)));
+    response_.emplace(
+        request_->create_response<http::chunked_output_t>(StatusLine(status)));
     for (const Header& header : headers) {
       response_->append_header(header.name, header.value);
     }
@@ -212,7 +213,7 @@
               .max_field_value_size(settings.max_header_bytes)
               .max_field_count(kMaxFieldCount)
               .max_body_size(kOversizeReadFactor * settings.max_body_bytes))
-      .request_handler([&handler](http::request_handle_t request) {
+      .request_handler([&handler](const http::request_handle_t& request) {
         auto exchange = std::make_shared<Exchange>(request);
         handler.OnCall(request->connection_id(), ToCall(*request),
                        std::move(exchange));
--- a/src/shell/loop_thread.h
+++ b/src/shell/loop_thread.h
@@ -24,6 +24,11 @@
   /// Ends the loop and joins the thread.
   void Stop() {
     loop_.stop();
+    Join();
+  }
+
+  /// Waits until the loop was stopped by work of its own.
+  void Join() {
     if (thread_.joinable()) thread_.join();
   }
 
--- /dev/null
+++ b/src/shell/metrics_duty.cc
@@ -0,0 +1,38 @@
+#include "shell/metrics_duty.h"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace yuccapick {
+namespace {
+
+constexpr std::size_t kMaxTeams = 256;
+constexpr std::size_t kRingCapacity = 8192;
+
+}  // namespace
+
+MetricsDuty::MetricsDuty(std::function<std::string()> gauges)
+    : gauges_(std::move(gauges)),
+      metrics_(kMaxTeams),
+      finished_(thread_.loop(), kRingCapacity,
+                [this](const RequestFinished& r) { metrics_.Record(r); }) {}
+
+void MetricsDuty::Record(RequestFinished request) {
+  static_cast<void>(finished_.Post(std::move(request)));
+}
+
+void MetricsDuty::Render(std::function<void(std::string)> done) {
+  asio::post(thread_.loop(), [this, done = std::move(done)] {
+    std::string text = metrics_.Render();
+    text += fmt::format(
+        "# HELP yuccapick_metrics_dropped_total Requests not counted.\n"
+        "# TYPE yuccapick_metrics_dropped_total counter\n"
+        "yuccapick_metrics_dropped_total {}\n",
+        finished_.refused());
+    text += gauges_();
+    done(std::move(text));
+  });
+}
+
+}  // namespace yuccapick
