--- a/include/yuccapick/authenticator.h
+++ b/include/yuccapick/authenticator.h
@@ -15,9 +15,6 @@
 
 namespace yuccapick {
 
-/// Returns the lower-case hex SHA-256 digest of `text`.
-std::string Sha256Hex(std::string_view text);
-
 /// Compares without revealing by its duration where two texts differ.
 bool ConstantTimeEqual(std::string_view a, std::string_view b);
 
--- a/src/authenticator.cc
+++ b/src/authenticator.cc
@@ -1,9 +1,8 @@
 #include "yuccapick/authenticator.h"
 
 #include <openssl/crypto.h>
-#include <openssl/sha.h>
 
-#include <array>
+#include "yuccapick/sha256.h"
 
 namespace yuccapick {
 namespace {
@@ -12,20 +11,6 @@
 
 }  // namespace
 
-std::string Sha256Hex(std::string_view text) {
-  constexpr std::string_view kDigits = "0123456789abcdef";
-  std::array<unsigned char, SHA256_DIGEST_LENGTH> digest;
-  SHA256(reinterpret_cast<const unsigned char*>(text.data()), text.size(),
-         digest.data());
-  std::string hex;
-  hex.reserve(2 * digest.size());
-  for (const unsigned char byte : digest) {
-    hex.push_back(kDigits[byte >> 4]);
-    hex.push_back(kDigits[byte & 0xf]);
-  }
-  return hex;
-}
-
 bool ConstantTimeEqual(std::string_view a, std::string_view b) {
   return a.size() == b.size() &&
          CRYPTO_memcmp(a.data(), b.data(), a.size()) == 0;
--- a/src/caller_api.cc
+++ b/src/caller_api.cc
@@ -150,8 +150,12 @@
                          CallerRequest request, const ConfigSnapshot& config) {
   const bool chat = route == CallerRoute::kChatCompletion;
   request.kind = chat ? RequestKind::kChatCompletion : RequestKind::kCompletion;
-  auto parsed = ParseCompletionBody(request.kind, call.body);
-  if (!parsed.ok()) return BadRequest(std::string(parsed.status().message()));
+  absl::StatusOr<CompletionBody> parsed =
+      ParseCompletionBody(request.kind, call.body);
+  if (!parsed.ok()) {
+    std::string message(parsed.status().message());
+    return BadRequest(std::move(message));
+  }
   request.model = ModelId(parsed->model);
   request.adapter = AdapterId(parsed->adapter);
   const ServiceConfig* service =
--- a/src/shell/caller_duty.cc
+++ b/src/shell/caller_duty.cc
@@ -68,7 +68,7 @@
     : outputs_(std::move(outputs)),
       server_(CallerServer::Create(thread_.loop(), settings.router,
                                    settings.caller_tls, *this)),
-      replies_(thread_.loop(), kRingCapacity, [this](CallerReply reply) {
+      replies_(thread_.loop(), kRingCapacity, [this](CallerReply&& reply) {
         std::visit([this](auto& r) { On(r); }, reply);
       }) {}
 
@@ -90,7 +90,7 @@
   thread_.Join();
 }
 
-void CallerDuty::Reply(CallerReply reply) {
+void CallerDuty::Reply(const CallerReply& reply) {
   // The decisions wait for a full ring rather than lose part of an answer.
   while (!replies_.Post(reply)) {
     delayed_.fetch_add(1);
@@ -98,7 +98,7 @@
   }
 }
 
-void CallerDuty::SetConfig(ConfigPtr config) {
+void CallerDuty::SetConfig(const ConfigPtr& config) {
   auto view =
       std::make_shared<const View>(View{config, Authenticator(*config)});
   asio::post(thread_.loop(), [this, view = std::move(view)] { view_ = view; });
--- a/src/shell/caller_duty.h
+++ b/src/shell/caller_duty.h
@@ -47,8 +47,8 @@
 
   // Commands, from any thread.
 
-  void Reply(CallerReply reply);
-  void SetConfig(ConfigPtr config);
+  void Reply(const CallerReply& reply);
+  void SetConfig(const ConfigPtr& config);
   /// Whether `/readyz` says so and new work is taken.
   void SetReady(bool ready) { ready_.store(ready); }
 
--- a/test/authenticator_test.cc
+++ b/test/authenticator_test.cc
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "yuccapick/sha256.h"
+
 namespace yuccapick {
 namespace {
 
--- a/test/caller_api_test.cc
+++ b/test/caller_api_test.cc
@@ -17,7 +17,7 @@
   notes.id = ServiceId("notes");
   notes.teams = {TeamId("clinic")};
   notes.models = {ModelId("fen-3b")};
-  notes.max_body_bytes = 200;
+  notes.max_body_bytes = 400;
   config.services = {bookings, notes};
   return config;
 }
@@ -93,7 +93,7 @@
   CHECK(refuse(late).kind == ErrorKind::kBadRequest);
   HttpCall large =
       ChatCall(R"({"model":"fen-3b","messages":[{"role":"user","content":")" +
-               std::string(300, 'x') + R"("}]})");
+               std::string(500, 'x') + R"("}]})");
   const Error error = refuse(large);
   CHECK(error.kind == ErrorKind::kPayloadTooLarge);
   CHECK(error.execution == Execution::kNotRun);
