Add the link between processes: HTTP/2 streams of MessagePack frames

Cause: routers and agents need many concurrent, cancellable, flow-controlled streams over one authenticated connection. Change: nghttp2 over Asio with optional TLS; both ends prove the shared secret by HMAC over both nonces before any other stream is taken; heartbeats by PING; one write per loop turn; a slow stream holds back only its own window; the client connects again with full jitter. The codec checks ranges and bounds allocations by the payload.

--- /dev/null
+++ b/src/shell/link_call.cc
@@ -0,0 +1,82 @@
+#include "shell/link_call.h"
+
+#include <memory>
+#include <utility>
+
+namespace yuccapick {
+namespace {
+
+constexpr int kLastStatusCode =
+    static_cast<int>(absl::StatusCode::kUnauthenticated);
+
+std::string EncodeResult(const absl::StatusOr<std::string>& result) {
+  std::string payload(1, static_cast<char>(result.status().code()));
+  if (result.ok()) {
+    payload += *result;
+  } else {
+    payload += std::string(result.status().message());
+  }
+  return payload;
+}
+
+absl::StatusOr<std::string> DecodeResult(std::string_view payload) {
+  const int code = payload.empty() ? -1 : payload.front();
+  if (code < 0 || code > kLastStatusCode) {
+    return absl::InternalError("malformed call result; run the same release");
+  }
+  std::string rest(payload.substr(1));
+  if (code == static_cast<int>(absl::StatusCode::kOk)) return rest;
+  return absl::Status(static_cast<absl::StatusCode>(code), rest);
+}
+
+}  // namespace
+
+void ServeCall(const LinkStreamPtr& stream, const CallHandler& handler) {
+  LinkStreamHandlers handlers;
+  const std::weak_ptr<LinkStream> weak = stream;
+  auto taken = std::make_shared<bool>(false);
+  handlers.on_frame = [weak, handler, taken](LinkMessageType type,
+                                             std::string_view payload) {
+    const LinkStreamPtr self = weak.lock();
+    if (*taken || type != LinkMessageType::kCall) {
+      self->Reset();
+      return true;
+    }
+    *taken = true;
+    handler(std::string(payload), [self](absl::StatusOr<std::string> result) {
+      self->SendFrame(LinkMessageType::kCallResult, EncodeResult(result));
+      self->Finish();
+    });
+    return true;
+  };
+  stream->SetHandlers(std::move(handlers));
+}
+
+LinkStreamHandlers ExpectCallResult(CallDone done) {
+  auto pending = std::make_shared<CallDone>(std::move(done));
+  LinkStreamHandlers handlers;
+  handlers.on_frame = [pending](LinkMessageType type,
+                                std::string_view payload) {
+    const CallDone call_done = std::exchange(*pending, nullptr);
+    if (!call_done) return true;
+    if (type == LinkMessageType::kCallResult) {
+      call_done(DecodeResult(payload));
+    } else {
+      call_done(absl::InternalError("peer answered a call with another type"));
+    }
+    return true;
+  };
+  handlers.on_close = [pending](const LinkClose& close) {
+    const CallDone call_done = std::exchange(*pending, nullptr);
+    if (!call_done) return;
+    if (close.status.code() == absl::StatusCode::kNotFound || !close.sent) {
+      call_done(close.status);
+    } else {
+      call_done(absl::UnknownError(
+          "link broke before the call was answered; it may have run"));
+    }
+  };
+  return handlers;
+}
+
+}  // namespace yuccapick
--- /dev/null
+++ b/src/shell/link_stream.cc
@@ -0,0 +1,123 @@
+#include "shell/link_stream.h"
+
+#include <algorithm>
+#include <cstring>
+#include <utility>
+
+#include "shell/link_session.h"
+
+namespace yuccapick {
+
+LinkStream::LinkStream(std::weak_ptr<LinkSession> session, std::string path,
+                       std::string peer)
+    : session_(std::move(session)),
+      path_(std::move(path)),
+      peer_(std::move(peer)) {}
+
+void LinkStream::SetHandlers(LinkStreamHandlers handlers) {
+  handlers_ = std::move(handlers);
+}
+
+void LinkStream::SendFrame(LinkMessageType type, std::string_view payload) {
+  if (closed_ || out_finished_) return;
+  AppendFrame(type, payload, out_);
+  congested_ |= unsent_bytes() > kHighMarkBytes;
+  if (auto session = session_.lock()) session->ResumeStream(id_);
+}
+
+void LinkStream::Finish() {
+  if (closed_ || out_finished_) return;
+  out_finished_ = true;
+  if (auto session = session_.lock()) session->ResumeStream(id_);
+}
+
+void LinkStream::Reset() {
+  const auto self = shared_from_this();
+  Forget();
+  if (closed_) return;
+  closed_ = true;
+  if (auto session = session_.lock()) session->ResetStream(id_);
+}
+
+void LinkStream::SetReceiving(bool receiving) {
+  receiving_ = receiving;
+  if (!receiving_) return;
+  ReturnWindow();
+  Deliver();
+}
+
+void LinkStream::Receive(std::string_view bytes) {
+  if (close_delivered_) return;
+  reader_.Append(bytes);
+  held_window_ += bytes.size();
+  Deliver();
+}
+
+void LinkStream::Deliver() {
+  if (delivering_) return;
+  const auto self = shared_from_this();
+  delivering_ = true;
+  DeliverFrames();
+  delivering_ = false;
+  if (close_delivered_) handlers_ = {};
+  if (receiving_) ReturnWindow();
+  if (closed_ && receiving_ && !close_delivered_) {
+    close_delivered_ = true;
+    const auto on_close = std::move(handlers_.on_close);
+    handlers_ = {};
+    if (on_close) on_close(close_);
+  }
+}
+
+void LinkStream::DeliverFrames() {
+  while (receiving_ && !close_delivered_) {
+    const auto frame = reader_.Peek();
+    if (!frame.ok()) {
+      if (auto session = session_.lock()) session->Close(frame.status());
+      return;
+    }
+    if (!frame->has_value()) return;
+    const FrameReader::Frame& whole = **frame;
+    if (handlers_.on_frame && !handlers_.on_frame(whole.type, whole.payload)) {
+      receiving_ = false;
+      return;
+    }
+    reader_.Pop();
+  }
+}
+
+void LinkStream::ReturnWindow() {
+  if (held_window_ == 0) return;
+  const std::size_t n = std::exchange(held_window_, 0);
+  if (closed_) return;
+  if (auto session = session_.lock()) session->ReturnWindow(id_, n);
+}
+
+void LinkStream::End(LinkClose close) {
+  if (closed_) return;
+  closed_ = true;
+  close_ = std::move(close);
+  Deliver();
+}
+
+void LinkStream::Forget() {
+  close_delivered_ = true;
+  // A handler that is running must not be destroyed.
+  if (!delivering_) handlers_ = {};
+}
+
+std::size_t LinkStream::TakeOutput(std::uint8_t* buf, std::size_t n) {
+  const std::size_t taken = std::min(n, unsent_bytes());
+  std::memcpy(buf, out_.data() + out_begin_, taken);
+  out_begin_ += taken;
+  if (out_begin_ == out_.size()) {
+    out_.clear();
+    out_begin_ = 0;
+  } else if (out_begin_ > kHighMarkBytes) {
+    out_.erase(0, out_begin_);
+    out_begin_ = 0;
+  }
+  return taken;
+}
+
+}  // namespace yuccapick
--- /dev/null
+++ b/src/shell/link_transport.h
@@ -0,0 +1,45 @@
+#ifndef YUCCAPICK_SHELL_LINK_TRANSPORT_H_
+#define YUCCAPICK_SHELL_LINK_TRANSPORT_H_
+
+/// @file
+/// A byte stream under a link: TCP, or TLS over TCP.
+
+#include <asio.hpp>
+#include <asio/ssl.hpp>
+#include <cstddef>
+#include <functional>
+#include <memory>
+
+#include "absl/status/statusor.h"
+#include "shell/link_auth.h"
+#include "shell/settings.h"
+
+namespace yuccapick {
+
+using TlsContextPtr = std::shared_ptr<asio::ssl::context>;
+
+/// Reads certificate, key and authority. Returns null if TLS is off.
+absl::StatusOr<TlsContextPtr> MakeTlsContext(const TlsSettings& settings,
+                                             LinkEnd end);
+
+/// A connected byte stream. Callbacks run on the loop of the socket.
+class LinkTransport {
+ public:
+  using Done = std::function<void(asio::error_code, std::size_t)>;
+  using HandshakeDone = std::function<void(asio::error_code)>;
+
+  virtual ~LinkTransport() = default;
+  virtual void Handshake(LinkEnd end, HandshakeDone done) = 0;
+  virtual void Read(asio::mutable_buffer buf, Done done) = 0;
+  virtual void Write(asio::const_buffer buf, Done done) = 0;
+  virtual void Close() = 0;
+  virtual asio::any_io_executor executor() = 0;
+};
+
+/// @param tls null for plain TCP
+std::unique_ptr<LinkTransport> MakeTransport(asio::ip::tcp::socket socket,
+                                             const TlsContextPtr& tls);
+
+}  // namespace yuccapick
+
+#endif  // YUCCAPICK_SHELL_LINK_TRANSPORT_H_
--- /dev/null
+++ b/test/shell/link_codec_test.cc
@@ -0,0 +1,133 @@
+#include "shell/link_codec.h"
+
+#include <rapidcheck/catch.h>
+
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "shell/link_auth.h"
+#include "shell/link_frame.h"
+
+namespace yuccapick {
+namespace {
+
+AttemptRequest SampleRequest() {
+  AttemptRequest request;
+  request.attempt = AttemptId("r1-7-1");
+  request.team = TeamId("moor");
+  request.kind = RequestKind::kCompletion;
+  request.agent_incarnation = Incarnation(7);
+  request.key = IdempotencyKey("k");
+  request.fence = FencingToken(3);
+  request.claimed = false;
+  request.chain = {1, ~0ULL};
+  request.deadline = std::chrono::milliseconds(1500);
+  request.resume_from = 9;
+  request.continuation = "so far";
+  request.headers = {{"content-type", "application/json"}};
+  request.body = std::string("\0body", 5);
+  return request;
+}
+
+TEST_CASE("An attempt request survives encoding") {
+  const auto decoded = Decode<AttemptRequest>(Encode(SampleRequest()));
+  REQUIRE(decoded.ok());
+  CHECK(Encode(*decoded) == Encode(SampleRequest()));
+  CHECK(decoded->chain == SampleRequest().chain);
+  CHECK(decoded->body == SampleRequest().body);
+  CHECK(decoded->fence == FencingToken(3));
+  CHECK_FALSE(decoded->claimed);
+}
+
+TEST_CASE("An error keeps its optional retry time over the link") {
+  AttemptFailed failure;
+  failure.error = {ErrorKind::kOverloaded, Execution::kNotRun, "busy",
+                   std::chrono::milliseconds(250)};
+  const auto decoded = Decode<AttemptFailed>(Encode(failure));
+  REQUIRE(decoded.ok());
+  CHECK(decoded->error.kind == ErrorKind::kOverloaded);
+  CHECK(decoded->error.retry_after == std::chrono::milliseconds(250));
+}
+
+TEST_CASE("Every proper prefix of a message is refused") {
+  const std::string whole = Encode(SampleRequest());
+  for (std::size_t n = 0; n < whole.size(); ++n) {
+    REQUIRE_FALSE(Decode<AttemptRequest>(whole.substr(0, n)).ok());
+  }
+}
+
+TEST_CASE("Values outside their range are refused") {
+  AttemptFailed failure;
+  failure.error.kind = static_cast<ErrorKind>(99);
+  CHECK_FALSE(Decode<AttemptFailed>(Encode(failure)).ok());
+  AttemptRequest request;
+  request.deadline = std::chrono::milliseconds(-1);
+  CHECK_FALSE(Decode<AttemptRequest>(Encode(request)).ok());
+  AgentReport report;
+  report.load.decode_tokens_per_second = -1;
+  CHECK_FALSE(Decode<AgentReport>(Encode(report)).ok());
+}
+
+TEST_CASE("A claimed array longer than the payload is refused") {
+  CHECK_FALSE(Decode<AnswerEnd>(std::string("\xdd\xff\xff\xff\xff", 5)).ok());
+  CHECK_FALSE(Decode<AnswerEnd>(std::string("\xc6\xff\xff\xff\xff", 5)).ok());
+}
+
+TEST_CASE("Garbage never makes decoding throw") {
+  rc::prop("decoding is total", [](const std::string& bytes) {
+    static_cast<void>(Decode<AttemptRequest>(bytes).ok());
+    static_cast<void>(Decode<AgentReport>(bytes).ok());
+    static_cast<void>(Decode<EngineOrder>(bytes).ok());
+  });
+  rc::prop("one changed byte never throws", [](std::uint8_t value) {
+    std::string bytes = Encode(SampleRequest());
+    const auto at = *rc::gen::inRange<std::size_t>(0, bytes.size());
+    bytes[at] = static_cast<char>(value);
+    static_cast<void>(Decode<AttemptRequest>(bytes).ok());
+  });
+}
+
+TEST_CASE("Frames come out as they went in, however the bytes are cut") {
+  rc::prop("cutting does not matter", [](std::vector<std::string> payloads) {
+    std::string bytes;
+    for (const auto& payload : payloads) {
+      AppendFrame(LinkMessageType::kCall, payload, bytes);
+    }
+    FrameReader reader;
+    std::vector<std::string> read;
+    while (!bytes.empty()) {
+      const auto n = *rc::gen::inRange<std::size_t>(1, bytes.size() + 1);
+      reader.Append(bytes.substr(0, n));
+      bytes.erase(0, n);
+      for (auto frame = reader.Peek(); frame.ok() && frame->has_value();
+           frame = reader.Peek()) {
+        read.emplace_back((*frame)->payload);
+        reader.Pop();
+      }
+    }
+    RC_ASSERT(read == payloads);
+    RC_ASSERT(reader.buffered_bytes() == 0U);
+  });
+}
+
+TEST_CASE("A frame that is too long or empty is an error") {
+  FrameReader reader(100);
+  reader.Append(std::string("\0\0\0\x65", 4));
+  CHECK_FALSE(reader.Peek().ok());
+  FrameReader empty;
+  empty.Append(std::string(4, '\0'));
+  CHECK_FALSE(empty.Peek().ok());
+}
+
+TEST_CASE("A proof holds for one end, secret and pair of nonces only") {
+  const std::string proof = MakeProof("s", LinkEnd::kClient, "a", "b");
+  CHECK(proof.size() == kProofBytes);
+  CHECK(EqualInConstantTime(proof, MakeProof("s", LinkEnd::kClient, "a", "b")));
+  CHECK(proof != MakeProof("s", LinkEnd::kServer, "a", "b"));
+  CHECK(proof != MakeProof("t", LinkEnd::kClient, "a", "b"));
+  CHECK(proof != MakeProof("s", LinkEnd::kClient, "b", "a"));
+  CHECK(MakeNonce() != MakeNonce());
+}
+
+}  // namespace
+}  // namespace yuccapick
--- /dev/null
+++ b/test/shell/link_pair.h
@@ -0,0 +1,64 @@
+#ifndef YUCCAPICK_TEST_SHELL_LINK_PAIR_H_
+#define YUCCAPICK_TEST_SHELL_LINK_PAIR_H_
+
+/// @file
+/// A link server and a client of it on one loop, for tests.
+
+#include <asio.hpp>
+#include <memory>
+#include <string>
+
+#include "shell/link_client.h"
+#include "shell/link_server.h"
+#include "test/shell/scripted_server.h"
+
+namespace yuccapick {
+
+struct LinkPair {
+  explicit LinkPair(std::string client_secret = "secret",
+                    LinkTimings timings = {}, const TlsSettings& tls = {}) {
+    LinkServerOptions server_options;
+    server_options.secret = "secret";
+    server_options.name = "agent";
+    server_options.timings = timings;
+    server_options.tls = tls;
+    server = LinkServer::Make(loop, server_options);
+    started = server->Start();
+    LinkClientOptions options;
+    options.peer.port = server->port();
+    options.secret = std::move(client_secret);
+    options.name = "router";
+    options.timings = timings;
+    if (auto context = MakeTlsContext(tls, LinkEnd::kClient); context.ok()) {
+      options.tls = *context;
+    }
+    LinkClientHandlers handlers;
+    handlers.on_down = [this](const absl::Status& status) {
+      ++downs;
+      last_down = status;
+    };
+    client = LinkClient::Make(loop, options, handlers);
+    client->Start();
+  }
+  ~LinkPair() {
+    client->Stop();
+    server->Stop();
+    loop.restart();
+    loop.run_for(std::chrono::milliseconds(1));
+  }
+
+  bool WaitUp() {
+    return RunUntil(loop, [this] { return client->up(); });
+  }
+
+  asio::io_context loop;
+  std::shared_ptr<LinkServer> server;
+  std::shared_ptr<LinkClient> client;
+  absl::Status started;
+  absl::Status last_down;
+  int downs = 0;
+};
+
+}  // namespace yuccapick
+
+#endif  // YUCCAPICK_TEST_SHELL_LINK_PAIR_H_
