--- a/include/yuccapick/config_publish.h
+++ b/include/yuccapick/config_publish.h
@@ -161,8 +161,8 @@
   Plan plan_;
   std::set<std::string> pending_;  ///< Hashes under way.
   std::set<std::string> stored_;
-  ConfigVersion attempted_;   ///< Version of the last commit sent, or 0.
-  bool may_have_run_ = false; ///< The last commit's result is unknown.
+  ConfigVersion attempted_;    ///< Version of the last commit sent, or 0.
+  bool may_have_run_ = false;  ///< The last commit's result is unknown.
 };
 
 }  // namespace yuccapick
