--- a/src/config_publish.cc
+++ b/src/config_publish.cc
@@ -92,8 +92,8 @@
   if (row != nullptr) {
     absl::StatusOr<ConfigHead> head = ParseHead(row->value);
     if (!head.ok()) {
-      return Fail(PublishOutcome::kInvalid,
-                  std::string(head.status().message()));
+      std::string message(head.status().message());
+      return Fail(PublishOutcome::kInvalid, std::move(message));
     }
     head_ = *std::move(head);
     head_row_version_ = row->version;
