--- a/src/shell/agent_links.h
+++ b/src/shell/agent_links.h
@@ -31,10 +31,11 @@
 /// Counters of all links.
 struct AgentLinksStats {
   std::uint64_t links_up = 0;
-  std::uint64_t links_lost = 0;     ///< Connections that broke.
-  std::uint64_t attempts = 0;       ///< Attempts put on a link.
-  std::uint64_t attempts_lost = 0;  ///< Attempts that a broken link ended.
-  std::uint64_t sink_refusals = 0;  ///< Events that waited for a full sink.
+  std::uint64_t links_lost = 0;        ///< Connections that broke.
+  std::uint64_t attempts = 0;          ///< Attempts put on a link.
+  std::uint64_t attempts_lost = 0;     ///< Attempts that a broken link ended.
+  std::uint64_t sink_refusals = 0;     ///< Events that waited for a full sink.
+  std::uint64_t reports_rejected = 0;  ///< Malformed or another agent\'s.
 };
 
 /// Owns one thread with a link to each agent: sends attempts, receives answers
