--- /dev/null
+++ b/util/detail/replay_engine.h
@@ -0,0 +1,109 @@
+#ifndef YUCCAPICK_UTIL_DETAIL_REPLAY_ENGINE_H_
+#define YUCCAPICK_UTIL_DETAIL_REPLAY_ENGINE_H_
+
+/// @file
+/// A fake model engine in simulated time: prefill queue, decode batch and a
+/// small prefix cache.
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "util/detail/replay_trace.h"
+#include "yuccapick/agent_events.h"
+#include "yuccapick/upstream.h"
+
+namespace yuccapick::replay {
+
+/// Least recently used cache of prefix pieces. A piece outlives no piece before
+/// it, and pieces in use are not evicted.
+class PieceCache {
+ public:
+  explicit PieceCache(std::size_t capacity) : capacity_(capacity) {}
+
+  /// Returns how many leading pieces are cached.
+  std::size_t Cached(const std::vector<PrefixPiece>& pieces) const;
+  bool Holds(std::uint64_t chain_hash) const {
+    return nodes_.contains(chain_hash);
+  }
+  /// Stores and pins all pieces; returns what was stored and evicted.
+  std::vector<CacheEvent> Pin(const std::vector<PrefixPiece>& pieces);
+  void Unpin(const std::vector<PrefixPiece>& pieces);
+  void Clear();
+  std::size_t Size() const { return nodes_.size(); }
+
+ private:
+  struct Node {
+    std::uint64_t used = 0;
+    std::uint32_t pins = 0;
+  };
+  void Touch(std::uint64_t chain_hash);
+  bool EvictOne(std::vector<CacheEvent>& events);
+
+  std::size_t capacity_;
+  std::uint64_t uses_ = 0;
+  absl::flat_hash_map<std::uint64_t, Node> nodes_;
+  std::map<std::uint64_t, std::uint64_t> by_use_;
+};
+
+/// Work in an engine.
+struct EngineJob {
+  std::uint32_t request = 0;  ///< Index in the trace.
+  std::uint32_t try_number = 0;
+  bool urgent = false;
+  std::uint64_t believed_missing = 0;  ///< Tokens, when it was queued.
+  std::uint64_t missing = 0;           ///< Tokens, when prefill began.
+  std::uint64_t cached = 0;
+};
+
+/// One fake engine. The replay calls it at the times that it asks for.
+class ReplayEngine {
+ public:
+  explicit ReplayEngine(const Trace& trace);
+
+  // Commands.
+
+  /// Queues work; begins it if the engine is idle.
+  void Enqueue(EngineJob job, TimePoint now);
+  /// Ends the prefill that is running; its time must have come.
+  EngineJob FinishPrefill(TimePoint now, std::vector<CacheEvent>& events);
+  /// Ends the decoding of a request.
+  void FinishDecode(const EngineJob& job, TimePoint now);
+  /// Forgets everything; returns the work that had no first token yet.
+  std::vector<EngineJob> Crash();
+
+  // Queries.
+
+  /// Returns when the running prefill ends.
+  std::optional<TimePoint> PrefillEnds() const { return prefill_ends_; }
+  std::chrono::microseconds DecodeTime(const EngineJob& job) const;
+  LoadReport Load(TimePoint now) const;
+  /// Returns the tokens of `document` that are cached, now or once everything
+  /// queued has run.
+  std::uint64_t CachedTokens(const Document& document, bool with_queued) const;
+  const PieceCache& Cache() const { return cache_; }
+
+ private:
+  const Document& DocumentOf(const EngineJob& job) const;
+  std::uint64_t MissingTokens(const EngineJob& job, std::uint64_t cached) const;
+  void BeginNext(TimePoint now);
+
+  const Trace* trace_;
+  PieceCache cache_;
+  std::deque<EngineJob> queue_;
+  std::optional<EngineJob> current_;
+  std::optional<TimePoint> prefill_ends_;
+  std::uint32_t decoding_ = 0;
+  absl::flat_hash_map<std::uint64_t, std::uint32_t> queued_pieces_;
+};
+
+/// Returns the tokens up to the end of `pieces` pieces of a document.
+std::uint64_t PrefixTokens(const Document& document, std::size_t pieces);
+
+}  // namespace yuccapick::replay
+
+#endif  // YUCCAPICK_UTIL_DETAIL_REPLAY_ENGINE_H_
