Announce a prefix when its attempt is passed on

Cache events come a second late, so other routers sent the same cold document elsewhere meanwhile. The agent's picture announces a chain as soon as it passes the attempt on; it counts as cached at the agent itself only once an event or an answer shows it.

--- a/include/yuccapick/engine_picture.h
+++ b/include/yuccapick/engine_picture.h
@@ -36,7 +36,8 @@
   /// new boot id empties the picture; events seen before are ignored.
   void Apply(const std::string& boot_id, const std::vector<CacheEvent>& events,
              TimePoint now);
-  /// An attempt with this prefix chain is passed on to the engine.
+  /// An attempt with this prefix chain is passed on to the engine. Its pieces
+  /// are announced at once, but count as cached only when the engine shows it.
   /// @param end_bytes ends of the chain's pieces; may be empty
   void OnAttempt(const AttemptId& attempt, std::vector<std::uint64_t> chain,
                  std::vector<std::uint64_t> end_bytes, TimePoint now);
@@ -62,6 +63,9 @@
   std::size_t Size() const { return entries_.size(); }
 
  private:
+  /// Whether the engine has shown that it holds a prefix, or will compute it
+  /// for an attempt that was passed on.
+  enum class Proof : std::uint8_t { kExpected, kSeen };
   struct Entry {
     std::uint64_t parent = 0;
     std::uint32_t tokens = 0;
@@ -69,6 +73,7 @@
     TimePoint announced;     ///< `last_used` as it was last announced.
     std::uint64_t gaps = 0;  ///< Gaps seen when the entry was confirmed.
     bool is_announced = false;
+    bool seen = false;  ///< Shown by an event or an answer.
   };
   struct Attempt {
     std::vector<std::uint64_t> chain;
@@ -79,7 +84,8 @@
   void ApplyOne(const CacheEvent& event, TimePoint now);
   void OnStored(const CacheEvent& event, TimePoint now);
   void OnEvicted(const CacheEvent& event, TimePoint now);
-  void Touch(const Attempt& attempt, std::size_t pieces, TimePoint now);
+  void Touch(const Attempt& attempt, std::size_t pieces, TimePoint now,
+             Proof proof);
   void Drop(std::uint64_t chain_hash);
   void DropOrphans();
   void DropStale(TimePoint now);
--- a/src/engine_picture.cc
+++ b/src/engine_picture.cc
@@ -94,7 +94,7 @@
     if (event.end_token > end * (1.0 + kEndTolerance)) continue;
     if (blocks_.size() < kMostBlocks) blocks_[event.block] = attempt.chain[n];
     const bool ends_piece = event.end_token >= end * (1.0 - kEndTolerance);
-    Touch(attempt, ends_piece ? n + 1 : n, now);
+    Touch(attempt, ends_piece ? n + 1 : n, now, Proof::kSeen);
     return;
   }
 }
@@ -135,7 +135,8 @@
 }
 
 bool EnginePicture::Stale(const Entry& entry, TimePoint now) const {
-  if (entry.gaps == gaps_ || lifetime_seconds_ == 0) return false;
+  const bool certain = entry.seen && entry.gaps == gaps_;
+  if (certain || lifetime_seconds_ == 0) return false;
   return Seconds(now - entry.last_used) > kLifetimeMargin * lifetime_seconds_;
 }
 
@@ -163,7 +164,7 @@
 }
 
 void EnginePicture::Touch(const Attempt& attempt, std::size_t pieces,
-                          TimePoint now) {
+                          TimePoint now, Proof proof) {
   std::uint64_t parent = 0;
   for (std::size_t n = 0; n < pieces; ++n) {
     const std::uint64_t chain_hash = attempt.chain[n];
@@ -171,7 +172,10 @@
     entry.parent = parent;
     entry.tokens = TokensUpTo(attempt, n);
     entry.last_used = std::max(entry.last_used, now);
-    entry.gaps = gaps_;
+    if (proof == Proof::kSeen) {
+      entry.seen = true;
+      entry.gaps = gaps_;
+    }
     evicted_.erase(chain_hash);
     if (!entry.is_announced || now - entry.announced > kAnnounceUseAfter) {
       changed_.insert(chain_hash);
@@ -183,12 +187,13 @@
 void EnginePicture::OnAttempt(const AttemptId& attempt,
                               std::vector<std::uint64_t> chain,
                               std::vector<std::uint64_t> end_bytes,
-                              TimePoint /*now*/) {
+                              TimePoint now) {
   if (chain.empty()) return;
   if (end_bytes.size() != chain.size()) end_bytes.clear();
   const auto [it, inserted] = attempts_.try_emplace(
       attempt, Attempt{std::move(chain), std::move(end_bytes)});
   if (!inserted) return;
+  Touch(it->second, it->second.chain.size(), now, Proof::kExpected);
   attempt_order_.push_back(attempt);
   if (attempt_order_.size() <= kMostAttempts) return;
   attempts_.erase(attempt_order_.front());
@@ -206,7 +211,7 @@
                          static_cast<double>(answered.end_bytes.back());
     tokens_per_byte_ += kTokensPerByteSmoothing * (ratio - tokens_per_byte_);
   }
-  Touch(answered, answered.chain.size(), now);
+  Touch(answered, answered.chain.size(), now, Proof::kSeen);
   TrimEntries();
 }
 
@@ -251,7 +256,8 @@
   std::size_t cached = 0;
   for (const std::uint64_t chain_hash : chain) {
     const auto it = entries_.find(chain_hash);
-    if (it == entries_.end() || Stale(it->second, now)) break;
+    if (it == entries_.end() || !it->second.seen) break;
+    if (Stale(it->second, now)) break;
     ++cached;
   }
   return cached;
--- a/util/detail/replay_policy.cc
+++ b/util/detail/replay_policy.cc
@@ -67,10 +67,11 @@
 
 LaggedLoads::LaggedLoads(const Deployment& deployment)
     : deployment_(deployment),
-      loads_(deployment.routers * deployment.engines, LoadModel(kReportAge)) {}
+      loads_(std::size_t{deployment.routers} * deployment.engines,
+             LoadModel(kReportAge)) {}
 
 LoadModel& LaggedLoads::Load(std::uint32_t router, std::uint32_t engine) {
-  return loads_[router * deployment_.engines + engine];
+  return loads_[std::size_t{router} * deployment_.engines + engine];
 }
 
 void LaggedLoads::OnReport(std::uint32_t router, std::uint32_t engine,
