Add the load tool that checks every answer

Open-loop streams, whole answers and bookings with idempotency keys, from a seed, against routers or straight against a stand-in engine. Each answer is compared with the text that any stand-in engine gives to the prompt, and the plain stand-ins are asked which keys ran how often.

--- /dev/null
+++ b/util/detail/load_options.h
@@ -0,0 +1,57 @@
+#ifndef YUCCAPICK_UTIL_DETAIL_LOAD_OPTIONS_H_
+#define YUCCAPICK_UTIL_DETAIL_LOAD_OPTIONS_H_
+
+/// @file
+/// Command line of the load tool.
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace yuccapick::load {
+
+/// A team and its share of the traffic. Its bearer token is `demo-` and its
+/// name, as in the examples.
+struct Team {
+  std::string name;
+  double weight = 1;
+};
+
+/// Shape of prompts: each opens with its team's guide and one document.
+struct PromptShape {
+  std::size_t guide_bytes = 8192;
+  std::size_t documents = 16;  ///< Of each team; some are hotter than others.
+  std::size_t document_bytes = 4096;
+  std::size_t question_bytes = 160;
+};
+
+struct Options {
+  std::vector<std::string> targets;         ///< Base URLs, used in turn.
+  std::vector<std::string> plain_services;  ///< Stand-ins to ask what ran.
+  std::vector<Team> teams;
+  bool direct = false;  ///< The targets are engines.
+  double streams_per_second = 0;
+  double whole_per_second = 0;
+  double bookings_per_second = 0;
+  std::chrono::milliseconds duration{10'000};
+  std::chrono::milliseconds timeout{30'000};
+  std::uint64_t seed = 1;
+  std::string model = "fen-3b";
+  std::string chat_service;
+  std::string plain_service = "bookings";
+  std::string plain_path = "/appointments";
+  std::uint64_t max_tokens = 24;
+  PromptShape prompt;
+  bool csv = false;
+  std::string figure_prefix;
+};
+
+/// Parses the command line. Prints help or the error itself.
+/// @param exit_code set when nothing is returned
+std::optional<Options> ParseOptions(int argc, char** argv, int& exit_code);
+
+}  // namespace yuccapick::load
+
+#endif  // YUCCAPICK_UTIL_DETAIL_LOAD_OPTIONS_H_
--- /dev/null
+++ b/util/yuccapick_load.cc
@@ -0,0 +1,25 @@
+/// @file
+/// Load and experiment tool: open-loop streams, whole answers and bookings
+/// against routers or stand-in engines, with every answer checked.
+
+#include "easylogging++.h"
+#include "util/detail/load_options.h"
+#include "util/detail/load_report.h"
+#include "util/detail/load_run.h"
+
+INITIALIZE_EASYLOGGINGPP
+
+int main(int argc, char** argv) {
+  using namespace yuccapick::load;
+  int exit_code = 0;
+  const auto options = ParseOptions(argc, argv, exit_code);
+  if (!options) return exit_code;
+  const Report report = LoadRun(*options).Run();
+  if (options->csv) {
+    PrintCsv(report, options->figure_prefix);
+  } else {
+    PrintTable(report);
+  }
+  PrintProblems(report);
+  return report.Good() ? 0 : 1;
+}
