--- a/util/detail/load_options.cc
+++ b/util/detail/load_options.cc
@@ -7,6 +7,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <string_view>
+#include <utility>
 
 namespace yuccapick::load {
 namespace {
@@ -82,20 +83,26 @@
 };
 
 constexpr std::array kTexts{
-    TextOption{"target",
-               [](Options& o, std::string t) { o.targets.push_back(t); }},
     TextOption{
-        "plain-upstream",
-        [](Options& o, std::string t) { o.plain_services.push_back(t); }},
-    TextOption{"model", [](Options& o, std::string t) { o.model = t; }},
-    TextOption{"chat-service",
-               [](Options& o, std::string t) { o.chat_service = t; }},
-    TextOption{"plain-service",
-               [](Options& o, std::string t) { o.plain_service = t; }},
+        "target",
+        [](Options& o, std::string t) { o.targets.push_back(std::move(t)); }},
+    TextOption{"plain-upstream",
+               [](Options& o, std::string t) {
+                 o.plain_services.push_back(std::move(t));
+               }},
+    TextOption{"model",
+               [](Options& o, std::string t) { o.model = std::move(t); }},
+    TextOption{
+        "chat-service",
+        [](Options& o, std::string t) { o.chat_service = std::move(t); }},
+    TextOption{
+        "plain-service",
+        [](Options& o, std::string t) { o.plain_service = std::move(t); }},
     TextOption{"plain-path",
-               [](Options& o, std::string t) { o.plain_path = t; }},
-    TextOption{"figure-prefix",
-               [](Options& o, std::string t) { o.figure_prefix = t; }},
+               [](Options& o, std::string t) { o.plain_path = std::move(t); }},
+    TextOption{
+        "figure-prefix",
+        [](Options& o, std::string t) { o.figure_prefix = std::move(t); }},
 };
 
 enum OptionCode : int { kFirstText = 1000, kTeam = 2000, kDirect, kCsv, kHelp };
