--- a/util/detail/stream_check.cc
+++ b/util/detail/stream_check.cc
@@ -14,10 +14,11 @@
 
 void StreamCheck::Add(std::string_view data) {
   buf_.append(data);
+  const std::string_view lines = buf_;
   std::size_t start = 0;
   for (std::size_t end = buf_.find('\n'); end != std::string::npos;
        end = buf_.find('\n', start)) {
-    TakeLine(std::string_view(buf_).substr(start, end - start));
+    TakeLine(lines.substr(start, end - start));
     start = end + 1;
   }
   buf_.erase(0, start);
