Add the agent: decisions, links and upstream joined in one process

Cause: every attempt passes the agent beside its upstream. Change: a thread for links and decisions, a thread for the upstream, joined by bounded rings. A slow reader slows the upstream down; a cancelled attempt closes the upstream connection. A drain finishes what is in flight and flushes the links.

--- /dev/null
+++ b/src/shell/agent_process.cc
@@ -0,0 +1,89 @@
+#include "shell/agent_process.h"
+
+#include <utility>
+
+#include "easylogging++.h"
+
+namespace yuccapick {
+namespace {
+
+constexpr std::size_t kRingCapacity = 1 << 14;
+constexpr std::chrono::milliseconds kFlushPoll{5};
+constexpr std::chrono::milliseconds kLongestFlush{1'000};
+
+UpstreamClientOptions ClientOptions(const AgentSettings& settings) {
+  UpstreamClientOptions options;
+  options.kind = settings.kind;
+  options.url = settings.upstream_url;
+  while (options.url.ends_with('/')) options.url.pop_back();
+  return options;
+}
+
+}  // namespace
+
+AgentProcess::AgentProcess(const ProcessSettings& settings,
+                           Incarnation incarnation,
+                           std::function<void()> drained)
+    : settings_(settings),
+      drained_(std::move(drained)),
+      events_(link_thread_.loop(), kRingCapacity,
+              [this](const AgentEvent& event) { server_->Handle(event); }),
+      commands_(
+          upstream_thread_.loop(), kRingCapacity,
+          [this](const UpstreamCommand& command) { upstream_->Take(command); }),
+      flush_timer_(link_thread_.loop()) {
+  AgentServerOutputs outputs;
+  outputs.upstream = [this](const UpstreamCommand& command) {
+    return commands_.Post(command);
+  };
+  outputs.drained = [this] { FinishDrain(); };
+  server_ = std::make_shared<AgentServer>(link_thread_.loop(), settings_,
+                                          incarnation, std::move(outputs));
+  upstream_ = std::make_shared<UpstreamClient>(
+      upstream_thread_.loop(), ClientOptions(settings_.agent),
+      [this](const AgentEvent& event) { return events_.Post(event); });
+}
+
+AgentProcess::~AgentProcess() { Stop(); }
+
+absl::Status AgentProcess::Start() {
+  if (absl::Status status = server_->Start(); !status.ok()) return status;
+  asio::post(upstream_thread_.loop(), [this] { upstream_->Start(); });
+  link_thread_.Start();
+  upstream_thread_.Start();
+  LOG(INFO) << "event=agent_started upstream=" << settings_.agent.upstream.value
+            << " port=" << server_->links().port() << " incarnation="
+            << server_->core().Upstream().agent_incarnation.value;
+  return absl::OkStatus();
+}
+
+void AgentProcess::Drain() {
+  asio::post(link_thread_.loop(),
+             [this] { server_->Leave(settings_.drain_deadline); });
+}
+
+void AgentProcess::FinishDrain() {
+  flush_limit_ = std::chrono::steady_clock::now() + kLongestFlush;
+  WaitFlushed();
+}
+
+void AgentProcess::WaitFlushed() {
+  const bool late = std::chrono::steady_clock::now() >= flush_limit_;
+  if (late || server_->links().flushed()) {
+    LOG(INFO) << "event=drain_complete flushed=" << !late;
+    server_->Stop();
+    return drained_();
+  }
+  flush_timer_.expires_after(kFlushPoll);
+  flush_timer_.async_wait([this](asio::error_code ec) {
+    if (!ec) WaitFlushed();
+  });
+}
+
+void AgentProcess::Stop() {
+  link_thread_.Stop();
+  upstream_thread_.Stop();
+  upstream_->Stop();
+}
+
+}  // namespace yuccapick
--- a/src/shell/http_transfer.cc
+++ b/src/shell/http_transfer.cc
@@ -76,6 +76,7 @@
   curl_easy_setopt(easy_, CURLOPT_URL, request_.url.c_str());
   curl_easy_setopt(easy_, CURLOPT_PROTOCOLS_STR, "http,https");
   curl_easy_setopt(easy_, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt(easy_, CURLOPT_PATH_AS_IS, 1L);
   curl_easy_setopt(easy_, CURLOPT_PROXY, "");
   curl_easy_setopt(easy_, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(easy_, CURLOPT_TCP_NODELAY, 1L);
--- a/src/shell/link_server.cc
+++ b/src/shell/link_server.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -125,6 +126,11 @@
   for (const auto& [raw, session] : sessions) session->Shutdown();
 }
 
+bool LinkServer::flushed() const {
+  return std::all_of(sessions_.begin(), sessions_.end(),
+                     [](const auto& entry) { return entry.second->flushed(); });
+}
+
 std::uint16_t LinkServer::port() const {
   asio::error_code ec;
   return acceptor_.local_endpoint(ec).port();
--- a/src/shell/link_server.h
+++ b/src/shell/link_server.h
@@ -53,6 +53,8 @@
   void Stop();
 
   std::uint16_t port() const;
+  /// True if nothing that was sent waits to leave.
+  bool flushed() const;
   std::size_t connections() const { return sessions_.size(); }
   const LinkServerStats& stats() const { return stats_; }
 
--- a/src/shell/link_session.cc
+++ b/src/shell/link_session.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "shell/link_http2.h"
@@ -108,6 +109,15 @@
   ScheduleFlush();
 }
 
+bool LinkSession::flushed() const {
+  if (closed_ || http2_ == nullptr) return true;
+  const bool idle = !writing_ && !flush_scheduled_ && out_.empty();
+  if (!idle || nghttp2_session_want_write(http2_) != 0) return false;
+  return std::all_of(streams_.begin(), streams_.end(), [](const auto& entry) {
+    return entry.second->unsent_bytes() == 0;
+  });
+}
+
 void LinkSession::ResumeStream(std::int32_t id) {
   if (closed_) return;
   nghttp2_session_resume_data(http2_, id);
--- a/src/shell/link_session.h
+++ b/src/shell/link_session.h
@@ -70,6 +70,8 @@
 
   bool ready() const { return ready_ && !closed_; }
   std::size_t streams() const { return streams_.size(); }
+  /// True if nothing that was sent waits to leave.
+  bool flushed() const;
 
  private:
   friend class LinkStream;
--- /dev/null
+++ b/src/shell/upstream_client.h
@@ -0,0 +1,97 @@
+#ifndef YUCCAPICK_SHELL_UPSTREAM_CLIENT_H_
+#define YUCCAPICK_SHELL_UPSTREAM_CLIENT_H_
+
+/// @file
+/// The agent's duty towards its upstream: attempts, orders, polls.
+
+#include <asio.hpp>
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <variant>
+
+#include "shell/http_client.h"
+#include "yuccapick/agent_events.h"
+#include "yuccapick/upstream.h"
+
+namespace yuccapick {
+
+/// Stops or resumes receiving an attempt's answer.
+struct SetUpstreamReceiving {
+  AttemptId attempt;
+  bool receiving = true;
+};
+
+using UpstreamCommand = std::variant<ForwardAttempt, CancelUpstream,
+                                     ForwardOrder, SetUpstreamReceiving>;
+
+struct UpstreamClientOptions {
+  UpstreamKind kind = UpstreamKind::kModelEngine;
+  std::string url;  ///< Without a path.
+  std::chrono::milliseconds poll_interval{200};
+  std::chrono::milliseconds poll_timeout{1'000};
+  std::chrono::milliseconds event_poll_timeout{5'000};
+};
+
+/// Used on its loop's thread only.
+class UpstreamClient : public std::enable_shared_from_this<UpstreamClient> {
+ public:
+  /// Takes an event; false if the ring of events is full.
+  using Emit = std::function<bool(const AgentEvent&)>;
+
+  UpstreamClient(asio::io_context& loop, UpstreamClientOptions options,
+                 Emit emit);
+
+  /// Begins to poll.
+  void Start();
+  /// Drops all exchanges without an event.
+  void Stop();
+  void Take(const UpstreamCommand& command);
+
+  std::size_t exchanges() const { return exchanges_.size(); }
+
+ private:
+  struct Exchange {
+    RequestHandle handle{};
+    bool model = false;
+    bool receiving = true;  ///< As the decisions want it.
+  };
+
+  void On(const ForwardAttempt& command);
+  void On(const CancelUpstream& command);
+  void On(const ForwardOrder& command);
+  void On(const SetUpstreamReceiving& command);
+
+  void PollLoad();
+  void TakeLoad(const HttpAnswer& answer);
+  void PollEvents();
+  void TakeEvents(const HttpAnswer& answer);
+
+  void EmitOrKeep(AgentEvent event);
+  void OfferKept();
+  void SetAllReceiving(bool receiving);
+  /// Runs `step` after `delay` unless stopped.
+  void After(asio::steady_timer& timer, std::chrono::milliseconds delay,
+             void (UpstreamClient::*step)());
+
+  UpstreamClientOptions options_;
+  Emit emit_;
+  HttpClient client_;
+  std::unordered_map<std::string, Exchange> exchanges_;
+  std::deque<AgentEvent> kept_;
+  asio::steady_timer keep_timer_;
+  asio::steady_timer load_timer_;
+  asio::steady_timer event_timer_;
+  int failed_polls_ = 0;
+  std::string events_boot_id_;
+  std::uint64_t events_after_ = 0;
+  bool stopped_ = false;
+};
+
+}  // namespace yuccapick
+
+#endif  // YUCCAPICK_SHELL_UPSTREAM_CLIENT_H_
--- a/test/shell/scripted_server.h
+++ b/test/shell/scripted_server.h
@@ -67,6 +67,13 @@
     Accept();
   }
 
+  /// Closes the listener and all connections.
+  void Stop() {
+    asio::error_code ec;
+    acceptor_.close(ec);
+    for (const auto& connection : connections) connection->Close();
+  }
+
   std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
   std::string url(const std::string& path) const {
     return "http://127.0.0.1:" + std::to_string(port()) + path;
