--- a/src/shell/agent_command.cc
+++ b/src/shell/agent_command.cc
@@ -1,7 +1,44 @@
+#include <cstdio>
+#include <string>
+#include <string_view>
+
+#include "shell/agent_process.h"
 #include "shell/commands.h"
+#include "shell/process_life.h"
 
 namespace yuccapick {
+namespace {
+
+constexpr std::string_view kUsage =
+    "Usage: yuccapick agent --settings FILE\n"
+    "\n"
+    "Stands beside one upstream and is the only way to it.\n"
+    "\n"
+    "Options:\n"
+    "  --settings FILE  TOML settings of this process\n"
+    "  --help           print this text\n"
+    "\n"
+    "SIGTERM drains and ends the process with exit code 0.\n";
+
+}  // namespace
 
-int RunAgent(int /*argc*/, char** /*argv*/) { return kExitUsage; }
+int RunAgent(int argc, char** argv) {
+  ProcessSettings settings;
+  if (auto code = ReadProcessArguments(argc, argv, kUsage, settings)) {
+    return *code;
+  }
+  ConfigureLogs(settings);
+  ProcessLife life;
+  AgentProcess agent(settings, NewIncarnation(), [&life] { life.End(); });
+  const absl::Status status = agent.Start();
+  if (!status.ok()) {
+    const std::string message(status.message());
+    std::fprintf(stderr, "yuccapick agent: %s\n", message.c_str());
+    return kExitFailed;
+  }
+  life.Run([&agent] { agent.Drain(); }, settings.drain_deadline);
+  agent.Stop();
+  return kExitOk;
+}
 
 }  // namespace yuccapick
--- a/test/shell/link_pair.h
+++ b/test/shell/link_pair.h
@@ -16,7 +16,10 @@
 
 struct LinkPair {
   explicit LinkPair(std::string client_secret = "secret",
-                    LinkTimings timings = {}, const TlsSettings& tls = {}) {
+                    LinkTimings timings = {}, const TlsSettings& tls = {})
+      : LinkPair(std::move(client_secret), timings, tls, tls) {}
+  LinkPair(std::string client_secret, LinkTimings timings,
+           const TlsSettings& tls, const TlsSettings& client_tls) {
     LinkServerOptions server_options;
     server_options.secret = "secret";
     server_options.name = "agent";
@@ -29,7 +32,8 @@
     options.secret = std::move(client_secret);
     options.name = "router";
     options.timings = timings;
-    if (auto context = MakeTlsContext(tls, LinkEnd::kClient); context.ok()) {
+    if (auto context = MakeTlsContext(client_tls, LinkEnd::kClient);
+        context.ok()) {
       options.tls = *context;
     }
     LinkClientHandlers handlers;
--- /dev/null
+++ b/test/shell/test_certificate.h
@@ -0,0 +1,30 @@
+#ifndef YUCCAPICK_TEST_SHELL_TEST_CERTIFICATE_H_
+#define YUCCAPICK_TEST_SHELL_TEST_CERTIFICATE_H_
+
+/// @file
+/// Self-signed certificates for tests, in files that go with the object.
+
+#include <string>
+
+#include "shell/settings.h"
+
+namespace yuccapick {
+
+/// A key and a certificate that is its own authority.
+class TestCertificate {
+ public:
+  explicit TestCertificate(const std::string& name);
+  ~TestCertificate();
+  TestCertificate(const TestCertificate&) = delete;
+  TestCertificate& operator=(const TestCertificate&) = delete;
+
+  /// Settings that show this certificate and trust `authority`'s.
+  TlsSettings Trusting(const TestCertificate& authority) const;
+
+ private:
+  std::string directory_;
+};
+
+}  // namespace yuccapick
+
+#endif  // YUCCAPICK_TEST_SHELL_TEST_CERTIFICATE_H_
