Derive the price of recomputation from whom it delays

The price of a missing prefix is the delay that its prefill causes to others: arrivals during the engine's busy period, by the fleet's utilisation, the engine's share of arrivals and its queue, shared among the requests that the copy will serve. Urgent requests wait for the running prefill. Decisions at many upstreams compare holders, homes and a few samples; groups are looked up by key.

--- a/include/yuccapick/cache_picture.h
+++ b/include/yuccapick/cache_picture.h
@@ -44,6 +44,9 @@
   void Store(EngineSlot slot, std::uint64_t chain_hash, TimePoint used);
   /// Notes that the engine no longer holds `chain_hash`.
   void Evict(EngineSlot slot, std::uint64_t chain_hash, TimePoint now);
+  /// The engine no longer held a prefix that was believed cached and had not
+  /// been used for `idle_seconds`.
+  void OnMiss(EngineSlot slot, double idle_seconds);
 
   // Queries.
 
--- a/include/yuccapick/load_model.h
+++ b/include/yuccapick/load_model.h
@@ -32,14 +32,15 @@
 
   // Queries.
 
-  /// Returns the expected time until work sent now would begin, in seconds.
-  double WaitSeconds(bool urgent, TimePoint now) const;
-  /// Returns the share of time that the engine has had work waiting.
-  double Utilisation() const;
+  /// Returns the expected time until normal work sent now would begin.
+  double WaitSeconds(TimePoint now) const;
+  /// Returns the same for urgent work.
+  /// @param residual_seconds expected rest of a running prefill
+  double UrgentWaitSeconds(double residual_seconds, TimePoint now) const;
+  /// Returns the requests that this router sent lately, decayed.
+  double RecentArrivals(TimePoint now) const;
   /// Returns the prefill speed in tokens a second.
   double Speed() const;
-  /// Returns when the last report came.
-  TimePoint ReportedAt() const;
 
  private:
   struct Sent {
@@ -49,17 +50,15 @@
 
   double BacklogAt(TimePoint now) const;
   void Add(double tokens, TimePoint now);
-  void ObserveUtilisation(const LoadReport& report);
 
   std::chrono::milliseconds report_age_;
   double speed_;
   double backlog_ = 0;  ///< Tokens at `backlog_at_`.
   TimePoint backlog_at_;
-  TimePoint reported_at_;
-  double own_unfinished_ = 0;  ///< Tokens sent whose first token is missing.
-  double own_urgent_ = 0;      ///< The urgent part of `own_unfinished_`.
-  std::deque<Sent> sent_;      ///< Newer than the last report's state.
-  double utilisation_ = 0;
+  double own_urgent_ = 0;  ///< Urgent tokens whose first token is missing.
+  std::deque<Sent> sent_;  ///< Newer than the last report's state.
+  double arrivals_ = 0;
+  TimePoint arrivals_at_;
 };
 
 }  // namespace yuccapick
--- a/include/yuccapick/placement.h
+++ b/include/yuccapick/placement.h
@@ -4,6 +4,7 @@
 /// @file
 /// Chooses the engine that answers a model request.
 
+#include <chrono>
 #include <concepts>
 #include <cstdint>
 #include <memory>
@@ -43,6 +44,10 @@
   FailureDomain domain;
   Region region;
   std::uint64_t seed = 0;
+  /// Routers that share the engines; scales the demand that this one sees.
+  std::uint32_t routers = 3;
+  /// Mean age of the state that a report describes when it is used.
+  std::chrono::milliseconds report_age{300};
 };
 
 /// Chooses engines by rendezvous homes, cache picture and priced cost. Not
--- a/include/yuccapick/placement_cost.h
+++ b/include/yuccapick/placement_cost.h
@@ -8,12 +8,14 @@
 
 /// What the cost of one candidate depends on. Times are in seconds.
 struct CostInputs {
-  double wait = 0;          ///< Until the engine would begin the request.
-  double queue = 0;         ///< Of work in the engine, whatever its class.
-  double prefill = 0;       ///< Of the tokens that the engine does not hold.
-  double hop = 0;           ///< To the engine's failure domain and back.
-  double utilisation = 0;   ///< Of the fleet, from 0 to 1.
-  double mean_prefill = 0;  ///< Of one request, over the fleet.
+  double wait = 0;           ///< Until the engine would begin the request.
+  double queue = 0;          ///< Of work in the engine, whatever its class.
+  double prefill = 0;        ///< Of the tokens that the engine does not hold.
+  double hop = 0;            ///< To the engine's failure domain and back.
+  double utilisation = 0;    ///< Of the fleet, from 0 to 1.
+  double mean_prefill = 0;   ///< Of one request, over the fleet.
+  double arrival_share = 1;  ///< Of the engine, relative to the fleet's mean.
+  double reuses = 0;         ///< Requests that a new copy is expected to serve.
   double reuse_weight = 0.5;
   bool urgent = false;
 };
@@ -23,7 +25,8 @@
 double DelayedRequests(const CostInputs& inputs);
 
 /// Returns the expected time to first token plus the delay that the request's
-/// prefill causes to others.
+/// prefill causes to others. The latter is shared among the requests that the
+/// computed copy will serve.
 double PlacementCost(const CostInputs& inputs);
 
 }  // namespace yuccapick
--- a/src/cache_picture.cc
+++ b/src/cache_picture.cc
@@ -5,6 +5,7 @@
 namespace yuccapick {
 namespace {
 
+constexpr double kShortestLifetimeSeconds = 1.0;
 constexpr double kLifetimeSmoothing = 0.05;
 /// Entries are trusted a little beyond the mean idle time at eviction.
 constexpr double kLifetimeMargin = 1.5;
@@ -86,6 +87,15 @@
   --engine.size;
 }
 
+void CachePicture::OnMiss(EngineSlot slot, double idle_seconds) {
+  double& lifetime = EngineAt(slot).lifetime_seconds;
+  // A miss right after use says nothing of ageing.
+  if (idle_seconds < kShortestLifetimeSeconds) return;
+  if (lifetime == 0) lifetime = idle_seconds;
+  if (idle_seconds > lifetime) return;
+  lifetime += kLifetimeSmoothing * (idle_seconds - lifetime);
+}
+
 void CachePicture::Trim(EngineSlot slot) {
   Engine& engine = engines_[slot];
   while (engine.size > entries_per_engine_ ||
--- a/src/engine_table.cc
+++ b/src/engine_table.cc
@@ -8,25 +8,21 @@
 namespace yuccapick {
 namespace {
 
-constexpr std::chrono::milliseconds kReportAge{200};
 /// Round trips beyond the engine's own failure domain and region.
 constexpr double kDomainHopSeconds = 0.001;
 constexpr double kRegionHopSeconds = 0.040;
 
-std::uint64_t GroupKey(const ModelId& model, const AdapterId& adapter,
-                       const WeightVersion& weights) {
-  return CacheSalt({TeamId(), model, adapter, weights});
-}
-
-bool Contains(const EngineGroup& group, EngineSlot slot) {
-  return std::find(group.slots.begin(), group.slots.end(), slot) !=
-         group.slots.end();
+std::uint64_t KeyOf(const LoadedModel& loaded) {
+  return CacheSalt({TeamId(), loaded.model, loaded.adapter, loaded.weights});
 }
 
 }  // namespace
 
-EngineTable::EngineTable(FailureDomain domain, Region region)
-    : domain_(std::move(domain)), region_(std::move(region)) {}
+EngineTable::EngineTable(FailureDomain domain, Region region,
+                         std::chrono::milliseconds report_age)
+    : domain_(std::move(domain)),
+      region_(std::move(region)),
+      report_age_(report_age) {}
 
 bool EngineTable::Older(const UpstreamInfo& info,
                         const UpstreamInfo& known) const {
@@ -62,19 +58,29 @@
   }
   EngineEntry& entry = entries_[*found];
   if (Older(info, entry.info)) return std::nullopt;
-  const Incarnation former = entry.info.engine_incarnation;
-  Unlink(*found);
+  const UpstreamInfo known = entry.info;
+  const Incarnation former = known.engine_incarnation;
   Merge(info, entry.info);
   entry.hop_seconds = HopSeconds(entry.info);
-  Link(*found);
+  const bool moved = entry.info.life != known.life ||
+                     entry.info.kind != known.kind ||
+                     entry.info.loaded != known.loaded;
+  if (moved) {
+    Unlink(*found);
+    Link(*found);
+  }
   if (entry.info.engine_incarnation == former) return CacheFate::kKept;
   entry.load.Reset(now);
   return CacheFate::kLost;
 }
 
 EngineSlot EngineTable::Insert(const UpstreamInfo& info) {
-  EngineEntry entry{info, RendezvousNodeHash(info.id.value), HopSeconds(info),
-                    true, LoadModel(kReportAge)};
+  EngineEntry entry{info,
+                    RendezvousNodeHash(info.id.value),
+                    HopSeconds(info),
+                    true,
+                    LoadModel(report_age_),
+                    {}};
   EngineSlot slot = static_cast<EngineSlot>(entries_.size());
   if (free_.empty()) {
     entries_.push_back(std::move(entry));
@@ -95,33 +101,32 @@
 }
 
 void EngineTable::Link(EngineSlot slot) {
-  const EngineEntry& entry = entries_[slot];
+  EngineEntry& entry = entries_[slot];
   if (entry.info.life >= UpstreamLife::kSuspect) return;
   if (entry.info.kind == UpstreamKind::kKvStore) stores_.push_back(slot);
   if (entry.info.kind != UpstreamKind::kModelEngine) return;
   for (const LoadedModel& loaded : entry.info.loaded) {
-    EngineGroup& group =
-        groups_[GroupKey(loaded.model, loaded.adapter, loaded.weights)];
-    if (Contains(group, slot)) continue;
+    const std::uint64_t key = KeyOf(loaded);
+    if (InGroup(slot, key)) continue;
+    EngineGroup& group = groups_[key];
     group.slots.push_back(slot);
     group.node_hashes.push_back(entry.node_hash);
+    entry.groups.push_back(key);
   }
 }
 
 void EngineTable::Unlink(EngineSlot slot) {
   std::erase(stores_, slot);
-  for (const LoadedModel& loaded : entries_[slot].info.loaded) {
-    const auto it =
-        groups_.find(GroupKey(loaded.model, loaded.adapter, loaded.weights));
-    if (it == groups_.end()) continue;
+  for (const std::uint64_t key : entries_[slot].groups) {
+    const auto it = groups_.find(key);
     EngineGroup& group = it->second;
     const auto at = std::find(group.slots.begin(), group.slots.end(), slot);
-    if (at == group.slots.end()) continue;
     group.node_hashes.erase(group.node_hashes.begin() +
                             (at - group.slots.begin()));
     group.slots.erase(at);
     if (group.slots.empty()) groups_.erase(it);
   }
+  entries_[slot].groups.clear();
 }
 
 std::optional<EngineSlot> EngineTable::Find(const UpstreamId& id) const {
@@ -130,12 +135,20 @@
   return it->second;
 }
 
-const EngineGroup* EngineTable::Group(const CacheScope& scope) const {
-  const auto it =
-      groups_.find(GroupKey(scope.model, scope.adapter, scope.weights));
+std::uint64_t EngineTable::GroupKey(const CacheScope& scope) {
+  return KeyOf({scope.model, scope.adapter, scope.weights});
+}
+
+const EngineGroup* EngineTable::Group(std::uint64_t group_key) const {
+  const auto it = groups_.find(group_key);
   return it == groups_.end() ? nullptr : &it->second;
 }
 
+bool EngineTable::InGroup(EngineSlot slot, std::uint64_t group_key) const {
+  const std::vector<std::uint64_t>& groups = entries_[slot].groups;
+  return std::find(groups.begin(), groups.end(), group_key) != groups.end();
+}
+
 double EngineTable::HopSeconds(const UpstreamInfo& info) const {
   if (info.region != region_) return kRegionHopSeconds;
   return info.domain == domain_ ? 0.0 : kDomainHopSeconds;
--- a/src/engine_table.h
+++ b/src/engine_table.h
@@ -4,6 +4,7 @@
 /// @file
 /// The engines that a placement knows, by slot and by loaded weights.
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <vector>
@@ -24,6 +25,7 @@
   double hop_seconds = 0;
   bool present = false;
   LoadModel load;
+  std::vector<std::uint64_t> groups;  ///< Keys of the groups it is in.
 };
 
 /// Live engines that can answer with the same weights.
@@ -38,7 +40,8 @@
 /// Slots, identities and groups of engines.
 class EngineTable {
  public:
-  EngineTable(FailureDomain domain, Region region);
+  EngineTable(FailureDomain domain, Region region,
+              std::chrono::milliseconds report_age);
 
   // Commands.
 
@@ -52,8 +55,12 @@
 
   std::optional<EngineSlot> Find(const UpstreamId& id) const;
   const EngineEntry& At(EngineSlot slot) const { return entries_[slot]; }
-  /// Returns the live engines that can answer in `scope`, or null.
-  const EngineGroup* Group(const CacheScope& scope) const;
+  /// Returns the key of the group that can answer in `scope`.
+  static std::uint64_t GroupKey(const CacheScope& scope);
+  /// Returns the live engines that can answer in a scope, or null.
+  const EngineGroup* Group(std::uint64_t group_key) const;
+  /// True if the engine is live and in the group.
+  bool InGroup(EngineSlot slot, std::uint64_t group_key) const;
   /// Returns the live kept-KV stores.
   const std::vector<EngineSlot>& Stores() const { return stores_; }
   /// Returns the number of slots, free ones included.
@@ -69,6 +76,7 @@
 
   FailureDomain domain_;
   Region region_;
+  std::chrono::milliseconds report_age_;
   std::vector<EngineEntry> entries_;
   std::vector<EngineSlot> free_;
   std::vector<EngineSlot> stores_;
--- a/src/load_model.cc
+++ b/src/load_model.cc
@@ -1,12 +1,13 @@
 #include "yuccapick/load_model.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace yuccapick {
 namespace {
 
 constexpr double kInitialTokensPerSecond = 10'000;
-constexpr double kUtilisationSmoothing = 0.1;
+constexpr double kArrivalSeconds = 5.0;
 
 double Seconds(std::chrono::steady_clock::duration duration) {
   return std::chrono::duration<double>(duration).count();
@@ -27,17 +28,10 @@
   backlog_at_ = std::max(backlog_at_, now);
 }
 
-void LoadModel::ObserveUtilisation(const LoadReport& report) {
-  const double busy = report.queued_prefill_tokens > 0 ? 1.0 : 0.0;
-  utilisation_ += kUtilisationSmoothing * (busy - utilisation_);
-}
-
 void LoadModel::ApplyReport(const LoadReport& report, TimePoint now) {
   if (report.prefill_tokens_per_second > 0) {
     speed_ = report.prefill_tokens_per_second;
   }
-  reported_at_ = now;
-  ObserveUtilisation(report);
   const TimePoint described = now - report_age_;
   backlog_ = static_cast<double>(report.queued_prefill_tokens);
   backlog_at_ = described;
@@ -48,7 +42,8 @@
 void LoadModel::OnDispatched(std::uint64_t tokens, bool urgent, TimePoint now) {
   const auto work = static_cast<double>(tokens);
   Add(work, now);
-  own_unfinished_ += work;
+  arrivals_ = RecentArrivals(now) + 1.0;
+  arrivals_at_ = now;
   if (urgent) own_urgent_ += work;
   sent_.push_back({now, work});
   while (sent_.front().when + 4 * report_age_ < now) sent_.pop_front();
@@ -56,27 +51,31 @@
 
 void LoadModel::OnPrefilled(std::uint64_t tokens, bool urgent) {
   const auto work = static_cast<double>(tokens);
-  own_unfinished_ = std::max(0.0, own_unfinished_ - work);
   if (urgent) own_urgent_ = std::max(0.0, own_urgent_ - work);
 }
 
 void LoadModel::Reset(TimePoint now) {
   backlog_ = 0;
   backlog_at_ = now;
-  own_unfinished_ = 0;
   own_urgent_ = 0;
   sent_.clear();
 }
 
-double LoadModel::WaitSeconds(bool urgent, TimePoint now) const {
-  if (urgent) return own_urgent_ / speed_;
+double LoadModel::WaitSeconds(TimePoint now) const {
   return BacklogAt(now) / speed_;
 }
 
-double LoadModel::Utilisation() const { return utilisation_; }
+double LoadModel::UrgentWaitSeconds(double residual_seconds,
+                                    TimePoint now) const {
+  // Urgent work overtakes the queue, but not the prefill that is running.
+  return std::min(WaitSeconds(now), own_urgent_ / speed_ + residual_seconds);
+}
+
+double LoadModel::RecentArrivals(TimePoint now) const {
+  const double elapsed = std::max(0.0, Seconds(now - arrivals_at_));
+  return arrivals_ * std::exp(-elapsed / kArrivalSeconds);
+}
 
 double LoadModel::Speed() const { return speed_; }
 
-TimePoint LoadModel::ReportedAt() const { return reported_at_; }
-
 }  // namespace yuccapick
--- a/src/rendezvous.cc
+++ b/src/rendezvous.cc
@@ -19,16 +19,17 @@
   };
   std::vector<Scored> best;
   best.reserve(count + 1);
+  if (count == 0) return {};
+  std::uint64_t lowest = 0;
   for (std::uint32_t n = 0; n < node_hashes.size(); ++n) {
     const std::uint64_t score = RendezvousScore(key, node_hashes[n]);
-    if (best.size() == count && (count == 0 || best.back().score >= score)) {
-      continue;
-    }
+    if (score <= lowest && best.size() == count) continue;
     auto it = std::find_if(
         best.begin(), best.end(),
         [score](const Scored& scored) { return scored.score < score; });
     best.insert(it, {score, n});
     if (best.size() > count) best.pop_back();
+    lowest = best.back().score;
   }
   std::vector<std::uint32_t> homes;
   homes.reserve(best.size());
--- a/util/detail/replay_policy.cc
+++ b/util/detail/replay_policy.cc
@@ -87,7 +87,7 @@
 std::uint32_t LeastLoaded::Place(const Fleet& fleet, const Query& query,
                                  TimePoint now) {
   const std::uint32_t engine = Least(fleet, query, [&](std::uint32_t n) {
-    return Load(query.router, n).WaitSeconds(false, now);
+    return Load(query.router, n).WaitSeconds(now);
   });
   Load(query.router, engine)
       .OnDispatched(PromptTokens(fleet, query), false, now);
@@ -114,7 +114,7 @@
   };
   const std::uint32_t engine = Least(fleet, query, [&](std::uint32_t n) {
     const LoadModel& load = Load(query.router, n);
-    return load.WaitSeconds(false, now) +
+    return load.WaitSeconds(now) +
            static_cast<double>(missing(n)) / load.Speed();
   });
   Load(query.router, engine).OnDispatched(missing(engine), false, now);
