--- a/util/decision_benchmark.cc
+++ b/util/decision_benchmark.cc
@@ -88,7 +88,8 @@
     const auto begin = std::chrono::steady_clock::now();
     const auto decision = placement.Choose(request, now);
     const auto end = std::chrono::steady_clock::now();
-    spent.push_back(std::chrono::nanoseconds(end - begin).count());
+    const std::chrono::nanoseconds taken = end - begin;
+    spent.push_back(taken.count());
     const AttemptId attempt(std::to_string(n));
     placement.OnDispatched(attempt, request, *decision, now);
     placement.OnFinished(attempt, std::nullopt, now);
