Resume broken answers, bound retries and share slots by team

A part that is missing is resumed at the same agent, which keeps what the upstream sent so far; model answers go on elsewhere as a continuation, anything else ends in a typed error. A repeat that finds the answer recorded sends only what its caller lacks.

Retries and hedges draw on a budget of a tenth of the requests, with full jitter; failing upstreams are ejected up to a third of the fleet. Agents queue by start-time fair queueing and hold back slots that other teams used lately, so shares hold over all routers without messages.

A key is called reused only once the other request's claim is settled: a router said so of a key whose claim it never got.

--- a/include/yuccapick/operation_memory.h
+++ b/include/yuccapick/operation_memory.h
@@ -48,7 +48,8 @@
   Verdict Accept(const AttemptRequest& request, TimePoint now);
   /// The attempt's call certainly did not run; a higher token may try again.
   void OnNotRun(const AttemptId& attempt);
-  /// The upstream broke off the attempt's call; whether it ran is unknown.
+  /// The upstream broke off the attempt's call. It ran if its head arrived,
+  /// else whether it ran is unknown.
   void OnBroken(const AttemptId& attempt);
   void OnHead(const AnswerHead& head);
   void OnChunk(const AnswerChunk& chunk);
@@ -73,6 +74,7 @@
     std::string digest;
     AttemptId attempt;
     StoredAnswer answer;
+    bool has_head = false;
     std::size_t answer_bytes = 0;
     TimePoint touched;
   };
--- a/include/yuccapick/operation_record.h
+++ b/include/yuccapick/operation_record.h
@@ -29,7 +29,7 @@
   std::vector<Header> headers;
   std::vector<std::string> parts;
   bool complete = false;  ///< The end mark arrived.
-  bool oversize = false;  ///< Parts were dropped for their size.
+  bool partial = false;   ///< Parts are missing: too large, or broken off.
 
   bool operator==(const StoredAnswer&) const = default;
 };
--- /dev/null
+++ b/include/yuccapick/retry_budget.h
@@ -0,0 +1,42 @@
+#ifndef YUCCAPICK_RETRY_BUDGET_H_
+#define YUCCAPICK_RETRY_BUDGET_H_
+
+/// @file
+/// Keeps retries and hedges to a share of the traffic.
+
+#include <algorithm>
+
+namespace yuccapick {
+
+struct RetryBudgetOptions {
+  double share = 0.1;     ///< Extra attempts earned by each request.
+  double reserve = 10.0;  ///< Extra attempts that may be saved up.
+};
+
+/// Token bucket that requests fill and extra attempts empty. Whatever fails,
+/// attempts stay below requests * (1 + share) + reserve.
+class RetryBudget {
+ public:
+  explicit RetryBudget(RetryBudgetOptions options = {})
+      : options_(options), tokens_(options.reserve) {}
+
+  /// A request arrived.
+  void OnRequest() {
+    tokens_ = std::min(options_.reserve, tokens_ + options_.share);
+  }
+
+  /// Takes one extra attempt; false if the budget is spent.
+  bool TryTake() {
+    if (tokens_ < 1.0) return false;
+    tokens_ -= 1.0;
+    return true;
+  }
+
+ private:
+  RetryBudgetOptions options_;
+  double tokens_;
+};
+
+}  // namespace yuccapick
+
+#endif  // YUCCAPICK_RETRY_BUDGET_H_
--- a/src/agent_attempts.cc
+++ b/src/agent_attempts.cc
@@ -8,6 +8,34 @@
 namespace {
 
 constexpr std::chrono::milliseconds kRunningRetryAfter{500};
+constexpr std::chrono::milliseconds kQueueRetryAfter{1'000};
+constexpr double kCostPerAttempt = 1'000;  // In bytes of body.
+
+Error NotKeptError(const AttemptRequest& request) {
+  return {ErrorKind::kIncompleteAnswer, Execution::kUnknown,
+          fmt::format("the answer of attempt {} is not kept from position {} "
+                      "on; send the request again",
+                      request.resume_attempt.value, request.resume_from),
+          std::nullopt};
+}
+
+Error BrokenOffError(const std::string& key) {
+  return {ErrorKind::kIncompleteAnswer, Execution::kRan,
+          fmt::format("operation {} ran but its answer broke off; look it up "
+                      "at the service",
+                      key),
+          std::nullopt};
+}
+
+Error FullError(const AttemptRequest& request, FairQueue::PushResult result) {
+  const bool own_share = result == FairQueue::PushResult::kTeamFull;
+  return {own_share ? ErrorKind::kShareExceeded : ErrorKind::kOverloaded,
+          Execution::kNotRun,
+          fmt::format("{} requests of team {} wait already; come back later",
+                      own_share ? "too many" : "all queues are full and",
+                      request.team.value),
+          kQueueRetryAfter};
+}
 
 Error MemoryError(OperationMemory::Verdict verdict, const std::string& key) {
   using Verdict = OperationMemory::Verdict;
@@ -69,33 +97,68 @@
       return;
     }
   }
+  if (ResumeStream(request)) return;
   if (std::optional<Error> error = gate_.CheckUse(request, upstream)) {
     memory_.OnNotRun(request.attempt);
     Refuse(request.attempt, *error);
     return;
   }
-  PassOn(request);
+  Enqueue(request);
 }
 
-void AgentCore::Impl::PassOn(const AttemptRequest& request) {
-  running_[request.attempt] = {request, now_ + request.deadline, true};
-  if (request.kind != RequestKind::kPlain) {
-    picture_.OnAttempt(request.attempt, request.chain, request.chain_end_bytes,
-                       now_);
+bool AgentCore::Impl::ResumeStream(const AttemptRequest& request) {
+  if (request.resume_attempt.empty() || !request.key.empty()) return false;
+  std::optional<ReplayedAnswer> replay = relay_.Resume(
+      request.resume_attempt, request.attempt, request.resume_from);
+  if (!replay) {
+    if (const AttemptId* stream = relay_.StreamOf(request.resume_attempt)) {
+      Cancel(AttemptId(*stream));
+    }
+    const bool spliced = request.kind == RequestKind::kPlain;
+    if (spliced) Refuse(request.attempt, NotKeptError(request));
+    return spliced;
+  }
+  RunningAttempt& attempt = running_.at(*relay_.StreamOf(request.attempt));
+  attempt.unwatched_since.reset();
+  if (replay->head) actions_.push_back(ReplyHead{*replay->head});
+  for (const AnswerChunk& chunk : replay->chunks) {
+    actions_.push_back(ReplyChunk{chunk});
+  }
+  if (replay->end) actions_.push_back(ReplyEnd{*replay->end});
+  return true;
+}
+
+void AgentCore::Impl::Enqueue(const AttemptRequest& request) {
+  const TeamConfig* team =
+      config_ == nullptr ? nullptr : config_->FindTeam(request.team);
+  QueuedWork work;
+  work.attempt = request.attempt;
+  work.team = request.team;
+  work.weight = team == nullptr ? 1.0 : team->weight;
+  work.cost = kCostPerAttempt + static_cast<double>(request.body.size());
+  work.urgent = request.urgent;
+  work.deadline = now_ + request.deadline;
+  const FairQueue::PushResult result = queue_.Push(work);
+  if (result != FairQueue::PushResult::kQueued) {
+    memory_.OnNotRun(request.attempt);
+    Refuse(request.attempt, FullError(request, result));
+    return;
   }
-  actions_.push_back(ForwardAttempt{request});
+  running_[request.attempt] = {request, work.deadline, false, false, {}};
+  relay_.Start(request.attempt);
+  StartQueued();
 }
 
 void AgentCore::Impl::AnswerFromMemory(const AttemptRequest& request,
                                        OperationMemory::Verdict verdict) {
   const StoredAnswer* answer = memory_.Answer(request);
   const bool answered = verdict == OperationMemory::Verdict::kAnswered;
-  if (answered && answer != nullptr && !answer->oversize) {
+  if (answered && answer != nullptr && !answer->partial) {
     ReplayAnswer(request, *answer);
     return;
   }
   Error error = MemoryError(verdict, request.key.value);
-  if (answered) error.execution = Execution::kRan;
+  if (answered) error = BrokenOffError(request.key.value);
   const bool full = verdict == OperationMemory::Verdict::kFull;
   if (full && request.take_over) error.execution = Execution::kUnknown;
   Refuse(request.attempt, error);
@@ -113,71 +176,73 @@
 }
 
 void AgentCore::Impl::On(const AttemptAbandoned& event) {
-  auto it = running_.find(event.attempt);
-  if (it == running_.end()) return;
-  it->second.watched = false;
-  if (!it->second.request.key.empty()) return;
-  actions_.push_back(CancelUpstream{event.attempt});
-  running_.erase(it);
+  const AttemptId* name = relay_.StreamOf(event.attempt);
+  if (name == nullptr) return;
+  const AttemptId stream = *name;
+  if (relay_.ListenerOf(stream) != event.attempt) return;
+  RunningAttempt& attempt = running_.at(stream);
+  if (!attempt.started && !event.link_broken) {
+    queue_.Remove(stream);
+    memory_.OnNotRun(stream);
+    Drop(stream);
+    return;
+  }
+  relay_.Unlisten(event.attempt);
+  attempt.unwatched_since = now_;
+  const bool may_cancel = attempt.request.key.empty();
+  if (may_cancel && !event.link_broken) Cancel(stream);
 }
 
 void AgentCore::Impl::On(const UpstreamHead& event) {
-  RunningAttempt* attempt = Running(event.head.attempt);
-  if (attempt == nullptr) return;
+  if (Running(event.head.attempt) == nullptr) return;
   memory_.OnHead(event.head);
-  if (attempt->watched) actions_.push_back(ReplyHead{event.head});
+  if (auto head = relay_.OnHead(event.head)) {
+    actions_.push_back(ReplyHead{*std::move(head)});
+  }
 }
 
 void AgentCore::Impl::On(const UpstreamChunk& event) {
-  RunningAttempt* attempt = Running(event.chunk.attempt);
-  if (attempt == nullptr) return;
+  if (Running(event.chunk.attempt) == nullptr) return;
   memory_.OnChunk(event.chunk);
-  if (attempt->watched) actions_.push_back(ReplyChunk{event.chunk});
+  if (auto chunk = relay_.OnChunk(event.chunk)) {
+    actions_.push_back(ReplyChunk{*std::move(chunk)});
+  }
 }
 
 void AgentCore::Impl::On(const UpstreamEnd& event) {
-  RunningAttempt* attempt = Running(event.end.attempt);
-  if (attempt == nullptr) return;
+  const AttemptId& id = event.end.attempt;
+  RunningAttempt* attempt = Running(id);
+  if (attempt == nullptr || attempt->ended) return;
   memory_.OnEnd(event.end);
   if (attempt->request.kind != RequestKind::kPlain) {
-    picture_.OnUsage(event.end.attempt, event.end.usage, now_);
+    picture_.OnUsage(id, event.end.usage, now_);
+  }
+  if (auto end = relay_.OnEnd(event.end)) {
+    actions_.push_back(ReplyEnd{*std::move(end)});
   }
-  if (attempt->watched) actions_.push_back(ReplyEnd{event.end});
-  running_.erase(event.end.attempt);
+  attempt->ended = true;
+  attempt->unwatched_since = now_;
+  slots_.OnEnded(attempt->request.team);
 }
 
 void AgentCore::Impl::On(const UpstreamFailed& event) {
   RunningAttempt* attempt = Running(event.attempt);
-  if (attempt == nullptr) return;
+  if (attempt == nullptr || attempt->ended) return;
+  const bool ran = event.sent && relay_.HasHead(event.attempt);
   if (event.sent) {
     memory_.OnBroken(event.attempt);
   } else {
     memory_.OnNotRun(event.attempt);
   }
-  Refuse(event.attempt, {ErrorKind::kUpstreamFailed,
-                         event.sent ? Execution::kUnknown : Execution::kNotRun,
-                         fmt::format("upstream {}: {}; try another one",
-                                     options_.upstream.id.value, event.reason),
-                         std::nullopt});
-  running_.erase(event.attempt);
-}
-
-void AgentCore::Impl::BreakAll(const std::string& reason) {
-  std::vector<AttemptId> broken;
-  for (const auto& [id, attempt] : running_) broken.push_back(id);
-  for (const AttemptId& id : broken) On(UpstreamFailed{id, true, reason});
-}
-
-void AgentCore::Impl::CancelExpired() {
-  std::vector<AttemptId> expired;
-  for (const auto& [id, attempt] : running_) {
-    const bool repeatable = attempt.request.key.empty();
-    if (repeatable && attempt.deadline <= now_) expired.push_back(id);
-  }
-  for (const AttemptId& id : expired) {
-    actions_.push_back(CancelUpstream{id});
-    On(UpstreamFailed{id, true, "the deadline passed"});
-  }
+  const bool is_operation = !attempt->request.key.empty();
+  Error error{ErrorKind::kUpstreamFailed,
+              event.sent ? Execution::kUnknown : Execution::kNotRun,
+              fmt::format("upstream {}: {}; try another one",
+                          options_.upstream.id.value, event.reason),
+              std::nullopt};
+  if (ran && is_operation) error = BrokenOffError(attempt->request.key.value);
+  Refuse(relay_.ListenerOf(event.attempt), error);
+  Drop(event.attempt);
 }
 
 }  // namespace yuccapick
--- a/src/agent_core.cc
+++ b/src/agent_core.cc
@@ -43,6 +43,7 @@
 AgentActions AgentCore::Impl::Handle(const AgentEvent& event, TimePoint now) {
   now_ = std::max(now_, now);
   std::visit([this](const auto& typed) { On(typed); }, event);
+  StartQueued();
   if (!next_report_ || *next_report_ <= now_) Push();
   CheckDrained();
   actions_.push_back(WakeAt{*next_report_});
@@ -62,6 +63,7 @@
   report.config = gate_.config();
   report.sequence = sequence_;
   report.load = load_;
+  report.load.queued += static_cast<std::uint32_t>(queue_.size());
   return report;
 }
 
@@ -85,6 +87,7 @@
     BreakAll("the upstream restarted");
   }
   load_ = event.load;
+  slots_.OnLoad(load_, queue_.size() > 0);
   const bool loaded_changed = upstream.loaded != event.loaded;
   upstream.loaded = event.loaded;
   const bool back = upstream.life == UpstreamLife::kSuspect;
@@ -129,25 +132,29 @@
   if (drain_deadline_) return;
   drain_deadline_ = now_ + event.deadline;
   options_.upstream.life = UpstreamLife::kLeaving;
+  RefuseAllQueued();
   Push();
 }
 
 void AgentCore::Impl::On(const ConfigChanged& event) {
-  if (event.config != nullptr) gate_.ObserveConfig(event.config->version);
+  if (event.config == nullptr) return;
+  if (config_ != nullptr && config_->version >= event.config->version) return;
+  config_ = event.config;
+  gate_.ObserveConfig(config_->version);
+  for (const TeamConfig& team : config_->teams) {
+    slots_.SetWeight(team.id, team.weight);
+  }
 }
 
 void AgentCore::Impl::On(const TableCommitted& /*event*/) {}
 
 void AgentCore::Impl::On(const TableRead& /*event*/) {}
 
-void AgentCore::Impl::On(const Tick& /*event*/) {
-  CancelExpired();
-  memory_.Sweep(now_);
-}
+void AgentCore::Impl::On(const Tick& /*event*/) { memory_.Sweep(now_); }
 
 void AgentCore::Impl::CheckDrained() {
   if (!drain_deadline_ || drain_reported_) return;
-  if (!running_.empty() && now_ < *drain_deadline_) return;
+  if (!AllAnswered() && now_ < *drain_deadline_) return;
   drain_reported_ = true;
   actions_.push_back(DrainComplete{});
 }
--- a/src/agent_impl.h
+++ b/src/agent_impl.h
@@ -9,16 +9,21 @@
 #include "yuccapick/agent_core.h"
 #include "yuccapick/attempt_gate.h"
 #include "yuccapick/engine_picture.h"
+#include "yuccapick/fair_queue.h"
 #include "yuccapick/operation_memory.h"
 #include "yuccapick/order_fence.h"
+#include "yuccapick/slot_shares.h"
+#include "yuccapick/stream_relay.h"
 
 namespace yuccapick {
 
-/// An attempt that the upstream works on.
+/// An attempt that waits for a slot or that the upstream works on.
 struct RunningAttempt {
   AttemptRequest request;
   TimePoint deadline;
-  bool watched = true;  ///< A router still waits for the answer.
+  bool started = false;  ///< It was passed to the upstream.
+  bool ended = false;    ///< Its answer is whole, kept for resumption.
+  std::optional<TimePoint> unwatched_since;
 };
 
 /// The stages of `AgentCore`, joined by the attempts that run.
@@ -38,13 +43,25 @@
   void On(const UpstreamChunk& event);
   void On(const UpstreamEnd& event);
   void On(const UpstreamFailed& event);
-  void PassOn(const AttemptRequest& request);
+  void Enqueue(const AttemptRequest& request);
+  bool ResumeStream(const AttemptRequest& request);
   void AnswerFromMemory(const AttemptRequest& request,
                         OperationMemory::Verdict verdict);
   void ReplayAnswer(const AttemptRequest& request, const StoredAnswer& answer);
   void Refuse(const AttemptId& attempt, const Error& error);
   RunningAttempt* Running(const AttemptId& attempt);
+
+  // Slots: agent_slots.cc.
+  void StartQueued();
+  void Start(RunningAttempt& attempt);
+  /// Ends an attempt that waits for a slot; it did not run.
+  void RefuseQueued(const AttemptId& attempt, const Error& error);
+  void Drop(const AttemptId& attempt);
+  void Cancel(const AttemptId& attempt);
   void BreakAll(const std::string& reason);
+  void ExpireAttempts();
+  void RefuseAllQueued();
+  bool AllAnswered() const;
 
   // Life: agent_core.cc.
   void On(const UpstreamPolled& event);
@@ -60,7 +77,6 @@
 
   AgentReport MakeReport() const;
   void Push();
-  void CancelExpired();
   void CheckDrained();
 
   AgentCoreOptions options_;
@@ -69,6 +85,10 @@
   AttemptGate gate_;
   OperationMemory memory_;
   OrderFence orders_;
+  StreamRelay relay_;
+  FairQueue queue_;
+  SlotShares slots_;
+  ConfigPtr config_;
   EnginePicture picture_;
   std::map<AttemptId, RunningAttempt> running_;
   std::string boot_id_;
--- a/src/operation_memory.cc
+++ b/src/operation_memory.cc
@@ -84,13 +84,16 @@
 void OperationMemory::OnBroken(const AttemptId& attempt) {
   Entry* entry = EntryOf(attempt);
   if (entry == nullptr) return;
-  entry->state = State::kUnknown;
-  entry->answer = {};
+  entry->state = entry->has_head ? State::kAnswered : State::kUnknown;
+  entry->answer.parts.clear();
+  entry->answer.partial = true;
+  entry->answer.complete = true;
 }
 
 void OperationMemory::OnHead(const AnswerHead& head) {
   Entry* entry = EntryOf(head.attempt);
   if (entry == nullptr) return;
+  entry->has_head = true;
   entry->answer.status = head.status;
   entry->answer.headers = head.headers;
 }
@@ -100,7 +103,7 @@
   if (entry == nullptr) return;
   entry->answer_bytes += chunk.data.size();
   if (entry->answer_bytes > options_.max_answer_bytes) {
-    entry->answer.oversize = true;
+    entry->answer.partial = true;
     entry->answer.parts.clear();
     return;
   }
--- a/src/operation_record.cc
+++ b/src/operation_record.cc
@@ -41,7 +41,7 @@
 }
 
 Json AnswerToJson(const StoredAnswer& answer) {
-  Json json{{"status", answer.status}, {"oversize", answer.oversize}};
+  Json json{{"status", answer.status}, {"partial", answer.partial}};
   json["headers"] = Json::array();
   for (const Header& header : answer.headers) {
     json["headers"].push_back({ToBase64(header.name), ToBase64(header.value)});
@@ -56,7 +56,7 @@
 StoredAnswer AnswerFromJson(const Json& json) {
   StoredAnswer answer;
   answer.status = json.at("status");
-  answer.oversize = json.at("oversize");
+  answer.partial = json.at("partial");
   answer.complete = true;
   for (const Json& header : json.at("headers")) {
     answer.headers.push_back(
--- a/src/router_answers.cc
+++ b/src/router_answers.cc
@@ -7,7 +7,6 @@
 namespace yuccapick {
 namespace {
 
-constexpr std::uint32_t kMaxAttempts = 4;
 constexpr std::size_t kMaxKeptAnswerBytes = 64 << 10;
 
 Attempt& AttemptIn(Flight& flight, const AttemptId& id) {
@@ -19,7 +18,7 @@
 void KeepPart(OperationClaim& claim, const std::string& data) {
   claim.answer_bytes += data.size();
   if (claim.answer_bytes > kMaxKeptAnswerBytes) {
-    claim.answer.oversize = true;
+    claim.answer.partial = true;
     claim.answer.parts.clear();
     return;
   }
@@ -84,8 +83,12 @@
   if (!flight.first_token) {
     flight.first_token = now_;
     placement_.OnFirstToken(chunk.attempt, now_);
+    hedge_delays_[flight.request.service].OnFirstToken(
+        std::chrono::duration_cast<std::chrono::microseconds>(now_ -
+                                                              attempt.sent));
   }
   Begin(flight, attempt);
+  CancelLosers(flight, chunk.attempt);
   if (flight.operation) KeepPart(*flight.operation, chunk.data);
   if (flight.detached) return;
   actions_.push_back(SendAnswerData{flight.request.id, chunk.data});
@@ -96,7 +99,7 @@
   if (flight == nullptr) return;
   const Attempt& attempt = AttemptIn(*flight, event.end.attempt);
   const bool whole =
-      flight->answer.IsWhole(event.end.positions) || !options_.guards.positions;
+      flight->answer.IsWhole(event.end.positions) || !options_.guards.end_mark;
   if (!attempt.has_head || !whole) {
     Resume(*flight, event.end.attempt);
     return;
@@ -104,6 +107,7 @@
   Begin(*flight, attempt);
   flight->usage = event.end.usage;
   placement_.OnFinished(event.end.attempt, event.end.usage, now_);
+  breaker_.OnSuccess(event.upstream);
   DropAttempt(*flight, event.end.attempt);
   if (flight->operation && flight->operation->in_table) {
     flight->operation->answer.complete = true;
@@ -116,16 +120,13 @@
   const AttemptFailed& failure = event.failure;
   Flight* flight = FlightOf(failure.attempt, event.upstream);
   if (flight == nullptr) return;
-  flight->resume_attempt = {};
-  flight->resume_upstream.reset();
-  if (failure.resumable) {
-    flight->resume_attempt = failure.attempt;
-    flight->resume_upstream = event.upstream;
-  } else {
-    flight->excluded.push_back(event.upstream);
-  }
+  flight->excluded.push_back(event.upstream);
   if (failure.error.kind == ErrorKind::kDraining) {
     upstreams_.MarkLeaving(event.upstream, failure.agent_incarnation);
+    placement_.ApplyUpstream(*upstreams_.Find(event.upstream), now_);
+  }
+  if (failure.error.kind == ErrorKind::kUpstreamFailed) {
+    breaker_.OnFailure(event.upstream, now_);
   }
   upstreams_.ObserveIncarnation(event.upstream, failure.agent_incarnation);
   // The agent has noted the token of this claim, so no lower one can run.
@@ -137,24 +138,13 @@
 void RouterCore::Impl::On(const AttemptLost& event) {
   Flight* flight = FlightOf(event.attempt, event.upstream);
   if (flight == nullptr) return;
+  breaker_.OnFailure(event.upstream, now_);
+  if (event.sent && TryResume(*flight, event.attempt)) return;
   const bool ask_again = flight->operation && event.sent;
   if (!ask_again) flight->excluded.push_back(event.upstream);
-  flight->resume_attempt = {};
   OnAttemptOver(*flight, event.attempt, LostError(event.upstream, event.sent));
 }
 
-void RouterCore::Impl::Resume(Flight& flight, const AttemptId& attempt) {
-  const UpstreamId upstream = AttemptIn(flight, attempt).upstream;
-  actions_.push_back(CancelAttempt{upstream, attempt});
-  flight.excluded.push_back(upstream);
-  OnAttemptOver(flight, attempt,
-                {ErrorKind::kIncompleteAnswer, Execution::kUnknown,
-                 fmt::format("upstream {} left out a part of the answer; send "
-                             "the request again",
-                             upstream.value),
-                 std::nullopt});
-}
-
 void RouterCore::Impl::OnAttemptOver(Flight& flight, const AttemptId& id,
                                      const Error& error) {
   placement_.OnFinished(id, std::nullopt, now_);
@@ -167,19 +157,4 @@
   Retry(flight, error);
 }
 
-void RouterCore::Impl::Retry(Flight& flight, const Error& error) {
-  const bool plain = flight.request.kind == RequestKind::kPlain;
-  const bool spliced = plain && flight.answer.next() > 0;
-  const bool worth_it = flight.attempts_made < kMaxAttempts &&
-                        error.kind != ErrorKind::kBadRequest &&
-                        flight.admitted.deadline > now_;
-  if (!spliced && worth_it) {
-    Dispatch(flight);
-    return;
-  }
-  Error last = error;
-  if (flight.begun) last.kind = ErrorKind::kIncompleteAnswer;
-  Fail(flight, last);
-}
-
 }  // namespace yuccapick
--- a/src/router_claims.cc
+++ b/src/router_claims.cc
@@ -39,11 +39,11 @@
 void RouterCore::Impl::StartOperation(Flight& flight) {
   const CallerRequest& request = flight.request;
   OperationClaim claim;
-  claim.in_table = !request.key.empty();
+  claim.in_table = !request.key.empty() && options_.guards.claim;
   claim.id = {request.team, request.service, request.key};
   claim.digest = RequestDigest(request.method, request.target, request.body);
   claim.stage_until = now_ + kClaimTimeout;
-  if (!claim.in_table) {
+  if (request.key.empty()) {
     claim.id.key =
         IdempotencyKey(fmt::format("{}-{}-key-{}", options_.instance.value,
                                    options_.incarnation.value, ++keys_made_));
@@ -66,7 +66,7 @@
   }
   OperationClaim& held = *flight.operation;
   operation_owners_[held.id] = request.id;
-  if (!held.in_table || !options_.guards.claim) {
+  if (!held.in_table) {
     held.fence = FencingToken(1);
     SendOperation(flight);
     return;
@@ -79,20 +79,23 @@
   const OperationClaim& claim = *flight.operation;
   const OperationId id = claim.id;
   std::string digest;
+  bool claim_is_settled = false;
   std::optional<StoredAnswer> answer;
   if (const Flight* other = FlightOf(id)) {
     digest = other->operation->digest;
+    claim_is_settled = other->operation->may_have_run;
   } else if (auto record = ledger_.BeingWritten(id)) {
     digest = record->digest;
-    if (record->state == OperationState::kDone) answer = record->answer;
+    claim_is_settled = record->state == OperationState::kDone;
+    if (claim_is_settled) answer = record->answer;
   } else {
     return false;
   }
   const bool same = digest == claim.digest || !options_.guards.body_digest;
   flight.operation.reset();
-  if (!same) {
+  if (!same && claim_is_settled) {
     Fail(flight, KeyReusedError(id));
-  } else if (answer) {
+  } else if (same && answer) {
     Replay(flight, *answer);
   } else {
     Fail(flight, InProgressError(id));
@@ -179,7 +182,7 @@
   OperationClaim& claim = *flight.operation;
   claim.target = target;
   claim.take_over = take_over;
-  if (claim.in_table && options_.guards.claim) {
+  if (claim.in_table) {
     ledger_.Raise(claim.id, target, take_over);
     return;
   }
@@ -211,19 +214,20 @@
 }
 
 void RouterCore::Impl::Replay(Flight& flight, const StoredAnswer& answer) {
-  if (answer.oversize) {
+  if (answer.partial) {
     Fail(flight, {ErrorKind::kIncompleteAnswer, Execution::kRan,
                   "the operation ran; its answer was too large to be kept, so "
                   "look it up at the service",
                   std::nullopt});
     return;
   }
-  if (!flight.detached) {
-    const RequestId id = flight.request.id;
-    actions_.push_back(BeginAnswer{id, answer.status, answer.headers});
-    for (const std::string& part : answer.parts) {
-      actions_.push_back(SendAnswerData{id, part});
-    }
+  Attempt kept;
+  kept.head.status = answer.status;
+  kept.head.headers = answer.headers;
+  Begin(flight, kept);
+  for (std::size_t n = flight.answer.next(); n < answer.parts.size(); ++n) {
+    if (flight.detached) break;
+    actions_.push_back(SendAnswerData{flight.request.id, answer.parts[n]});
   }
   Complete(flight);
 }
--- a/src/router_core.cc
+++ b/src/router_core.cc
@@ -20,6 +20,12 @@
   return ledger;
 }
 
+CircuitBreakerOptions BreakerOptions(const RouterCoreOptions& options) {
+  CircuitBreakerOptions breaker;
+  breaker.seed = options.seed;
+  return breaker;
+}
+
 }  // namespace
 
 RouterCore::RouterCore(RouterCoreOptions options)
@@ -38,7 +44,8 @@
       random_(options_.seed),
       upstreams_(options_.guards),
       placement_({options_.domain, options_.region, options_.seed}),
-      ledger_(LedgerOptions(options_)) {}
+      ledger_(LedgerOptions(options_)),
+      breaker_(BreakerOptions(options_)) {}
 
 RouterActions RouterCore::Impl::Handle(const RouterEvent& event,
                                        TimePoint now) {
@@ -95,7 +102,9 @@
   if (owner == attempt_owners_.end()) return nullptr;
   Flight& flight = flights_.at(owner->second);
   for (const Attempt& it : flight.attempts) {
-    if (it.id == attempt && it.upstream == upstream) return &flight;
+    const bool same_upstream =
+        it.upstream == upstream || !options_.guards.attempt_match;
+    if (it.id == attempt && same_upstream) return &flight;
   }
   return nullptr;
 }
@@ -195,6 +204,15 @@
     OnDeadline(flight);
     return;
   }
+  if (flight.retry_at && *flight.retry_at <= now_) {
+    flight.retry_at.reset();
+    Dispatch(flight);
+    return;
+  }
+  if (flight.hedge_at && *flight.hedge_at <= now_) {
+    Hedge(flight);
+    return;
+  }
   if (!flight.operation || flight.operation->stage_until > now_) return;
   const OperationClaim::Stage stage = flight.operation->stage;
   if (stage == OperationClaim::Stage::kSettling) Settle(flight);
--- a/src/router_flight.h
+++ b/src/router_flight.h
@@ -19,6 +19,8 @@
   UpstreamId upstream;
   Incarnation agent_incarnation;
   Incarnation engine_incarnation;
+  AttemptId resumes;  ///< The attempt whose stream it goes on with.
+  TimePoint sent;
   bool has_head = false;
   AnswerHead head;
 };
@@ -60,8 +62,9 @@
   AnswerAssembler answer;
   bool begun = false;     ///< The caller has the head.
   bool detached = false;  ///< The caller has its final answer or is gone.
-  AttemptId resume_attempt;
-  std::optional<UpstreamId> resume_upstream;
+  std::uint32_t resumes = 0;
+  std::optional<TimePoint> retry_at;
+  std::optional<TimePoint> hedge_at;
   PlacementRequest placement;
   std::optional<OperationClaim> operation;
   Usage usage;
--- a/src/router_impl.h
+++ b/src/router_impl.h
@@ -9,7 +9,10 @@
 #include <vector>
 
 #include "router_flight.h"
+#include "yuccapick/circuit_breaker.h"
 #include "yuccapick/claim_ledger.h"
+#include "yuccapick/hedge_delay.h"
+#include "yuccapick/retry_budget.h"
 #include "yuccapick/router_core.h"
 #include "yuccapick/timer_queue.h"
 #include "yuccapick/upstream_directory.h"
@@ -30,6 +33,8 @@
   void On(const CallerGone& event);
   void Dispatch(Flight& flight);
   std::optional<Attempt> Choose(Flight& flight);
+  std::optional<Attempt> ChooseAvoiding(Flight& flight,
+                                        const std::vector<UpstreamId>& avoided);
   void Send(Flight& flight, Attempt attempt);
   AttemptRequest MakeAttempt(const Flight& flight,
                              const Attempt& attempt) const;
@@ -72,9 +77,17 @@
   void Begin(Flight& flight, const Attempt& attempt);
   void Deliver(Flight& flight, const Attempt& attempt,
                const AnswerChunk& chunk);
-  void Resume(Flight& flight, const AttemptId& attempt);
   void OnAttemptOver(Flight& flight, const AttemptId& id, const Error& error);
+
+  // Second tries: router_retries.cc.
   void Retry(Flight& flight, const Error& error);
+  void Resume(Flight& flight, const AttemptId& attempt);
+  bool TryResume(Flight& flight, const AttemptId& attempt);
+  void PlanHedge(Flight& flight);
+  void Hedge(Flight& flight);
+  void CancelLosers(Flight& flight, const AttemptId& winner);
+  std::vector<UpstreamId> Avoided(const Flight& flight) const;
+  RetryBudget& BudgetOf(const ServiceId& service);
 
   // Life: router_core.cc.
   void On(const ReportArrived& event);
@@ -109,6 +122,9 @@
   std::optional<TimePoint> first_view_;
   Placement placement_;
   ClaimLedger ledger_;
+  CircuitBreaker breaker_;
+  std::map<ServiceId, RetryBudget> budgets_;
+  std::map<ServiceId, HedgeDelay> hedge_delays_;
   std::map<RequestId, Flight> flights_;
   std::map<AttemptId, RequestId> attempt_owners_;
   std::map<OperationId, RequestId> operation_owners_;
--- a/src/router_requests.cc
+++ b/src/router_requests.cc
@@ -69,6 +69,7 @@
   }
   auto [it, inserted] = flights_.emplace(request.id, std::move(flight));
   if (!inserted) return;
+  BudgetOf(request.service).OnRequest();
   timers_.Arm(request.id, it->second.admitted.deadline);
   Dispatch(it->second);
 }
@@ -102,6 +103,7 @@
     return;
   }
   Send(flight, *std::move(attempt));
+  PlanHedge(flight);
 }
 
 AttemptId RouterCore::Impl::NextAttemptId() {
@@ -111,10 +113,19 @@
 }
 
 std::optional<Attempt> RouterCore::Impl::Choose(Flight& flight) {
+  std::optional<Attempt> attempt = ChooseAvoiding(flight, Avoided(flight));
+  if (!attempt) attempt = ChooseAvoiding(flight, flight.excluded);
+  const bool retry = flight.attempts_made > 0 && flight.attempts.empty();
+  if (!attempt && retry) attempt = ChooseAvoiding(flight, {});
+  return attempt;
+}
+
+std::optional<Attempt> RouterCore::Impl::ChooseAvoiding(
+    Flight& flight, const std::vector<UpstreamId>& avoided) {
   Attempt attempt;
   const CallerRequest& request = flight.request;
   if (request.kind != RequestKind::kPlain) {
-    flight.placement.excluded = flight.excluded;
+    flight.placement.excluded = avoided;
     std::optional<PlacementDecision> decision =
         placement_.Choose(flight.placement, now_);
     if (!decision) return std::nullopt;
@@ -133,7 +144,9 @@
 }
 
 void RouterCore::Impl::Send(Flight& flight, Attempt attempt) {
+  attempt.sent = now_;
   AttemptRequest message = MakeAttempt(flight, attempt);
+  breaker_.OnSent(attempt.upstream, now_);
   if (flight.attempts_made == 0) flight.first_sent = now_;
   ++flight.attempts_made;
   upstreams_.OnSent(attempt.upstream);
@@ -182,7 +195,7 @@
   message.deadline = std::chrono::duration_cast<std::chrono::milliseconds>(
       flight.admitted.deadline - now_);
   message.resume_from = flight.answer.next();
-  message.resume_attempt = flight.resume_attempt;
+  message.resume_attempt = attempt.resumes;
   message.continuation = flight.answer.text();
   message.method = request.method;
   message.target = request.target;
--- a/src/router_settle.cc
+++ b/src/router_settle.cc
@@ -68,7 +68,7 @@
     return;
   }
   claim.failure = error;
-  if (!claim.in_table || !options_.guards.claim) {
+  if (!claim.in_table) {
     Fail(flight, error);
     return;
   }
--- /dev/null
+++ b/src/stream_relay.cc
@@ -0,0 +1,106 @@
+#include "yuccapick/stream_relay.h"
+
+namespace yuccapick {
+
+StreamRelay::Stream* StreamRelay::Find(const AttemptId& stream) {
+  auto it = streams_.find(stream);
+  return it == streams_.end() ? nullptr : &it->second;
+}
+
+void StreamRelay::Start(const AttemptId& stream) {
+  Stream& started = streams_[stream];
+  started.listener = stream;
+  started.names.push_back(stream);
+  owners_[stream] = stream;
+}
+
+void StreamRelay::Erase(const AttemptId& stream) {
+  auto it = streams_.find(stream);
+  if (it == streams_.end()) return;
+  for (const AttemptId& name : it->second.names) owners_.erase(name);
+  streams_.erase(it);
+}
+
+std::optional<AnswerHead> StreamRelay::OnHead(const AnswerHead& head) {
+  Stream* stream = Find(head.attempt);
+  if (stream == nullptr) return std::nullopt;
+  stream->kept.head = head;
+  if (!stream->listening) return std::nullopt;
+  AnswerHead addressed = head;
+  addressed.attempt = stream->listener;
+  return addressed;
+}
+
+std::optional<AnswerChunk> StreamRelay::OnChunk(const AnswerChunk& chunk) {
+  Stream* stream = Find(chunk.attempt);
+  if (stream == nullptr) return std::nullopt;
+  stream->bytes += chunk.data.size() + chunk.text.size();
+  if (stream->bytes > max_stream_bytes_) {
+    stream->overflowed = true;
+    stream->kept.chunks.clear();
+  } else {
+    stream->kept.chunks.push_back(chunk);
+  }
+  if (!stream->listening) return std::nullopt;
+  AnswerChunk addressed = chunk;
+  addressed.attempt = stream->listener;
+  return addressed;
+}
+
+std::optional<AnswerEnd> StreamRelay::OnEnd(const AnswerEnd& end) {
+  Stream* stream = Find(end.attempt);
+  if (stream == nullptr) return std::nullopt;
+  stream->kept.end = end;
+  if (!stream->listening) return std::nullopt;
+  AnswerEnd addressed = end;
+  addressed.attempt = stream->listener;
+  return addressed;
+}
+
+void StreamRelay::Unlisten(const AttemptId& listener) {
+  const AttemptId* owner = StreamOf(listener);
+  if (owner == nullptr) return;
+  Stream& stream = streams_.at(*owner);
+  if (stream.listener == listener) stream.listening = false;
+}
+
+std::optional<ReplayedAnswer> StreamRelay::Resume(const AttemptId& resumed,
+                                                  const AttemptId& listener,
+                                                  std::uint64_t from) {
+  const AttemptId* owner = StreamOf(resumed);
+  if (owner == nullptr) return std::nullopt;
+  const AttemptId name = *owner;
+  Stream& stream = streams_.at(name);
+  const auto& chunks = stream.kept.chunks;
+  const bool begins_later = !chunks.empty() && chunks.front().position > from;
+  if (stream.overflowed || begins_later) return std::nullopt;
+  stream.listener = listener;
+  stream.listening = true;
+  stream.names.push_back(listener);
+  owners_[listener] = name;
+  ReplayedAnswer replay = stream.kept;
+  if (replay.head) replay.head->attempt = listener;
+  if (replay.end) replay.end->attempt = listener;
+  std::erase_if(replay.chunks, [from](const AnswerChunk& chunk) {
+    return chunk.position < from;
+  });
+  for (AnswerChunk& chunk : replay.chunks) chunk.attempt = listener;
+  return replay;
+}
+
+const AttemptId* StreamRelay::StreamOf(const AttemptId& listener) const {
+  auto it = owners_.find(listener);
+  return it == owners_.end() ? nullptr : &it->second;
+}
+
+AttemptId StreamRelay::ListenerOf(const AttemptId& stream) const {
+  auto it = streams_.find(stream);
+  return it == streams_.end() ? stream : it->second.listener;
+}
+
+bool StreamRelay::HasHead(const AttemptId& stream) const {
+  auto it = streams_.find(stream);
+  return it != streams_.end() && it->second.kept.head.has_value();
+}
+
+}  // namespace yuccapick
--- a/src/upstream_directory.cc
+++ b/src/upstream_directory.cc
@@ -38,7 +38,7 @@
 
 void UpstreamDirectory::MarkLeaving(const UpstreamId& id, Incarnation agent) {
   auto it = entries_.find(id);
-  if (it == entries_.end()) return;
+  if (it == entries_.end() || !guards_.leaving_mark) return;
   if (it->second.info.agent_incarnation != agent) return;
   it->second.info.life = std::max(it->second.info.life, UpstreamLife::kLeaving);
 }
