Drive the cores through random schedules of faults

Real router and agent cores run in virtual time against a table and upstreams in memory; every answer is judged against what ran. A mutation test switches off each guard and requires that the schedules find a broken promise.

--- a/test/outcomes_first_path_test.cc
+++ b/test/outcomes_first_path_test.cc
@@ -106,14 +106,26 @@
             .size() == 1);
 }
 
-TEST_CASE("An answer with a missing part is not passed off as whole") {
+TEST_CASE("An answer with a missing part is resumed or ends in an error") {
   PathFixture path;
   const AttemptId attempt = path.SendUp(1);
   const UpstreamId a("a");
   path.router.Handle(AnswerHeadArrived{a, {attempt, 200, {}}}, kStart);
   path.router.Handle(AnswerChunkArrived{a, {attempt, 0, "x", ""}}, kStart);
-  RouterActions last =
+  RouterActions gap =
       path.router.Handle(AnswerEndArrived{a, {attempt, 2, {}}}, kStart);
+  CHECK(All<FinishAnswer>(gap).empty());
+  auto resumed = All<SendAttempt>(gap);
+  REQUIRE(resumed.size() == 1);
+  CHECK(resumed[0].request.resume_attempt == attempt);
+  CHECK(resumed[0].request.resume_from == 1);
+
+  AttemptFailed refused;
+  refused.attempt = resumed[0].request.attempt;
+  refused.error = {ErrorKind::kIncompleteAnswer, Execution::kUnknown,
+                   "not kept", std::nullopt};
+  RouterActions last =
+      path.router.Handle(AttemptFailedArrived{a, refused}, kStart);
   CHECK(All<FinishAnswer>(last).empty());
   REQUIRE(All<FailRequest>(last).size() == 1);
   CHECK(All<FailRequest>(last)[0].error.kind == ErrorKind::kIncompleteAnswer);
--- /dev/null
+++ b/test/outcomes_schedules_test.cc
@@ -0,0 +1,102 @@
+#include <rapidcheck/catch.h>
+
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "util/detail/outcome_world.h"
+
+namespace yuccapick::outcome {
+namespace {
+
+constexpr std::uint64_t kMutantSchedules = 400;
+
+FaultSet Faults(std::initializer_list<Fault> faults) {
+  FaultSet set;
+  for (const Fault fault : faults) set.set(static_cast<std::size_t>(fault));
+  return set;
+}
+
+TEST_CASE("Every promise holds over random schedules of any faults") {
+  rc::prop("any seed, up to four faults", [] {
+    WorldOptions options;
+    options.seed = *rc::gen::arbitrary<std::uint64_t>();
+    const auto count = *rc::gen::inRange<std::size_t>(0, 5);
+    for (std::size_t n = 0; n < count; ++n) {
+      options.faults.set(*rc::gen::inRange<std::size_t>(0, kFaultCount));
+    }
+    const Tally tally = RunSchedule(options);
+    RC_LOG() << FaultSetName(options.faults) << "\n";
+    RC_ASSERT(tally.doubled == 0);
+    RC_ASSERT(tally.false_not_run == 0);
+    RC_ASSERT(tally.wrong_answer == 0);
+    RC_ASSERT(tally.incomplete_as_complete == 0);
+    RC_ASSERT(tally.unsafe_use == 0);
+    RC_ASSERT(tally.stuck == 0);
+  });
+}
+
+TEST_CASE("A schedule depends on its seed alone") {
+  WorldOptions options;
+  options.seed = 77;
+  options.faults = Faults({Fault::kRouterCrash, Fault::kLostAnswer});
+  const Tally first = RunSchedule(options);
+  const Tally second = RunSchedule(options);
+  CHECK(first.table_rows == second.table_rows);
+  CHECK(first.executed_once == second.executed_once);
+}
+
+/// One guard and faults under which the promise it keeps is at risk.
+struct Mutant {
+  std::string name;
+  bool Guards::*guard;
+  FaultSet faults;
+};
+
+const std::vector<Mutant>& Mutants() {
+  static const std::vector<Mutant> mutants{
+      {"agent_incarnation", &Guards::agent_incarnation,
+       Faults({Fault::kAgentCrash, Fault::kLinkBreak, Fault::kRouterPause})},
+      {"duplicate_attempt", &Guards::duplicate_attempt,
+       Faults({Fault::kDuplicate})},
+      {"operation_memory", &Guards::operation_memory,
+       Faults({Fault::kLinkBreak, Fault::kRouterCrash})},
+      {"fence", &Guards::fence,
+       Faults({Fault::kLateMessage, Fault::kLinkBreak, Fault::kRepeat,
+               Fault::kUpstreamCrash})},
+      {"claim", &Guards::claim, Faults({Fault::kRepeat, Fault::kLeave})},
+      {"three_way_result", &Guards::three_way_result,
+       Faults({Fault::kOutage, Fault::kRepeat, Fault::kUpstreamCrash})},
+      {"same_agent", &Guards::same_agent,
+       Faults({Fault::kAgentCrash, Fault::kLinkBreak})},
+      {"sole_claim", &Guards::sole_claim,
+       Faults({Fault::kAgentCrash, Fault::kLinkBreak, Fault::kRepeat})},
+      {"body_digest", &Guards::body_digest, Faults({Fault::kRepeat})},
+      {"team_scope", &Guards::team_scope, Faults({Fault::kRepeat})},
+      {"attempt_match", &Guards::attempt_match, Faults({Fault::kCrossAnswer})},
+      {"positions", &Guards::positions, Faults({Fault::kChunkLoss})},
+      {"end_mark", &Guards::end_mark, Faults({Fault::kChunkLoss})},
+      {"engine_incarnation", &Guards::engine_incarnation,
+       Faults({Fault::kUpstreamCrash, Fault::kLateMessage})},
+      {"leaving_mark", &Guards::leaving_mark, Faults({Fault::kLeave})},
+  };
+  return mutants;
+}
+
+TEST_CASE("Switching off any one guard breaks a promise") {
+  for (const Mutant& mutant : Mutants()) {
+    DYNAMIC_SECTION(mutant.name) {
+      WorldOptions options;
+      options.faults = mutant.faults;
+      options.guards.*mutant.guard = false;
+      std::uint64_t violations = 0;
+      for (std::uint64_t n = 0; n < kMutantSchedules && violations == 0; ++n) {
+        options.seed = n;
+        violations = RunSchedule(options).Violations();
+      }
+      CHECK(violations > 0);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace yuccapick::outcome
--- /dev/null
+++ b/util/outcomes_run.cc
@@ -0,0 +1,129 @@
+/// @file
+/// Runs random schedules of named faults, singly and in pairs, and prints how
+/// many promises held.
+
+#include <fmt/format.h>
+#include <getopt.h>
+
+#include <algorithm>
+#include <atomic>
+#include <cstdio>
+#include <cstdlib>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "util/detail/outcome_world.h"
+
+namespace yuccapick::outcome {
+namespace {
+
+constexpr char kHeader[] =
+    "schedule,runs,operations,executed_once,doubled,false_not_run,unknown,"
+    "stuck,wrong_answer,incomplete_as_complete";
+
+struct Options {
+  std::uint64_t seed = 1;
+  std::uint64_t runs = 100;  ///< Of each schedule.
+  unsigned threads = 10;
+  std::string only;  ///< One schedule by name; empty runs all.
+  bool list_violations = false;
+};
+
+std::vector<FaultSet> AllSchedules() {
+  std::vector<FaultSet> schedules(1);
+  for (std::size_t n = 0; n < kFaultCount; ++n) {
+    schedules.push_back(FaultSet().set(n));
+  }
+  for (std::size_t n = 0; n < kFaultCount; ++n) {
+    for (std::size_t m = n + 1; m < kFaultCount; ++m) {
+      schedules.push_back(FaultSet().set(n).set(m));
+    }
+  }
+  return schedules;
+}
+
+Options Parse(int argc, char** argv) {
+  Options options;
+  const option known[] = {{"seed", required_argument, nullptr, 's'},
+                          {"runs", required_argument, nullptr, 'r'},
+                          {"threads", required_argument, nullptr, 't'},
+                          {"only", required_argument, nullptr, 'o'},
+                          {"violations", no_argument, nullptr, 'v'},
+                          {nullptr, 0, nullptr, 0}};
+  for (int c = 0; (c = getopt_long(argc, argv, "", known, nullptr)) != -1;) {
+    if (c == 's') options.seed = std::strtoull(optarg, nullptr, 10);
+    if (c == 'r') options.runs = std::strtoull(optarg, nullptr, 10);
+    if (c == 't') options.threads = std::atoi(optarg);
+    if (c == 'o') options.only = optarg;
+    if (c == 'v') options.list_violations = true;
+    if (c == '?') std::exit(2);
+  }
+  return options;
+}
+
+Tally RunAll(const Options& options, const FaultSet& faults) {
+  Tally total;
+  std::mutex mutex;
+  std::atomic<std::uint64_t> next{0};
+  const auto work = [&] {
+    Tally own;
+    for (std::uint64_t n = next++; n < options.runs; n = next++) {
+      WorldOptions world;
+      world.seed = options.seed * 1'000'003 + n;
+      world.faults = faults;
+      const Tally tally = RunSchedule(world);
+      own.Add(tally);
+      const bool bad = tally.Violations() + tally.stuck > 0;
+      if (options.list_violations && bad) {
+        std::fputs(fmt::format("{} seed {}\n", FaultSetName(faults), world.seed)
+                       .c_str(),
+                   stderr);
+      }
+    }
+    const std::lock_guard lock(mutex);
+    total.Add(own);
+  };
+  std::vector<std::thread> threads;
+  for (unsigned n = 0; n < options.threads; ++n) threads.emplace_back(work);
+  for (std::thread& thread : threads) thread.join();
+  return total;
+}
+
+void Print(const std::string& name, const Tally& tally) {
+  const std::string line = fmt::format(
+      "{},{},{},{},{},{},{},{},{},{}\n", name, tally.runs, tally.operations,
+      tally.executed_once, tally.doubled, tally.false_not_run, tally.unknown,
+      tally.stuck, tally.wrong_answer, tally.incomplete_as_complete);
+  std::fputs(line.c_str(), stdout);
+  std::fflush(stdout);
+}
+
+}  // namespace
+}  // namespace yuccapick::outcome
+
+int main(int argc, char** argv) {
+  namespace oc = yuccapick::outcome;
+  const oc::Options options = oc::Parse(argc, argv);
+  std::puts(oc::kHeader);
+  oc::Tally all;
+  for (const oc::FaultSet& faults : oc::AllSchedules()) {
+    const std::string name = oc::FaultSetName(faults);
+    if (!options.only.empty() && name != options.only) continue;
+    const oc::Tally tally = oc::RunAll(options, faults);
+    oc::Print(name, tally);
+    all.Add(tally);
+  }
+  oc::Print("all", all);
+  const auto per_write = [&all](std::uint64_t n) {
+    const auto writes = std::max<std::uint64_t>(all.table_transactions, 1);
+    return static_cast<double>(n) / static_cast<double>(writes);
+  };
+  const std::string notes = fmt::format(
+      "unsafe_use {}, operations per table write {:.2f}, rows per table write "
+      "{:.2f}\n",
+      all.unsafe_use, per_write(all.operations), per_write(all.table_rows));
+  std::fputs(notes.c_str(), stderr);
+  return all.Violations() + all.stuck == 0 ? 0 : 1;
+}
