--- a/src/shell/agent_server.cc
+++ b/src/shell/agent_server.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "easylogging++.h"
+#include "shell/metrics_server.h"
 
 namespace yuccapick {
 namespace {
@@ -93,6 +94,31 @@
   }
 }
 
+std::string AgentServer::RenderMetrics() const {
+  const LinkServerStats& links = links_->stats();
+  const UpstreamInfo& upstream = core_.Upstream();
+  std::string out;
+  const auto gauge = [&out](std::string_view name, std::uint64_t value) {
+    AppendMetric(out, "gauge", name, value);
+  };
+  const auto counter = [&out](std::string_view name, std::uint64_t value) {
+    AppendMetric(out, "counter", name, value);
+  };
+  gauge("yuccapick_agent_attempts_running", attempts_.size());
+  gauge("yuccapick_agent_watchers", watchers_.size());
+  gauge("yuccapick_agent_links", links_->connections());
+  gauge("yuccapick_agent_upstream_life",
+        static_cast<std::uint64_t>(upstream.life));
+  counter("yuccapick_agent_attempts_total", stats_.attempts);
+  counter("yuccapick_agent_malformed_total", stats_.malformed);
+  counter("yuccapick_agent_replies_slowed_total", stats_.replies_slowed);
+  counter("yuccapick_agent_reports_skipped_total", stats_.reports_skipped);
+  counter("yuccapick_agent_links_accepted_total", links.accepted);
+  counter("yuccapick_agent_links_refused_total", links.refused);
+  counter("yuccapick_agent_links_unauthenticated_total", links.unauthenticated);
+  return out;
+}
+
 void AgentServer::TakeAttemptStream(const LinkStreamPtr& stream) {
   const auto weak = weak_from_this();
   const std::weak_ptr<LinkStream> weak_stream = stream;
--- a/src/shell/agent_server.h
+++ b/src/shell/agent_server.h
@@ -55,7 +55,8 @@
   /// For further calls, to be registered before `Start`.
   LinkServer& links() { return *links_; }
   const AgentCore& core() const { return core_; }
-  const AgentServerStats& stats() const { return stats_; }
+  /// Returns counters and gauges in the Prometheus text format.
+  std::string RenderMetrics() const;
 
  private:
   struct Watcher {
--- /dev/null
+++ b/src/shell/metrics_server.h
@@ -0,0 +1,48 @@
+#ifndef YUCCAPICK_SHELL_METRICS_SERVER_H_
+#define YUCCAPICK_SHELL_METRICS_SERVER_H_
+
+/// @file
+/// Answers `/metrics`, `/healthz` and `/readyz` on an address of its own.
+
+#include <asio.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "absl/status/status.h"
+#include "shell/caller_server.h"
+#include "shell/settings.h"
+
+namespace yuccapick {
+
+struct MetricsSources {
+  /// Returns the metrics in the Prometheus text format; runs on the loop.
+  std::function<std::string()> render;
+  std::function<bool()> ready;
+};
+
+/// Used on its loop's thread only.
+class MetricsServer : private CallerHandler {
+ public:
+  MetricsServer(asio::io_context& loop, const Endpoint& listen,
+                MetricsSources sources);
+
+  absl::Status Open() { return server_->Open(); }
+  void Close() { server_->Close(); }
+
+ private:
+  void OnCall(std::uint64_t connection, HttpCall call,
+              std::shared_ptr<CallerExchange> exchange) override;
+  void OnConnectionClosed(std::uint64_t /*connection*/) override {}
+
+  MetricsSources sources_;
+  std::unique_ptr<CallerServer> server_;
+};
+
+/// Appends one counter or gauge in the Prometheus text format.
+void AppendMetric(std::string& out, std::string_view type,
+                  std::string_view name, std::uint64_t value);
+
+}  // namespace yuccapick
+
+#endif  // YUCCAPICK_SHELL_METRICS_SERVER_H_
--- a/test/shell/link_test.cc
+++ b/test/shell/link_test.cc
@@ -152,6 +152,26 @@
   }
 }
 
+TEST_CASE("A stream counts as sent only once its first byte left") {
+  LinkPair pair;
+  AttemptCatcher agent(*pair.server);
+  REQUIRE(pair.WaitUp());
+  std::optional<LinkClose> close;
+  LinkStreamHandlers handlers;
+  handlers.on_close = [&](const LinkClose& c) { close = c; };
+  auto stream = pair.client->Open("/attempt", handlers);
+  stream->Send(AttemptRequest{});
+  bool expected = false;
+  SECTION("the link ends in the same turn of the loop") {}
+  SECTION("the link ends after the request arrived") {
+    REQUIRE(RunUntil(pair.loop, [&] { return agent.request.has_value(); }));
+    expected = true;
+  }
+  pair.client->Stop();
+  REQUIRE(close.has_value());
+  CHECK(close->sent == expected);
+}
+
 TEST_CASE("A slow reader stops the sender and loses nothing") {
   constexpr std::uint64_t kChunks = 4'000;
   LinkPair pair;
