Put configuration into force in every process

Publish, router and agent shared no way to exchange a configuration. The control thread polls the head row (three rendezvous roots every 500 ms, the others within a fleet-wide read budget), pushes changes with their contents down a tree of fan-out 16, and trades versions with peers in one symmetric call, so that a process also catches up while the table is down.

--- a/include/yuccapick/config_documents.h
+++ b/include/yuccapick/config_documents.h
@@ -7,17 +7,14 @@
 
 #include <map>
 #include <string>
-#include <string_view>
 #include <vector>
 
 #include "absl/status/statusor.h"
 #include "yuccapick/config_snapshot.h"
+#include "yuccapick/sha256.h"
 
 namespace yuccapick {
 
-/// Returns the SHA-256 of `text` in lower-case hex.
-std::string Sha256Hex(std::string_view text);
-
 /// Name of a document (`models`, `teams/3`, `services/bookings`) to the hash of
 /// its content.
 using ConfigIndex = std::map<std::string, std::string>;
--- /dev/null
+++ b/include/yuccapick/distribution_tree.h
@@ -0,0 +1,45 @@
+#ifndef YUCCAPICK_DISTRIBUTION_TREE_H_
+#define YUCCAPICK_DISTRIBUTION_TREE_H_
+
+/// @file
+/// A shallow tree over the live processes, along which changes are pushed.
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "yuccapick/ids.h"
+
+namespace yuccapick {
+
+/// Orders the processes by rendezvous score. The first ones are roots and poll
+/// the head row; position i pushes to a fixed range of later positions. Every
+/// process that sees the same list sees the same tree; when the list changes,
+/// the tree is made anew.
+class DistributionTree {
+ public:
+  static constexpr std::size_t kRoots = 3;
+  static constexpr std::size_t kFanOut = 16;
+
+  DistributionTree() = default;
+  explicit DistributionTree(std::vector<InstanceId> members);
+
+  /// True if `id` polls at the short interval.
+  bool IsRoot(const InstanceId& id) const;
+  /// Members that `id` pushes to.
+  std::vector<InstanceId> ChildrenOf(const InstanceId& id) const;
+  /// Pushes from a root to `id`; 0 for a root.
+  std::size_t DepthOf(const InstanceId& id) const;
+
+  const std::vector<InstanceId>& members() const { return members_; }
+
+ private:
+  std::size_t PositionOf(const InstanceId& id) const;
+
+  std::vector<InstanceId> members_;
+};
+
+}  // namespace yuccapick
+
+#endif  // YUCCAPICK_DISTRIBUTION_TREE_H_
--- a/src/config_documents.cc
+++ b/src/config_documents.cc
@@ -1,10 +1,8 @@
 #include "yuccapick/config_documents.h"
 
 #include <fmt/format.h>
-#include <openssl/sha.h>
 
 #include <algorithm>
-#include <array>
 #include <nlohmann/json.hpp>
 
 namespace yuccapick {
@@ -152,15 +150,6 @@
 
 }  // namespace
 
-std::string Sha256Hex(std::string_view text) {
-  std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
-  SHA256(reinterpret_cast<const unsigned char*>(text.data()), text.size(),
-         digest.data());
-  std::string out;
-  for (const unsigned char byte : digest) out += fmt::format("{:02x}", byte);
-  return out;
-}
-
 ConfigDocuments ToDocuments(const ConfigSnapshot& snapshot) {
   ConfigDocuments out;
   Json models = Json::array();
--- /dev/null
+++ b/src/shell/peer_links.cc
@@ -0,0 +1,86 @@
+#include "shell/peer_links.h"
+
+#include <utility>
+
+#include "shell/link_transport.h"
+
+namespace yuccapick {
+namespace {
+
+constexpr std::chrono::milliseconds kCallTimeout{1'000};
+constexpr std::chrono::seconds kIdleLimit{30};
+
+}  // namespace
+
+PeerLinks::PeerLinks(asio::io_context& loop, const ProcessSettings& settings,
+                     std::string name, std::uint64_t seed)
+    : loop_(loop) {
+  options_.secret = settings.secret;
+  options_.name = std::move(name);
+  options_.seed = seed;
+  if (settings.link_tls.enabled()) {
+    auto tls = MakeTlsContext(settings.link_tls, LinkEnd::kClient);
+    if (tls.ok()) options_.tls = *tls;
+  }
+}
+
+void PeerLinks::Call(const Endpoint& peer, const std::string& name,
+                     std::string bytes, CallDone done) {
+  Peer& entry = Open(peer);
+  entry.used = std::chrono::steady_clock::now();
+  if (entry.client->up()) {
+    entry.client->Call(name, bytes, kCallTimeout, std::move(done));
+    return;
+  }
+  entry.pending.push_back({name, std::move(bytes), std::move(done)});
+}
+
+PeerLinks::Peer& PeerLinks::Open(const Endpoint& endpoint) {
+  const Address address(endpoint.host, endpoint.port);
+  Peer& peer = peers_[address];
+  if (peer.client != nullptr) return peer;
+  LinkClientOptions options = options_;
+  options.peer = endpoint;
+  LinkClientHandlers handlers;
+  handlers.on_up = [weak = weak_from_this(), address] {
+    if (const auto self = weak.lock()) self->OnUp(address);
+  };
+  handlers.on_down = [weak = weak_from_this(),
+                      address](const absl::Status& status) {
+    if (const auto self = weak.lock()) self->OnDown(address, status);
+  };
+  peer.client = LinkClient::Make(loop_, std::move(options), handlers);
+  peer.client->Start();
+  return peer;
+}
+
+void PeerLinks::OnUp(const Address& address) {
+  const auto it = peers_.find(address);
+  if (it == peers_.end()) return;
+  const auto pending = std::exchange(it->second.pending, {});
+  for (const PendingCall& call : pending) {
+    it->second.client->Call(call.name, call.bytes, kCallTimeout, call.done);
+  }
+}
+
+void PeerLinks::OnDown(const Address& address, const absl::Status& status) {
+  const auto it = peers_.find(address);
+  if (it == peers_.end()) return;
+  const auto pending = std::exchange(it->second.pending, {});
+  for (const PendingCall& call : pending) call.done(status);
+}
+
+void PeerLinks::DropIdle(std::chrono::steady_clock::time_point now) {
+  for (auto it = peers_.begin(); it != peers_.end();) {
+    const bool idle = now - it->second.used >= kIdleLimit;
+    if (idle) it->second.client->Stop();
+    it = idle ? peers_.erase(it) : std::next(it);
+  }
+}
+
+void PeerLinks::Stop() {
+  for (auto& [address, peer] : peers_) peer.client->Stop();
+  peers_.clear();
+}
+
+}  // namespace yuccapick
