--- a/src/shell/control_loop.cc
+++ b/src/shell/control_loop.cc
@@ -53,8 +53,8 @@
   server_->HandleCall(kControlCall,
                       [weak = weak_from_this()](const std::string& bytes,
                                                 const CallDone& done) {
-                        if (const auto self = weak.lock())
-                          self->HandleCall(bytes, done);
+                        const auto self = weak.lock();
+                        if (self) self->HandleCall(bytes, done);
                       });
   const absl::Status status = server_->Start();
   if (status.ok()) return;
