Join the router's duties in one process

Cause: callers, decisions, agents, platform and metrics each have a thread; something has to own and join them. Change: router process and command, graceful shutdown on SIGTERM, queries of operations over HTTP.

--- a/include/yuccapick/error_messages.h
+++ b/include/yuccapick/error_messages.h
@@ -43,6 +43,8 @@
     "this router has no configuration yet; send the request again";
 inline constexpr std::string_view kRouterBusy =
     "this router's queue is full; come back after the given time";
+inline constexpr std::string_view kOperationServiceMissing =
+    "the operation's service is missing; name it in Yuccapick-Service";
 inline constexpr std::string_view kRouterStopping =
     "this router is stopping; send the request again";
 
--- a/src/caller_api.cc
+++ b/src/caller_api.cc
@@ -45,6 +45,24 @@
          service.models.end();
 }
 
+std::string_view StatusName(OperationStatus status) {
+  switch (status) {
+    case OperationStatus::kAbsent:
+      return "absent";
+    case OperationStatus::kInProgress:
+      return "in_progress";
+    case OperationStatus::kNotRun:
+      return "not_run";
+    case OperationStatus::kDone:
+      return "done";
+    case OperationStatus::kUnknown:
+      return "unknown";
+    case OperationStatus::kUnavailable:
+      return "unavailable";
+  }
+  return "unavailable";
+}
+
 /// Returns the service that a model request names, or the first one that
 /// offers the model to the team.
 const ServiceConfig* ModelServiceOf(const HttpCall& call, const TeamId& team,
@@ -241,6 +259,19 @@
   return parsed;
 }
 
+OperationName OperationOf(const HttpCall& call) {
+  const std::string_view path = PathOf(call.target);
+  std::string key(path.substr(kOperationsPath.size()));
+  std::string service(call.HeaderValue(kServiceHeader));
+  return {ServiceId(std::move(service)), IdempotencyKey(std::move(key))};
+}
+
+std::string OperationBody(const OperationFound& found) {
+  Json body = {{"status", StatusName(found.status)}};
+  if (found.answer_status != 0) body["answer_status"] = found.answer_status;
+  return body.dump();
+}
+
 std::string ErrorBody(const Error& error) {
   Json detail = {{"code", ErrorKindName(error.kind)},
                  {"execution", ExecutionName(error.execution)},
--- a/src/shell/caller_duty.cc
+++ b/src/shell/caller_duty.cc
@@ -153,6 +153,10 @@
                       ModelsBody(*team, *view_->config));
     return;
   }
+  if (route == CallerRoute::kOperation) {
+    TakeQuery(call, *team, connection, exchange);
+    return;
+  }
   ParsedRequest parsed =
       ParseRequest(route, std::move(call), *team, *view_->config);
   if (const auto* error = std::get_if<Error>(&parsed)) {
@@ -160,16 +164,38 @@
     return;
   }
   auto& request = std::get<CallerRequest>(parsed);
+  request.id = Remember(connection, request.streamed, exchange);
+  Submit(request.id, RequestArrived{std::move(request)});
+}
+
+void CallerDuty::TakeQuery(const HttpCall& call, const TeamId& team,
+                           std::uint64_t connection,
+                           const std::shared_ptr<CallerExchange>& exchange) {
+  const OperationName name = OperationOf(call);
+  if (name.service.empty()) {
+    Refuse(*exchange, NotRun(ErrorKind::kBadRequest,
+                             error_messages::kOperationServiceMissing));
+    return;
+  }
+  const RequestId id = Remember(connection, false, exchange);
+  Submit(id, OperationQueried{id, team, name.service, name.key});
+}
+
+RequestId CallerDuty::Remember(
+    std::uint64_t connection, bool event_stream,
+    const std::shared_ptr<CallerExchange>& exchange) {
   const RequestId id(++last_id_);
-  request.id = id;
-  const bool event_stream = request.streamed;
   pending_[id] = {exchange, connection, event_stream, false};
   by_connection_[connection].push_back(id);
-  if (!outputs_.post(RequestArrived{std::move(request)})) {
-    Forget(id);
-    Refuse(*exchange, NotRun(ErrorKind::kOverloaded,
-                             error_messages::kRouterBusy, kBusyRetryAfter));
-  }
+  return id;
+}
+
+void CallerDuty::Submit(RequestId id, RouterEvent event) {
+  if (outputs_.post(std::move(event))) return;
+  Refuse(*pending_[id].exchange,
+         NotRun(ErrorKind::kOverloaded, error_messages::kRouterBusy,
+                kBusyRetryAfter));
+  Forget(id);
 }
 
 void CallerDuty::AnswerMetrics(
@@ -236,6 +262,15 @@
   Forget(reply.request);
 }
 
+void CallerDuty::On(const OperationFound& reply) {
+  Pending* pending = Find(reply.request);
+  if (pending == nullptr) return;
+  const bool readable = reply.status != OperationStatus::kUnavailable;
+  pending->exchange->Respond(readable ? 200 : 503, ContentType(kJson),
+                             OperationBody(reply));
+  Forget(reply.request);
+}
+
 CallerDuty::Pending* CallerDuty::Find(RequestId id) {
   auto it = pending_.find(id);
   return it == pending_.end() ? nullptr : &it->second;
--- a/src/shell/caller_duty.h
+++ b/src/shell/caller_duty.h
@@ -25,8 +25,8 @@
 namespace yuccapick {
 
 /// What the router's decisions tell this duty.
-using CallerReply =
-    std::variant<BeginAnswer, SendAnswerData, FinishAnswer, FailRequest>;
+using CallerReply = std::variant<BeginAnswer, SendAnswerData, FinishAnswer,
+                                 FailRequest, OperationFound>;
 
 /// Owns the callers' thread and server.
 class CallerDuty : private CallerHandler {
@@ -74,12 +74,19 @@
 
   void TakeRequest(CallerRoute route, std::uint64_t connection, HttpCall call,
                    const std::shared_ptr<CallerExchange>& exchange);
+  void TakeQuery(const HttpCall& call, const TeamId& team,
+                 std::uint64_t connection,
+                 const std::shared_ptr<CallerExchange>& exchange);
+  RequestId Remember(std::uint64_t connection, bool event_stream,
+                     const std::shared_ptr<CallerExchange>& exchange);
+  void Submit(RequestId id, RouterEvent event);
   void AnswerMetrics(const std::shared_ptr<CallerExchange>& exchange);
 
   void On(const BeginAnswer& reply);
   void On(SendAnswerData& reply);
   void On(const FinishAnswer& reply);
   void On(const FailRequest& reply);
+  void On(const OperationFound& reply);
   Pending* Find(RequestId id);
   void Forget(RequestId id);
 
--- a/src/shell/router_command.cc
+++ b/src/shell/router_command.cc
@@ -1,7 +1,46 @@
+#include <cstdio>
+#include <random>
+#include <string_view>
+
+#include "easylogging++.h"
 #include "shell/commands.h"
+#include "shell/process_life.h"
+#include "shell/router_process.h"
 
 namespace yuccapick {
+namespace {
+
+constexpr std::string_view kUsage =
+    "Usage: yuccapick router --settings FILE\n"
+    "\n"
+    "Takes callers' requests, decides, and streams the answers.\n"
+    "SIGTERM or SIGINT stops it gracefully.\n"
+    "\n"
+    "Options:\n"
+    "  --settings FILE  process settings (TOML)\n"
+    "  --help           print this text\n";
+
+}  // namespace
+
+int RunRouter(int argc, char** argv) {
+  ProcessSettings settings;
+  const auto early = ReadProcessArguments(argc, argv, kUsage, settings);
+  if (early.has_value()) return *early;
+  ConfigureLogs(settings);
 
-int RunRouter(int /*argc*/, char** /*argv*/) { return kExitUsage; }
+  ProcessLife life;
+  RouterProcess process(settings, NewIncarnation(), std::random_device{}(),
+                        [&life] { life.End(); });
+  const absl::Status status = process.Start();
+  if (!status.ok()) {
+    std::fprintf(stderr, "%s\n", status.ToString().c_str());
+    return kExitFailed;
+  }
+  LOG(INFO) << "event=router_started instance=" << settings.instance.value;
+  life.Run([&process] { process.Drain(); }, settings.drain_deadline);
+  process.Stop();
+  LOG(INFO) << "event=router_stopped instance=" << settings.instance.value;
+  return kExitOk;
+}
 
 }  // namespace yuccapick
--- /dev/null
+++ b/src/shell/router_process.cc
@@ -0,0 +1,206 @@
+#include "shell/router_process.h"
+
+#include <fmt/format.h>
+
+#include <iterator>
+#include <utility>
+#include <variant>
+
+#include "easylogging++.h"
+
+namespace yuccapick {
+namespace {
+
+constexpr std::size_t kEventRingCapacity = 1 << 15;
+
+RouterCoreOptions CoreOptions(const ProcessSettings& settings,
+                              Incarnation incarnation, std::uint64_t seed) {
+  RouterCoreOptions options;
+  options.instance = settings.instance;
+  options.incarnation = incarnation;
+  options.domain = settings.domain;
+  options.region = settings.region;
+  options.seed = seed;
+  return options;
+}
+
+AgentLinksOptions LinkOptions(const ProcessSettings& settings,
+                              std::uint64_t seed) {
+  AgentLinksOptions options;
+  options.instance = settings.instance;
+  options.secret = settings.secret;
+  options.tls = settings.link_tls;
+  options.seed = seed;
+  return options;
+}
+
+ControlLoopOptions ControlOptions(const ProcessSettings& settings,
+                                  Incarnation incarnation, std::uint64_t seed) {
+  ControlLoopOptions options;
+  options.role = ControlRole::kRouter;
+  options.settings = settings;
+  options.incarnation = incarnation;
+  options.seed = seed;
+  return options;
+}
+
+void AppendGauge(std::string& out, std::string_view name, std::uint64_t value) {
+  fmt::format_to(std::back_inserter(out), "# TYPE {0} gauge\n{0} {1}\n", name,
+                 value);
+}
+
+}  // namespace
+
+RouterProcess::Decisions::Decisions(const RouterCoreOptions& options,
+                                    std::function<void(RouterEvent)> consumer)
+    : core(options),
+      events(thread.loop(), kEventRingCapacity, std::move(consumer)),
+      timer(thread.loop()) {}
+
+RouterProcess::RouterProcess(const ProcessSettings& settings,
+                             Incarnation incarnation, std::uint64_t seed,
+                             std::function<void()> drained)
+    : settings_(settings),
+      drained_(std::move(drained)),
+      metrics_([this] { return RenderGauges(); }),
+      decisions_(CoreOptions(settings, incarnation, seed),
+                 [this](const RouterEvent& event) { OnEvent(event); }),
+      links_(LinkOptions(settings, seed),
+             [this](const RouterEvent& event) { return Post(event); }),
+      control_(ControlOptions(settings, incarnation, seed),
+               [this](const ControlEvent& event) {
+                 return std::visit([this](const auto& e) { return Post(e); },
+                                   event);
+               }),
+      callers_(settings,
+               {[this](RouterEvent event) { return Post(std::move(event)); },
+                [this](std::function<void(std::string)> done) {
+                  metrics_.Render(std::move(done));
+                }}) {
+  control_.SetOrderSender([this](UpstreamId upstream, EngineOrder order,
+                                 auto done) {
+    return links_.Order(std::move(upstream), std::move(order), std::move(done));
+  });
+}
+
+RouterProcess::~RouterProcess() { Stop(); }
+
+absl::Status RouterProcess::Start() {
+  metrics_.Start();
+  decisions_.thread.Start();
+  links_.Start();
+  control_.Start();
+  return callers_.Start();
+}
+
+void RouterProcess::Drain() {
+  callers_.SetReady(false);
+  control_.SetLeaving();
+  static_cast<void>(Post(DrainRequested{settings_.drain_deadline}));
+}
+
+void RouterProcess::Stop() {
+  callers_.Stop();
+  control_.Stop();
+  links_.Stop();
+  decisions_.thread.Stop();
+  metrics_.Stop();
+}
+
+void RouterProcess::OnEvent(const RouterEvent& event) {
+  Mirror(event);
+  RouterActions actions =
+      decisions_.core.Handle(event, std::chrono::steady_clock::now());
+  for (RouterAction& action : actions) {
+    std::visit([this](auto& a) { Do(a); }, action);
+  }
+  if (std::holds_alternative<DrainRequested>(event)) draining_ = true;
+  callers_.SetReady(!draining_ && decisions_.core.Ready());
+}
+
+/// Tells the other duties what they need to know of an event.
+void RouterProcess::Mirror(const RouterEvent& event) {
+  if (const auto* report = std::get_if<ReportArrived>(&event)) {
+    control_.OnReport(report->report);
+  } else if (const auto* upstream = std::get_if<UpstreamChanged>(&event)) {
+    if (!links_.Apply(upstream->upstream)) {
+      LOG(WARNING) << "event=link_ring_full upstream="
+                   << upstream->upstream.id.value;
+    }
+  } else if (const auto* config = std::get_if<ConfigChanged>(&event)) {
+    static_cast<void>(links_.SetConfig(config->config->version));
+    callers_.SetConfig(config->config);
+    LOG(INFO) << "event=config_in_force version="
+              << config->config->version.value;
+  }
+}
+
+void RouterProcess::Do(SendAttempt& action) {
+  const AttemptLost lost{action.upstream, action.request.attempt, false};
+  if (!links_.Send(std::move(action))) static_cast<void>(Post(lost));
+}
+
+void RouterProcess::Do(CancelAttempt& action) {
+  static_cast<void>(links_.Cancel(std::move(action)));
+}
+
+void RouterProcess::Do(BeginAnswer& action) {
+  callers_.Reply(std::move(action));
+}
+
+void RouterProcess::Do(SendAnswerData& action) {
+  callers_.Reply(std::move(action));
+}
+
+void RouterProcess::Do(FinishAnswer& action) { callers_.Reply(action); }
+
+void RouterProcess::Do(FailRequest& action) {
+  callers_.Reply(std::move(action));
+}
+
+void RouterProcess::Do(OperationFound& action) { callers_.Reply(action); }
+
+void RouterProcess::Do(CommitTable& action) {
+  control_.Commit(std::move(action));
+}
+
+void RouterProcess::Do(ReadTable& action) { control_.Read(std::move(action)); }
+
+void RouterProcess::Do(ScanTable& action) { control_.Scan(std::move(action)); }
+
+void RouterProcess::Do(WakeAt& action) {
+  if (decisions_.wake.has_value() && *decisions_.wake <= action.when) return;
+  decisions_.wake = action.when;
+  decisions_.timer.expires_at(action.when);
+  decisions_.timer.async_wait([this](const asio::error_code& ec) {
+    if (ec) return;
+    decisions_.wake.reset();
+    OnEvent(Tick{});
+  });
+}
+
+void RouterProcess::Do(DrainComplete& /*action*/) { drained_(); }
+
+void RouterProcess::Do(RequestFinished& action) {
+  metrics_.Record(std::move(action));
+}
+
+std::string RouterProcess::RenderGauges() const {
+  const AgentLinksStats links = links_.stats();
+  const ControlStats control = control_.stats();
+  std::string out;
+  AppendGauge(out, "yuccapick_config_version", control.config_version);
+  AppendGauge(out, "yuccapick_upstreams_live", control.upstreams_live);
+  AppendGauge(out, "yuccapick_links_up", links.links_up);
+  AppendGauge(out, "yuccapick_links_lost", links.links_lost);
+  AppendGauge(out, "yuccapick_attempts_lost", links.attempts_lost);
+  AppendGauge(out, "yuccapick_events_refused", decisions_.events.refused());
+  AppendGauge(out, "yuccapick_replies_delayed", callers_.DelayedReplies());
+  AppendGauge(out, "yuccapick_table_reads", control.table_reads);
+  AppendGauge(out, "yuccapick_table_writes", control.table_writes);
+  AppendGauge(out, "yuccapick_table_failures", control.table_failures);
+  AppendGauge(out, "yuccapick_lease_fence", control.lease_fence);
+  return out;
+}
+
+}  // namespace yuccapick
