Measure the slopes of every role

Change: capacity_slopes measures processor time and heap per request, token, stream, report, upstream, team, block, event, operation and claim, fits lines and predicts the largest point from the others.

--- a/src/config_documents.cc
+++ b/src/config_documents.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "yuccapick/sha256.h"
+
 namespace yuccapick {
 namespace {
 
--- a/src/shell/check_command.cc
+++ b/src/shell/check_command.cc
@@ -9,6 +9,7 @@
 #include "shell/config_directory.h"
 #include "yuccapick/config_documents.h"
 #include "yuccapick/config_parser.h"
+#include "yuccapick/sha256.h"
 
 namespace yuccapick {
 namespace {
--- /dev/null
+++ b/util/detail/capacity_agent.cc
@@ -0,0 +1,178 @@
+#include <fmt/format.h>
+
+#include <variant>
+
+#include "util/detail/capacity_meter.h"
+#include "util/detail/capacity_world.h"
+#include "yuccapick/agent_core.h"
+#include "yuccapick/engine_picture.h"
+#include "yuccapick/operation_memory.h"
+
+namespace yuccapick {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t kBlocksPerPrompt = 8;
+constexpr std::size_t kTokens = 400;
+constexpr std::uint64_t kPieceBytes = 16'000;
+constexpr std::uint32_t kPieceTokens = 4'000;
+constexpr char kBoot[] = "boot-1";
+
+TimePoint Start() { return TimePoint(std::chrono::hours(1)); }
+
+/// Stores `blocks` blocks, one event each, in prompts of a few blocks.
+void StoreBlocks(EnginePicture& picture, std::size_t first,
+                 std::size_t blocks) {
+  for (std::size_t i = first; i < first + blocks; ++i) {
+    const std::size_t prompt = i / kBlocksPerPrompt;
+    const std::size_t piece = i % kBlocksPerPrompt;
+    const AttemptId attempt(fmt::format("attempt-{}", prompt));
+    if (piece == 0) {
+      std::vector<std::uint64_t> chain;
+      std::vector<std::uint64_t> ends;
+      for (std::size_t j = 0; j < kBlocksPerPrompt; ++j) {
+        chain.push_back((prompt * kBlocksPerPrompt + j) * 0x9e3779b97f4a7c15);
+        ends.push_back((j + 1) * kPieceBytes);
+      }
+      picture.OnAttempt(attempt, std::move(chain), std::move(ends), Start());
+    }
+    CacheEvent event;
+    event.sequence = i + 1;
+    event.block = fmt::format("{:016x}", i);
+    event.attempt = attempt;
+    event.end_token = static_cast<std::uint32_t>(piece + 1) * kPieceTokens;
+    picture.Apply(kBoot, {event}, Start());
+  }
+}
+
+double BlockMemory(std::size_t blocks) {
+  const std::size_t before = HeapBytes();
+  EnginePicture picture;
+  StoreBlocks(picture, 0, blocks);
+  return static_cast<double>(HeapBytes() - before);
+}
+
+double EventCost(std::size_t events) {
+  EnginePicture picture;
+  std::size_t next = 0;
+  return CpuNanoseconds([&] {
+    StoreBlocks(picture, next, events);
+    next += events;
+    static_cast<void>(picture.TakeDelta(Start()));
+  });
+}
+
+AttemptRequest PlainAttempt(std::size_t index) {
+  AttemptRequest request;
+  request.attempt = AttemptId(fmt::format("r1-{}", index));
+  request.team = TeamId("team-1");
+  request.service = ServiceId("bookings");
+  request.agent_incarnation = Incarnation(1);
+  request.config = ConfigVersion(1);
+  request.key = IdempotencyKey(fmt::format("key-{}", index));
+  request.fence = FencingToken(1);
+  request.deadline = milliseconds(10'000);
+  request.method = "POST";
+  request.target = "/";
+  request.body = "{}";
+  return request;
+}
+
+double OperationMemoryBytes(std::size_t operations) {
+  const std::size_t before = HeapBytes();
+  OperationMemory memory;
+  for (std::size_t i = 0; i < operations; ++i) {
+    const AttemptRequest request = PlainAttempt(i);
+    static_cast<void>(memory.Accept(request, Start()));
+    memory.OnHead({request.attempt, 200, {}});
+    memory.OnChunk({request.attempt, 0, "{\"booked\":true}", ""});
+    memory.OnEnd({request.attempt, 1, {}});
+  }
+  return static_cast<double>(HeapBytes() - before);
+}
+
+/// An agent core with a live engine.
+class SampleAgent {
+ public:
+  SampleAgent() : core_(Options()) {
+    core_.Handle(ConfigChanged{SampleConfig(1)}, now_);
+    core_.Handle(UpstreamPolled{kBoot, {}, SampleEngine(1).loaded}, now_);
+  }
+
+  /// Relays one streamed answer.
+  void Relay(std::size_t index, std::size_t tokens) {
+    now_ += milliseconds(1);
+    AttemptRequest request;
+    request.attempt = AttemptId(fmt::format("r1-{}", index));
+    request.team = TeamId("team-00000");
+    request.service = ServiceId("notes");
+    request.kind = RequestKind::kChatCompletion;
+    request.agent_incarnation = Incarnation(1);
+    request.engine_incarnation = core_.Upstream().engine_incarnation;
+    request.config = ConfigVersion(1);
+    request.model = ModelId("fen-3b");
+    request.weights = WeightVersion("w1");
+    request.streamed = true;
+    request.deadline = milliseconds(10'000);
+    request.body = "{}";
+    core_.Handle(AttemptArrived{request}, now_);
+    core_.Handle(UpstreamHead{{request.attempt, 200, {}}}, now_);
+    for (std::size_t i = 0; i < tokens; ++i) {
+      core_.Handle(
+          UpstreamChunk{{request.attempt, i,
+                         R"({"choices":[{"index":0,"delta":{"content":"a"}}]})",
+                         "a"}},
+          now_);
+    }
+    core_.Handle(UpstreamEnd{{request.attempt, tokens, {100, 0, tokens}}},
+                 now_);
+  }
+
+ private:
+  static AgentCoreOptions Options() {
+    AgentCoreOptions options;
+    options.upstream = SampleEngine(1);
+    return options;
+  }
+
+  TimePoint now_ = Start();
+  AgentCore core_;
+};
+
+double AttemptCost(std::size_t attempts) {
+  SampleAgent agent;
+  std::size_t next = 0;
+  return CpuNanoseconds([&] {
+    for (std::size_t i = 0; i < attempts; ++i) agent.Relay(next++, 1);
+  });
+}
+
+double TokenCost(std::size_t tokens) {
+  SampleAgent agent;
+  std::size_t next = 0;
+  return CpuNanoseconds([&] {
+    for (std::size_t done = 0; done < tokens; done += kTokens) {
+      agent.Relay(next++, kTokens);
+    }
+  });
+}
+
+}  // namespace
+
+std::vector<SlopeRow> MeasureAgent() {
+  return {
+      MeasureSlope("block_memory", "agent", "bytes/block",
+                   {5'000, 10'000, 20'000, 40'000}, BlockMemory),
+      MeasureSlope("cache_event_cpu", "agent", "ns/event",
+                   {2'000, 4'000, 8'000, 16'000}, EventCost),
+      MeasureSlope("operation_memory", "agent", "bytes/operation",
+                   {2'000, 4'000, 8'000, 16'000}, OperationMemoryBytes),
+      MeasureSlope("attempt_cpu", "agent", "ns/attempt",
+                   {1'000, 2'000, 4'000, 8'000}, AttemptCost),
+      MeasureSlope("token_cpu", "agent", "ns/token",
+                   {20'000, 40'000, 80'000, 160'000}, TokenCost),
+  };
+}
+
+}  // namespace yuccapick
--- /dev/null
+++ b/util/detail/capacity_control.cc
@@ -0,0 +1,109 @@
+#include <fmt/format.h>
+
+#include "util/detail/capacity_meter.h"
+#include "util/detail/capacity_world.h"
+#include "yuccapick/claim_ledger.h"
+#include "yuccapick/config_documents.h"
+
+namespace yuccapick {
+namespace {
+
+using std::chrono::milliseconds;
+
+TimePoint Start() { return TimePoint(std::chrono::hours(1)); }
+
+OperationId Operation(std::size_t index) {
+  return {TeamId("team-1"), ServiceId("bookings"),
+          IdempotencyKey(fmt::format("key-{}", index))};
+}
+
+/// Claims and records `operations` operations against a table that applies
+/// every commit; commits follow each other at the group's interval.
+class SampleClaims {
+ public:
+  std::size_t Run(std::size_t operations) {
+    for (std::size_t i = 0; i < operations; ++i) {
+      ledger_.Claim(Operation(next_++), "digest",
+                    {UpstreamId("records-1"), Incarnation(1)}, now_);
+    }
+    return CommitAll();
+  }
+
+ private:
+  std::size_t CommitAll() {
+    std::size_t commits = 0;
+    while (ledger_.pending() > 0) {
+      now_ += milliseconds(10);
+      auto commit = ledger_.NextCommit(now_);
+      if (!commit.has_value()) continue;
+      ++commits;
+      ledger_.OnCommitted(commit->command, {WriteResult::kApplied, {}}, now_);
+      Finish();
+    }
+    return commits;
+  }
+
+  void Finish() {
+    for (const ClaimEvent& event : ledger_.TakeEvents()) {
+      if (const auto* held = std::get_if<ClaimHeld>(&event)) {
+        ledger_.Record(held->id, {200, {}, {"{}"}, true, false});
+        ledger_.Forget(held->id);
+      }
+    }
+  }
+
+  ClaimLedger ledger_{{"router-1/1", {}, {}}};
+  TimePoint now_ = Start();
+  std::size_t next_ = 0;
+};
+
+double ClaimCost(std::size_t operations) {
+  SampleClaims claims;
+  return CpuNanoseconds([&] { static_cast<void>(claims.Run(operations)); });
+}
+
+double ClaimCommits(std::size_t operations) {
+  SampleClaims claims;
+  return static_cast<double>(claims.Run(operations));
+}
+
+double ApplyConfigCost(std::size_t teams) {
+  const ConfigDocuments documents = ToDocuments(*SampleConfig(teams));
+  return CpuNanoseconds([&] {
+    const auto snapshot = FromDocuments(documents.index, documents.contents);
+    if (!snapshot.ok()) std::abort();
+  });
+}
+
+double IndexBytes(std::size_t teams) {
+  return static_cast<double>(
+      SerialiseIndex(ToDocuments(*SampleConfig(teams)).index).size());
+}
+
+double DocumentBytes(std::size_t teams) {
+  double total = 0;
+  for (const auto& [hash, content] :
+       ToDocuments(*SampleConfig(teams)).contents) {
+    total += static_cast<double>(content.size());
+  }
+  return total;
+}
+
+}  // namespace
+
+std::vector<SlopeRow> MeasureControl() {
+  return {
+      MeasureSlope("claim_cpu", "router", "ns/operation",
+                   {1'000, 2'000, 4'000, 8'000}, ClaimCost),
+      MeasureSlope("claim_commits", "router", "commits/operation",
+                   {512, 1'024, 2'048, 4'096}, ClaimCommits),
+      MeasureSlope("config_apply_cpu", "router", "ns/team",
+                   {1'750, 3'500, 7'000, 14'000}, ApplyConfigCost),
+      MeasureSlope("config_index_size", "store", "bytes/team",
+                   {1'750, 3'500, 7'000, 14'000}, IndexBytes),
+      MeasureSlope("config_document_size", "store", "bytes/team",
+                   {1'750, 3'500, 7'000, 14'000}, DocumentBytes),
+  };
+}
+
+}  // namespace yuccapick
