--- a/util/detail/capacity_agent.cc
+++ b/util/detail/capacity_agent.cc
@@ -14,6 +14,7 @@
 using std::chrono::milliseconds;
 
 constexpr std::size_t kBlocksPerPrompt = 8;
+constexpr std::size_t kEventsPerPoll = 64;
 constexpr std::size_t kTokens = 400;
 constexpr std::uint64_t kPieceBytes = 16'000;
 constexpr std::uint32_t kPieceTokens = 4'000;
@@ -21,9 +22,11 @@
 
 TimePoint Start() { return TimePoint(std::chrono::hours(1)); }
 
-/// Stores `blocks` blocks, one event each, in prompts of a few blocks.
+/// Stores `blocks` blocks, one event each, in prompts of a few blocks, as an
+/// agent polls them.
 void StoreBlocks(EnginePicture& picture, std::size_t first,
                  std::size_t blocks) {
+  std::vector<CacheEvent> events;
   for (std::size_t i = first; i < first + blocks; ++i) {
     const std::size_t prompt = i / kBlocksPerPrompt;
     const std::size_t piece = i % kBlocksPerPrompt;
@@ -42,8 +45,13 @@
     event.block = fmt::format("{:016x}", i);
     event.attempt = attempt;
     event.end_token = static_cast<std::uint32_t>(piece + 1) * kPieceTokens;
-    picture.Apply(kBoot, {event}, Start());
+    events.push_back(event);
+    if (events.size() == kEventsPerPoll) {
+      picture.Apply(kBoot, events, Start());
+      events.clear();
+    }
   }
+  picture.Apply(kBoot, events, Start());
 }
 
 double BlockMemory(std::size_t blocks) {
