--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -5,3 +5,4 @@
 build_dir=${BUILD_DIR:-build}
 scripts/build.sh
 ctest --test-dir "$build_dir" --output-on-failure -j "$(nproc)"
+scripts/test_embedding.sh
--- a/util/detail/capacity_control.cc
+++ b/util/detail/capacity_control.cc
@@ -67,6 +67,14 @@
   return static_cast<double>(claims.Run(operations));
 }
 
+/// Operations that come one at a time, as to a router among many.
+double LoneClaimCommits(std::size_t operations) {
+  SampleClaims claims;
+  std::size_t commits = 0;
+  for (std::size_t i = 0; i < operations; ++i) commits += claims.Run(1);
+  return static_cast<double>(commits);
+}
+
 double ApplyConfigCost(std::size_t teams) {
   const ConfigDocuments documents = ToDocuments(*SampleConfig(teams));
   return CpuNanoseconds([&] {
@@ -97,6 +105,8 @@
                    {1'000, 2'000, 4'000, 8'000}, ClaimCost),
       MeasureSlope("claim_commits", "router", "commits/operation",
                    {512, 1'024, 2'048, 4'096}, ClaimCommits),
+      MeasureSlope("lone_claim_commits", "router", "commits/operation",
+                   {64, 128, 256, 512}, LoneClaimCommits),
       MeasureSlope("config_apply_cpu", "router", "ns/team",
                    {1'750, 3'500, 7'000, 14'000}, ApplyConfigCost),
       MeasureSlope("config_index_size", "store", "bytes/team",
--- a/util/detail/capacity_router.cc
+++ b/util/detail/capacity_router.cc
@@ -127,6 +127,16 @@
   return static_cast<double>(Encode(SampleReport(1, 7, entries)).size());
 }
 
+/// Reports without entries, one after the other on the wire.
+double ReportHeadBytes(std::size_t reports) {
+  double total = 0;
+  for (std::size_t i = 0; i < reports; ++i) {
+    total += static_cast<double>(
+        Encode(SampleReport(i % kUpstreams, i + 1, 0)).size());
+  }
+  return total;
+}
+
 }  // namespace
 
 std::vector<SlopeRow> MeasureRouter() {
@@ -139,6 +149,8 @@
                    {250, 500, 1'000, 2'000}, StreamMemory),
       MeasureSlope("report_cpu", "router", "ns/report",
                    {4'000, 8'000, 16'000, 32'000}, ReportCost),
+      MeasureSlope("report_wire", "agent", "bytes/report", {64, 128, 256, 512},
+                   ReportHeadBytes),
       MeasureSlope("digest_entry_wire", "agent", "bytes/entry",
                    {64, 128, 256, 512}, ReportBytes),
   };
--- a/util/detail/capacity_state.cc
+++ b/util/detail/capacity_state.cc
@@ -63,7 +63,7 @@
       MeasureSlope("upstream_memory", "router", "bytes/upstream",
                    {125, 250, 500, 1'000, 2'000}, UpstreamMemory),
       MeasureSlope("picture_entry_memory", "router", "bytes/entry",
-                   {10'000, 20'000, 40'000, 80'000}, PictureMemory),
+                   {2'560, 5'120, 10'240, 20'480}, PictureMemory),
       MeasureSlope("team_memory", "router", "bytes/team",
                    {1'750, 3'500, 7'000, 14'000}, TeamMemory),
       MeasureSlope("labelled_team_memory", "router", "bytes/team",
