Join the agent's platform duty, and carry the whole path

Cause: agents had no configuration of their own, and an empty list of services was refused by the settings reader, so that no engine's agent started (seen in the demo: 18 agents ended with code 2). Change: the agent process owns a control loop, answers its calls, leaves when the list says so; empty lists are read.

--- a/examples/embedding/main.cc
+++ b/examples/embedding/main.cc
@@ -15,8 +15,8 @@
   auto config = std::make_shared<yuccapick::ConfigSnapshot>();
   config->version = yuccapick::ConfigVersion(1);
   config->teams = {{yuccapick::TeamId("clinic"), {}, 1.0}};
-  config->models = {{yuccapick::ModelId("fen-3b"),
-                     yuccapick::WeightVersion("w1"), {}, 1}};
+  config->models = {
+      {yuccapick::ModelId("fen-3b"), yuccapick::WeightVersion("w1"), {}, 1}};
   yuccapick::ServiceConfig notes;
   notes.id = yuccapick::ServiceId("notes");
   notes.models = {yuccapick::ModelId("fen-3b")};
@@ -29,8 +29,8 @@
   engine.id = yuccapick::UpstreamId(name);
   engine.agent_incarnation = yuccapick::Incarnation(1);
   engine.engine_incarnation = yuccapick::Incarnation(1);
-  engine.loaded = {{yuccapick::ModelId("fen-3b"), {},
-                    yuccapick::WeightVersion("w1")}};
+  engine.loaded = {
+      {yuccapick::ModelId("fen-3b"), {}, yuccapick::WeightVersion("w1")}};
   return engine;
 }
 
--- a/src/shell/agent_command.cc
+++ b/src/shell/agent_command.cc
@@ -1,4 +1,5 @@
 #include <cstdio>
+#include <random>
 #include <string>
 #include <string_view>
 
@@ -29,7 +30,8 @@
   }
   ConfigureLogs(settings);
   ProcessLife life;
-  AgentProcess agent(settings, NewIncarnation(), [&life] { life.End(); });
+  AgentProcess agent(settings, NewIncarnation(), std::random_device{}(),
+                     [&life] { life.End(); });
   const absl::Status status = agent.Start();
   if (!status.ok()) {
     const std::string message(status.message());
--- a/src/shell/agent_process.cc
+++ b/src/shell/agent_process.cc
@@ -1,6 +1,7 @@
 #include "shell/agent_process.h"
 
 #include <utility>
+#include <variant>
 
 #include "easylogging++.h"
 
@@ -19,10 +20,20 @@
   return options;
 }
 
+ControlLoopOptions ControlOptions(const ProcessSettings& settings,
+                                  Incarnation incarnation, std::uint64_t seed) {
+  ControlLoopOptions options;
+  options.role = ControlRole::kAgent;
+  options.settings = settings;
+  options.incarnation = incarnation;
+  options.seed = seed;
+  return options;
+}
+
 }  // namespace
 
 AgentProcess::AgentProcess(const ProcessSettings& settings,
-                           Incarnation incarnation,
+                           Incarnation incarnation, std::uint64_t seed,
                            std::function<void()> drained)
     : settings_(settings),
       drained_(std::move(drained)),
@@ -31,17 +42,47 @@
       commands_(
           upstream_thread_.loop(), kRingCapacity,
           [this](const UpstreamCommand& command) { upstream_->Take(command); }),
+      control_(
+          ControlOptions(settings, incarnation, seed),
+          [this](const ControlEvent& event) { return TakeControl(event); }),
       flush_timer_(link_thread_.loop()) {
   AgentServerOutputs outputs;
   outputs.upstream = [this](const UpstreamCommand& command) {
     return commands_.Post(command);
   };
   outputs.drained = [this] { FinishDrain(); };
+  outputs.peer_version = [this](ConfigVersion version) {
+    control_.OnPeerVersion(version);
+  };
   server_ = std::make_shared<AgentServer>(link_thread_.loop(), settings_,
                                           incarnation, std::move(outputs));
   upstream_ = std::make_shared<UpstreamClient>(
       upstream_thread_.loop(), ClientOptions(settings_.agent),
       [this](const AgentEvent& event) { return events_.Post(event); });
+  ServeControlCalls();
+}
+
+bool AgentProcess::TakeControl(const ControlEvent& event) {
+  if (const auto* config = std::get_if<ConfigChanged>(&event)) {
+    return Post(*config);
+  }
+  const auto* changed = std::get_if<UpstreamChanged>(&event);
+  const bool leaving = changed != nullptr &&
+                       changed->upstream.id == settings_.agent.upstream &&
+                       changed->upstream.life == UpstreamLife::kLeaving;
+  return !leaving || Post(LeaveRequested{settings_.drain_deadline});
+}
+
+void AgentProcess::ServeControlCalls() {
+  server_->links().HandleCall(
+      kControlCall, [this](std::string bytes, CallDone done) {
+        control_.HandleCall(
+            std::move(bytes),
+            [this, done = std::move(done)](absl::StatusOr<std::string> result) {
+              asio::post(link_thread_.loop(),
+                         [done, result = std::move(result)] { done(result); });
+            });
+      });
 }
 
 AgentProcess::~AgentProcess() { Stop(); }
@@ -51,6 +92,7 @@
   asio::post(upstream_thread_.loop(), [this] { upstream_->Start(); });
   link_thread_.Start();
   upstream_thread_.Start();
+  control_.Start();
   LOG(INFO) << "event=agent_started upstream=" << settings_.agent.upstream.value
             << " port=" << server_->links().port() << " incarnation="
             << server_->core().Upstream().agent_incarnation.value;
@@ -58,6 +100,7 @@
 }
 
 void AgentProcess::Drain() {
+  control_.SetLeaving();
   asio::post(link_thread_.loop(),
              [this] { server_->Leave(settings_.drain_deadline); });
 }
@@ -81,6 +124,7 @@
 }
 
 void AgentProcess::Stop() {
+  control_.Stop();
   link_thread_.Stop();
   upstream_thread_.Stop();
   upstream_->Stop();
--- a/src/shell/agent_process.h
+++ b/src/shell/agent_process.h
@@ -11,6 +11,7 @@
 
 #include "absl/status/status.h"
 #include "shell/agent_server.h"
+#include "shell/control_loop.h"
 #include "shell/loop_thread.h"
 #include "shell/mailbox.h"
 #include "shell/settings.h"
@@ -23,7 +24,7 @@
  public:
   /// @param drained called on the links' thread once a drain is complete
   AgentProcess(const ProcessSettings& settings, Incarnation incarnation,
-               std::function<void()> drained);
+               std::uint64_t seed, std::function<void()> drained);
   ~AgentProcess();
   AgentProcess(const AgentProcess&) = delete;
   AgentProcess& operator=(const AgentProcess&) = delete;
@@ -44,6 +45,8 @@
   asio::io_context& loop() { return link_thread_.loop(); }
 
  private:
+  bool TakeControl(const ControlEvent& event);
+  void ServeControlCalls();
   void FinishDrain();
   void WaitFlushed();
 
@@ -55,6 +58,7 @@
   Mailbox<UpstreamCommand> commands_;
   std::shared_ptr<AgentServer> server_;
   std::shared_ptr<UpstreamClient> upstream_;
+  ControlLoop control_;
   asio::steady_timer flush_timer_;
   std::chrono::steady_clock::time_point flush_limit_;
 };
--- a/src/shell/agent_server.cc
+++ b/src/shell/agent_server.cc
@@ -200,6 +200,7 @@
     return;
   }
   Handle(ConfigChanged{VersionOnly(request->config)});
+  outputs_.peer_version(request->config);
   const bool is_new =
       watchers_.try_emplace(stream.get(), Watcher{stream}).second;
   if (is_new) {
--- a/src/shell/agent_server.h
+++ b/src/shell/agent_server.h
@@ -25,6 +25,8 @@
 struct AgentServerOutputs {
   /// Hands a command to the upstream duty; false if its ring is full.
   std::function<bool(UpstreamCommand)> upstream;
+  /// A watcher showed the version that is in force at its process.
+  std::function<void(ConfigVersion)> peer_version;
   /// Nothing is in flight any more after `Leave`.
   std::function<void()> drained;
 };
--- a/src/shell/toml_reader.cc
+++ b/src/shell/toml_reader.cc
@@ -68,7 +68,10 @@
   const toml::node* node = Find(key);
   if (node == nullptr) return;
   const toml::array* array = node->as_array();
-  if (array == nullptr || !array->is_homogeneous(toml::node_type::string)) {
+  const bool texts =
+      array != nullptr &&
+      (array->empty() || array->is_homogeneous(toml::node_type::string));
+  if (!texts) {
     WrongType(*node, key, "a list of strings");
     return;
   }
--- a/test/shell/agent_process_test.cc
+++ b/test/shell/agent_process_test.cc
@@ -45,9 +45,9 @@
     settings.agent.kind = kind;
     settings.agent.upstream_url = upstream.url("");
     settings.drain_deadline = std::chrono::milliseconds(5'000);
-    agent = std::make_unique<AgentProcess>(settings, kIncarnation, [this] {
-      asio::post(loop, [this] { drained = true; });
-    });
+    agent = std::make_unique<AgentProcess>(
+        settings, kIncarnation, /*seed=*/1,
+        [this] { asio::post(loop, [this] { drained = true; }); });
     REQUIRE(agent->Start().ok());
     AgentLinksOptions options;
     options.secret = "secret";
--- a/test/shell/settings_test.cc
+++ b/test/shell/settings_test.cc
@@ -37,6 +37,14 @@
   CHECK(settings->agent.services == std::vector{ServiceId("bookings")});
 }
 
+TEST_CASE("An empty list of services is read as such") {
+  std::string text = kGood;
+  text.replace(text.find("[\"bookings\"]"), 12, "[]");
+  const auto settings = ParseSettings(text, "a.toml");
+  REQUIRE(settings.ok());
+  CHECK(settings->agent.services.empty());
+}
+
 TEST_CASE("All errors of a settings file are reported at once") {
   const auto settings = ParseSettings(kBad, "a.toml");
   REQUIRE_FALSE(settings.ok());
