Mend what the linter found in the shells

Cause: an id was read from a request in the same call that moved it; copies and braces. Change: the id is taken first.

--- a/src/shell/caller_duty.cc
+++ b/src/shell/caller_duty.cc
@@ -164,8 +164,9 @@
     return;
   }
   auto& request = std::get<CallerRequest>(parsed);
-  request.id = Remember(connection, request.streamed, exchange);
-  Submit(request.id, RequestArrived{std::move(request)});
+  const RequestId id = Remember(connection, request.streamed, exchange);
+  request.id = id;
+  Submit(id, RequestArrived{std::move(request)});
 }
 
 void CallerDuty::TakeQuery(const HttpCall& call, const TeamId& team,
--- a/src/shell/router_process.cc
+++ b/src/shell/router_process.cc
@@ -77,10 +77,10 @@
                 [this](std::function<void(std::string)> done) {
                   metrics_.Render(std::move(done));
                 }}) {
-  control_.SetOrderSender([this](UpstreamId upstream, EngineOrder order,
-                                 auto done) {
-    return links_.Order(std::move(upstream), std::move(order), std::move(done));
-  });
+  control_.SetOrderSender(
+      [this](const UpstreamId& upstream, const EngineOrder& order, auto done) {
+        return links_.Order(upstream, order, std::move(done));
+      });
 }
 
 RouterProcess::~RouterProcess() { Stop(); }
