Hold a lease over one table row, with a fencing token

No wall clock is compared: an observer takes over only after the row stayed the same for a whole term of its own steady clock, a holder counts its term from before it sent the write, and each side adds a drift margin of 2 %. An unknown write is settled by a read.

--- /dev/null
+++ b/include/yuccapick/lease.h
@@ -0,0 +1,103 @@
+#ifndef YUCCAPICK_LEASE_H_
+#define YUCCAPICK_LEASE_H_
+
+/// @file
+/// A lease over one row of the table service, with a fencing token.
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "yuccapick/ids.h"
+#include "yuccapick/table.h"
+
+namespace yuccapick {
+
+/// The lease's row. Its version changes with each renewal.
+struct LeaseRow {
+  std::string holder;       ///< Empty after it was handed back.
+  Incarnation life;         ///< Of the holder.
+  FencingToken fence;       ///< Rises with each new holder.
+  std::uint64_t write = 0;  ///< Tells the writes of one holder apart.
+
+  bool operator==(const LeaseRow&) const = default;
+};
+
+std::string SerialiseLease(const LeaseRow& row);
+/// @return nothing if the bytes are no lease row
+std::optional<LeaseRow> ParseLease(const std::string& bytes);
+
+struct LeaseOptions {
+  std::string key;     ///< Of the row.
+  std::string holder;  ///< Name of this process.
+  Incarnation life;    ///< Of this process.
+  std::chrono::milliseconds term{3'000};
+  std::chrono::milliseconds renew_every{1'000};
+  std::chrono::milliseconds retry_every{300};
+  /// Clocks of two processes drift apart by at most this share. A holder counts
+  /// its term shorter by it, an observer longer.
+  double drift = 0.02;
+};
+
+/// Reads the lease's row.
+struct LeaseRead {};
+struct LeaseCommit {
+  TableTransaction transaction;
+};
+using LeaseAction = std::variant<LeaseRead, LeaseCommit>;
+
+/// Acquires, renews and hands back one lease. It reads no wall clock: an
+/// observer takes over only after the row stayed the same for a whole term of
+/// its own steady clock, and a holder counts its term from before it sent the
+/// write that began it. One call is under way at a time.
+class Lease {
+ public:
+  explicit Lease(LeaseOptions options) : options_(std::move(options)) {}
+
+  // Commands. Each returns the next call to make, if one is due.
+
+  std::optional<LeaseAction> OnTick(TimePoint now);
+  /// @param row as read; version 0 if absent; nothing if the read failed
+  void OnRead(const std::optional<TableRow>& row, TimePoint now);
+  void OnCommitted(const CommitResult& result, TimePoint now);
+  /// Gives the lease up, or stops trying for it.
+  void HandBack();
+
+  // Queries.
+
+  /// The last-moment check: true if the holder may act right now.
+  bool MayAct(TimePoint now) const { return now < valid_until_; }
+  /// Fencing token of the term held; zero if none is.
+  FencingToken fence(TimePoint now) const;
+  /// True while a call's answer is awaited.
+  bool busy() const { return busy_; }
+  /// True once a lease that was handed back cannot be this process's any more.
+  bool released() const { return leaving_ && !busy_ && !own_row_; }
+
+ private:
+  void Observe(const TableRow& row, TimePoint now);
+  LeaseAction Write(LeaseRow next, TimePoint now);
+  std::chrono::nanoseconds HolderTerm() const;
+  std::chrono::nanoseconds ObserverTerm() const;
+
+  LeaseOptions options_;
+  bool busy_ = false;
+  bool leaving_ = false;
+  bool read_due_ = true;  ///< The row is unknown, or a write's result is.
+  TimePoint next_call_;
+  std::optional<TimePoint> observed_since_;  ///< Of the row's version.
+  TableRow row_;
+  std::optional<LeaseRow> value_;
+  bool own_row_ = false;  ///< The row as last seen names this process.
+  std::uint64_t writes_ = 0;
+  LeaseRow sent_;  ///< Last write.
+  TimePoint sent_at_;
+  TimePoint valid_until_;
+};
+
+}  // namespace yuccapick
+
+#endif  // YUCCAPICK_LEASE_H_
--- /dev/null
+++ b/src/lease.cc
@@ -0,0 +1,121 @@
+#include "yuccapick/lease.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace yuccapick {
+namespace {
+
+using Json = nlohmann::json;
+
+}  // namespace
+
+std::string SerialiseLease(const LeaseRow& row) {
+  return Json{{"holder", row.holder},
+              {"life", row.life.value},
+              {"fence", row.fence.value},
+              {"write", row.write}}
+      .dump();
+}
+
+std::optional<LeaseRow> ParseLease(const std::string& bytes) {
+  try {
+    const Json json = Json::parse(bytes);
+    return LeaseRow{json.at("holder"),
+                    Incarnation(json.at("life").get<std::uint64_t>()),
+                    FencingToken(json.at("fence").get<std::uint64_t>()),
+                    json.at("write").get<std::uint64_t>()};
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
+}
+
+std::chrono::nanoseconds Lease::HolderTerm() const {
+  return std::chrono::duration_cast<std::chrono::nanoseconds>(
+      options_.term * (1.0 - options_.drift));
+}
+
+std::chrono::nanoseconds Lease::ObserverTerm() const {
+  return std::chrono::duration_cast<std::chrono::nanoseconds>(
+      options_.term * (1.0 + options_.drift));
+}
+
+std::optional<LeaseAction> Lease::OnTick(TimePoint now) {
+  if (busy_ || now < next_call_) return std::nullopt;
+  if (leaving_ && !own_row_ && !read_due_) return std::nullopt;
+  if (read_due_) {
+    busy_ = true;
+    return LeaseRead{};
+  }
+  const LeaseRow current = value_.value_or(LeaseRow());
+  if (own_row_) {
+    const bool renewed = MayAct(now) && now < sent_at_ + options_.renew_every;
+    if (renewed && !leaving_) return std::nullopt;
+    if (leaving_) return Write({"", Incarnation(), current.fence, 0}, now);
+    return Write({options_.holder, options_.life, current.fence, 0}, now);
+  }
+  const bool free = row_.version == 0 || current.holder.empty();
+  const bool lapsed =
+      observed_since_ && now - *observed_since_ >= ObserverTerm();
+  if (free || lapsed) {
+    return Write({options_.holder, options_.life, current.fence.Next(), 0},
+                 now);
+  }
+  busy_ = true;
+  return LeaseRead{};
+}
+
+LeaseAction Lease::Write(LeaseRow next, TimePoint now) {
+  next.write = ++writes_;
+  sent_ = next;
+  sent_at_ = now;
+  busy_ = true;
+  LeaseCommit commit;
+  commit.transaction.checks = {{options_.key, row_.version}};
+  commit.transaction.puts = {{options_.key, SerialiseLease(next)}};
+  // While a hand-back is under way the holder must not act any more.
+  if (next.holder.empty()) valid_until_ = TimePoint();
+  return commit;
+}
+
+void Lease::Observe(const TableRow& row, TimePoint now) {
+  if (!observed_since_ || row.version != row_.version) observed_since_ = now;
+  row_ = row;
+  value_ = row.version == 0 ? std::nullopt : ParseLease(row.value);
+  own_row_ = value_ && value_->holder == options_.holder &&
+             value_->life == options_.life;
+  if (!own_row_) valid_until_ = TimePoint();
+}
+
+void Lease::OnRead(const std::optional<TableRow>& row, TimePoint now) {
+  busy_ = false;
+  next_call_ = now + options_.retry_every;
+  if (!row) return;
+  read_due_ = false;
+  Observe(*row, now);
+  // A write whose answer was lost took effect: its term began when it was sent.
+  const bool settled = own_row_ && value_ == sent_;
+  if (settled) valid_until_ = sent_at_ + HolderTerm();
+}
+
+void Lease::OnCommitted(const CommitResult& result, TimePoint now) {
+  busy_ = false;
+  next_call_ = now + options_.retry_every;
+  read_due_ = true;
+  if (result.result != WriteResult::kApplied) return;
+  // The row's new version is not told; the read that follows learns it.
+  if (sent_.holder.empty()) {
+    own_row_ = false;
+    return;
+  }
+  own_row_ = true;
+  valid_until_ = sent_at_ + HolderTerm();
+}
+
+void Lease::HandBack() { leaving_ = true; }
+
+FencingToken Lease::fence(TimePoint now) const {
+  return MayAct(now) ? sent_.fence : FencingToken();
+}
+
+}  // namespace yuccapick
