Begin fleet means and demand right after a restart

A fresh placement took its utilisation, mean prefill and demand as zero and crept up over fifty samples. Means now start as plain means, and demand is divided by the time that was watched.

--- a/include/yuccapick/hot_prefix.h
+++ b/include/yuccapick/hot_prefix.h
@@ -43,6 +43,7 @@
   void Trim(TimePoint now);
 
   std::size_t most_prefixes_;
+  TimePoint since_;  ///< Of the first request.
   absl::flat_hash_map<std::uint64_t, Demand> demands_;
 };
 
--- a/src/hot_prefix.cc
+++ b/src/hot_prefix.cc
@@ -8,9 +8,17 @@
 
 constexpr double kRiseSeconds = 3.0;
 constexpr double kFallSeconds = 10.0;
+/// A fresh estimate supposes that it has watched for at least this long.
+constexpr double kShortestAgeSeconds = 0.5;
 
-double Rate(double rise, double fall) {
-  return std::max(rise / kRiseSeconds, fall / kFallSeconds);
+/// Returns the sum of a constant rate of one a second, decayed over `span`,
+/// after `age`: what a decayed count is to be divided by.
+double DecayedSeconds(double span, double age) {
+  return span * (1.0 - std::exp(-age / span));
+}
+
+double Seconds(std::chrono::steady_clock::duration duration) {
+  return std::chrono::duration<double>(duration).count();
 }
 
 }  // namespace
@@ -26,6 +34,7 @@
 }
 
 void HotPrefixes::OnRequest(std::uint64_t chain_hash, TimePoint now) {
+  if (demands_.empty()) since_ = now;
   Demand& demand = demands_[chain_hash];
   demand = Decayed(demand, now);
   demand.rise += 1.0;
@@ -49,7 +58,9 @@
   const auto it = demands_.find(chain_hash);
   if (it == demands_.end()) return 0;
   const Demand demand = Decayed(it->second, now);
-  return Rate(demand.rise, demand.fall);
+  const double age = std::max(kShortestAgeSeconds, Seconds(now - since_));
+  return std::max(demand.rise / DecayedSeconds(kRiseSeconds, age),
+                  demand.fall / DecayedSeconds(kFallSeconds, age));
 }
 
 }  // namespace yuccapick
--- a/src/placement.cc
+++ b/src/placement.cc
@@ -21,6 +21,9 @@
       table_(options_.domain, options_.region, options_.report_age),
       picture_(kPictureEntriesPerEngine),
       hot_(kMostHotPrefixes),
+      utilisation_(kFleetSmoothing),
+      mean_prefill_(kFleetSmoothing),
+      mean_square_prefill_(kFleetSmoothing),
       draws_(options_.seed) {}
 
 void Placement::Impl::ApplyUpstream(const UpstreamInfo& upstream,
@@ -51,7 +54,7 @@
   }
   table_.Load(slot).ApplyReport(report.load, now);
   const double busy = report.load.queued_prefill_tokens > 0 ? 1.0 : 0.0;
-  utilisation_ += kFleetSmoothing * (busy - utilisation_);
+  utilisation_.Add(busy);
 }
 
 double Placement::Impl::IdleSeconds(EngineSlot slot,
@@ -114,9 +117,8 @@
   load.OnDispatched(in_flight.prefill_tokens, in_flight.urgent, now);
   const double prefill =
       static_cast<double>(in_flight.prefill_tokens) / load.Speed();
-  mean_square_prefill_ +=
-      kFleetSmoothing * (prefill * prefill - mean_square_prefill_);
-  mean_prefill_ += kFleetSmoothing * (prefill - mean_prefill_);
+  mean_prefill_.Add(prefill);
+  mean_square_prefill_.Add(prefill * prefill);
   in_flight_[attempt] = std::move(in_flight);
 }
 
--- a/src/placement_choose.cc
+++ b/src/placement_choose.cc
@@ -136,8 +136,9 @@
   }
   fleet.tokens_per_byte = calibration_.TokensPerByte(request.scope.model);
   fleet.mean_arrivals = arrivals / static_cast<double>(candidates.size());
-  if (mean_prefill_ > 0) {
-    fleet.residual_seconds = mean_square_prefill_ / (2.0 * mean_prefill_);
+  if (mean_prefill_.Value() > 0) {
+    fleet.residual_seconds =
+        mean_square_prefill_.Value() / (2.0 * mean_prefill_.Value());
   }
   fleet.reuses = ExpectedReuses(request, now);
   return fleet;
@@ -160,8 +161,8 @@
                     : inputs.queue;
   inputs.prefill = missing / entry.load.Speed();
   inputs.hop = entry.hop_seconds;
-  inputs.utilisation = utilisation_;
-  inputs.mean_prefill = mean_prefill_;
+  inputs.utilisation = utilisation_.Value();
+  inputs.mean_prefill = mean_prefill_.Value();
   inputs.arrival_share = (candidate.arrivals + kArrivalPrior) /
                          (fleet.mean_arrivals + kArrivalPrior);
   inputs.reuses = fleet.reuses;
--- a/src/placement_impl.h
+++ b/src/placement_impl.h
@@ -10,6 +10,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "engine_table.h"
+#include "running_mean.h"
 #include "yuccapick/byte_token_calibration.h"
 #include "yuccapick/cache_picture.h"
 #include "yuccapick/hot_prefix.h"
@@ -101,9 +102,9 @@
   ByteTokenCalibration calibration_;
   HotPrefixes hot_;
   absl::flat_hash_map<AttemptId, InFlight> in_flight_;
-  double utilisation_ = 0;
-  double mean_prefill_ = 0;         ///< Seconds, of one request.
-  double mean_square_prefill_ = 0;  ///< Seconds squared.
+  RunningMean utilisation_;
+  RunningMean mean_prefill_;         ///< Seconds, of one request.
+  RunningMean mean_square_prefill_;  ///< Seconds squared.
   mutable std::uint64_t draws_;
   mutable std::vector<std::uint64_t> seen_;  ///< Last choice of each slot.
   mutable std::uint64_t choices_ = 0;
