Let answers outlive their link, and expire what nobody resumes

Cause: the decisions keep an answer whose link broke, but the shell did not say that the link broke; ExpireAttempts was called by nothing, so that abandoned, late and ended attempts were kept for ever at the agent (seen by the test that breaks the link and waits for the upstream's cancel: not within 20 s). Change: the end of a stream says whether its link broke; back-pressure follows a resumed answer and ends with its stream; a stream that the engine no longer holds is begun anew; the decisions expire attempts on each tick.

--- a/src/agent_core.cc
+++ b/src/agent_core.cc
@@ -150,7 +150,10 @@
 
 void AgentCore::Impl::On(const TableRead& /*event*/) {}
 
-void AgentCore::Impl::On(const Tick& /*event*/) { memory_.Sweep(now_); }
+void AgentCore::Impl::On(const Tick& /*event*/) {
+  ExpireAttempts();
+  memory_.Sweep(now_);
+}
 
 void AgentCore::Impl::CheckDrained() {
   if (!drain_deadline_ || drain_reported_) return;
--- a/src/shell/agent_server.cc
+++ b/src/shell/agent_server.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds kOfferRetry{1};
+constexpr std::size_t kRememberedResumptions = 4096;
 
 AgentCoreOptions CoreOptions(const ProcessSettings& settings,
                              Incarnation incarnation) {
@@ -134,16 +135,18 @@
     if (!expected || !self->TakeAttempt(weak_stream.lock(), payload, *id)) {
       ++self->stats_.malformed;
       weak_stream.lock()->Reset();
-      self->AttemptClosed(*id);
+      self->AttemptClosed(*id, false);
     }
     return true;
   };
   handlers.on_drained = [weak, id] {
     const auto self = weak.lock();
-    if (self != nullptr) self->SendUpstream(SetUpstreamReceiving{*id, true});
+    if (self == nullptr) return;
+    self->SendUpstream(SetUpstreamReceiving{self->UpstreamName(*id), true});
   };
-  handlers.on_close = [weak, id](const LinkClose&) {
-    if (const auto self = weak.lock()) self->AttemptClosed(*id);
+  handlers.on_close = [weak, id](const LinkClose& close) {
+    const auto self = weak.lock();
+    if (self != nullptr) self->AttemptClosed(*id, close.link_broken);
   };
   stream->SetHandlers(std::move(handlers));
 }
@@ -157,13 +160,33 @@
   if (!is_new) return false;
   ++stats_.attempts;
   id = request->attempt;
+  NoteResumption(*request);
   Handle(AttemptArrived{*std::move(request)});
   return true;
 }
 
-void AgentServer::AttemptClosed(const AttemptId& attempt) {
-  if (attempts_.erase(attempt.value) == 0) return;
-  Handle(AttemptAbandoned{attempt});
+void AgentServer::AttemptClosed(const AttemptId& attempt, bool link_broken) {
+  const auto node = attempts_.extract(attempt.value);
+  if (node.empty()) return;
+  // Another attempt may resume the answer, so it must not stay held back.
+  if (node.mapped()->congested()) {
+    SendUpstream(SetUpstreamReceiving{UpstreamName(attempt), true});
+  }
+  Handle(AttemptAbandoned{attempt, link_broken});
+}
+
+AttemptId AgentServer::UpstreamName(const AttemptId& attempt) const {
+  const auto it = resumed_.find(attempt.value);
+  return it == resumed_.end() ? attempt : it->second;
+}
+
+void AgentServer::NoteResumption(const AttemptRequest& request) {
+  if (request.resume_attempt.empty()) return;
+  resumed_[request.attempt.value] = UpstreamName(request.resume_attempt);
+  resumed_order_.push_back(request.attempt.value);
+  if (resumed_order_.size() <= kRememberedResumptions) return;
+  resumed_.erase(resumed_order_.front());
+  resumed_order_.pop_front();
 }
 
 void AgentServer::TakeWatchStream(const LinkStreamPtr& stream) {
@@ -224,6 +247,7 @@
 }
 
 void AgentServer::Do(const ForwardAttempt& action) {
+  resumed_.erase(action.request.attempt.value);
   if (commands_.empty() && outputs_.upstream(action)) return;
   Handle(UpstreamFailed{action.request.attempt, false,
                         "the ring of attempts is full"});
@@ -241,7 +265,7 @@
   it->second->Send(message);
   if (was_congested || !it->second->congested()) return;
   ++stats_.replies_slowed;
-  SendUpstream(SetUpstreamReceiving{attempt, false});
+  SendUpstream(SetUpstreamReceiving{UpstreamName(attempt), false});
 }
 
 template <typename Message>
--- a/src/shell/agent_server.h
+++ b/src/shell/agent_server.h
@@ -69,7 +69,10 @@
   void TakeAttemptStream(const LinkStreamPtr& stream);
   bool TakeAttempt(const LinkStreamPtr& stream, std::string_view payload,
                    AttemptId& id);
-  void AttemptClosed(const AttemptId& attempt);
+  void AttemptClosed(const AttemptId& attempt, bool link_broken);
+  /// Returns the attempt under which the upstream works on `attempt`'s answer.
+  AttemptId UpstreamName(const AttemptId& attempt) const;
+  void NoteResumption(const AttemptRequest& request);
   void TakeWatchStream(const LinkStreamPtr& stream);
   void TakeWatch(const LinkStreamPtr& stream, std::string_view payload);
   void TakeOrder(const std::string& bytes, CallDone done);
@@ -102,6 +105,8 @@
   asio::steady_timer offer_timer_;
   std::deque<UpstreamCommand> commands_;
   std::unordered_map<std::string, LinkStreamPtr> attempts_;
+  std::unordered_map<std::string, AttemptId> resumed_;
+  std::deque<std::string> resumed_order_;
   std::unordered_map<LinkStream*, Watcher> watchers_;
   std::unordered_map<std::string, CallDone> orders_;
   AgentServerStats stats_;
--- a/src/shell/link_session.cc
+++ b/src/shell/link_session.cc
@@ -95,7 +95,7 @@
   const auto streams = std::exchange(streams_, {});
   const std::string reason(status.message());
   for (const auto& [id, stream] : streams) {
-    stream->End({absl::UnavailableError(reason), stream->sent_});
+    stream->End({absl::UnavailableError(reason), stream->sent_, true});
   }
   proof_stream_.reset();
   drained_.clear();
--- a/src/shell/link_stream.h
+++ b/src/shell/link_stream.h
@@ -23,6 +23,7 @@
 struct LinkClose {
   absl::Status status;  ///< Ok if the peer ended the stream in order.
   bool sent = true;     ///< False only if no byte of it can have left.
+  bool link_broken = false;  ///< The connection ended, not the stream alone.
 };
 
 struct LinkStreamHandlers {
--- a/src/shell/upstream_client.cc
+++ b/src/shell/upstream_client.cc
@@ -4,7 +4,6 @@
 
 #include <utility>
 
-#include "shell/upstream_exchange.h"
 #include "yuccapick/engine_protocol.h"
 
 namespace yuccapick {
@@ -71,23 +70,38 @@
     const std::string reason(request.status().message());
     return EmitOrKeep(UpstreamFailed{attempt.attempt, false, reason});
   }
-  const auto weak = weak_from_this();
-  auto exchange = std::make_shared<UpstreamExchange>(
-      attempt,
-      [weak](AgentEvent event) {
-        if (auto self = weak.lock()) self->EmitOrKeep(std::move(event));
-      },
-      [weak, id] {
-        const auto self = weak.lock();
-        if (self == nullptr) return;
-        const auto node = self->exchanges_.extract(id);
-        if (!node.empty()) self->client_.Cancel(node.mapped().handle);
-      });
+  const auto exchange =
+      std::make_shared<UpstreamExchange>(attempt, ExchangeOutputs(attempt));
   Exchange& entry = exchanges_[id];
   entry.model = attempt.kind != RequestKind::kPlain;
   entry.handle = client_.Start(*std::move(request), exchange->Callbacks());
 }
 
+UpstreamExchange::Outputs UpstreamClient::ExchangeOutputs(
+    const AttemptRequest& attempt) {
+  const auto weak = weak_from_this();
+  const std::string id = attempt.attempt.value;
+  UpstreamExchange::Outputs outputs;
+  outputs.emit = [weak](AgentEvent event) {
+    if (auto self = weak.lock()) self->EmitOrKeep(std::move(event));
+  };
+  outputs.over = [weak, id] {
+    const auto self = weak.lock();
+    if (self == nullptr) return;
+    const auto node = self->exchanges_.extract(id);
+    if (!node.empty()) self->client_.Cancel(node.mapped().handle);
+  };
+  if (attempt.resume_attempt.empty()) return outputs;
+  AttemptRequest anew = attempt;
+  anew.resume_attempt = {};
+  outputs.not_held = [weak, id, anew = std::move(anew)] {
+    const auto self = weak.lock();
+    if (self == nullptr || self->exchanges_.erase(id) == 0) return;
+    self->On(ForwardAttempt{anew});
+  };
+  return outputs;
+}
+
 void UpstreamClient::On(const CancelUpstream& command) {
   const auto node = exchanges_.extract(command.attempt.value);
   if (node.empty()) return;
--- a/src/shell/upstream_client.h
+++ b/src/shell/upstream_client.h
@@ -15,6 +15,7 @@
 #include <variant>
 
 #include "shell/http_client.h"
+#include "shell/upstream_exchange.h"
 #include "yuccapick/agent_events.h"
 #include "yuccapick/upstream.h"
 
@@ -62,6 +63,7 @@
   };
 
   void On(const ForwardAttempt& command);
+  UpstreamExchange::Outputs ExchangeOutputs(const AttemptRequest& attempt);
   void On(const CancelUpstream& command);
   void On(const ForwardOrder& command);
   void On(const SetUpstreamReceiving& command);
--- a/src/shell/upstream_exchange.cc
+++ b/src/shell/upstream_exchange.cc
@@ -16,7 +16,9 @@
 /// An operation may run on after its caller's deadline, so that its outcome is
 /// learnt.
 constexpr std::chrono::milliseconds kOperationGrace{30'000};
+constexpr std::chrono::milliseconds kShortestDeadline{1};
 constexpr long kHttpOk = 200;
+constexpr std::uint32_t kHttpNotFound = 404;
 
 /// Header fields that belong to one connection or to this system.
 constexpr std::array<std::string_view, 14> kNotPassedOn{"connection",
@@ -108,21 +110,19 @@
                                             : ModelRequest(attempt, base_url);
   if (!request.ok()) return request;
   request->headers.push_back({"x-request-id", attempt.attempt.value});
-  request->timeouts.total = attempt.deadline;
+  request->timeouts.total = std::max(attempt.deadline, kShortestDeadline);
   if (!attempt.key.empty()) request->timeouts.total += kOperationGrace;
   return request;
 }
 
 UpstreamExchange::UpstreamExchange(const AttemptRequest& attempt,
-                                   std::function<void(AgentEvent)> emit,
-                                   std::function<void()> over)
+                                   Outputs outputs)
     : attempt_(attempt.attempt),
       answer_id_(attempt.resume_attempt.empty() ? attempt.attempt
                                                 : attempt.resume_attempt),
       kind_(attempt.kind),
       streamed_(attempt.streamed),
-      emit_(std::move(emit)),
-      over_(std::move(over)),
+      outputs_(std::move(outputs)),
       parser_(kMaxEventBytes,
               [this](std::string_view data) { OnStreamEvent(data); }) {
   const bool goes_on =
@@ -226,6 +226,12 @@
 }
 
 void UpstreamExchange::EndRefusal() {
+  const bool resumes = answer_id_ != attempt_;
+  if (resumes && status_ == kHttpNotFound) {
+    is_over_ = true;
+    const Outputs outputs = std::exchange(outputs_, {});
+    return outputs.not_held();
+  }
   if (!ConcernsRequest(status_)) {
     return Fail(true, fmt::format("answered with status {}", status_));
   }
@@ -235,28 +241,30 @@
 }
 
 void UpstreamExchange::EmitHead(std::vector<Header> headers) {
-  emit_(UpstreamHead{{attempt_, status_, std::move(headers)}});
+  outputs_.emit(UpstreamHead{{attempt_, status_, std::move(headers)}});
 }
 
 void UpstreamExchange::EmitChunk(std::string_view data, std::string text) {
-  emit_(UpstreamChunk{
+  outputs_.emit(UpstreamChunk{
       {attempt_, next_position_++, std::string(data), std::move(text)}});
 }
 
 void UpstreamExchange::EmitEnd() {
-  emit_(UpstreamEnd{{attempt_, next_position_, usage_.value_or(Usage{})}});
+  outputs_.emit(
+      UpstreamEnd{{attempt_, next_position_, usage_.value_or(Usage{})}});
   Over();
 }
 
 void UpstreamExchange::Fail(bool sent, std::string reason) {
-  emit_(UpstreamFailed{attempt_, sent, std::move(reason)});
+  if (is_over_) return;
+  outputs_.emit(UpstreamFailed{attempt_, sent, std::move(reason)});
   Over();
 }
 
 void UpstreamExchange::Over() {
   is_over_ = true;
-  const auto over = std::move(over_);
-  if (over) over();
+  const Outputs outputs = std::exchange(outputs_, {});
+  outputs.over();
 }
 
 }  // namespace yuccapick
--- a/src/shell/upstream_exchange.h
+++ b/src/shell/upstream_exchange.h
@@ -27,11 +27,17 @@
 /// Reads one answer. It shares ownership with its callbacks.
 class UpstreamExchange : public std::enable_shared_from_this<UpstreamExchange> {
  public:
-  /// @param emit takes the events of the answer, in order
-  /// @param over runs once after the last event; the request may be dropped
-  UpstreamExchange(const AttemptRequest& attempt,
-                   std::function<void(AgentEvent)> emit,
-                   std::function<void()> over);
+  struct Outputs {
+    /// Takes the events of the answer, in order.
+    std::function<void(AgentEvent)> emit;
+    /// Runs once after the last event; the request may be dropped.
+    std::function<void()> over;
+    /// Runs in place of `over` if the engine no longer holds the stream that
+    /// was to be resumed; nothing was emitted.
+    std::function<void()> not_held;
+  };
+
+  UpstreamExchange(const AttemptRequest& attempt, Outputs outputs);
 
   HttpCallbacks Callbacks();
 
@@ -57,8 +63,7 @@
   AttemptId answer_id_;  ///< Id that the engine's answer must carry.
   RequestKind kind_;
   bool streamed_;
-  std::function<void(AgentEvent)> emit_;
-  std::function<void()> over_;
+  Outputs outputs_;
   Form form_ = Form::kPlain;
   std::uint32_t status_ = 0;
   std::vector<Header> headers_;
--- a/test/shell/agent_process_test.cc
+++ b/test/shell/agent_process_test.cc
@@ -49,6 +49,20 @@
         settings, kIncarnation, /*seed=*/1,
         [this] { asio::post(loop, [this] { drained = true; }); });
     REQUIRE(agent->Start().ok());
+    ConnectRouter();
+    const bool is_engine = kind == UpstreamKind::kModelEngine;
+    REQUIRE(Until([&] {
+      return report && (!is_engine || !report->upstream.loaded.empty());
+    }));
+  }
+  ~Fixture() {
+    links->Stop();
+    agent->Stop();
+  }
+
+  /// Makes a router's links, in place of any before.
+  void ConnectRouter() {
+    report.reset();
     AgentLinksOptions options;
     options.secret = "secret";
     links = std::make_unique<AgentLinks>(options, [this](const auto& event) {
@@ -61,16 +75,8 @@
     info.agent_host = "127.0.0.1";
     info.agent_port = agent->links().port();
     REQUIRE(links->Apply(info));
-    const bool is_engine = kind == UpstreamKind::kModelEngine;
-    REQUIRE(Until([&] {
-      return report && (!is_engine || !report->upstream.loaded.empty());
-    }));
-  }
-  ~Fixture() {
-    links->Stop();
-    agent->Stop();
+    REQUIRE(Until([&] { return report.has_value(); }));
   }
-
   void Serve(ScriptedServer::Connection& c) {
     if (c.input.find("\r\n\r\n") == std::string::npos) return;
     if (c.input.starts_with("GET /engine/load")) {
@@ -226,6 +232,48 @@
   CHECK(std::get<AnswerEndArrived>(f.events[2]).end.positions == 5);
 }
 
+TEST_CASE("A stream that the engine does not hold is begun anew") {
+  Fixture f;
+  AttemptRequest request = f.Attempt(RequestKind::kCompletion);
+  request.resume_from = 4;
+  request.resume_attempt = AttemptId("a0");
+  request.continuation = "so far";
+  f.respond = [&](auto& c) {
+    if (f.requests.size() == 1) {
+      return c.Write("HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n");
+    }
+    c.Write(Stream(Event("a1", 4, "x") + "data: [DONE]\n\n"));
+    c.Close();
+  };
+  f.Send(request);
+  REQUIRE(f.Until([&] { return f.events.size() == 3; }));
+  CHECK(f.requests.at(1).starts_with("POST /v1/completions "));
+  CHECK(std::get<AnswerEndArrived>(f.events[2]).end.positions == 5);
+}
+
+TEST_CASE("An answer whose link broke goes on over the next one") {
+  Fixture f;
+  f.respond = [](auto& c) { c.Write(Stream(Event("a1", 0, "x"))); };
+  AttemptRequest request = f.Attempt(RequestKind::kCompletion);
+  f.Send(request);
+  REQUIRE(f.Until([&] { return f.events.size() == 2; }));
+  f.links->Stop();
+  f.ConnectRouter();
+  f.events.clear();
+  f.connection->Write(Event("a1", 1, "y") + "data: [DONE]\n\n");
+  f.connection->Close();
+  request.attempt = AttemptId("a2");
+  request.resume_attempt = AttemptId("a1");
+  request.resume_from = 1;
+  f.Send(request);
+  REQUIRE(f.Until([&] { return f.events.size() == 3; }));
+  const AnswerChunk& chunk = std::get<AnswerChunkArrived>(f.events[1]).chunk;
+  CHECK(chunk.attempt == AttemptId("a2"));
+  CHECK(chunk.position == 1);
+  CHECK(std::get<AnswerEndArrived>(f.events[2]).end.positions == 2);
+  CHECK(f.requests.size() == 1);
+}
+
 TEST_CASE("A plain call keeps method, path, headers and key") {
   Fixture f(UpstreamKind::kPlainService);
   AttemptRequest request = f.Attempt(RequestKind::kPlain);
