--- a/src/shell/link_stream.h
+++ b/src/shell/link_stream.h
@@ -21,8 +21,8 @@
 
 /// How a stream ended.
 struct LinkClose {
-  absl::Status status;  ///< Ok if the peer ended the stream in order.
-  bool sent = true;     ///< False only if no byte of it can have left.
+  absl::Status status;       ///< Ok if the peer ended the stream in order.
+  bool sent = true;          ///< False only if no byte of it can have left.
   bool link_broken = false;  ///< The connection ended, not the stream alone.
 };
 
