--- a/src/shell/control_impl.h
+++ b/src/shell/control_impl.h
@@ -93,6 +93,7 @@
   bool leaving_ = false;
   bool running_ = false;  ///< Between `Start` and `Stop`.
 
+  LoopThread thread_;  ///< Outlives all that runs on its loop.
   std::shared_ptr<PlatformChannel> channel_;
   std::optional<HttpTableService> table_;
   std::optional<HttpObjectStore> objects_;
@@ -116,7 +117,6 @@
   mutable std::mutex stats_mutex_;
   ControlStats published_;
 
-  LoopThread thread_;
   std::optional<asio::steady_timer> tick_;
 };
 
--- a/src/shell/publish_run.cc
+++ b/src/shell/publish_run.cc
@@ -15,7 +15,7 @@
 
 using Clock = std::chrono::steady_clock;
 
-constexpr std::chrono::milliseconds kAskInterval{100};
+constexpr std::chrono::milliseconds kAskInterval{50};
 
 /// Executes the actions of a `ConfigPublisher` on one event loop.
 class PublishRun {
@@ -138,8 +138,10 @@
   }
 
   void AskOne(const InstanceId& id, const Endpoint& endpoint) {
-    // The highest version makes the answer a bare version without contents.
-    peers_->Call(endpoint, kControlCall, EncodeControl({version_, {}}),
+    // Shows the version before, so that asking does not spread the new one and
+    // the answer holds no more than the change.
+    const ConfigVersion before(version_.value - 1);
+    peers_->Call(endpoint, kControlCall, EncodeControl({before, {}}),
                  [this, id](const absl::StatusOr<std::string>& bytes) {
                    if (!bytes.ok()) return;
                    const auto answer = DecodeControl(*bytes);
