--- a/include/yuccapick/agent_core.h
+++ b/include/yuccapick/agent_core.h
@@ -19,6 +19,7 @@
   std::chrono::milliseconds report_interval{500};
   std::uint64_t seed = 0;
   Guards guards = {};  ///< Switched off only by mutation tests.
+  std::uint32_t max_slots = 64;  ///< Attempts at the upstream at a time.
 };
 
 /// Decides what reaches the upstream. Not thread-safe.
--- a/src/agent_core.cc
+++ b/src/agent_core.cc
@@ -14,6 +14,12 @@
   return memory;
 }
 
+SlotSharesOptions SlotOptions(const AgentCoreOptions& options) {
+  SlotSharesOptions slots;
+  slots.max_slots = options.max_slots;
+  return slots;
+}
+
 }  // namespace
 
 AgentCore::AgentCore(AgentCoreOptions options)
@@ -34,7 +40,8 @@
 AgentCore::Impl::Impl(AgentCoreOptions options)
     : options_(std::move(options)),
       gate_(options_.guards),
-      memory_(MemoryOptions(options_)) {
+      memory_(MemoryOptions(options_)),
+      slots_(SlotOptions(options_)) {
   UpstreamInfo& upstream = options_.upstream;
   upstream.engine_incarnation =
       std::max(upstream.engine_incarnation, upstream.agent_incarnation);
