Measure shares, retries and the cost of claims; write down the outcomes

The check for late work counts from the wake of an agent that was paused when it was told to leave: what had arrived before the mark is not new. It stays as strict for all others.

--- a/util/detail/outcome_strikes.cc
+++ b/util/detail/outcome_strikes.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 
 #include "util/detail/outcome_world.h"
@@ -138,7 +139,8 @@
 void World::Leave(std::size_t n) {
   Agent& agent = agents_[n];
   if (!agent.up || agent.left) return;
-  agent.left = timeline_.now();
+  // A paused agent hears of it when it wakes, after what arrived before.
+  agent.left = std::max(timeline_.now(), agent.paused_until);
   ToAgent(n, agent.life, LeaveRequested{kDrainDeadline});
   // The list goes on showing it as live for a while.
   TellRouters(agent.info, timeline_.Between(microseconds(0), kLongestListLag));
--- a/util/outcomes_run.cc
+++ b/util/outcomes_run.cc
@@ -14,6 +14,7 @@
 #include <thread>
 #include <vector>
 
+#include "util/detail/limits_run.h"
 #include "util/detail/outcome_world.h"
 
 namespace yuccapick::outcome {
@@ -29,6 +30,7 @@
   unsigned threads = 10;
   std::string only;  ///< One schedule by name; empty runs all.
   bool list_violations = false;
+  bool limits = false;
 };
 
 std::vector<FaultSet> AllSchedules() {
@@ -44,6 +46,37 @@
   return schedules;
 }
 
+constexpr double kClaimRates[] = {30, 100, 300, 1'000};
+constexpr std::uint64_t kAmplifiedRequests = 20'000;
+
+/// Prints what one team's load does to another, what retries do to an
+/// overload, and what claims cost.
+void PrintLimits(std::uint64_t seed) {
+  std::puts(
+      "large_load,small_first_token_p95_ms,small_answered,large_answered,"
+      "refused");
+  for (const double load : {1.0, 10.0}) {
+    const ShareResult result = RunShares({seed, load});
+    fmt::print("{},{:.1f},{},{},{}\n", load,
+               static_cast<double>(result.small_first_token_p95.count()) / 1e3,
+               result.small_answered, result.large_answered,
+               result.small_refused + result.large_refused);
+  }
+  const AmplificationResult storm = RunAmplification(seed, kAmplifiedRequests);
+  fmt::print("requests,attempts,attempts_per_request\n{},{},{:.3f}\n",
+             storm.requests, storm.attempts,
+             static_cast<double>(storm.attempts) /
+                 static_cast<double>(storm.requests));
+  std::puts("operations_per_second,operations_per_table_write,added_p95_ms");
+  for (const double rate : kClaimRates) {
+    const ClaimCostResult cost = RunClaims(seed, rate);
+    fmt::print("{},{:.2f},{:.1f}\n", rate,
+               static_cast<double>(cost.operations) /
+                   static_cast<double>(cost.table_writes),
+               static_cast<double>(cost.added_p95.count()) / 1e3);
+  }
+}
+
 Options Parse(int argc, char** argv) {
   Options options;
   const option known[] = {{"seed", required_argument, nullptr, 's'},
@@ -51,6 +84,7 @@
                           {"threads", required_argument, nullptr, 't'},
                           {"only", required_argument, nullptr, 'o'},
                           {"violations", no_argument, nullptr, 'v'},
+                          {"limits", no_argument, nullptr, 'l'},
                           {nullptr, 0, nullptr, 0}};
   for (int c = 0; (c = getopt_long(argc, argv, "", known, nullptr)) != -1;) {
     if (c == 's') options.seed = std::strtoull(optarg, nullptr, 10);
@@ -58,6 +92,7 @@
     if (c == 't') options.threads = std::atoi(optarg);
     if (c == 'o') options.only = optarg;
     if (c == 'v') options.list_violations = true;
+    if (c == 'l') options.limits = true;
     if (c == '?') std::exit(2);
   }
   return options;
@@ -106,6 +141,10 @@
 int main(int argc, char** argv) {
   namespace oc = yuccapick::outcome;
   const oc::Options options = oc::Parse(argc, argv);
+  if (options.limits) {
+    oc::PrintLimits(options.seed);
+    return 0;
+  }
   std::puts(oc::kHeader);
   oc::Tally all;
   for (const oc::FaultSet& faults : oc::AllSchedules()) {
