--- a/include/yuccapick/agent_core.h
+++ b/include/yuccapick/agent_core.h
@@ -18,7 +18,7 @@
   UpstreamInfo upstream;  ///< Identity and address; agent incarnation set.
   std::chrono::milliseconds report_interval{500};
   std::uint64_t seed = 0;
-  Guards guards = {};  ///< Switched off only by mutation tests.
+  Guards guards = {};            ///< Switched off only by mutation tests.
   std::uint32_t max_slots = 64;  ///< Attempts at the upstream at a time.
 };
 
