--- a/util/detail/replay_policy.cc
+++ b/util/detail/replay_policy.cc
@@ -146,6 +146,7 @@
     PlacementOptions options;
     options.domain =
         FailureDomain("domain-" + std::to_string(n % deployment_.domains));
+    options.routers = deployment_.routers;
     options.seed = lives_ * 1'000 + n;
     routers_.push_back(std::make_unique<Placement>(options));
   }
--- a/util/detail/replay_run.cc
+++ b/util/detail/replay_run.cc
@@ -16,7 +16,6 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kReportInterval{300};
-constexpr milliseconds kReportDelay{150};
 constexpr milliseconds kEventDelay{1'000};
 constexpr milliseconds kLinkBreakDetected{20};
 constexpr milliseconds kEngineRestart{1'000};
@@ -314,7 +313,7 @@
 void Run::SampleReport(std::uint32_t engine) {
   if (fleet_.infos[engine].life == UpstreamLife::kLive) {
     const AgentReport report = MakeReport(engine, false);
-    At(now_ + kReportDelay,
+    At(now_ + trace_.deployment.report_delay,
        [this, engine, report] { Deliver(engine, report); });
   }
   At(now_ + kReportInterval, [this, engine] { SampleReport(engine); });
--- a/util/detail/replay_trace.h
+++ b/util/detail/replay_trace.h
@@ -34,6 +34,7 @@
   double prefill_tokens_per_second = 12'000;
   std::chrono::microseconds caller_hop{1'000};
   std::chrono::microseconds domain_hop{500};
+  std::chrono::milliseconds report_delay{150};  ///< Of load and digests.
 };
 
 /// Returns the deployment of that name: `sendetechnik` or `kneadwell`.
--- a/util/placement_replay.cc
+++ b/util/placement_replay.cc
@@ -4,6 +4,7 @@
 #include <fmt/format.h>
 #include <getopt.h>
 
+#include <chrono>
 #include <cstdio>
 #include <cstdlib>
 #include <string>
@@ -20,6 +21,9 @@
   std::vector<std::string> policies;
   std::vector<std::string> faults;
   std::vector<double> loads;
+  std::uint32_t cache_pieces = 0;             ///< 0 keeps the deployment's.
+  std::uint32_t routers = 0;                  ///< 0 keeps the deployment's.
+  std::chrono::milliseconds report_delay{0};  ///< 0 keeps the deployment's.
   bool show_seed = false;
   bool restart_window = false;
 };
@@ -27,7 +31,22 @@
 constexpr char kUsage[] =
     "usage: placement_replay [--seed N]... [--deployment NAME]... "
     "[--load X]... [--fault NAME]... [--policy NAME]... [--show-seed] "
-    "[--restart-window]\n";
+    "[--restart-window] [--cache-pieces N] [--routers N] "
+    "[--report-delay-ms N]\n";
+
+std::uint32_t Count(const char* text) {
+  return static_cast<std::uint32_t>(std::strtoul(text, nullptr, 10));
+}
+
+Deployment DeploymentFor(const Options& options, const std::string& name) {
+  Deployment deployment = DeploymentOf(name);
+  if (options.cache_pieces > 0) deployment.cache_pieces = options.cache_pieces;
+  if (options.routers > 0) deployment.routers = options.routers;
+  if (options.report_delay.count() > 0) {
+    deployment.report_delay = options.report_delay;
+  }
+  return deployment;
+}
 
 Options ParseOptions(int argc, char** argv) {
   const option kOptions[] = {
@@ -38,6 +57,9 @@
       {"policy", required_argument, nullptr, 'p'},
       {"show-seed", no_argument, nullptr, 'S'},
       {"restart-window", no_argument, nullptr, 'r'},
+      {"cache-pieces", required_argument, nullptr, 'c'},
+      {"routers", required_argument, nullptr, 'n'},
+      {"report-delay-ms", required_argument, nullptr, 'm'},
       {nullptr, 0, nullptr, 0},
   };
   Options options;
@@ -49,6 +71,10 @@
     if (c == 'p') options.policies.emplace_back(optarg);
     if (c == 'S') options.show_seed = true;
     if (c == 'r') options.restart_window = true;
+    if (c == 'c') options.cache_pieces = Count(optarg);
+    if (c == 'n') options.routers = Count(optarg);
+    if (c == 'm')
+      options.report_delay = std::chrono::milliseconds(Count(optarg));
     if (c != '?') continue;
     std::fputs(kUsage, stderr);
     std::exit(2);
@@ -118,8 +144,9 @@
   for (const std::uint64_t seed : options.seeds) {
     for (const std::string& deployment : options.deployments) {
       for (const double load : options.loads) {
-        RunTrace(options, MakeTrace(DeploymentOf(deployment), load, seed), load,
-                 seed);
+        RunTrace(options,
+                 MakeTrace(DeploymentFor(options, deployment), load, seed),
+                 load, seed);
       }
     }
   }
