--- a/util/placement_replay.cc
+++ b/util/placement_replay.cc
@@ -73,8 +73,9 @@
     if (c == 'r') options.restart_window = true;
     if (c == 'c') options.cache_pieces = Count(optarg);
     if (c == 'n') options.routers = Count(optarg);
-    if (c == 'm')
+    if (c == 'm') {
       options.report_delay = std::chrono::milliseconds(Count(optarg));
+    }
     if (c != '?') continue;
     std::fputs(kUsage, stderr);
     std::exit(2);
