--- a/src/router_requests.cc
+++ b/src/router_requests.cc
@@ -66,6 +66,7 @@
   flight.arrived = now_;
   if (request.kind != RequestKind::kPlain) {
     flight.placement = MakePlacement(request, flight.admitted);
+    flight.request.levels = {};  // The body has the text; the pieces suffice.
   }
   auto [it, inserted] = flights_.emplace(request.id, std::move(flight));
   if (!inserted) return;
--- a/src/shell/agent_links.h
+++ b/src/shell/agent_links.h
@@ -24,7 +24,7 @@
   std::string secret;
   TlsSettings tls;
   std::chrono::milliseconds report_interval{500};
-  std::size_t mailbox_capacity = 1 << 16;
+  std::size_t mailbox_capacity = 1 << 13;
   std::uint64_t seed = 0;  ///< Of the reconnect jitter.
 };
 
--- a/src/shell/agent_process.cc
+++ b/src/shell/agent_process.cc
@@ -8,7 +8,7 @@
 namespace yuccapick {
 namespace {
 
-constexpr std::size_t kRingCapacity = 1 << 14;
+constexpr std::size_t kRingCapacity = 1 << 12;
 constexpr std::chrono::milliseconds kFlushPoll{5};
 constexpr std::chrono::milliseconds kLongestFlush{1'000};
 
--- a/src/shell/caller_duty.cc
+++ b/src/shell/caller_duty.cc
@@ -12,7 +12,7 @@
 namespace yuccapick {
 namespace {
 
-constexpr std::size_t kRingCapacity = 1 << 16;
+constexpr std::size_t kRingCapacity = 1 << 13;
 constexpr std::chrono::milliseconds kBusyRetryAfter{500};
 constexpr std::chrono::microseconds kFullRingPause{200};
 /// A caller that leaves this much unread is cut off.
--- a/src/shell/router_process.cc
+++ b/src/shell/router_process.cc
@@ -11,7 +11,7 @@
 namespace yuccapick {
 namespace {
 
-constexpr std::size_t kEventRingCapacity = 1 << 15;
+constexpr std::size_t kEventRingCapacity = 1 << 13;
 
 RouterCoreOptions CoreOptions(const ProcessSettings& settings,
                               Incarnation incarnation, std::uint64_t seed) {
