--- /dev/null
+++ b/src/shell/platform_query.h
@@ -0,0 +1,43 @@
+#ifndef YUCCAPICK_SHELL_PLATFORM_QUERY_H_
+#define YUCCAPICK_SHELL_PLATFORM_QUERY_H_
+
+/// @file
+/// Blocking queries to the platform for commands that only read.
+
+#include <asio.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "shell/platform_client.h"
+#include "shell/settings.h"
+
+namespace yuccapick {
+
+/// Each call runs an event loop of its own until the answer is there.
+class PlatformQuery {
+ public:
+  explicit PlatformQuery(const PlatformSettings& settings);
+
+  absl::StatusOr<std::vector<TableRow>> Read(const std::string& key);
+  /// All rows below a prefix, in key order.
+  absl::StatusOr<std::vector<TableRow>> Scan(const std::string& prefix);
+  absl::StatusOr<std::string> Object(const std::string& name);
+  absl::StatusOr<std::vector<InstanceEntry>> Instances();
+
+ private:
+  /// Runs the loop until `call` has handed its result to its argument.
+  template <typename T, typename Call>
+  absl::StatusOr<T> Await(Call call);
+
+  asio::io_context loop_{1};
+  std::shared_ptr<PlatformChannel> channel_;
+  HttpTableService table_;
+  HttpObjectStore objects_;
+  HttpInstanceList instances_;
+};
+
+}  // namespace yuccapick
+
+#endif  // YUCCAPICK_SHELL_PLATFORM_QUERY_H_
