Serve an agent's metrics, and take configurations from the platform duty only

Cause: settings had a metrics address that no agent listened on. A watcher's version reached the decisions as a configuration without teams; the full one of the same version was then ignored and every team weighed alike. Change: the agent answers /metrics, /healthz and /readyz; a watcher's version only makes the platform duty fetch.

--- a/src/shell/agent_process.cc
+++ b/src/shell/agent_process.cc
@@ -60,6 +60,21 @@
       upstream_thread_.loop(), ClientOptions(settings_.agent),
       [this](const AgentEvent& event) { return events_.Post(event); });
   ServeControlCalls();
+  if (settings_.metrics.port == 0) return;
+  MetricsSources sources;
+  sources.render = [this] { return server_->RenderMetrics(); };
+  sources.ready = [this] {
+    return server_->core().Upstream().life == UpstreamLife::kLive;
+  };
+  metrics_ = std::make_unique<MetricsServer>(
+      link_thread_.loop(), settings_.metrics, std::move(sources));
+}
+
+void AgentProcess::OpenMetrics() {
+  const absl::Status status = metrics_->Open();
+  if (status.ok()) return;
+  LOG(ERROR) << "event=metrics_listen_failed reason=\"" << status.message()
+             << '"';
 }
 
 bool AgentProcess::TakeControl(const ControlEvent& event) {
@@ -90,6 +105,9 @@
 absl::Status AgentProcess::Start() {
   if (absl::Status status = server_->Start(); !status.ok()) return status;
   asio::post(upstream_thread_.loop(), [this] { upstream_->Start(); });
+  if (metrics_ != nullptr) {
+    asio::post(link_thread_.loop(), [this] { OpenMetrics(); });
+  }
   link_thread_.Start();
   upstream_thread_.Start();
   control_.Start();
--- a/src/shell/agent_process.h
+++ b/src/shell/agent_process.h
@@ -14,6 +14,7 @@
 #include "shell/control_loop.h"
 #include "shell/loop_thread.h"
 #include "shell/mailbox.h"
+#include "shell/metrics_server.h"
 #include "shell/settings.h"
 #include "shell/upstream_client.h"
 
@@ -47,6 +48,7 @@
  private:
   bool TakeControl(const ControlEvent& event);
   void ServeControlCalls();
+  void OpenMetrics();
   void FinishDrain();
   void WaitFlushed();
 
@@ -59,6 +61,7 @@
   std::shared_ptr<AgentServer> server_;
   std::shared_ptr<UpstreamClient> upstream_;
   ControlLoop control_;
+  std::unique_ptr<MetricsServer> metrics_;  ///< Null if switched off.
   asio::steady_timer flush_timer_;
   std::chrono::steady_clock::time_point flush_limit_;
 };
--- a/src/shell/agent_server.cc
+++ b/src/shell/agent_server.cc
@@ -36,13 +36,6 @@
   return options;
 }
 
-/// Agents use only the version of a configuration.
-ConfigPtr VersionOnly(ConfigVersion version) {
-  auto config = std::make_shared<ConfigSnapshot>();
-  config->version = version;
-  return config;
-}
-
 }  // namespace
 
 AgentServer::AgentServer(asio::io_context& loop,
@@ -222,7 +215,6 @@
     ++stats_.malformed;
     return;
   }
-  Handle(ConfigChanged{VersionOnly(request->config)});
   outputs_.peer_version(request->config);
   const bool is_new =
       watchers_.try_emplace(stream.get(), Watcher{stream}).second;
