Keep deployments on one machine apart, and run the demo

Two demos at once took each other's ports, and a stand-in whose port was taken aborted instead of saying so, because RESTinio lets no exception out of its open callback. The base port now derives from the process id, a process that ends early fails the start with its last log lines, and a stand-in that cannot listen exits with 1. path.sh uses all eight teams.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -3,7 +3,7 @@
 # real processes: 3 routers, 18 engines, 3 plain services, 21 agents and the
 # platform stand-in. Exits 0 only if every stream was complete, every booking
 # ran exactly once and every process stopped gracefully.
-# BASE_PORT (17000) moves all ports; DEMO_SECONDS (10) sets the length.
+# BASE_PORT moves all ports; DEMO_SECONDS (10) sets the length.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 scripts/install.sh curl
--- a/scripts/lib/deployment.sh
+++ b/scripts/lib/deployment.sh
@@ -1,8 +1,9 @@
 # Starts and stops a deployment of stand-ins, agents and routers on loopback.
-# To be sourced. Reads BASE_PORT (17000), BUILD_DIR (build), and the engine_options,
-# engines, plains and routers set by the caller before deployment_start.
+# To be sourced. Reads BUILD_DIR (build), BASE_PORT (default: one of 28 ranges of 500
+# ports, by process id), and the engine_options, engines, plains and routers set by the
+# caller before deployment_start.
 
-base_port=${BASE_PORT:-17000}
+base_port=${BASE_PORT:-$((17000 + $$ % 28 * 500))}
 build_dir=${BUILD_DIR:-build}
 engines=18
 plains=3
@@ -79,9 +80,21 @@
     \"state\":\"live\",\"services\":[${5:-}]}"
 }
 
+# check_alive: fails if a process has ended early, such as for a port in use.
+check_alive() {
+  local name
+  for name in "${!pid_of[@]}"; do
+    kill -0 "${pid_of[$name]}" 2> /dev/null && continue
+    echo "$name ended early; set BASE_PORT to another range if its port was taken:" >&2
+    tail -n 3 "$run_dir/$name.log" >&2
+    return 1
+  done
+}
+
 start_platform() {
   start platform "$build_dir/yuccapick-standin" platform --listen "127.0.0.1:$platform_port"
   wait_for_url "$platform_url/instances" 10
+  check_alive
 }
 
 start_upstreams() {
@@ -163,6 +176,7 @@
   start_agents
   start_routers
   wait_for_routers
+  check_alive
 }
 
 router_targets() {
--- a/scripts/measure/path.sh
+++ b/scripts/measure/path.sh
@@ -28,7 +28,11 @@
 # value FILE FIGURE
 value() { awk -F, -v figure="$2" '$1 == figure { print $2 }' "$1"; }
 
-load() { "$build_dir/yuccapick_load" --csv --team harbour-physio=4 --team st-anne "$@"; }
+load() {
+  "$build_dir/yuccapick_load" --csv --documents 64 --team harbour-physio=4 \
+    --team north-quay-clinic=4 --team willow-therapy=3 --team canal-street --team fell-view \
+    --team old-mill --team riverside-sports --team st-anne "$@"
+}
 
 echo "router_rss_idle,$(rss '^router'),MB"
 echo "agent_rss_idle,$(rss '^engine|^plain'),MB"
--- a/standin/http_server.cc
+++ b/standin/http_server.cc
@@ -113,6 +113,14 @@
   bool aborted_ = false;
 };
 
+std::string ReasonOf(const std::exception_ptr& failure) {
+  try {
+    std::rethrow_exception(failure);
+  } catch (const std::exception& it) {
+    return it.what();
+  }
+}
+
 std::string Lower(std::string_view text) {
   std::string lower(text);
   std::transform(lower.begin(), lower.end(), lower.begin(),
@@ -168,7 +176,7 @@
 class HttpServer::Impl {
  public:
   Impl(asio::io_context& loop, const std::string& host, std::uint16_t port,
-       Handler handler)
+       Handler handler, std::function<void(const std::string&)> failed)
       : server_(restinio::external_io_context(loop), [&](auto& settings) {
           settings.address(host)
               .port(port)
@@ -186,10 +194,10 @@
                 return restinio::request_accepted();
               });
         }) {
-    // A port that is taken ends the loop's run with the exception.
+    // RESTinio lets no exception out of this callback.
     server_.open_async([] {},
-                       [](const std::exception_ptr& failure) {
-                         std::rethrow_exception(failure);
+                       [failed](const std::exception_ptr& failure) {
+                         failed(ReasonOf(failure));
                        });
   }
 
@@ -198,8 +206,10 @@
 };
 
 HttpServer::HttpServer(asio::io_context& loop, const std::string& host,
-                       std::uint16_t port, Handler handler)
-    : impl_(std::make_unique<Impl>(loop, host, port, std::move(handler))) {}
+                       std::uint16_t port, Handler handler,
+                       std::function<void(const std::string&)> failed)
+    : impl_(std::make_unique<Impl>(loop, host, port, std::move(handler),
+                                   std::move(failed))) {}
 
 HttpServer::~HttpServer() = default;
 
--- a/standin/http_server.h
+++ b/standin/http_server.h
@@ -56,8 +56,10 @@
 /// Serves one address on the caller's event loop.
 class HttpServer {
  public:
+  /// @param failed gets the reason if the address cannot be served
   HttpServer(asio::io_context& loop, const std::string& host,
-             std::uint16_t port, Handler handler);
+             std::uint16_t port, Handler handler,
+             std::function<void(const std::string&)> failed);
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
--- a/standin/main.cc
+++ b/standin/main.cc
@@ -3,7 +3,6 @@
 #include <asio.hpp>
 #include <chrono>
 #include <csignal>
-#include <exception>
 #include <memory>
 #include <string>
 #include <thread>
@@ -35,18 +34,29 @@
   explicit Process(Options options)
       : context_(std::move(options)),
         role_(MakeRole(context_)),
-        server_(context_.loop, context_.options.host, context_.options.port,
-                [this](const Request& request, const ResponderPtr& responder) {
-                  Handle(request, responder);
-                }) {}
+        server_(
+            context_.loop, context_.options.host, context_.options.port,
+            [this](const Request& request, const ResponderPtr& responder) {
+              Handle(request, responder);
+            },
+            [this](const std::string& reason) { Fail(reason); }) {}
 
-  void Run() {
+  /// Serves until a stop signal. Returns the exit code.
+  int Run() {
     asio::signal_set signals(context_.loop, SIGTERM, SIGINT);
     signals.async_wait([this](const auto&, int) { context_.loop.stop(); });
     context_.loop.run();
+    return exit_code_;
   }
 
  private:
+  void Fail(const std::string& reason) {
+    fmt::print(stderr, "yuccapick-standin: {}:{}: {}; choose a free port\n",
+               context_.options.host, context_.options.port, reason);
+    exit_code_ = 1;
+    context_.loop.stop();
+  }
+
   void Handle(const Request& request, const ResponderPtr& responder) {
     if (request.path != "/faults") return role_->Handle(request, responder);
     if (request.method == "POST") ChangeFaults(request.Json());
@@ -68,6 +78,7 @@
     }
   }
 
+  int exit_code_ = 0;
   Context context_;
   std::unique_ptr<Role> role_;
   HttpServer server_;
@@ -80,13 +91,5 @@
   int exit_code = 0;
   const auto options = yuccapick::standin::ParseOptions(argc, argv, exit_code);
   if (!options) return exit_code;
-  try {
-    auto process = std::make_unique<yuccapick::standin::Process>(*options);
-    process->Run();
-  } catch (const std::exception& failure) {
-    fmt::print(stderr, "yuccapick-standin: {}:{}: {}; choose a free port\n",
-               options->host, options->port, failure.what());
-    return 1;
-  }
-  return 0;
+  return std::make_unique<yuccapick::standin::Process>(*options)->Run();
 }
