--- a/standin/http_server.cc
+++ b/standin/http_server.cc
@@ -176,7 +176,7 @@
 class HttpServer::Impl {
  public:
   Impl(asio::io_context& loop, const std::string& host, std::uint16_t port,
-       Handler handler, std::function<void(const std::string&)> failed)
+       Handler handler, const std::function<void(const std::string&)>& failed)
       : server_(restinio::external_io_context(loop), [&](auto& settings) {
           settings.address(host)
               .port(port)
@@ -207,9 +207,9 @@
 
 HttpServer::HttpServer(asio::io_context& loop, const std::string& host,
                        std::uint16_t port, Handler handler,
-                       std::function<void(const std::string&)> failed)
+                       const std::function<void(const std::string&)>& failed)
     : impl_(std::make_unique<Impl>(loop, host, port, std::move(handler),
-                                   std::move(failed))) {}
+                                   failed)) {}
 
 HttpServer::~HttpServer() = default;
 
--- a/standin/http_server.h
+++ b/standin/http_server.h
@@ -59,7 +59,7 @@
   /// @param failed gets the reason if the address cannot be served
   HttpServer(asio::io_context& loop, const std::string& host,
              std::uint16_t port, Handler handler,
-             std::function<void(const std::string&)> failed);
+             const std::function<void(const std::string&)>& failed);
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
