--- a/src/placement_choose.cc
+++ b/src/placement_choose.cc
@@ -82,10 +82,14 @@
     }
     return;
   }
-  const std::vector<std::uint32_t> homes = RendezvousHomes(
-      HomeKey(request.pieces), group.node_hashes, kHomeCandidates);
-  for (const std::uint32_t n : homes) {
-    AddCandidate(request, group.slots[n], 0, candidates);
+  // Scoring every engine is the dearest step; a prefix with many holders has
+  // no need of its homes.
+  if (candidates.size() < kMostHolders) {
+    const std::vector<std::uint32_t> homes = RendezvousHomes(
+        HomeKey(request.pieces), group.node_hashes, kHomeCandidates);
+    for (const std::uint32_t n : homes) {
+      AddCandidate(request, group.slots[n], 0, candidates);
+    }
   }
   for (std::size_t n = 0; n < kSampledCandidates; ++n) {
     draws_ = RendezvousScore(draws_, n + 1);
