--- a/src/agent_attempts.cc
+++ b/src/agent_attempts.cc
@@ -27,6 +27,13 @@
           std::nullopt};
 }
 
+Error UnclaimedError(const std::string& key) {
+  return {
+      ErrorKind::kPlatformUnavailable, Execution::kNotRun,
+      fmt::format("key {} is not claimed in the table; claim it first", key),
+      std::nullopt};
+}
+
 Error FullError(const AttemptRequest& request, FairQueue::PushResult result) {
   const bool own_share = result == FairQueue::PushResult::kTeamFull;
   return {own_share ? ErrorKind::kShareExceeded : ErrorKind::kOverloaded,
@@ -88,6 +95,12 @@
     return;
   }
   if (!gate_.Remember(request.attempt)) return;
+  const bool unclaimed =
+      !request.key.empty() && !request.claimed && !request.key_made;
+  if (unclaimed && options_.guards.claim) {
+    Refuse(request.attempt, UnclaimedError(request.key.value));
+    return;
+  }
   const bool remembered =
       !request.key.empty() && options_.guards.operation_memory;
   if (remembered) {
