Start from a peer also while version 1 is in force

The changes from the empty configuration now stand for the index, and a process without any is sent everything.

--- a/src/config_sync.cc
+++ b/src/config_sync.cc
@@ -30,7 +30,7 @@
 }
 
 std::optional<ConfigIndex> ConfigSync::TargetIndex() const {
-  if (config_ != nullptr && target_.base_hash == head_.index_hash) {
+  if (target_.base_hash == head_.index_hash) {
     ConfigIndex next = Apply(index_, target_.changes);
     if (Sha256Hex(SerialiseIndex(next)) == target_.index_hash) return next;
   }
@@ -87,7 +87,7 @@
   ConfigBundle bundle;
   if (config_ == nullptr || have >= version()) return bundle;
   bundle.head = head_;
-  if (have.Next() == version()) {
+  if (have.value != 0 && have.Next() == version()) {
     for (const ConfigChange& change : head_.changes) {
       const auto it = contents_.find(change.hash);
       if (it != contents_.end()) bundle.contents.insert(*it);
