Let placement see the agents' queues, and fit slots to the engine

Cause: an agent passed at most 64 attempts to its engine and reported its own queue as requests without work, so that placement kept sending to a few homes while other engines were idle (200 streams/s of two teams: first token p95 4.5 s, 178 of 1,600 refused). Excluded: the router's threads (27 % of a core at most), its admission (queued 0 s), full rings (none refused). Change: the drain rate turns the queue into an expected wait that is reported as prefill work; slots grow from 64 up to agent.max_running while the engine has no queue.

--- a/include/yuccapick/agent_core.h
+++ b/include/yuccapick/agent_core.h
@@ -18,8 +18,8 @@
   UpstreamInfo upstream;  ///< Identity and address; agent incarnation set.
   std::chrono::milliseconds report_interval{500};
   std::uint64_t seed = 0;
-  Guards guards = {};            ///< Switched off only by mutation tests.
-  std::uint32_t max_slots = 64;  ///< Attempts at the upstream at a time.
+  Guards guards = {};               ///< Switched off only by mutation tests.
+  std::uint32_t max_slots = 1'024;  ///< Attempts at the upstream at a time.
 };
 
 /// Decides what reaches the upstream. Not thread-safe.
--- a/include/yuccapick/slot_shares.h
+++ b/include/yuccapick/slot_shares.h
@@ -16,7 +16,8 @@
 
 struct SlotSharesOptions {
   std::uint32_t min_slots = 4;
-  std::uint32_t max_slots = 64;
+  std::uint32_t initial_slots = 64;
+  std::uint32_t max_slots = 1'024;
   std::uint32_t queue_target = 4;  ///< Requests that may wait in the engine.
   double held_share = 1.0;  ///< Of a team's fair share, kept while unused.
   std::chrono::seconds memory{60};  ///< For how long past use counts.
--- a/src/agent_attempts.cc
+++ b/src/agent_attempts.cc
@@ -236,6 +236,7 @@
   attempt->ended = true;
   attempt->unwatched_since = now_;
   slots_.OnEnded(attempt->request.team);
+  drain_.OnEnded(now_);
 }
 
 void AgentCore::Impl::On(const UpstreamFailed& event) {
--- a/src/agent_core.cc
+++ b/src/agent_core.cc
@@ -8,6 +8,8 @@
 namespace yuccapick {
 namespace {
 
+constexpr double kAssumedTokensPerSecond = 10'000;
+
 OperationMemoryOptions MemoryOptions(const AgentCoreOptions& options) {
   OperationMemoryOptions memory;
   memory.guards = options.guards;
@@ -58,25 +60,37 @@
 }
 
 AgentReport AgentCore::Impl::FullReport(TimePoint now) const {
-  AgentReport report = MakeReport();
+  AgentReport report = MakeReport(now);
   report.digest = picture_.FullDigest(now);
   report.digest_is_full = true;
   return report;
 }
 
-AgentReport AgentCore::Impl::MakeReport() const {
+AgentReport AgentCore::Impl::MakeReport(TimePoint now) const {
   AgentReport report;
   report.upstream = options_.upstream;
   report.config = gate_.config();
   report.sequence = sequence_;
   report.load = load_;
-  report.load.queued += static_cast<std::uint32_t>(queue_.size());
+  AddQueue(report.load, now);
   return report;
 }
 
+/// Adds the work that waits here, in tokens of prefill that take as long.
+void AgentCore::Impl::AddQueue(LoadReport& load, TimePoint now) const {
+  if (queue_.size() == 0) return;
+  load.queued += static_cast<std::uint32_t>(queue_.size());
+  if (load.prefill_tokens_per_second <= 0) {
+    load.prefill_tokens_per_second = kAssumedTokensPerSecond;
+  }
+  const double wait = drain_.ExpectedWait(queue_.size(), now).count();
+  load.queued_prefill_tokens +=
+      static_cast<std::uint64_t>(wait * load.prefill_tokens_per_second);
+}
+
 void AgentCore::Impl::Push() {
   ++sequence_;
-  AgentReport report = MakeReport();
+  AgentReport report = MakeReport(now_);
   PictureDelta delta = picture_.TakeDelta(now_);
   report.digest = std::move(delta.added);
   report.evicted = std::move(delta.evicted);
--- a/src/agent_impl.h
+++ b/src/agent_impl.h
@@ -8,6 +8,7 @@
 
 #include "yuccapick/agent_core.h"
 #include "yuccapick/attempt_gate.h"
+#include "yuccapick/drain_rate.h"
 #include "yuccapick/engine_picture.h"
 #include "yuccapick/fair_queue.h"
 #include "yuccapick/operation_memory.h"
@@ -75,7 +76,8 @@
   void On(const TableRead& event);
   void On(const Tick& event);
 
-  AgentReport MakeReport() const;
+  AgentReport MakeReport(TimePoint now) const;
+  void AddQueue(LoadReport& load, TimePoint now) const;
   void Push();
   void CheckDrained();
 
@@ -87,6 +89,7 @@
   OrderFence orders_;
   StreamRelay relay_;
   FairQueue queue_;
+  DrainRate drain_;
   SlotShares slots_;
   ConfigPtr config_;
   EnginePicture picture_;
--- a/src/agent_slots.cc
+++ b/src/agent_slots.cc
@@ -46,7 +46,10 @@
   auto it = running_.find(id);
   if (it == running_.end()) return;
   const bool holds_slot = it->second.started && !it->second.ended;
-  if (holds_slot) slots_.OnEnded(it->second.request.team);
+  if (holds_slot) {
+    slots_.OnEnded(it->second.request.team);
+    drain_.OnEnded(now_);
+  }
   relay_.Erase(id);
   running_.erase(it);
 }
--- a/src/shell/agent_server.cc
+++ b/src/shell/agent_server.cc
@@ -24,6 +24,7 @@
   upstream.agent_incarnation = incarnation;
   upstream.services = settings.agent.services;
   options.seed = incarnation.value;
+  options.max_slots = static_cast<std::uint32_t>(settings.agent.max_running);
   return options;
 }
 
--- a/src/shell/settings.cc
+++ b/src/shell/settings.cc
@@ -77,6 +77,7 @@
   table.Read("upstream_url", agent.upstream_url);
   table.Read("services", services);
   table.Read("upstream_checks_fence", agent.upstream_checks_fence);
+  table.ReadCount("max_running", agent.max_running);
   ReadKind(table, agent.kind);
   table.Finish();
   for (std::string& name : services) agent.services.emplace_back(name);
--- a/src/shell/settings.h
+++ b/src/shell/settings.h
@@ -53,6 +53,7 @@
   std::string upstream_url;
   std::vector<ServiceId> services;  ///< For plain services.
   bool upstream_checks_fence = false;
+  std::size_t max_running = 1'024;  ///< Attempts at the upstream at a time.
 };
 
 /// Settings of one process.
--- a/src/slot_shares.cc
+++ b/src/slot_shares.cc
@@ -7,12 +7,13 @@
 namespace {
 
 constexpr double kShrink = 0.85;
-constexpr double kGrow = 1.1;
+constexpr double kGrow = 1.25;
 
 }  // namespace
 
 SlotShares::SlotShares(SlotSharesOptions options)
-    : options_(options), slots_(options.max_slots) {}
+    : options_(options),
+      slots_(std::min(options.initial_slots, options.max_slots)) {}
 
 void SlotShares::SetWeight(const TeamId& team, double weight) {
   teams_[team].weight = weight;
