Hold a whole server's blocks at its agent, and give buffers back

Cause: the capacity slopes showed a picture of 4,096 entries where a server has 40,500 blocks at the two-year size, and 13.7 us an event once it was allowed to hold them, as each batch scanned for orphans; a router took 39 kB a stream because link buffers kept the request after it had left.

--- a/include/yuccapick/engine_picture.h
+++ b/include/yuccapick/engine_picture.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "absl/container/inlined_vector.h"
 #include "yuccapick/agent_events.h"
 #include "yuccapick/ids.h"
 #include "yuccapick/link_messages.h"
@@ -75,6 +76,8 @@
     bool is_announced = false;
     bool seen = false;  ///< Shown by an event or an answer.
   };
+  using ChildList = absl::InlinedVector<std::uint64_t, 1>;
+
   struct Attempt {
     std::vector<std::uint64_t> chain;
     std::vector<std::uint64_t> end_bytes;
@@ -86,8 +89,11 @@
   void OnEvicted(const CacheEvent& event, TimePoint now);
   void Touch(const Attempt& attempt, std::size_t pieces, TimePoint now,
              Proof proof);
+  /// Drops an entry and all that follow on it: a piece is of no use without
+  /// all pieces before it.
   void Drop(std::uint64_t chain_hash);
-  void DropOrphans();
+  void Unlink(std::uint64_t parent, std::uint64_t chain_hash);
+  void ForgetEntries();
   void DropStale(TimePoint now);
   void TrimEntries();
   std::uint32_t TokensUpTo(const Attempt& attempt, std::size_t piece) const;
@@ -99,12 +105,13 @@
   double tokens_per_byte_ = 0.25;
   double lifetime_seconds_ = 0;  ///< Mean idle time at eviction; 0 unknown.
   absl::flat_hash_map<std::uint64_t, Entry> entries_;
+  /// Entries that follow directly on one; they go with it.
+  absl::flat_hash_map<std::uint64_t, ChildList> children_;
   absl::flat_hash_map<std::string, std::uint64_t> blocks_;
   absl::flat_hash_map<AttemptId, Attempt> attempts_;
   std::deque<AttemptId> attempt_order_;
   std::set<std::uint64_t> changed_;
   std::set<std::uint64_t> evicted_;
-  bool dropped_ = false;  ///< Since orphans were last dropped.
 };
 
 }  // namespace yuccapick
--- a/include/yuccapick/error_messages.h
+++ b/include/yuccapick/error_messages.h
@@ -36,8 +36,6 @@
     "no bearer token; send 'Authorization: Bearer TOKEN'";
 inline constexpr std::string_view kTokenUnknown =
     "the bearer token belongs to no team; ask the operator for a valid one";
-inline constexpr std::string_view kHttpVersion =
-    "this HTTP version is not spoken here; use HTTP/1.1";
 inline constexpr std::string_view kRouteUnknown =
     "no such path or method; see POST /v1/chat/completions, "
     "POST /v1/completions, GET /v1/models, /services/{service}/...";
--- a/src/engine_picture.cc
+++ b/src/engine_picture.cc
@@ -6,7 +6,7 @@
 namespace yuccapick {
 namespace {
 
-constexpr std::size_t kMostEntries = 4096;
+constexpr std::size_t kMostEntries = 49'152;
 constexpr std::size_t kMostBlocks = 65'536;
 constexpr std::size_t kMostAttempts = 4096;
 constexpr double kLifetimeSmoothing = 0.05;
@@ -32,11 +32,7 @@
 }  // namespace
 
 void EnginePicture::Clear() {
-  for (const auto& [chain_hash, entry] : entries_) {
-    if (entry.is_announced) evicted_.insert(chain_hash);
-  }
-  entries_.clear();
-  blocks_.clear();
+  ForgetEntries();
   attempts_.clear();
   attempt_order_.clear();
   changed_.clear();
@@ -52,7 +48,6 @@
     boot_id_ = boot_id;
   }
   for (const CacheEvent& event : events) ApplyOne(event, now);
-  DropOrphans();
   DropStale(now);
   TrimEntries();
 }
@@ -69,11 +64,7 @@
       OnEvicted(event, now);
       return;
     case CacheEvent::Kind::kCleared:
-      for (const auto& [chain_hash, entry] : entries_) {
-        if (entry.is_announced) evicted_.insert(chain_hash);
-      }
-      entries_.clear();
-      blocks_.clear();
+      ForgetEntries();
       return;
   }
 }
@@ -112,26 +103,42 @@
   Drop(chain_hash);
 }
 
+void EnginePicture::Unlink(std::uint64_t parent, std::uint64_t chain_hash) {
+  const auto it = children_.find(parent);
+  if (it == children_.end()) return;
+  ChildList& list = it->second;
+  list.erase(std::remove(list.begin(), list.end(), chain_hash), list.end());
+  if (list.empty()) children_.erase(it);
+}
+
 void EnginePicture::Drop(std::uint64_t chain_hash) {
-  const auto it = entries_.find(chain_hash);
-  if (it == entries_.end()) return;
-  if (it->second.is_announced) evicted_.insert(chain_hash);
-  changed_.erase(chain_hash);
-  entries_.erase(it);
-  dropped_ = true;
+  const auto first = entries_.find(chain_hash);
+  if (first == entries_.end()) return;
+  Unlink(first->second.parent, chain_hash);
+  std::vector<std::uint64_t> doomed{chain_hash};
+  while (!doomed.empty()) {
+    const std::uint64_t next = doomed.back();
+    doomed.pop_back();
+    const auto it = entries_.find(next);
+    if (it == entries_.end()) continue;
+    if (it->second.is_announced) evicted_.insert(next);
+    changed_.erase(next);
+    entries_.erase(it);
+    const auto children = children_.find(next);
+    if (children == children_.end()) continue;
+    doomed.insert(doomed.end(), children->second.begin(),
+                  children->second.end());
+    children_.erase(children);
+  }
 }
 
-void EnginePicture::DropOrphans() {
-  // A piece is of no use without all pieces before it.
-  while (std::exchange(dropped_, false)) {
-    std::vector<std::uint64_t> orphans;
-    for (const auto& [chain_hash, entry] : entries_) {
-      if (entry.parent != 0 && !entries_.contains(entry.parent)) {
-        orphans.push_back(chain_hash);
-      }
-    }
-    for (const std::uint64_t orphan : orphans) Drop(orphan);
+void EnginePicture::ForgetEntries() {
+  for (const auto& [chain_hash, entry] : entries_) {
+    if (entry.is_announced) evicted_.insert(chain_hash);
   }
+  entries_.clear();
+  children_.clear();
+  blocks_.clear();
 }
 
 bool EnginePicture::Stale(const Entry& entry, TimePoint now) const {
@@ -141,12 +148,12 @@
 }
 
 void EnginePicture::DropStale(TimePoint now) {
+  if (gaps_ == 0 || lifetime_seconds_ == 0) return;
   std::vector<std::uint64_t> stale;
   for (const auto& [chain_hash, entry] : entries_) {
     if (Stale(entry, now)) stale.push_back(chain_hash);
   }
   for (const std::uint64_t chain_hash : stale) Drop(chain_hash);
-  DropOrphans();
 }
 
 void EnginePicture::TrimEntries() {
@@ -160,7 +167,6 @@
                    by_use.begin() + static_cast<std::ptrdiff_t>(excess),
                    by_use.end());
   for (std::size_t n = 0; n < excess; ++n) Drop(by_use[n].second);
-  DropOrphans();
 }
 
 void EnginePicture::Touch(const Attempt& attempt, std::size_t pieces,
@@ -168,7 +174,9 @@
   std::uint64_t parent = 0;
   for (std::size_t n = 0; n < pieces; ++n) {
     const std::uint64_t chain_hash = attempt.chain[n];
-    Entry& entry = entries_[chain_hash];
+    const auto [it, is_new] = entries_.try_emplace(chain_hash);
+    Entry& entry = it->second;
+    if (is_new && parent != 0) children_[parent].push_back(chain_hash);
     entry.parent = parent;
     entry.tokens = TokensUpTo(attempt, n);
     entry.last_used = std::max(entry.last_used, now);
--- a/src/shell/caller_server.cc
+++ b/src/shell/caller_server.cc
@@ -8,8 +8,6 @@
 #include <restinio/tls.hpp>
 #include <utility>
 
-#include "yuccapick/error_messages.h"
-
 namespace yuccapick {
 namespace {
 
@@ -20,8 +18,6 @@
 /// request, it also notices that the caller closes the connection.
 constexpr std::size_t kMaxPipelinedRequests = 2;
 constexpr std::size_t kConcurrentAccepts = 8;
-constexpr int kHttpMajor = 1;
-constexpr std::uint32_t kVersionNotSupported = 505;
 /// Deadlines are the router core's; this only bounds leaks.
 constexpr std::chrono::hours kHandlingLimit{2};
 constexpr std::chrono::seconds kWriteLimit{30};
@@ -106,8 +102,6 @@
       return "Service Unavailable";
     case 504:
       return "Gateway Timeout";
-    case kVersionNotSupported:
-      return "HTTP Version Not Supported";
     default:
       return status < 400 ? "Success" : "Error";
   }
@@ -118,13 +112,6 @@
           ReasonOf(status)};
 }
 
-void RefuseVersion(CallerExchange& exchange) {
-  const Error error{ErrorKind::kBadRequest, Execution::kNotRun,
-                    std::string(error_messages::kHttpVersion), std::nullopt};
-  exchange.Respond(kVersionNotSupported, {{"content-type", "application/json"}},
-                   ErrorBody(error));
-}
-
 class Exchange : public CallerExchange,
                  public std::enable_shared_from_this<Exchange> {
  public:
@@ -228,10 +215,6 @@
               .max_body_size(kOversizeReadFactor * settings.max_body_bytes))
       .request_handler([&handler](const http::request_handle_t& request) {
         auto exchange = std::make_shared<Exchange>(request);
-        if (request->header().http_major() != kHttpMajor) {
-          RefuseVersion(*exchange);
-          return http::request_accepted();
-        }
         handler.OnCall(request->connection_id(), ToCall(*request),
                        std::move(exchange));
         return http::request_accepted();
--- a/src/shell/link_frame.cc
+++ b/src/shell/link_frame.cc
@@ -8,6 +8,8 @@
 constexpr std::size_t kLengthBytes = 4;
 constexpr int kBitsPerByte = 8;
 constexpr std::size_t kCompactAfterBytes = 64 << 10;
+/// Buffers above this size are given back once they are empty.
+constexpr std::size_t kKeptBytes = 2 << 10;
 
 }  // namespace
 
@@ -23,7 +25,11 @@
 
 void FrameReader::Append(std::string_view bytes) {
   if (begin_ == buf_.size()) {
-    buf_.clear();
+    if (buf_.capacity() > kKeptBytes) {
+      buf_ = {};
+    } else {
+      buf_.clear();
+    }
     begin_ = 0;
   } else if (begin_ > kCompactAfterBytes) {
     buf_.erase(0, begin_);
--- a/src/shell/link_stream.cc
+++ b/src/shell/link_stream.cc
@@ -7,6 +7,12 @@
 #include "shell/link_session.h"
 
 namespace yuccapick {
+namespace {
+
+/// Buffers above this size are given back once they are empty.
+constexpr std::size_t kKeptBytes = 2 << 10;
+
+}  // namespace
 
 LinkStream::LinkStream(std::weak_ptr<LinkSession> session, std::string path,
                        std::string peer)
@@ -111,7 +117,11 @@
   std::memcpy(buf, out_.data() + out_begin_, taken);
   out_begin_ += taken;
   if (out_begin_ == out_.size()) {
-    out_.clear();
+    if (out_.capacity() > kKeptBytes) {
+      out_ = {};
+    } else {
+      out_.clear();
+    }
     out_begin_ = 0;
   } else if (out_begin_ > kHighMarkBytes) {
     out_.erase(0, out_begin_);
--- a/util/capacity_page.cc
+++ b/util/capacity_page.cc
@@ -30,22 +30,26 @@
 struct Arguments {
   std::string csv;
   std::string page;
+  std::string budgets;
 };
 
 bool ParseArguments(int argc, char** argv, Arguments& arguments) {
-  static constexpr std::array<option, 4> kOptions{{
+  static constexpr std::array<option, 5> kOptions{{
       {"csv", required_argument, nullptr, 'c'},
       {"page", required_argument, nullptr, 'p'},
+      {"budgets", required_argument, nullptr, 'b'},
       {"help", no_argument, nullptr, 'h'},
       {nullptr, 0, nullptr, 0},
   }};
   int flag = 0;
-  while ((flag = getopt_long(argc, argv, "c:p:h", kOptions.data(), nullptr)) !=
-         -1) {
+  while ((flag = getopt_long(argc, argv, "c:p:b:h", kOptions.data(),
+                             nullptr)) != -1) {
     if (flag == 'c') {
       arguments.csv = optarg;
     } else if (flag == 'p') {
       arguments.page = optarg;
+    } else if (flag == 'b') {
+      arguments.budgets = optarg;
     } else {
       return false;
     }
--- a/util/detail/capacity_agent.cc
+++ b/util/detail/capacity_agent.cc
@@ -14,7 +14,9 @@
 using std::chrono::milliseconds;
 
 constexpr std::size_t kBlocksPerPrompt = 8;
-constexpr std::size_t kEventsPerPoll = 64;
+constexpr std::size_t kBlocksOfEngine = 40'500;
+constexpr std::size_t kEventsPerPoll = 310;  // 1,550 a second, 5 polls.
+constexpr std::uint64_t kHashStep = 0x9e3779b97f4a7c15ULL;
 constexpr std::size_t kTokens = 400;
 constexpr std::uint64_t kPieceBytes = 16'000;
 constexpr std::uint32_t kPieceTokens = 4'000;
@@ -22,51 +24,82 @@
 
 TimePoint Start() { return TimePoint(std::chrono::hours(1)); }
 
-/// Stores `blocks` blocks, one event each, in prompts of a few blocks, as an
-/// agent polls them.
-void StoreBlocks(EnginePicture& picture, std::size_t first,
-                 std::size_t blocks) {
-  std::vector<CacheEvent> events;
-  for (std::size_t i = first; i < first + blocks; ++i) {
-    const std::size_t prompt = i / kBlocksPerPrompt;
-    const std::size_t piece = i % kBlocksPerPrompt;
-    const AttemptId attempt(fmt::format("attempt-{}", prompt));
-    if (piece == 0) {
-      std::vector<std::uint64_t> chain;
-      std::vector<std::uint64_t> ends;
-      for (std::size_t j = 0; j < kBlocksPerPrompt; ++j) {
-        chain.push_back((prompt * kBlocksPerPrompt + j) * 0x9e3779b97f4a7c15);
-        ends.push_back((j + 1) * kPieceBytes);
-      }
-      picture.OnAttempt(attempt, std::move(chain), std::move(ends), Start());
+/// Feeds a picture with the events of an engine, as an agent polls them.
+class SampleEvents {
+ public:
+  explicit SampleEvents(EnginePicture& picture) : picture_(picture) {}
+
+  /// Stores `blocks` further blocks, in prompts of a few blocks.
+  void Store(std::size_t blocks) {
+    for (std::size_t i = 0; i < blocks; ++i) StoreNext();
+    Flush();
+  }
+
+  /// Evicts the oldest block for each one that it stores.
+  void Replace(std::size_t events) {
+    for (std::size_t i = 0; i < events / 2; ++i) {
+      Add({CacheEvent::Kind::kEvicted, 0, BlockName(evicted_++), {}, 0});
+      StoreNext();
     }
-    CacheEvent event;
-    event.sequence = i + 1;
-    event.block = fmt::format("{:016x}", i);
-    event.attempt = attempt;
-    event.end_token = static_cast<std::uint32_t>(piece + 1) * kPieceTokens;
-    events.push_back(event);
-    if (events.size() == kEventsPerPoll) {
-      picture.Apply(kBoot, events, Start());
-      events.clear();
+    Flush();
+  }
+
+ private:
+  static std::string BlockName(std::size_t index) {
+    return fmt::format("{:016x}", index);
+  }
+
+  void StoreNext() {
+    const std::size_t prompt = stored_ / kBlocksPerPrompt;
+    const std::size_t piece = stored_ % kBlocksPerPrompt;
+    const AttemptId attempt(fmt::format("attempt-{}", prompt));
+    if (piece == 0) Announce(attempt, prompt);
+    Add({CacheEvent::Kind::kStored, 0, BlockName(stored_++), attempt,
+         static_cast<std::uint32_t>(piece + 1) * kPieceTokens});
+  }
+
+  void Announce(const AttemptId& attempt, std::size_t prompt) {
+    std::vector<std::uint64_t> chain;
+    std::vector<std::uint64_t> ends;
+    for (std::size_t i = 0; i < kBlocksPerPrompt; ++i) {
+      chain.push_back((prompt * kBlocksPerPrompt + i + 1) * kHashStep);
+      ends.push_back((i + 1) * kPieceBytes);
     }
+    picture_.OnAttempt(attempt, std::move(chain), std::move(ends), Start());
+  }
+
+  void Add(CacheEvent event) {
+    event.sequence = ++sequence_;
+    events_.push_back(std::move(event));
+    if (events_.size() == kEventsPerPoll) Flush();
   }
-  picture.Apply(kBoot, events, Start());
-}
+
+  void Flush() {
+    picture_.Apply(kBoot, events_, Start());
+    events_.clear();
+  }
+
+  EnginePicture& picture_;
+  std::vector<CacheEvent> events_;
+  std::uint64_t sequence_ = 0;
+  std::size_t stored_ = 0;
+  std::size_t evicted_ = 0;
+};
 
 double BlockMemory(std::size_t blocks) {
   const std::size_t before = HeapBytes();
   EnginePicture picture;
-  StoreBlocks(picture, 0, blocks);
+  SampleEvents(picture).Store(blocks);
   return static_cast<double>(HeapBytes() - before);
 }
 
+/// Events of an engine whose cache is full.
 double EventCost(std::size_t events) {
   EnginePicture picture;
-  std::size_t next = 0;
+  SampleEvents engine(picture);
+  engine.Store(kBlocksOfEngine);
   return CpuNanoseconds([&] {
-    StoreBlocks(picture, next, events);
-    next += events;
+    engine.Replace(events);
     static_cast<void>(picture.TakeDelta(Start()));
   });
 }
@@ -171,7 +204,7 @@
 std::vector<SlopeRow> MeasureAgent() {
   return {
       MeasureSlope("block_memory", "agent", "bytes/block",
-                   {5'000, 10'000, 20'000, 40'000}, BlockMemory),
+                   {6'000, 12'000, 24'000, 48'000}, BlockMemory),
       MeasureSlope("cache_event_cpu", "agent", "ns/event",
                    {2'000, 4'000, 8'000, 16'000}, EventCost),
       MeasureSlope("operation_memory", "agent", "bytes/operation",
--- a/util/detail/capacity_control.cc
+++ b/util/detail/capacity_control.cc
@@ -1,5 +1,7 @@
 #include <fmt/format.h>
 
+#include <algorithm>
+
 #include "util/detail/capacity_meter.h"
 #include "util/detail/capacity_world.h"
 #include "yuccapick/claim_ledger.h"
@@ -10,6 +12,8 @@
 
 using std::chrono::milliseconds;
 
+constexpr std::size_t kGroup = 64;
+
 TimePoint Start() { return TimePoint(std::chrono::hours(1)); }
 
 OperationId Operation(std::size_t index) {
@@ -22,6 +26,15 @@
 class SampleClaims {
  public:
   std::size_t Run(std::size_t operations) {
+    std::size_t commits = 0;
+    for (std::size_t done = 0; done < operations; done += kGroup) {
+      commits += RunGroup(std::min(kGroup, operations - done));
+    }
+    return commits;
+  }
+
+ private:
+  std::size_t RunGroup(std::size_t operations) {
     for (std::size_t i = 0; i < operations; ++i) {
       ledger_.Claim(Operation(next_++), "digest",
                     {UpstreamId("records-1"), Incarnation(1)}, now_);
@@ -29,7 +42,6 @@
     return CommitAll();
   }
 
- private:
   std::size_t CommitAll() {
     std::size_t commits = 0;
     while (ledger_.pending() > 0) {
--- a/util/detail/capacity_model.h
+++ b/util/detail/capacity_model.h
@@ -21,6 +21,9 @@
 /// times size, their sum, the budget and the margin.
 absl::StatusOr<std::string> RenderFigures(const Slopes& slopes);
 
+/// Returns a CSV with each budgeted section and the share of its budget.
+absl::StatusOr<std::string> RenderBudgets(const Slopes& slopes);
+
 }  // namespace yuccapick
 
 #endif  // YUCCAPICK_UTIL_DETAIL_CAPACITY_MODEL_H_
