Let every broken-off stream go on elsewhere

Change: streams whose beginning the caller has seen take from a budget of their own, one a request and 1,024 in reserve, so amplification stays bounded; drained link buffers are really given back (assigning {} to a string keeps its capacity).

--- a/src/router_impl.h
+++ b/src/router_impl.h
@@ -88,6 +88,7 @@
   void CancelLosers(Flight& flight, const AttemptId& winner);
   std::vector<UpstreamId> Avoided(const Flight& flight) const;
   RetryBudget& BudgetOf(const ServiceId& service);
+  RetryBudget& ContinuationsOf(const ServiceId& service);
 
   // Life: router_core.cc.
   void On(const ReportArrived& event);
@@ -124,6 +125,7 @@
   ClaimLedger ledger_;
   CircuitBreaker breaker_;
   std::map<ServiceId, RetryBudget> budgets_;
+  std::map<ServiceId, RetryBudget> continuations_;  ///< Of begun streams.
   std::map<ServiceId, HedgeDelay> hedge_delays_;
   std::map<RequestId, Flight> flights_;
   std::map<AttemptId, RequestId> attempt_owners_;
--- a/src/router_requests.cc
+++ b/src/router_requests.cc
@@ -71,6 +71,7 @@
   auto [it, inserted] = flights_.emplace(request.id, std::move(flight));
   if (!inserted) return;
   BudgetOf(request.service).OnRequest();
+  ContinuationsOf(request.service).OnRequest();
   timers_.Arm(request.id, it->second.admitted.deadline);
   Dispatch(it->second);
 }
--- a/src/router_retries.cc
+++ b/src/router_retries.cc
@@ -44,12 +44,20 @@
           std::nullopt};
 }
 
+/// A crash breaks all streams of an engine at once; each should go on. Callers
+/// have seen their beginnings, so this does not feed an overload.
+constexpr RetryBudgetOptions kContinuations{1.0, 1'024.0};
+
 }  // namespace
 
 RetryBudget& RouterCore::Impl::BudgetOf(const ServiceId& service) {
   return budgets_[service];
 }
 
+RetryBudget& RouterCore::Impl::ContinuationsOf(const ServiceId& service) {
+  return continuations_.try_emplace(service, kContinuations).first->second;
+}
+
 std::vector<UpstreamId> RouterCore::Impl::Avoided(const Flight& flight) const {
   const UpstreamKind kind = flight.request.kind == RequestKind::kPlain
                                 ? UpstreamKind::kPlainService
@@ -71,6 +79,11 @@
     Dispatch(flight);
     return;
   }
+  if (may_retry && flight.begun &&
+      ContinuationsOf(flight.request.service).TryTake()) {
+    Dispatch(flight);
+    return;
+  }
   if (may_retry && BudgetOf(flight.request.service).TryTake()) {
     const auto ceiling =
         std::min(kRetryMax, kRetryBase * (1 << flight.attempts_made));
--- a/src/shell/link_frame.cc
+++ b/src/shell/link_frame.cc
@@ -26,7 +26,7 @@
 void FrameReader::Append(std::string_view bytes) {
   if (begin_ == buf_.size()) {
     if (buf_.capacity() > kKeptBytes) {
-      buf_ = {};
+      std::string().swap(buf_);
     } else {
       buf_.clear();
     }
--- a/src/shell/link_stream.cc
+++ b/src/shell/link_stream.cc
@@ -118,7 +118,7 @@
   out_begin_ += taken;
   if (out_begin_ == out_.size()) {
     if (out_.capacity() > kKeptBytes) {
-      out_ = {};
+      std::string().swap(out_);
     } else {
       out_.clear();
     }
