Enforce a service's concurrency limit, and refuse settings without effect

Cause: max_concurrency was read and had no effect; agent_memory was accepted and treated as refuse; an action for scans was never sent. A setting that does nothing misleads its operator.

--- a/include/yuccapick/config_snapshot.h
+++ b/include/yuccapick/config_snapshot.h
@@ -46,12 +46,6 @@
 
 enum class ServiceKind : std::uint8_t { kModel, kPlain };
 
-/// What happens to non-idempotent calls while the table service is down.
-enum class OutagePolicy : std::uint8_t {
-  kRefuse,       ///< Refuse them as not run.
-  kAgentMemory,  ///< Accept them at the agent that is home to their key.
-};
-
 /// A service: the models it may use or the plain upstreams behind it.
 struct ServiceConfig {
   ServiceId id;
@@ -62,10 +56,9 @@
   std::vector<RouteRule> routes;  ///< The first match holds.
   bool urgent = false;            ///< For requests that no route matches.
   bool idempotent = true;         ///< For requests that no route matches.
-  OutagePolicy outage = OutagePolicy::kRefuse;
-  double reuse_weight = 0.5;  ///< 0 weighs first token only, 1 reuse only.
+  double reuse_weight = 0.5;      ///< 0 weighs first token only, 1 reuse only.
   std::uint64_t max_body_bytes = 1 << 20;
-  std::uint32_t max_concurrency = 0;  ///< 0 is unlimited.
+  std::uint32_t max_concurrency = 0;  ///< At one router; 0 is unlimited.
   std::chrono::milliseconds deadline{60'000};
 
   bool operator==(const ServiceConfig&) const = default;
--- a/include/yuccapick/router_events.h
+++ b/include/yuccapick/router_events.h
@@ -150,13 +150,6 @@
   std::uint64_t command = 0;
   std::vector<std::string> keys;
 };
-/// Reads rows in key order; answered by `TableRead`.
-struct ScanTable {
-  std::uint64_t command = 0;
-  std::string prefix;
-  std::string after;  ///< Only rows with a greater key.
-  std::size_t limit = 0;
-};
 struct WakeAt {
   TimePoint when;
 };
@@ -197,7 +190,7 @@
 using RouterAction =
     std::variant<SendAttempt, CancelAttempt, BeginAnswer, SendAnswerData,
                  FinishAnswer, FailRequest, CommitTable, ReadTable, WakeAt,
-                 DrainComplete, RequestFinished, ScanTable, OperationFound>;
+                 DrainComplete, RequestFinished, OperationFound>;
 using RouterActions = std::vector<RouterAction>;
 
 }  // namespace yuccapick
--- a/src/config_documents.cc
+++ b/src/config_documents.cc
@@ -81,7 +81,6 @@
   Json routes = Json::array();
   for (const RouteRule& rule : service.routes) routes.push_back(ToJson(rule));
   const bool plain = service.kind == ServiceKind::kPlain;
-  const bool memory = service.outage == OutagePolicy::kAgentMemory;
   return {{"id", service.id.value},
           {"kind", plain ? "plain" : "model"},
           {"teams", NamesToJson(service.teams)},
@@ -90,7 +89,6 @@
           {"routes", std::move(routes)},
           {"urgent", service.urgent},
           {"idempotent", service.idempotent},
-          {"outage", memory ? "agent_memory" : "refuse"},
           {"reuse_weight", service.reuse_weight},
           {"max_body_bytes", service.max_body_bytes},
           {"max_concurrency", service.max_concurrency},
@@ -110,8 +108,6 @@
   }
   service.urgent = json.at("urgent");
   service.idempotent = json.at("idempotent");
-  const bool memory = json.at("outage") == "agent_memory";
-  service.outage = memory ? OutagePolicy::kAgentMemory : OutagePolicy::kRefuse;
   service.reuse_weight = json.at("reuse_weight");
   service.max_body_bytes = json.at("max_body_bytes");
   service.max_concurrency = json.at("max_concurrency");
--- a/src/config_parser.cc
+++ b/src/config_parser.cc
@@ -230,7 +230,7 @@
                    known_.adapters, service.adapters);
     reader.Flag("urgent", service.urgent);
     reader.Flag("idempotent", service.idempotent);
-    ParseOutage(reader, service);
+    ParseOutage(reader);
     ParseLimits(reader, service);
     reader.Tables("routes", [&](const toml::table& route) {
       ParseRoute(file, route, service);
@@ -268,14 +268,13 @@
     }
   }
 
-  static void ParseOutage(ConfigReader& reader, ServiceConfig& service) {
+  static void ParseOutage(ConfigReader& reader) {
     std::string outage = "refuse";
     reader.Text("outage", outage);
-    if (outage == "agent_memory") service.outage = OutagePolicy::kAgentMemory;
-    if (outage != "refuse" && outage != "agent_memory") {
+    if (outage != "refuse") {
       reader.Report(reader.LineOf("outage"), "outage",
                     fmt::format("unknown 'outage' policy '{}'", outage),
-                    "use one of: refuse, agent_memory");
+                    "remove it or use: refuse");
     }
   }
 
--- a/src/router_core.cc
+++ b/src/router_core.cc
@@ -154,6 +154,7 @@
     ledger_.Forget(flight.operation->id);
     operation_owners_.erase(flight.operation->id);
   }
+  --in_flight_[flight.request.service];
   flights_.erase(flight.request.id);
 }
 
--- a/src/router_impl.h
+++ b/src/router_impl.h
@@ -124,6 +124,7 @@
   Placement placement_;
   ClaimLedger ledger_;
   CircuitBreaker breaker_;
+  std::map<ServiceId, std::uint32_t> in_flight_;
   std::map<ServiceId, RetryBudget> budgets_;
   std::map<ServiceId, RetryBudget> continuations_;  ///< Of begun streams.
   std::map<ServiceId, HedgeDelay> hedge_delays_;
--- a/src/router_requests.cc
+++ b/src/router_requests.cc
@@ -7,6 +7,8 @@
 namespace yuccapick {
 namespace {
 
+constexpr std::chrono::milliseconds kConcurrencyRetryAfter{500};
+
 constexpr std::chrono::milliseconds kNoUpstreamRetryAfter{1'000};
 constexpr std::uint64_t kPieceBytes = 16 << 10;
 
@@ -16,6 +18,14 @@
           std::chrono::milliseconds(0)};
 }
 
+Error ConcurrencyError(const CallerRequest& request, std::uint32_t most) {
+  return {ErrorKind::kOverloaded, Execution::kNotRun,
+          fmt::format("{} requests of service {} are in flight at this router; "
+                      "come back later or raise its max_concurrency",
+                      most, request.service.value),
+          kConcurrencyRetryAfter};
+}
+
 std::uint64_t TotalBytes(const std::vector<std::string>& levels) {
   std::uint64_t n = 0;
   for (const std::string& level : levels) n += level.size();
@@ -60,9 +70,15 @@
     RefuseArrival(request, std::move(*error));
     return;
   }
+  const auto& admitted = std::get<AdmittedRequest>(result);
+  const std::uint32_t most = admitted.service->max_concurrency;
+  if (most > 0 && in_flight_[request.service] >= most) {
+    RefuseArrival(request, ConcurrencyError(request, most));
+    return;
+  }
   Flight flight;
   flight.request = request;
-  flight.admitted = std::get<AdmittedRequest>(std::move(result));
+  flight.admitted = admitted;
   flight.arrived = now_;
   if (request.kind != RequestKind::kPlain) {
     flight.placement = MakePlacement(request, flight.admitted);
@@ -70,6 +86,7 @@
   }
   auto [it, inserted] = flights_.emplace(request.id, std::move(flight));
   if (!inserted) return;
+  ++in_flight_[request.service];
   BudgetOf(request.service).OnRequest();
   ContinuationsOf(request.service).OnRequest();
   timers_.Arm(request.id, it->second.admitted.deadline);
--- a/src/shell/router_process.cc
+++ b/src/shell/router_process.cc
@@ -166,10 +166,6 @@
 
 void RouterProcess::Do(ReadTable& action) { control_.Read(std::move(action)); }
 
-void RouterProcess::Do(ScanTable& action) {
-  static_cast<void>(Post(TableRead{action.command, false, {}}));
-}
-
 void RouterProcess::Do(WakeAt& action) {
   if (decisions_.wake.has_value() && *decisions_.wake <= action.when) return;
   decisions_.wake = action.when;
--- a/src/shell/router_process.h
+++ b/src/shell/router_process.h
@@ -67,7 +67,6 @@
   void Do(FailRequest& action);
   void Do(CommitTable& action);
   void Do(ReadTable& action);
-  void Do(ScanTable& action);
   void Do(WakeAt& action);
   void Do(DrainComplete& action);
   void Do(RequestFinished& action);
