--- a/include/yuccapick/retry_budget.h
+++ b/include/yuccapick/retry_budget.h
@@ -25,6 +25,12 @@
     tokens_ = std::min(options_.reserve, tokens_ + options_.share);
   }
 
+  /// Changes how many extra attempts may be saved up.
+  void SetReserve(double reserve) {
+    options_.reserve = reserve;
+    tokens_ = std::min(tokens_, reserve);
+  }
+
   /// Takes one extra attempt; false if the budget is spent.
   bool TryTake() {
     if (tokens_ < 1.0) return false;
--- /dev/null
+++ b/include/yuccapick/table_mirror.h
@@ -0,0 +1,55 @@
+#ifndef YUCCAPICK_TABLE_MIRROR_H_
+#define YUCCAPICK_TABLE_MIRROR_H_
+
+/// @file
+/// A copy of one table's rows that only moves forward.
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace yuccapick {
+
+/// A row as it was read. Its version rises with each write.
+struct MirrorRow {
+  std::string key;
+  std::string value;
+  std::uint64_t version = 0;
+  bool removed = false;
+
+  bool operator==(const MirrorRow&) const = default;
+};
+
+/// All rows of a table as of one version.
+struct TableSnapshot {
+  std::vector<MirrorRow> rows;
+  std::uint64_t as_of = 0;
+};
+
+/// Combines snapshots and changes from the store and from peers. What was
+/// applied once is never replaced by an older state.
+class TableMirror {
+ public:
+  // Commands. Each returns the rows that changed, removals among them.
+
+  std::vector<MirrorRow> OnSnapshot(const TableSnapshot& snapshot);
+  /// @param as_of version up to which the changes are complete
+  std::vector<MirrorRow> OnChanges(const std::vector<MirrorRow>& rows,
+                                   std::uint64_t as_of);
+
+  // Queries.
+
+  std::uint64_t as_of() const { return as_of_; }
+  TableSnapshot Snapshot() const;
+
+ private:
+  bool Apply(const MirrorRow& row);
+
+  std::map<std::string, MirrorRow> rows_;
+  std::uint64_t as_of_ = 0;
+};
+
+}  // namespace yuccapick
+
+#endif  // YUCCAPICK_TABLE_MIRROR_H_
--- /dev/null
+++ b/include/yuccapick/upstream_load.h
@@ -0,0 +1,72 @@
+#ifndef YUCCAPICK_UPSTREAM_LOAD_H_
+#define YUCCAPICK_UPSTREAM_LOAD_H_
+
+/// @file
+/// Work in flight at each upstream, from this process and its peers.
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "yuccapick/ids.h"
+
+namespace yuccapick {
+
+/// What requests in flight ask of one upstream.
+struct WorkAmount {
+  std::uint32_t requests = 0;
+  std::uint64_t kv_tokens = 0;       ///< Memory of their prompts and answers.
+  std::uint64_t prefill_tokens = 0;  ///< Not read yet, as far as is known.
+
+  WorkAmount& operator+=(const WorkAmount& other);
+  /// Takes away at most what is there.
+  WorkAmount& operator-=(const WorkAmount& other);
+  bool operator==(const WorkAmount&) const = default;
+};
+
+/// One upstream's work as a process reports it to its peers.
+struct WorkReport {
+  UpstreamId upstream;
+  WorkAmount amount;
+};
+
+/// Sums own work and the peers' last reports. Reports that are not renewed
+/// expire, so the picture of a lost peer does not stay.
+class UpstreamLoad {
+ public:
+  /// @param report_lifetime how long a peer's report counts
+  explicit UpstreamLoad(std::chrono::milliseconds report_lifetime)
+      : report_lifetime_(report_lifetime) {}
+
+  // Commands.
+
+  void Begin(const UpstreamId& upstream, const WorkAmount& amount);
+  void End(const UpstreamId& upstream, const WorkAmount& amount);
+  /// Replaces what `peer` reported before.
+  void OnPeerReport(const InstanceId& peer,
+                    const std::vector<WorkReport>& reports, TimePoint now);
+  void ForgetUpstream(const UpstreamId& upstream);
+
+  // Queries.
+
+  WorkAmount Total(const UpstreamId& upstream, TimePoint now) const;
+  WorkAmount Own(const UpstreamId& upstream) const;
+  /// Own work, for the peers.
+  std::vector<WorkReport> OwnReports() const;
+
+ private:
+  struct PeerWork {
+    std::map<UpstreamId, WorkAmount> amounts;
+    TimePoint reported_at;
+  };
+
+  std::chrono::milliseconds report_lifetime_;
+  std::map<UpstreamId, WorkAmount> own_;
+  std::map<InstanceId, PeerWork> peers_;
+};
+
+}  // namespace yuccapick
+
+#endif  // YUCCAPICK_UPSTREAM_LOAD_H_
--- /dev/null
+++ b/src/event_splitter.cc
@@ -0,0 +1,72 @@
+#include "yuccapick/event_splitter.h"
+
+#include <algorithm>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/string_view.h"
+
+namespace yuccapick {
+namespace {
+
+/// Returns the number of bytes up to the end of the first event, 0 if none is
+/// complete. An event ends with an empty line.
+std::size_t EndOfEvent(std::string_view bytes, std::size_t from) {
+  for (std::size_t i = bytes.find('\n', from); i != std::string_view::npos;
+       i = bytes.find('\n', i + 1)) {
+    if (i + 1 < bytes.size() && bytes[i + 1] == '\n') return i + 2;
+    if (i + 2 < bytes.size() && bytes[i + 1] == '\r' && bytes[i + 2] == '\n') {
+      return i + 3;
+    }
+  }
+  return 0;
+}
+
+std::optional<std::uint64_t> IdOf(std::string_view event) {
+  static constexpr std::string_view kField = "id:";
+  std::size_t start = 0;
+  while (start < event.size()) {
+    const std::size_t end = std::min(event.find('\n', start), event.size());
+    std::string_view line = event.substr(start, end - start);
+    start = end + 1;
+    if (!line.starts_with(kField)) continue;
+    line.remove_prefix(kField.size());
+    std::uint64_t id = 0;
+    if (absl::SimpleAtoi(absl::string_view(line.data(), line.size()), &id)) {
+      return id;
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+void EventSplitter::TakeEvent(std::string_view event, std::string& out) {
+  const std::optional<std::uint64_t> id = IdOf(event);
+  if (id && last_id_ && *id <= *last_id_) return;
+  if (id) last_id_ = id;
+  ++events_;
+  out.append(event);
+}
+
+absl::StatusOr<std::string> EventSplitter::Feed(std::string_view bytes) {
+  static constexpr std::size_t kLongestEventEnd = 3;
+  const std::size_t scanned = partial_.size() < kLongestEventEnd
+                                  ? 0
+                                  : partial_.size() - kLongestEventEnd;
+  partial_.append(bytes);
+  std::string out;
+  std::string_view rest = partial_;
+  std::size_t end = EndOfEvent(rest, scanned);
+  while (end > 0) {
+    TakeEvent(rest.substr(0, end), out);
+    rest.remove_prefix(end);
+    end = EndOfEvent(rest, 0);
+  }
+  partial_.erase(0, partial_.size() - rest.size());
+  if (partial_.size() > max_event_bytes_) {
+    return absl::ResourceExhaustedError("event longer than the limit");
+  }
+  return out;
+}
+
+}  // namespace yuccapick
--- /dev/null
+++ b/src/gateway/call_client.h
@@ -0,0 +1,47 @@
+#ifndef YUCCAPICK_GATEWAY_CALL_CLIENT_H_
+#define YUCCAPICK_GATEWAY_CALL_CLIENT_H_
+
+/// @file
+/// Short HTTP calls whose whole answer is wanted: to the table service, to
+/// peers and to upstreams.
+
+#include <asio.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "absl/status/statusor.h"
+#include "gateway/http_connection.h"
+
+namespace yuccapick {
+
+/// Status and body of an answer.
+struct CallAnswer {
+  int status = 0;
+  std::string body;
+};
+
+/// Makes calls with a time limit. A call that ends without an answer may still
+/// be carried out.
+class CallClient {
+ public:
+  using Done = std::function<void(absl::StatusOr<CallAnswer>)>;
+
+  CallClient(asio::io_context& loop, HttpConnectionOptions options)
+      : loop_(loop), connections_(loop, options) {}
+
+  /// @param done called once, later, on the loop; Unavailable if nothing was
+  ///   sent, DeadlineExceeded or Unknown if the call may have taken effect
+  void Call(const std::string& endpoint, std::string request,
+            std::chrono::milliseconds timeout, Done done);
+  void DropExpired(TimePoint now) { connections_.DropExpired(now); }
+
+ private:
+  asio::io_context& loop_;
+  HttpConnectionPool connections_;
+};
+
+}  // namespace yuccapick
+
+#endif  // YUCCAPICK_GATEWAY_CALL_CLIENT_H_
--- /dev/null
+++ b/src/gateway/gateway_process.cc
@@ -0,0 +1,320 @@
+#include "gateway/gateway_process.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "gateway/request_flight.h"
+#include "platform/header_fields.h"
+#include "platform/names.h"
+#include "platform/operator_rows.h"
+#include "yuccapick/gateway_admission.h"
+
+namespace yuccapick {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kHttpOk = 200;
+constexpr int kHttpBadRequest = 400;
+constexpr int kHttpUnauthorized = 401;
+constexpr int kHttpNotFound = 404;
+constexpr int kHttpUnavailable = 503;
+
+constexpr milliseconds kTickEvery{250};
+constexpr std::uint64_t kTicksBetweenSweeps = 4;
+/// A configuration that nobody confirmed for this long may be outdated.
+constexpr milliseconds kConfirmationLifetime{7'000};
+/// The balancer sends new callers for about two more questions of its own.
+constexpr milliseconds kListenAfterDrain{3'200};
+/// Left of the shutdown grace when the process ends in any case.
+constexpr milliseconds kGraceReserve{300};
+
+constexpr std::string_view kRetryAfterSeconds = "0.5";
+
+}  // namespace
+
+/// Answers the balancer's readiness questions and the metrics page.
+class GatewayProcess::StatusPages : public IngressHandler {
+ public:
+  StatusPages(asio::io_context& loop, GatewayProcess& process)
+      : process_(process), ready_(loop, *this), metrics_(loop, *this) {}
+
+  absl::Status Open(const GatewaySettings& settings) {
+    const absl::Status status = ready_.Open(settings.ready_endpoint);
+    if (!status.ok()) return status;
+    return metrics_.Open(
+        fmt::format("{}:{}", settings.ip, settings.metrics_port));
+  }
+
+  void CheckTimeouts(TimePoint now) {
+    ready_.CheckTimeouts(now);
+    metrics_.CheckTimeouts(now);
+  }
+
+ private:
+  std::shared_ptr<IngressWork> OnRequest(
+      IngressRequest request,
+      std::shared_ptr<IngressSession> session) override {
+    if (request.head.target == "/metrics") {
+      session->Respond(kHttpOk, {{"Content-Type", "text/plain"}},
+                       process_.state_.metrics.Render());
+      return nullptr;
+    }
+    const bool ready = process_.Ready();
+    session->Respond(ready ? kHttpOk : kHttpUnavailable, {},
+                     ready ? "ready\n" : "not ready\n");
+    return nullptr;
+  }
+  void OnBadRequest(int /*status*/, std::string_view /*reason*/) override {}
+  CallerLimits limits() const override { return {}; }
+
+  GatewayProcess& process_;
+  IngressServer ready_;
+  IngressServer metrics_;
+};
+
+GatewayProcess::GatewayProcess(asio::io_context& loop, GatewaySettings settings)
+    : loop_(loop),
+      state_(loop, std::move(settings)),
+      table_calls_(loop, {}),
+      tick_timer_(loop) {
+  TableWatchHandler& watch_handler = *this;
+  IngressHandler& ingress_handler = *this;
+  TableWatchOptions options;
+  options.endpoint = state_.settings.table_endpoint;
+  options.table = platform::kOperatorTable;
+  operator_watch_ =
+      std::make_shared<TableWatch>(loop, table_calls_, options, watch_handler);
+  options.table = platform::kServerTable;
+  upstream_watch_ =
+      std::make_shared<TableWatch>(loop, table_calls_, options, watch_handler);
+  status_pages_ = std::make_unique<StatusPages>(loop, *this);
+  callers_ = std::make_unique<IngressServer>(loop, ingress_handler);
+}
+
+GatewayProcess::~GatewayProcess() {
+  operator_watch_->Stop();
+  upstream_watch_->Stop();
+}
+
+absl::Status GatewayProcess::Start() {
+  absl::Status status = status_pages_->Open(state_.settings);
+  if (!status.ok()) return status;
+  status = callers_->Open(state_.settings.caller_endpoint);
+  if (!status.ok()) return status;
+  state_.log.Write(LogKind::kLife, state_.Now(),
+                   "event=started instance={} domain={} store={}",
+                   state_.settings.instance.value, state_.settings.domain.value,
+                   state_.settings.table_endpoint);
+  operator_watch_->Start();
+  upstream_watch_->Start();
+  Tick();
+  return absl::OkStatus();
+}
+
+bool GatewayProcess::Ready() const {
+  return !draining_ && state_.config != nullptr && !state_.roster.All().empty();
+}
+
+bool GatewayProcess::ConfigConfirmed(TimePoint now) const {
+  return now - operator_watch_->heard_at() < kConfirmationLifetime;
+}
+
+std::shared_ptr<IngressWork> GatewayProcess::OnRequest(
+    IngressRequest request, std::shared_ptr<IngressSession> session) {
+  CallerHead caller = platform::DecodeCallerHead(request.head);
+  const std::string* host = request.head.Find("Host");
+  if (host == nullptr || request.head.Count("Host") != 1 ||
+      !request.head.target.starts_with('/')) {
+    OnBadRequest(kHttpBadRequest, "no usable host or path");
+    session->Respond(kHttpBadRequest, {}, "no usable host or path\n");
+    return nullptr;
+  }
+  const TimePoint now = state_.Now();
+  const auto admission = AdmitToRoute(state_.config.get(), ConfigConfirmed(now),
+                                      {*host, request.head.target, caller.key});
+  if (const auto* refusal = std::get_if<AdmissionRefusal>(&admission)) {
+    int status = kHttpUnavailable;
+    if (*refusal == AdmissionRefusal::kUnknownRoute) status = kHttpNotFound;
+    if (*refusal == AdmissionRefusal::kUnknownKey) status = kHttpUnauthorized;
+    std::vector<HttpField> fields;
+    if (status == kHttpUnavailable) {
+      fields.push_back({"Retry-After", std::string(kRetryAfterSeconds)});
+    }
+    state_.log.Write(
+        LogKind::kFailure, now,
+        "event=request_not_admitted id={} status={} target={} config={}",
+        caller.attempt_id, status, request.head.target,
+        state_.config == nullptr ? 0 : state_.config->version().value);
+    session->Respond(status, fields, "not admitted\n");
+    return nullptr;
+  }
+  const RoutePermit& permit = std::get<RoutePermit>(admission);
+  AdmittedFlight admitted{state_.config, permit.route, permit.team,
+                          std::move(request), std::move(caller)};
+  auto flight = std::make_shared<RequestFlight>(state_, std::move(admitted),
+                                                std::move(session));
+  flight->Begin();
+  return flight;
+}
+
+void GatewayProcess::OnBadRequest(int status, std::string_view reason) {
+  state_.log.Write(LogKind::kFailure, state_.Now(),
+                   "event=bad_request status={} reason=\"{}\"", status, reason);
+}
+
+CallerLimits GatewayProcess::limits() const {
+  return state_.config == nullptr ? CallerLimits() : state_.config->limits();
+}
+
+void GatewayProcess::OnTableRows(const std::string& table,
+                                 const std::vector<MirrorRow>& changes) {
+  for (const MirrorRow& row : changes) {
+    if (table == platform::kOperatorTable) {
+      ApplyOperatorRow(row);
+    } else {
+      ApplyUpstreamRow(row);
+    }
+  }
+}
+
+void GatewayProcess::OnTableLost(const std::string& table,
+                                 std::string_view reason) {
+  state_.roster.OnListLost(state_.Now());
+  if (store_lost_) return;
+  store_lost_ = true;
+  state_.log.Write(LogKind::kLife, state_.Now(),
+                   "event=store_lost table={} reason=\"{}\"", table, reason);
+}
+
+void GatewayProcess::OnTableHeard(const std::string& table) {
+  if (table == platform::kServerTable) state_.roster.OnListBack(state_.Now());
+  if (!store_lost_) return;
+  if (!operator_watch_->in_touch() || !upstream_watch_->in_touch()) return;
+  store_lost_ = false;
+  state_.log.Write(LogKind::kLife, state_.Now(), "event=store_regained");
+}
+
+void GatewayProcess::ApplyOperatorRow(const MirrorRow& row) {
+  if (row.removed) return;
+  if (row.key == platform::kConfigKey) return ApplyConfig(row);
+  if (!row.key.starts_with(platform::kVersionKeyPrefix)) return;
+  const auto named = platform::DecodeNamedWeights(row.value);
+  if (!named) return;
+  WeightNumber& newest = state_.named_weights[named->model];
+  if (named->weights <= newest) return;
+  newest = named->weights;
+  state_.log.Write(LogKind::kBelief, state_.Now(),
+                   "event=weights_named model={} weights={} row_version={}",
+                   named->model.value, named->weights, row.version);
+}
+
+void GatewayProcess::ApplyConfig(const MirrorRow& row) {
+  const absl::StatusOr<GatewayConfigPtr> config =
+      platform::DecodeConfig(row.value);
+  if (!config.ok()) {
+    state_.log.Write(LogKind::kBelief, state_.Now(),
+                     "event=config_rejected row_version={} reason=\"{}\"",
+                     row.version, config.status().message().data());
+    return;
+  }
+  if (state_.config != nullptr &&
+      (*config)->version() <= state_.config->version()) {
+    return;
+  }
+  state_.config = *config;
+  state_.log.Write(LogKind::kBelief, state_.Now(),
+                   "event=config_in_force version={} row_version={}",
+                   state_.config->version().value, row.version);
+}
+
+void GatewayProcess::ApplyUpstreamRow(const MirrorRow& row) {
+  const TimePoint now = state_.Now();
+  const UpstreamId id(row.key);
+  std::optional<UpstreamEntry> entry;
+  if (!row.removed) entry = platform::DecodeUpstreamEntry(row.key, row.value);
+  if (!row.removed && !entry) {
+    state_.log.Write(LogKind::kBelief, now,
+                     "event=upstream_entry_ignored upstream={} row_version={}",
+                     row.key, row.version);
+    return;
+  }
+  const std::optional<RosterChange> change =
+      entry ? state_.roster.OnEntry(*entry, now)
+            : state_.roster.OnRemoved(id, now);
+  if (change) ApplyChange(*change);
+}
+
+void GatewayProcess::ApplyChange(const RosterChange& change) {
+  using Kind = RosterChange::Kind;
+  const UpstreamEntry* entry = state_.roster.Find(change.id);
+  state_.log.Write(LogKind::kBelief, state_.Now(),
+                   "event=upstream_changed upstream={} change={} endpoint={} "
+                   "leaving={} orders={}",
+                   change.id.value, RosterChangeName(change.kind),
+                   entry == nullptr ? "-" : entry->endpoint,
+                   entry != nullptr && entry->leaving,
+                   entry == nullptr ? 0 : entry->orders_accepted);
+  if (change.kind == Kind::kRestarted || change.kind == Kind::kRemoved) {
+    state_.health.Forget(change.id);
+    state_.load.ForgetUpstream(change.id);
+    state_.placement.OnCacheLost(change.id);
+    state_.loading.erase(change.id);
+  }
+}
+
+void GatewayProcess::Tick() {
+  const TimePoint now = state_.Now();
+  for (const RosterChange& change : state_.roster.OnTick(now)) {
+    ApplyChange(change);
+  }
+  callers_->CheckTimeouts(now);
+  if (++ticks_ % kTicksBetweenSweeps == 0) {
+    state_.upstream_connections.DropExpired(now);
+    table_calls_.DropExpired(now);
+    status_pages_->CheckTimeouts(now);
+  }
+  if (draining_) CheckDrained(now);
+  state_.log.Flush(now);
+  tick_timer_.expires_after(kTickEvery);
+  tick_timer_.async_wait([this](const asio::error_code& ec) {
+    if (!ec) Tick();
+  });
+}
+
+void GatewayProcess::Drain(std::function<void()> done) {
+  if (draining_) return;
+  draining_ = true;
+  drain_began_ = state_.Now();
+  drained_ = std::move(done);
+  callers_->AnnounceClose();
+  state_.log.Write(LogKind::kLife, drain_began_,
+                   "event=drain_started sessions={} busy={}",
+                   callers_->session_count(), callers_->busy_count());
+}
+
+void GatewayProcess::CheckDrained(TimePoint now) {
+  const auto age = now - drain_began_;
+  if (age < kListenAfterDrain) return;
+  callers_->CloseListener();
+  callers_->DrainSessions();
+  const bool out_of_time =
+      age >= state_.settings.bounds.shutdown_grace - kGraceReserve;
+  if (callers_->busy_count() > 0 && !out_of_time) return;
+  if (drained_ == nullptr) return;
+  state_.log.Write(LogKind::kLife, now, "event=stopped busy={}",
+                   callers_->busy_count());
+  state_.log.Flush(now);
+  std::exchange(drained_, nullptr)();
+}
+
+void GatewayProcess::OnSettingsChanged(const GatewaySettings& settings) {
+  state_.settings.bounds = settings.bounds;
+  state_.settings.seed_endpoints = settings.seed_endpoints;
+  state_.SetGatewayCount(state_.gateway_count);
+  state_.log.Write(LogKind::kLife, state_.Now(), "event=settings_reloaded");
+}
+
+}  // namespace yuccapick
--- /dev/null
+++ b/src/gateway/gateway_state.h
@@ -0,0 +1,59 @@
+#ifndef YUCCAPICK_GATEWAY_GATEWAY_STATE_H_
+#define YUCCAPICK_GATEWAY_GATEWAY_STATE_H_
+
+/// @file
+/// What all requests of a gateway share.
+
+#include <asio.hpp>
+#include <map>
+#include <set>
+#include <string>
+
+#include "absl/random/random.h"
+#include "gateway/gateway_settings.h"
+#include "gateway/http_connection.h"
+#include "gateway/log_sink.h"
+#include "yuccapick/direct_placement.h"
+#include "yuccapick/gateway_config.h"
+#include "yuccapick/request_metrics.h"
+#include "yuccapick/retry_budget.h"
+#include "yuccapick/upstream_health.h"
+#include "yuccapick/upstream_load.h"
+#include "yuccapick/upstream_roster.h"
+
+namespace yuccapick {
+
+/// Beliefs and tools of one gateway process; used on its event loop only.
+struct GatewayState {
+  GatewayState(asio::io_context& io, GatewaySettings process_settings);
+
+  /// The service's budget for extra attempts.
+  RetryBudget& BudgetOf(const ServiceId& service);
+  /// Splits the services' budgets among this many gateways.
+  void SetGatewayCount(std::size_t n);
+  TimePoint Now() const { return std::chrono::steady_clock::now(); }
+
+  asio::io_context& loop;
+  GatewaySettings settings;
+  LogSink log;
+  RequestMetrics metrics;
+  HttpConnectionPool upstream_connections;
+  absl::BitGen random;
+
+  GatewayConfigPtr config;  ///< Null before the first one.
+  UpstreamRoster roster;
+  UpstreamLoad load;
+  UpstreamHealth health;
+  DirectPlacement placement;
+  std::set<UpstreamId> loading;  ///< New weights are on their way to these.
+  std::map<ModelId, WeightNumber> named_weights;  ///< Newest by model.
+  /// The store or a peer confirmed the configuration lately.
+  bool config_confirmed = false;
+
+  std::map<ServiceId, RetryBudget> budgets;
+  std::size_t gateway_count;
+};
+
+}  // namespace yuccapick
+
+#endif  // YUCCAPICK_GATEWAY_GATEWAY_STATE_H_
--- /dev/null
+++ b/src/gateway/http_connection.cc
@@ -0,0 +1,304 @@
+#include "gateway/http_connection.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/string_view.h"
+
+namespace yuccapick {
+namespace {
+
+/// Answers that only announce a later one.
+bool IsInformational(int status) { return status >= 100 && status < 200; }
+
+/// Part of the idle time that a server names which is made use of.
+constexpr double kIdleShare = 0.6;
+
+/// Reads `timeout=N` of a Keep-Alive field.
+std::optional<std::chrono::seconds> KeepAliveTimeout(const HttpHead& head) {
+  static constexpr std::string_view kParameter = "timeout=";
+  const std::string* field = head.Find("keep-alive");
+  if (field == nullptr) return std::nullopt;
+  const std::size_t at = field->find(kParameter);
+  if (at == std::string::npos) return std::nullopt;
+  const std::string digits = field->substr(at + kParameter.size());
+  const std::size_t end = digits.find_first_not_of("0123456789");
+  int seconds = 0;
+  if (!absl::SimpleAtoi(digits.substr(0, end), &seconds)) return std::nullopt;
+  return std::chrono::seconds(seconds);
+}
+
+}  // namespace
+
+asio::ip::tcp::endpoint ParseEndpoint(std::string_view text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos) return {};
+  asio::error_code ec;
+  const asio::ip::address address =
+      asio::ip::make_address(std::string(text.substr(0, colon)), ec);
+  std::uint32_t port = 0;
+  const std::string_view digits = text.substr(colon + 1);
+  const bool number =
+      absl::SimpleAtoi(absl::string_view(digits.data(), digits.size()), &port);
+  if (ec || !number || port > 0xFFFF) return {};
+  return {address, static_cast<std::uint16_t>(port)};
+}
+
+HttpConnection::HttpConnection(asio::io_context& loop, std::string endpoint,
+                               HttpConnectionOptions options)
+    : loop_(loop),
+      endpoint_(std::move(endpoint)),
+      options_(options),
+      socket_(loop),
+      connect_timer_(loop),
+      reader_(HttpReader::Kind::kResponse, options.max_head_bytes, *this) {}
+
+HttpConnection::~HttpConnection() { Close(); }
+
+void HttpConnection::Start(std::string request, bool expect_no_body,
+                           std::shared_ptr<ExchangeHandler> handler,
+                           OnIdle on_idle) {
+  request_ = std::move(request);
+  sent_ = 0;
+  expect_no_body_ = expect_no_body;
+  handler_ = std::move(handler);
+  on_idle_ = std::move(on_idle);
+  ++exchanges_;
+  skipping_ = false;
+  rejected_ = false;
+  reader_.Restart(expect_no_body_);
+  if (!connected_) return Connect();
+  SendRest();
+}
+
+void HttpConnection::Connect() {
+  const asio::ip::tcp::endpoint peer = ParseEndpoint(endpoint_);
+  auto self = shared_from_this();
+  if (peer.port() == 0) {
+    return asio::post(loop_, [self] { self->Fail("malformed endpoint"); });
+  }
+  connect_timer_.expires_after(options_.connect_timeout);
+  connect_timer_.async_wait([self](const asio::error_code& ec) {
+    if (!ec && !self->connected_) self->Fail("connect timed out");
+  });
+  socket_.async_connect(
+      peer, [self](const asio::error_code& ec) { self->OnConnected(ec); });
+}
+
+void HttpConnection::OnConnected(const asio::error_code& ec) {
+  connect_timer_.cancel();
+  if (closed_) return;
+  if (ec) return Fail(ec.message());
+  connected_ = true;
+  asio::error_code ignored;  // Options are best effort.
+  socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+  socket_.non_blocking(true, ignored);
+  SendRest();
+  Read();
+}
+
+void HttpConnection::SendRest() {
+  asio::error_code ec;
+  while (sent_ < request_.size()) {
+    const std::size_t n = socket_.write_some(
+        asio::buffer(request_.data() + sent_, request_.size() - sent_), ec);
+    sent_ += n;
+    if (!ec) continue;
+    if (ec != asio::error::would_block) return Fail(ec.message());
+    auto self = shared_from_this();
+    return socket_.async_wait(asio::ip::tcp::socket::wait_write,
+                              [self](const asio::error_code& wait_ec) {
+                                if (!self->closed_ && !wait_ec)
+                                  self->SendRest();
+                              });
+  }
+}
+
+void HttpConnection::Read() {
+  if (reading_ || closed_) return;
+  reading_ = true;
+  auto self = shared_from_this();
+  socket_.async_read_some(asio::buffer(buf_),
+                          [self](const asio::error_code& ec, std::size_t n) {
+                            self->reading_ = false;
+                            self->OnRead(ec, n);
+                          });
+}
+
+void HttpConnection::OnRead(const asio::error_code& ec, std::size_t n) {
+  if (closed_) return;
+  if (ec) return OnPeerClosed(ec);
+  Consume({buf_.data(), n});
+  Read();
+}
+
+void HttpConnection::Consume(std::string_view bytes) {
+  while (!bytes.empty() && !closed_) {
+    if (handler_ == nullptr) {
+      stray_bytes_ = true;
+      return Close();
+    }
+    std::size_t consumed = 0;
+    const absl::Status status = reader_.Feed(bytes, consumed);
+    if (closed_) return;
+    if (!status.ok()) return Fail(status.message().data());
+    if (rejected_) return Fail("answer rejected");
+    bytes.remove_prefix(std::min(consumed, bytes.size()));
+    if (!reader_.complete()) continue;
+    if (skipping_) {
+      skipping_ = false;
+      reader_.Restart(expect_no_body_);
+      continue;
+    }
+    stray_bytes_ = !bytes.empty();
+    FinishAnswer();
+    return;
+  }
+}
+
+void HttpConnection::OnPeerClosed(const asio::error_code& ec) {
+  if (handler_ == nullptr) return Close();
+  if (ec == asio::error::eof && !skipping_ && reader_.FeedEnd().ok()) {
+    keep_alive_ = false;
+    return FinishAnswer();
+  }
+  Fail(ec.message());
+}
+
+void HttpConnection::OnHttpHead(HttpHead head) {
+  if (IsInformational(head.status)) {
+    skipping_ = true;
+    return;
+  }
+  switch (handler_->OnAnswerHead(head)) {
+    case HeadVerdict::kAccept:
+      break;
+    case HeadVerdict::kSkip:
+      skipping_ = true;
+      break;
+    case HeadVerdict::kReject:
+      rejected_ = true;
+      break;
+  }
+  keep_alive_ = head.keep_alive;
+  idle_limit_ = options_.idle_limit;
+  if (const auto named = KeepAliveTimeout(head)) {
+    idle_limit_ = std::chrono::duration_cast<std::chrono::milliseconds>(
+        *named * kIdleShare);
+  }
+}
+
+void HttpConnection::OnHttpBody(std::string_view bytes) {
+  if (skipping_ || rejected_ || handler_ == nullptr) return;
+  handler_->OnAnswerBody(bytes);
+}
+
+void HttpConnection::OnHttpEnd() {}
+
+void HttpConnection::FinishAnswer() {
+  const auto self = shared_from_this();
+  const auto handler = std::exchange(handler_, nullptr);
+  const OnIdle on_idle = std::exchange(on_idle_, nullptr);
+  const bool whole_request_sent = sent_ == request_.size();
+  const bool reusable = keep_alive_ && whole_request_sent && !stray_bytes_;
+  request_.clear();
+  if (reusable) {
+    idle_since_ = std::chrono::steady_clock::now();
+    on_idle(self);
+  } else {
+    Close();
+  }
+  handler->OnExchangeEnd(ExchangeEnd::kComplete, "");
+}
+
+void HttpConnection::Fail(std::string_view reason) {
+  if (closed_) return;
+  const auto self = shared_from_this();
+  const std::string text(reason);
+  const ExchangeEnd end =
+      sent_ == 0 ? ExchangeEnd::kNotSent : ExchangeEnd::kBroken;
+  Close();
+  const auto handler = std::exchange(handler_, nullptr);
+  on_idle_ = nullptr;
+  if (handler != nullptr) handler->OnExchangeEnd(end, text);
+}
+
+void HttpConnection::Abandon() {
+  const auto self = shared_from_this();
+  handler_ = nullptr;
+  on_idle_ = nullptr;
+  Close();
+}
+
+void HttpConnection::Close() {
+  if (closed_) return;
+  closed_ = true;
+  connect_timer_.cancel();
+  asio::error_code ignored;  // The connection is given up either way.
+  socket_.close(ignored);
+}
+
+bool HttpConnection::StillUsable(TimePoint now) {
+  if (closed_ || now - idle_since_ >= idle_limit_) return false;
+  char byte = 0;
+  const ssize_t n = ::recv(socket_.native_handle(), &byte, sizeof(byte),
+                           MSG_PEEK | MSG_DONTWAIT);
+  return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+std::shared_ptr<HttpConnection> HttpConnectionPool::Start(
+    const std::string& endpoint, std::string request, bool expect_no_body,
+    std::shared_ptr<ExchangeHandler> handler) {
+  const TimePoint now = std::chrono::steady_clock::now();
+  std::shared_ptr<HttpConnection> connection;
+  auto& idle = idle_[endpoint];
+  while (!idle.empty() && connection == nullptr) {
+    std::shared_ptr<HttpConnection> newest = std::move(idle.back());
+    idle.pop_back();
+    if (newest->StillUsable(now)) {
+      connection = std::move(newest);
+    } else {
+      newest->Abandon();
+    }
+  }
+  if (connection == nullptr) {
+    connection = std::make_shared<HttpConnection>(loop_, endpoint, options_);
+  }
+  connection->Start(
+      std::move(request), expect_no_body, std::move(handler),
+      [this](std::shared_ptr<HttpConnection> c) { Keep(std::move(c)); });
+  return connection;
+}
+
+void HttpConnectionPool::Keep(std::shared_ptr<HttpConnection> connection) {
+  idle_[connection->endpoint()].push_back(std::move(connection));
+}
+
+void HttpConnectionPool::DropExpired(TimePoint now) {
+  for (auto it = idle_.begin(); it != idle_.end();) {
+    std::erase_if(it->second, [now](const auto& connection) {
+      if (connection->StillUsable(now)) return false;
+      connection->Abandon();
+      return true;
+    });
+    it = it->second.empty() ? idle_.erase(it) : std::next(it);
+  }
+}
+
+void HttpConnectionPool::CloseAll() {
+  for (auto& [endpoint, connections] : idle_) {
+    for (const auto& connection : connections) connection->Abandon();
+  }
+  idle_.clear();
+}
+
+std::size_t HttpConnectionPool::idle_count() const {
+  std::size_t n = 0;
+  for (const auto& [endpoint, connections] : idle_) n += connections.size();
+  return n;
+}
+
+}  // namespace yuccapick
--- /dev/null
+++ b/src/gateway/http_connection.h
@@ -0,0 +1,145 @@
+#ifndef YUCCAPICK_GATEWAY_HTTP_CONNECTION_H_
+#define YUCCAPICK_GATEWAY_HTTP_CONNECTION_H_
+
+/// @file
+/// Client side of one HTTP/1.1 connection; one exchange at a time.
+
+#include <array>
+#include <asio.hpp>
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "gateway/http_reader.h"
+#include "yuccapick/ids.h"
+
+namespace yuccapick {
+
+/// How an exchange ended.
+enum class ExchangeEnd : std::uint8_t {
+  kComplete,
+  kNotSent,  ///< No byte of the request was handed to the network.
+  kBroken,   ///< Sent, and no complete answer came.
+};
+
+/// What to do with the head of an answer.
+enum class HeadVerdict : std::uint8_t {
+  kAccept,
+  kSkip,    ///< It answers an earlier request; wait for the next answer.
+  kReject,  ///< It cannot be trusted; the connection is closed.
+};
+
+/// Receives the parts of one answer. After `OnExchangeEnd` no call follows.
+class ExchangeHandler {
+ public:
+  virtual ~ExchangeHandler() = default;
+  virtual HeadVerdict OnAnswerHead(const HttpHead& head) = 0;
+  virtual void OnAnswerBody(std::string_view bytes) = 0;
+  virtual void OnExchangeEnd(ExchangeEnd end, std::string_view reason) = 0;
+};
+
+struct HttpConnectionOptions {
+  std::chrono::milliseconds connect_timeout{400};
+  std::size_t max_head_bytes = 65'536;
+  /// Used where an answer names no time; below what servers usually keep.
+  std::chrono::milliseconds idle_limit{4'000};
+};
+
+/// Keeps itself alive while an operation is under way. Used on one loop.
+class HttpConnection : public std::enable_shared_from_this<HttpConnection>,
+                       private HttpReaderHandler {
+ public:
+  /// Called when the connection is idle again and may be used once more.
+  using OnIdle = std::function<void(std::shared_ptr<HttpConnection>)>;
+
+  HttpConnection(asio::io_context& loop, std::string endpoint,
+                 HttpConnectionOptions options);
+  ~HttpConnection() override;
+
+  /// Sends `request`, after connecting if that is still to be done.
+  /// @param handler kept until the exchange ends or `Abandon` is called
+  void Start(std::string request, bool expect_no_body,
+             std::shared_ptr<ExchangeHandler> handler, OnIdle on_idle);
+  /// Closes the connection; the handler hears nothing more.
+  void Abandon();
+
+  /// True if an idle connection is still open and no stray bytes have come.
+  bool StillUsable(TimePoint now);
+  const std::string& endpoint() const { return endpoint_; }
+  bool reused() const { return exchanges_ > 1; }
+
+ private:
+  void OnHttpHead(HttpHead head) override;
+  void OnHttpBody(std::string_view bytes) override;
+  void OnHttpEnd() override;
+
+  void Connect();
+  void OnConnected(const asio::error_code& ec);
+  void SendRest();
+  void Read();
+  void OnRead(const asio::error_code& ec, std::size_t n);
+  void Consume(std::string_view bytes);
+  void OnPeerClosed(const asio::error_code& ec);
+  void FinishAnswer();
+  void Fail(std::string_view reason);
+  void Close();
+
+  asio::io_context& loop_;
+  std::string endpoint_;
+  HttpConnectionOptions options_;
+  asio::ip::tcp::socket socket_;
+  asio::steady_timer connect_timer_;
+  HttpReader reader_;
+  std::array<char, 4096> buf_{};
+  std::string request_;
+  std::size_t sent_ = 0;
+  bool expect_no_body_ = false;
+  std::shared_ptr<ExchangeHandler> handler_;
+  OnIdle on_idle_;
+  std::uint32_t exchanges_ = 0;
+  bool connected_ = false;
+  bool closed_ = false;
+  bool reading_ = false;
+  bool skipping_ = false;  ///< The answer being read is not for this request.
+  bool rejected_ = false;
+  bool keep_alive_ = false;
+  bool stray_bytes_ = false;
+  std::chrono::milliseconds idle_limit_{0};
+  TimePoint idle_since_;
+};
+
+/// Idle connections by endpoint.
+class HttpConnectionPool {
+ public:
+  HttpConnectionPool(asio::io_context& loop, HttpConnectionOptions options)
+      : loop_(loop), options_(options) {}
+
+  /// Starts an exchange on an idle connection or a new one.
+  /// @return the connection, for `Abandon`
+  std::shared_ptr<HttpConnection> Start(
+      const std::string& endpoint, std::string request, bool expect_no_body,
+      std::shared_ptr<ExchangeHandler> handler);
+  /// Closes idle connections that are too old.
+  void DropExpired(TimePoint now);
+  void CloseAll();
+  std::size_t idle_count() const;
+
+ private:
+  void Keep(std::shared_ptr<HttpConnection> connection);
+
+  asio::io_context& loop_;
+  HttpConnectionOptions options_;
+  std::map<std::string, std::vector<std::shared_ptr<HttpConnection>>> idle_;
+};
+
+/// Splits `IP:PORT`.
+/// @return an unspecified endpoint with port 0 if the text is malformed
+asio::ip::tcp::endpoint ParseEndpoint(std::string_view text);
+
+}  // namespace yuccapick
+
+#endif  // YUCCAPICK_GATEWAY_HTTP_CONNECTION_H_
--- /dev/null
+++ b/src/gateway/http_reader.h
@@ -0,0 +1,111 @@
+#ifndef YUCCAPICK_GATEWAY_HTTP_READER_H_
+#define YUCCAPICK_GATEWAY_HTTP_READER_H_
+
+/// @file
+/// Reads HTTP/1.1 messages as their bytes come.
+
+#include <http_parser.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/status/status.h"
+
+namespace yuccapick {
+
+struct HttpField {
+  std::string name;
+  std::string value;
+};
+
+/// Head of a request or response.
+struct HttpHead {
+  std::string method;  ///< Requests only.
+  std::string target;  ///< Requests only.
+  int status = 0;      ///< Responses only.
+  std::vector<HttpField> fields;
+  int minor_version = 1;   ///< Of HTTP/1.
+  bool keep_alive = true;  ///< The sender keeps the connection open.
+  bool has_body = false;   ///< A length or chunked coding is given.
+  std::optional<std::uint64_t> content_length;
+
+  /// @return the first field's value, names compared without case, or null
+  const std::string* Find(std::string_view name) const;
+  /// @return number of fields of that name
+  std::size_t Count(std::string_view name) const;
+};
+
+/// Compares field names without regard to case.
+bool SameFieldName(std::string_view a, std::string_view b);
+
+/// Receives the parts of one message, in order.
+class HttpReaderHandler {
+ public:
+  virtual ~HttpReaderHandler() = default;
+  virtual void OnHttpHead(HttpHead head) = 0;
+  virtual void OnHttpBody(std::string_view bytes) = 0;
+  virtual void OnHttpEnd() = 0;
+};
+
+/// Parses one message at a time; `Restart` makes it ready for the next.
+class HttpReader {
+ public:
+  enum class Kind : std::uint8_t { kRequest, kResponse };
+
+  /// @param max_head_bytes longest head that is accepted
+  /// @param handler outlives the reader
+  HttpReader(Kind kind, std::size_t max_head_bytes, HttpReaderHandler& handler);
+
+  HttpReader(const HttpReader&) = delete;
+  HttpReader& operator=(const HttpReader&) = delete;
+
+  /// Takes bytes up to the end of the message.
+  /// @param consumed receives the number of bytes taken
+  /// @return ResourceExhausted for a head over the limit, InvalidArgument for
+  ///   bytes that are no message
+  absl::Status Feed(std::string_view bytes, std::size_t& consumed);
+  /// The peer closed its side; ends a message whose length was not given.
+  absl::Status FeedEnd();
+  /// Makes the reader ready for another message.
+  /// @param expect_no_body the response answers a HEAD request
+  void Restart(bool expect_no_body = false);
+
+  /// True if no byte of the current message has come.
+  bool at_start() const { return !started_; }
+  bool complete() const { return complete_; }
+  void set_max_head_bytes(std::size_t bytes) { max_head_bytes_ = bytes; }
+
+ private:
+  static const http_parser_settings& Callbacks();
+  static int OnField(http_parser* parser, const char* at, std::size_t n);
+  static int OnValue(http_parser* parser, const char* at, std::size_t n);
+  static int OnTarget(http_parser* parser, const char* at, std::size_t n);
+  static int OnHeadersComplete(http_parser* parser);
+  static int OnBody(http_parser* parser, const char* at, std::size_t n);
+  static int OnMessageComplete(http_parser* parser);
+
+  bool CountHeadBytes(std::size_t n);
+  int FinishHead();
+  absl::Status ParseError() const;
+
+  Kind kind_;
+  std::size_t max_head_bytes_;
+  HttpReaderHandler& handler_;
+  http_parser parser_;
+  HttpHead head_;
+  std::size_t head_bytes_ = 0;
+  bool in_value_ = false;
+  bool head_done_ = false;
+  bool too_long_ = false;
+  bool invalid_ = false;
+  bool expect_no_body_ = false;
+  bool started_ = false;
+  bool complete_ = false;
+};
+
+}  // namespace yuccapick
+
+#endif  // YUCCAPICK_GATEWAY_HTTP_READER_H_
--- /dev/null
+++ b/src/gateway/ingress_session.cc
@@ -0,0 +1,376 @@
+#include "gateway/ingress_session.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "gateway/http_connection.h"
+
+namespace yuccapick {
+namespace {
+
+constexpr int kHttpContinue = 100;
+constexpr int kHttpNoContent = 204;
+constexpr int kHttpNotModified = 304;
+constexpr int kHttpBadRequest = 400;
+constexpr int kHttpRequestTimeout = 408;
+constexpr int kHttpPayloadTooLarge = 413;
+constexpr int kHttpHeadTooLarge = 431;
+
+/// Requests that a caller sends ahead of the answer are kept up to here.
+constexpr std::size_t kMaxPendingBytes = 65'536;
+/// An answer that the caller does not read is given up beyond this.
+constexpr std::size_t kMaxUnsentBytes = 8'388'608;
+/// How long the rest of a refused request is read and dropped, so that the
+/// refusal is not lost in a reset.
+constexpr std::chrono::milliseconds kLingerTime{1'000};
+constexpr std::chrono::milliseconds kAcceptPause{50};
+
+std::string_view ReasonPhrase(int status) {
+  return http_status_str(static_cast<http_status>(status));
+}
+
+bool AllowsBody(int status) {
+  return status != kHttpNoContent && status != kHttpNotModified;
+}
+
+}  // namespace
+
+IngressSession::IngressSession(asio::ip::tcp::socket socket,
+                               IngressHandler& handler)
+    : socket_(std::move(socket)),
+      handler_(handler),
+      reader_(HttpReader::Kind::kRequest, handler.limits().max_header_bytes,
+              *this),
+      last_active_(std::chrono::steady_clock::now()) {}
+
+void IngressSession::Start() {
+  asio::error_code ignored;  // Options are best effort.
+  socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+  socket_.non_blocking(true, ignored);
+  Read();
+}
+
+void IngressSession::Read() {
+  if (reading_ || closed_) return;
+  if (!lingering_ && pending_.size() >= kMaxPendingBytes) return;
+  reading_ = true;
+  auto self = shared_from_this();
+  socket_.async_read_some(asio::buffer(buf_),
+                          [self](const asio::error_code& ec, std::size_t n) {
+                            self->reading_ = false;
+                            self->OnRead(ec, n);
+                          });
+}
+
+void IngressSession::OnRead(const asio::error_code& ec, std::size_t n) {
+  if (closed_) return;
+  if (ec) {
+    const auto work = std::exchange(work_, nullptr);
+    Close();
+    if (work != nullptr) work->OnCallerGone();
+    return;
+  }
+  last_active_ = std::chrono::steady_clock::now();
+  if (!lingering_) {
+    pending_.append(buf_.data(), n);
+    ConsumePending();
+  }
+  Read();
+}
+
+void IngressSession::ConsumePending() {
+  while (!pending_.empty() && !in_request_ && !closed_ && !lingering_) {
+    if (reader_.at_start()) {
+      message_began_ = last_active_;
+      reader_.set_max_head_bytes(handler_.limits().max_header_bytes);
+    }
+    std::size_t consumed = 0;
+    const absl::Status status = reader_.Feed(pending_, consumed);
+    if (absl::IsResourceExhausted(status)) {
+      return Refuse(kHttpHeadTooLarge, "header too large");
+    }
+    if (!status.ok()) return Refuse(kHttpBadRequest, "malformed request");
+    if (body_too_long_) {
+      return Refuse(kHttpPayloadTooLarge, "body too large");
+    }
+    pending_.erase(0, consumed);
+    if (reader_.complete()) Dispatch();
+  }
+}
+
+void IngressSession::OnHttpHead(HttpHead head) {
+  const std::size_t limit = handler_.limits().max_body_bytes;
+  if (head.content_length && *head.content_length > limit) {
+    body_too_long_ = true;
+  }
+  const std::string* expect = head.Find("expect");
+  if (expect != nullptr && SameFieldName(*expect, "100-continue") &&
+      !body_too_long_) {
+    out_ += fmt::format("HTTP/1.1 {} {}\r\n\r\n", kHttpContinue,
+                        ReasonPhrase(kHttpContinue));
+    Flush();
+  }
+  request_.head = std::move(head);
+}
+
+void IngressSession::OnHttpBody(std::string_view bytes) {
+  if (body_too_long_) return;
+  request_.body.append(bytes);
+  body_too_long_ = request_.body.size() > handler_.limits().max_body_bytes;
+}
+
+void IngressSession::OnHttpEnd() {}
+
+void IngressSession::Dispatch() {
+  in_request_ = true;
+  head_only_ = request_.head.method == "HEAD";
+  may_chunk_ = request_.head.minor_version > 0;
+  if (!request_.head.keep_alive) close_after_answer_ = true;
+  request_.arrived = message_began_;
+  IngressRequest request = std::exchange(request_, IngressRequest());
+  std::shared_ptr<IngressWork> work =
+      handler_.OnRequest(std::move(request), shared_from_this());
+  if (in_request_) work_ = std::move(work);
+}
+
+void IngressSession::Refuse(int status, std::string_view reason) {
+  handler_.OnBadRequest(status, reason);
+  close_after_answer_ = true;
+  in_request_ = true;
+  Respond(status, {}, reason);
+}
+
+void IngressSession::WriteHead(int status, const std::vector<HttpField>& fields,
+                               std::string_view framing) {
+  auto out = std::back_inserter(out_);
+  fmt::format_to(out, "HTTP/1.1 {} {}\r\n", status, ReasonPhrase(status));
+  for (const HttpField& field : fields) {
+    fmt::format_to(out, "{}: {}\r\n", field.name, field.value);
+  }
+  if (close_after_answer_) out_ += "Connection: close\r\n";
+  out_ += framing;
+  out_ += "\r\n";
+}
+
+void IngressSession::Respond(int status, const std::vector<HttpField>& fields,
+                             std::string_view body) {
+  if (closed_ || !in_request_) return;
+  std::string framing;
+  if (AllowsBody(status)) {
+    framing = fmt::format("Content-Length: {}\r\n", body.size());
+  }
+  WriteHead(status, fields, framing);
+  if (!head_only_ && AllowsBody(status)) out_ += body;
+  FinishAnswer();
+}
+
+void IngressSession::BeginStream(int status,
+                                 const std::vector<HttpField>& fields) {
+  if (closed_ || !in_request_) return;
+  streaming_ = true;
+  chunked_ = may_chunk_;
+  if (!chunked_) close_after_answer_ = true;
+  WriteHead(status, fields, chunked_ ? "Transfer-Encoding: chunked\r\n" : "");
+}
+
+void IngressSession::StreamBody(std::string_view bytes) {
+  if (closed_ || bytes.empty()) return;
+  if (chunked_) {
+    fmt::format_to(std::back_inserter(out_), "{:x}\r\n", bytes.size());
+    out_ += bytes;
+    out_ += "\r\n";
+  } else {
+    out_ += bytes;
+  }
+  Flush();
+}
+
+void IngressSession::EndStream() {
+  if (closed_) return;
+  if (chunked_) out_ += "0\r\n\r\n";
+  FinishAnswer();
+}
+
+void IngressSession::FinishAnswer() {
+  in_request_ = false;
+  work_ = nullptr;
+  chunked_ = false;
+  streaming_ = false;
+  body_too_long_ = false;
+  last_active_ = std::chrono::steady_clock::now();
+  reader_.Restart();
+  Flush();
+  if (closed_) return;
+  if (close_after_answer_) {
+    if (out_.empty()) BeginLingeringClose();
+    return;
+  }
+  if (pending_.empty()) return;
+  auto self = shared_from_this();
+  asio::post(socket_.get_executor(), [self] {
+    self->ConsumePending();
+    self->Read();
+  });
+}
+
+void IngressSession::Flush() {
+  if (waiting_to_write_ || closed_) return;
+  asio::error_code ec;
+  while (out_sent_ < out_.size()) {
+    const std::size_t n = socket_.write_some(
+        asio::buffer(out_.data() + out_sent_, out_.size() - out_sent_), ec);
+    out_sent_ += n;
+    if (!ec) continue;
+    if (ec != asio::error::would_block || out_.size() > kMaxUnsentBytes) {
+      return Abort();
+    }
+    waiting_to_write_ = true;
+    auto self = shared_from_this();
+    return socket_.async_wait(asio::ip::tcp::socket::wait_write,
+                              [self](const asio::error_code& wait_ec) {
+                                self->waiting_to_write_ = false;
+                                if (self->closed_ || wait_ec) return;
+                                self->Flush();
+                                if (self->out_.empty()) self->OnFlushed();
+                              });
+  }
+  out_.clear();
+  out_sent_ = 0;
+}
+
+void IngressSession::OnFlushed() {
+  if (close_after_answer_ && !in_request_) BeginLingeringClose();
+}
+
+void IngressSession::BeginLingeringClose() {
+  if (lingering_ || closed_) return;
+  lingering_ = true;
+  last_active_ = std::chrono::steady_clock::now();
+  message_began_ = last_active_;
+  pending_.clear();
+  asio::error_code ignored;  // The peer may have closed already.
+  socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  Read();
+}
+
+void IngressSession::Abort() {
+  const auto work = std::exchange(work_, nullptr);
+  if (streaming_ && !chunked_) {
+    // Without a length or chunks only a reset shows that the answer ends early.
+    asio::error_code ignored;  // A plain close is what is left.
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+  }
+  Close();
+  if (work != nullptr) work->OnCallerGone();
+}
+
+void IngressSession::Close() {
+  if (closed_) return;
+  closed_ = true;
+  in_request_ = false;
+  asio::error_code ignored;  // The connection is given up either way.
+  socket_.close(ignored);
+}
+
+void IngressSession::Drain() {
+  close_after_answer_ = true;
+  if (!in_request_ && reader_.at_start() && out_.empty()) {
+    BeginLingeringClose();
+  }
+}
+
+void IngressSession::CheckTimeouts(TimePoint now) {
+  if (closed_ || in_request_) return;
+  const CallerLimits limits = handler_.limits();
+  if (lingering_) {
+    if (now - message_began_ >= kLingerTime) Close();
+    return;
+  }
+  const bool receiving = !reader_.at_start();
+  if (receiving && request_.head.method.empty() &&
+      now - message_began_ >= limits.header_timeout) {
+    return Refuse(kHttpRequestTimeout, "header timeout");
+  }
+  if (now - last_active_ >= limits.idle_timeout) {
+    if (receiving) return Refuse(kHttpRequestTimeout, "idle timeout");
+    BeginLingeringClose();
+  }
+}
+
+IngressServer::IngressServer(asio::io_context& loop, IngressHandler& handler)
+    : loop_(loop), handler_(handler), acceptor_(loop), accept_pause_(loop) {}
+
+absl::Status IngressServer::Open(std::string_view endpoint) {
+  const asio::ip::tcp::endpoint address = ParseEndpoint(endpoint);
+  asio::error_code ec;
+  acceptor_.open(asio::ip::tcp::v4(), ec);
+  if (!ec) {
+    acceptor_.set_option(asio::ip::tcp::acceptor::reuse_address(true), ec);
+  }
+  if (!ec) acceptor_.bind(address, ec);
+  if (!ec) acceptor_.listen(asio::socket_base::max_listen_connections, ec);
+  if (ec) {
+    return absl::UnavailableError(fmt::format(
+        "cannot listen on {}: {}; check the address in the settings", endpoint,
+        ec.message()));
+  }
+  Accept();
+  return absl::OkStatus();
+}
+
+void IngressServer::Accept() {
+  acceptor_.async_accept(
+      [this](const asio::error_code& ec, asio::ip::tcp::socket socket) {
+        if (!acceptor_.is_open()) return;
+        if (ec) {
+          // Out of descriptors, say: try again shortly instead of spinning.
+          accept_pause_.expires_after(kAcceptPause);
+          accept_pause_.async_wait([this](const asio::error_code& wait_ec) {
+            if (!wait_ec && acceptor_.is_open()) Accept();
+          });
+          return;
+        }
+        auto session =
+            std::make_shared<IngressSession>(std::move(socket), handler_);
+        if (announce_close_) session->AnnounceClose();
+        sessions_.push_back(session);
+        session->Start();
+        Accept();
+      });
+}
+
+void IngressServer::CloseListener() {
+  asio::error_code ignored;  // Nothing is left to accept.
+  acceptor_.close(ignored);
+}
+
+void IngressServer::CheckTimeouts(TimePoint now) {
+  for (const auto& session : sessions_) session->CheckTimeouts(now);
+  std::erase_if(sessions_, [](const auto& s) { return s->closed(); });
+}
+
+void IngressServer::AnnounceClose() {
+  announce_close_ = true;
+  for (const auto& session : sessions_) session->AnnounceClose();
+}
+
+void IngressServer::DrainSessions() {
+  for (const auto& session : sessions_) session->Drain();
+}
+
+void IngressServer::CloseAll() {
+  for (const auto& session : sessions_) session->Abort();
+  sessions_.clear();
+}
+
+std::size_t IngressServer::busy_count() const {
+  return static_cast<std::size_t>(
+      std::count_if(sessions_.begin(), sessions_.end(), [](const auto& s) {
+        return !s->closed() && (s->busy() || s->receiving());
+      }));
+}
+
+}  // namespace yuccapick
--- /dev/null
+++ b/src/gateway/table_watch.h
@@ -0,0 +1,96 @@
+#ifndef YUCCAPICK_GATEWAY_TABLE_WATCH_H_
+#define YUCCAPICK_GATEWAY_TABLE_WATCH_H_
+
+/// @file
+/// Follows one table of the store: a read of all rows, then its changes.
+
+#include <asio.hpp>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "gateway/call_client.h"
+#include "platform/table_calls.h"
+#include "yuccapick/ids.h"
+#include "yuccapick/table_mirror.h"
+
+namespace yuccapick {
+
+struct TableWatchOptions {
+  std::string endpoint;  ///< Of the store.
+  std::string table;
+  /// How long the store may hold a call without a change.
+  std::chrono::milliseconds wait{5'000};
+  /// Beyond the wait, before the connection counts as silent.
+  std::chrono::milliseconds slack{900};
+  std::chrono::milliseconds read_timeout{800};
+  std::chrono::milliseconds first_pause{150};
+  std::chrono::milliseconds longest_pause{600};
+  /// Changes that follow each other are collected for this long.
+  std::chrono::milliseconds settle{40};
+};
+
+/// Hears what a watch learns.
+class TableWatchHandler {
+ public:
+  virtual ~TableWatchHandler() = default;
+  /// Rows that changed, removals among them; may be empty.
+  virtual void OnTableRows(const std::string& table,
+                           const std::vector<MirrorRow>& changes) = 0;
+  /// A call failed. Called for each failure in a row.
+  virtual void OnTableLost(const std::string& table,
+                           std::string_view reason) = 0;
+  /// A call was answered, after a failure or not.
+  virtual void OnTableHeard(const std::string& table) = 0;
+};
+
+/// Used on one loop; outlives its calls only through shared ownership.
+class TableWatch : public std::enable_shared_from_this<TableWatch> {
+ public:
+  TableWatch(asio::io_context& loop, CallClient& client,
+             TableWatchOptions options, TableWatchHandler& handler);
+
+  void Start();
+  void Stop();
+  /// Asks again now: a peer knows a newer state, or the channel seems silent.
+  void Refresh();
+  /// Takes a peer's copy of the table.
+  void OnPeerSnapshot(const TableSnapshot& snapshot);
+
+  const TableMirror& mirror() const { return mirror_; }
+  /// True while the last call was answered.
+  bool in_touch() const { return in_touch_; }
+  TimePoint heard_at() const { return heard_at_; }
+
+ private:
+  void Next();
+  void ReadAll(std::string from_key);
+  void OnReadAnswer(absl::StatusOr<CallAnswer> answer);
+  void Watch();
+  void OnWatchAnswer(absl::StatusOr<CallAnswer> answer);
+  /// @return nothing if the answer holds no rows; the failure is handled then
+  std::optional<platform::RowsAnswer> Rows(
+      const absl::StatusOr<CallAnswer>& answer);
+  void Heard();
+  void Failed(std::string_view reason);
+  void After(std::chrono::milliseconds pause);
+
+  asio::io_context& loop_;
+  CallClient& client_;
+  TableWatchOptions options_;
+  TableWatchHandler& handler_;
+  asio::steady_timer timer_;
+  TableMirror mirror_;
+  TableSnapshot reading_;
+  std::uint64_t generation_ = 0;  ///< Answers to older calls are dropped.
+  bool read_due_ = true;
+  bool in_touch_ = false;
+  bool stopped_ = false;
+  std::chrono::milliseconds pause_;
+  TimePoint heard_at_;
+};
+
+}  // namespace yuccapick
+
+#endif  // YUCCAPICK_GATEWAY_TABLE_WATCH_H_
--- /dev/null
+++ b/src/gateway_config.cc
@@ -0,0 +1,86 @@
+#include "yuccapick/gateway_config.h"
+
+#include <fmt/format.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/string_view.h"
+
+namespace yuccapick {
+namespace {
+
+std::uint64_t IsolationHash(const std::vector<GatewayTeam>& teams) {
+  std::vector<std::string> isolated;
+  for (const GatewayTeam& team : teams) {
+    if (team.isolated) isolated.push_back(team.id.value);
+  }
+  std::sort(isolated.begin(), isolated.end());
+  std::string joined;
+  for (const std::string& name : isolated) joined += name + '\n';
+  return XXH3_64bits(joined.data(), joined.size());
+}
+
+}  // namespace
+
+GatewayConfig::GatewayConfig(ConfigVersion version,
+                             std::vector<GatewayRoute> routes,
+                             std::vector<GatewayService> services,
+                             std::vector<GatewayTeam> teams,
+                             CallerLimits limits)
+    : version_(version),
+      routes_(std::move(routes)),
+      services_(std::move(services)),
+      teams_(std::move(teams)),
+      limits_(limits) {
+  for (std::size_t i = 0; i < routes_.size(); ++i) {
+    by_host_[routes_[i].host].push_back(i);
+  }
+  for (auto& [host, positions] : by_host_) {
+    std::stable_sort(positions.begin(), positions.end(),
+                     [this](std::size_t a, std::size_t b) {
+                       return routes_[a].prefix.size() >
+                              routes_[b].prefix.size();
+                     });
+  }
+  IndexTeams();
+}
+
+void GatewayConfig::IndexTeams() {
+  for (std::size_t i = 0; i < teams_.size(); ++i) {
+    for (const std::string& key : teams_[i].keys) by_key_.emplace(key, i);
+  }
+  isolation_hash_ = IsolationHash(teams_);
+}
+
+const GatewayRoute* GatewayConfig::FindRoute(std::string_view host,
+                                             std::string_view path) const {
+  const auto it = by_host_.find(absl::string_view(host.data(), host.size()));
+  if (it == by_host_.end()) return nullptr;
+  for (const std::size_t i : it->second) {
+    if (path.starts_with(routes_[i].prefix)) return &routes_[i];
+  }
+  return nullptr;
+}
+
+const GatewayTeam* GatewayConfig::FindTeam(std::string_view key) const {
+  const auto it = by_key_.find(absl::string_view(key.data(), key.size()));
+  return it == by_key_.end() ? nullptr : &teams_[it->second];
+}
+
+const GatewayService* GatewayConfig::FindService(const ServiceId& id) const {
+  for (const GatewayService& service : services_) {
+    if (service.id == id) return &service;
+  }
+  return nullptr;
+}
+
+std::string GatewayConfig::CacheScopeOf(const GatewayTeam* team,
+                                        std::uint64_t weight_version) const {
+  const bool isolated = team != nullptr && team->isolated;
+  return fmt::format("{}-{:x}-{}", weight_version, isolation_hash_,
+                     isolated ? team->id.value : "");
+}
+
+}  // namespace yuccapick
--- a/src/shell/commands.h
+++ b/src/shell/commands.h
@@ -21,6 +21,7 @@
 int RunPublish(int argc, char** argv);
 int RunCheck(int argc, char** argv);
 int RunShow(int argc, char** argv);
+int RunGateway(int argc, char** argv);
 
 }  // namespace yuccapick
 
--- a/src/shell/main.cc
+++ b/src/shell/main.cc
@@ -16,6 +16,7 @@
     "\n"
     "Commands:\n"
     "  router   take callers' requests and stream the answers\n"
+    "  gateway  the same with one process: calls upstreams directly\n"
     "  agent    stand beside one upstream: gate, fence, cache picture, drain\n"
     "  publish  check a configuration directory and put it into force\n"
     "  check    check a configuration directory and report every error\n"
@@ -30,8 +31,9 @@
   int (*run)(int argc, char** argv);
 };
 
-constexpr std::array<Command, 5> kCommands{{
+constexpr std::array<Command, 6> kCommands{{
     {"router", yuccapick::RunRouter},
+    {"gateway", yuccapick::RunGateway},
     {"agent", yuccapick::RunAgent},
     {"publish", yuccapick::RunPublish},
     {"check", yuccapick::RunCheck},
--- /dev/null
+++ b/src/upstream_roster.cc
@@ -0,0 +1,121 @@
+#include "yuccapick/upstream_roster.h"
+
+#include <utility>
+
+namespace yuccapick {
+
+using Kind = RosterChange::Kind;
+
+std::string_view RosterChangeName(Kind kind) {
+  switch (kind) {
+    case Kind::kAdded:
+      return "added";
+    case Kind::kRestarted:
+      return "restarted";
+    case Kind::kUpdated:
+      return "updated";
+    case Kind::kLeaving:
+      return "leaving";
+    case Kind::kUnconfirmed:
+      return "unconfirmed";
+    case Kind::kRemoved:
+      return "removed";
+  }
+  return "unknown";
+}
+
+bool UpstreamRoster::InReentry(TimePoint now) const {
+  if (lost_since_) return now - *lost_since_ >= options_.min_outage;
+  return reentry_until_ && now < *reentry_until_;
+}
+
+std::optional<RosterChange> UpstreamRoster::OnEntry(const UpstreamEntry& entry,
+                                                    TimePoint /*now*/) {
+  const auto it = members_.find(entry.id);
+  if (it == members_.end()) {
+    members_.emplace(entry.id, Member{entry, std::nullopt});
+    const Kind kind = entry.leaving ? Kind::kLeaving : Kind::kAdded;
+    return RosterChange{kind, entry.id};
+  }
+  Member& member = it->second;
+  const bool was_unconfirmed = member.unconfirmed_until.has_value();
+  member.unconfirmed_until.reset();
+  const UpstreamEntry before = std::exchange(member.entry, entry);
+  if (before.life != entry.life)
+    return RosterChange{Kind::kRestarted, entry.id};
+  member.entry.leaving |= before.leaving;
+  if (member.entry.leaving && !before.leaving) {
+    return RosterChange{Kind::kLeaving, entry.id};
+  }
+  if (before == member.entry && !was_unconfirmed) return std::nullopt;
+  return RosterChange{Kind::kUpdated, entry.id};
+}
+
+std::optional<RosterChange> UpstreamRoster::OnRemoved(const UpstreamId& id,
+                                                      TimePoint now) {
+  const auto it = members_.find(id);
+  if (it == members_.end()) return std::nullopt;
+  Member& member = it->second;
+  if (InReentry(now) && !member.entry.leaving) {
+    if (member.unconfirmed_until) return std::nullopt;
+    member.unconfirmed_until = now + options_.reentry;
+    return RosterChange{Kind::kUnconfirmed, id};
+  }
+  members_.erase(it);
+  return RosterChange{Kind::kRemoved, id};
+}
+
+void UpstreamRoster::OnListLost(TimePoint now) {
+  if (!lost_since_) lost_since_ = now;
+}
+
+void UpstreamRoster::OnListBack(TimePoint now) {
+  if (!lost_since_) return;
+  if (now - *lost_since_ >= options_.min_outage) {
+    reentry_until_ = now + options_.reentry;
+  }
+  lost_since_.reset();
+}
+
+std::vector<RosterChange> UpstreamRoster::OnTick(TimePoint now) {
+  std::vector<RosterChange> changes;
+  if (lost_since_) return changes;
+  for (auto it = members_.begin(); it != members_.end();) {
+    const auto& until = it->second.unconfirmed_until;
+    if (!until || now < *until) {
+      ++it;
+      continue;
+    }
+    changes.push_back({Kind::kRemoved, it->first});
+    it = members_.erase(it);
+  }
+  return changes;
+}
+
+const UpstreamEntry* UpstreamRoster::FindUsable(const UpstreamId& id) const {
+  const UpstreamEntry* entry = Find(id);
+  return entry != nullptr && !entry->leaving ? entry : nullptr;
+}
+
+const UpstreamEntry* UpstreamRoster::Find(const UpstreamId& id) const {
+  const auto it = members_.find(id);
+  return it == members_.end() ? nullptr : &it->second.entry;
+}
+
+std::vector<const UpstreamEntry*> UpstreamRoster::Usable(
+    const ServiceId& service) const {
+  std::vector<const UpstreamEntry*> usable;
+  for (const auto& [id, member] : members_) {
+    if (member.entry.leaving || member.entry.service != service) continue;
+    usable.push_back(&member.entry);
+  }
+  return usable;
+}
+
+std::vector<const UpstreamEntry*> UpstreamRoster::All() const {
+  std::vector<const UpstreamEntry*> all;
+  for (const auto& [id, member] : members_) all.push_back(&member.entry);
+  return all;
+}
+
+}  // namespace yuccapick
