--- a/include/yuccapick/gateway_config.h
+++ b/include/yuccapick/gateway_config.h
@@ -103,6 +103,8 @@
   /// @return the team that holds `key`, or null
   const GatewayTeam* FindTeam(std::string_view key) const;
   const GatewayService* FindService(const ServiceId& id) const;
+  /// @return endpoint of the store of kept KV cache, empty if there is none
+  std::string KvStoreEndpoint() const;
 
   /// Separates cached prefixes that must not be shared: by weight version, by
   /// isolated team, and by the set of isolated teams, since entries made
--- /dev/null
+++ b/include/yuccapick/rollout_planner.h
@@ -0,0 +1,146 @@
+#ifndef YUCCAPICK_ROLLOUT_PLANNER_H_
+#define YUCCAPICK_ROLLOUT_PLANNER_H_
+
+/// @file
+/// Brings model engines to the weights that the operator named, a few at once.
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <variant>
+#include <vector>
+
+#include "yuccapick/ids.h"
+#include "yuccapick/upstream_load.h"
+#include "yuccapick/upstream_roster.h"
+
+namespace yuccapick {
+
+/// An order for one upstream to load weights.
+struct RolloutOrder {
+  UpstreamId upstream;
+  ModelId model;
+  WeightNumber weights = 0;
+  std::uint64_t expected_orders = 0;  ///< Carried out only at this count.
+
+  bool operator==(const RolloutOrder&) const = default;
+};
+
+/// Asks an upstream how far it is.
+struct RolloutQuestion {
+  UpstreamId upstream;
+
+  bool operator==(const RolloutQuestion&) const = default;
+};
+
+using RolloutAction = std::variant<RolloutOrder, RolloutQuestion>;
+
+/// What an upstream said to an order.
+enum class OrderAnswer : std::uint8_t {
+  kAccepted,
+  kAlreadyHolds,
+  kConflict,  ///< Another order is under way, or the count differs.
+  kRefused,   ///< Not carried out for another reason.
+  kNone,      ///< No answer: it may be carried out, also much later.
+};
+
+/// What an upstream reports about itself.
+struct RolloutReport {
+  std::map<ModelId, WeightNumber> weights;
+  bool busy = false;
+  std::uint64_t orders_accepted = 0;
+};
+
+struct RolloutOptions {
+  /// Loads at once: this share of the engines, at least `min_at_once`.
+  double share_at_once = 1.0 / 6.0;
+  std::size_t min_at_once = 3;
+  /// Peers learn that an upstream is about to load before it gets the order.
+  std::chrono::milliseconds announce{150};
+  /// When to ask an upstream that accepted an order, and how often then.
+  std::chrono::milliseconds first_question{350};
+  std::chrono::milliseconds question_every{200};
+  /// Refused orders are tried again after this time.
+  std::chrono::milliseconds retry_pause{400};
+  /// An order without any sign of being carried out is given again.
+  std::chrono::milliseconds lost_after{900};
+  /// An upstream that leaves this many questions in a row unanswered makes
+  /// room for others for `aside`.
+  std::uint32_t max_unanswered = 2;
+  std::chrono::milliseconds aside{1'500};
+};
+
+/// Decides orders and questions. It is consulted only while the process holds
+/// the duty; a new holder starts with an empty planner and asks first.
+class RolloutPlanner {
+ public:
+  explicit RolloutPlanner(RolloutOptions options = {}) : options_(options) {}
+
+  // Commands.
+
+  /// @param named newest weights by model
+  std::vector<RolloutAction> OnTick(
+      const std::map<ModelId, WeightNumber>& named,
+      const UpstreamRoster& roster, const UpstreamLoad& load, TimePoint now);
+  void OnOrderAnswer(const UpstreamId& upstream, OrderAnswer answer,
+                     TimePoint now);
+  /// @param report nothing if the upstream did not answer
+  void OnReport(const UpstreamId& upstream,
+                const std::optional<RolloutReport>& report, TimePoint now);
+  /// Forgets everything: the duty is lost.
+  void Reset();
+
+  // Queries.
+
+  /// Upstreams that load or are about to; they should get no new requests.
+  std::set<UpstreamId> Loading() const;
+
+ private:
+  enum class Stage : std::uint8_t {
+    kAnnounced,
+    kAsking,   ///< The count of orders is asked for.
+    kOrdered,  ///< The order is on its way.
+    kLoading,  ///< Accepted, or perhaps accepted.
+    kPaused,
+  };
+  struct Task {
+    Stage stage = Stage::kAnnounced;
+    ModelId model;
+    WeightNumber weights = 0;
+    Incarnation life;
+    std::optional<std::uint64_t> orders_accepted;
+    TimePoint since;  ///< Of the stage.
+    TimePoint next_question;
+    bool waiting = false;          ///< For an answer.
+    std::uint32_t unanswered = 0;  ///< Questions in a row.
+  };
+  struct Outdated {
+    const UpstreamEntry* upstream;
+    ModelId model;
+    WeightNumber weights;
+    WorkAmount work;
+  };
+
+  static std::optional<Outdated> OutdatedModel(
+      const UpstreamEntry& upstream,
+      const std::map<ModelId, WeightNumber>& named);
+  void DropFinished(const std::map<ModelId, WeightNumber>& named,
+                    const UpstreamRoster& roster);
+  void Begin(const std::map<ModelId, WeightNumber>& named,
+             const UpstreamRoster& roster, const UpstreamLoad& load,
+             TimePoint now);
+  std::optional<RolloutAction> Advance(const UpstreamId& upstream, Task& task,
+                                       TimePoint now);
+  RolloutAction Ask(const UpstreamId& upstream, Task& task, TimePoint now);
+  static void Enter(Task& task, Stage stage, TimePoint now);
+
+  RolloutOptions options_;
+  std::map<UpstreamId, Task> tasks_;
+  std::map<UpstreamId, TimePoint> aside_until_;
+};
+
+}  // namespace yuccapick
+
+#endif  // YUCCAPICK_ROLLOUT_PLANNER_H_
--- a/include/yuccapick/table_mirror.h
+++ b/include/yuccapick/table_mirror.h
@@ -41,6 +41,8 @@
   // Queries.
 
   std::uint64_t as_of() const { return as_of_; }
+  /// Version of the newest change that was applied.
+  std::uint64_t newest_change() const { return newest_change_; }
   TableSnapshot Snapshot() const;
 
  private:
@@ -48,6 +50,7 @@
 
   std::map<std::string, MirrorRow> rows_;
   std::uint64_t as_of_ = 0;
+  std::uint64_t newest_change_ = 0;
 };
 
 }  // namespace yuccapick
--- a/include/yuccapick/upstream_roster.h
+++ b/include/yuccapick/upstream_roster.h
@@ -68,6 +68,10 @@
   std::optional<RosterChange> OnEntry(const UpstreamEntry& entry,
                                       TimePoint now);
   std::optional<RosterChange> OnRemoved(const UpstreamId& id, TimePoint now);
+  /// The upstream itself told which weights it has. Its entry follows later.
+  /// @return true if that was news
+  bool OnWeightsSeen(const UpstreamId& id, const ModelId& model,
+                     WeightNumber weights);
   /// The list stopped answering.
   void OnListLost(TimePoint now);
   /// The list answers again.
--- a/src/direct_placement.cc
+++ b/src/direct_placement.cc
@@ -1,184 +1,166 @@
 #include "yuccapick/direct_placement.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
-#include <limits>
+#include <utility>
 
 #include "yuccapick/rendezvous.h"
 
 namespace yuccapick {
+namespace {
+
+constexpr double kTokensPerK = 1'000.0;
+constexpr double kBytesPerKb = 1'000.0;
+
+bool WasTried(const PlacementQuery& query, const UpstreamId& id) {
+  return std::find(query.tried.begin(), query.tried.end(), id) !=
+         query.tried.end();
+}
+
+}  // namespace
 
-std::vector<DirectPlacement::ChainLink> DirectPlacement::SharedChain(
-    const PlacementQuery& query) {
-  std::vector<ChainLink> chain;
-  std::uint64_t hash =
-      XXH3_64bits(query.cache_scope.data(), query.cache_scope.size());
-  std::uint32_t tokens = 0;
-  for (std::size_t i = 0; i + 1 < query.parts.size(); ++i) {
-    const PromptPart& part = query.parts[i];
-    hash = XXH3_64bits_withSeed(part.id.data(), part.id.size(), hash);
-    tokens += part.tokens;
-    chain.push_back({hash, tokens});
+const PlacementCandidate* DirectPlacement::HomeOf(const PlacementQuery& query,
+                                                  const PlacementFleet& fleet,
+                                                  const UpstreamHealth& health,
+                                                  TimePoint now) const {
+  // Without a scope, so that homes stay when new weights come.
+  const PartChain chain = SharedChain("", query.parts);
+  if (chain.empty()) return nullptr;
+  const PlacementCandidate* home = nullptr;
+  std::uint64_t home_score = 0;
+  for (const PlacementCandidate& it : fleet.candidates) {
+    if (it.loading || health.Paused(it.upstream->id, now)) continue;
+    const std::uint64_t score = RendezvousScore(
+        chain.back().hash, RendezvousNodeHash(it.upstream->id.value));
+    if (home != nullptr && score <= home_score) continue;
+    home = &it;
+    home_score = score;
   }
-  return chain;
+  return home;
 }
 
-std::uint32_t DirectPlacement::KnownTokens(const std::vector<ChainLink>& chain,
-                                           const UpstreamId& upstream,
-                                           TimePoint now) const {
-  for (auto link = chain.rbegin(); link != chain.rend(); ++link) {
-    const auto it = parts_.find(link->hash);
-    if (it == parts_.end()) continue;
-    for (const Holder& holder : it->second.holders) {
-      if (holder.upstream != upstream) continue;
-      if (now - holder.used_at < options_.part_lifetime) return link->tokens;
-    }
+DirectPlacement::PartSources DirectPlacement::SourcesIn(
+    const std::string& scope, const PlacementQuery& query,
+    const PlacementFleet& fleet, const PartDirectory& directory,
+    TimePoint now) const {
+  PartSources sources;
+  sources.chain = SharedChain(scope, query.parts);
+  sources.exported = !fleet.kv_store_endpoint.empty() &&
+                     directory.Exported(sources.chain, now);
+  const UpstreamId* holder = directory.NewestHolder(sources.chain, now);
+  if (holder == nullptr) return sources;
+  for (const PlacementCandidate& it : fleet.candidates) {
+    if (it.upstream->id != *holder || it.loading) continue;
+    if (it.cache_scope == scope)
+      sources.holder_endpoint = it.upstream->endpoint;
   }
-  return 0;
+  return sources;
 }
 
-const DirectPlacement::Holder* DirectPlacement::NewestHolder(
-    std::uint64_t hash, TimePoint now) const {
-  const auto it = parts_.find(hash);
-  if (it == parts_.end()) return nullptr;
-  const Holder* newest = nullptr;
-  for (const Holder& holder : it->second.holders) {
-    if (now - holder.used_at >= options_.part_lifetime) continue;
-    if (newest == nullptr || holder.used_at > newest->used_at) newest = &holder;
+DirectPlacement::Cost DirectPlacement::PlanParts(
+    const PartSources& sources, const PlacementQuery& query,
+    const PlacementFleet& fleet, const PlacementCandidate& it,
+    const PlacementCandidate* home, const PartDirectory& directory,
+    TimePoint now, DirectChoice& choice) const {
+  const std::uint32_t shared =
+      sources.chain.empty() ? 0 : sources.chain.back().tokens;
+  Cost cost{0};
+  std::uint32_t hit = directory.TokensAt(sources.chain, it.upstream->id, now);
+  const bool holder_elsewhere =
+      !sources.holder_endpoint.empty() &&
+      sources.holder_endpoint != it.upstream->endpoint;
+  if (hit < shared && sources.exported) {
+    // The home may still hold what other processes sent there.
+    const bool likely_held = &it == home;
+    choice.import_from = fleet.kv_store_endpoint;
+    if (!likely_held) cost += costs_.import_from_store;
+    hit = shared;
+  } else if (hit < shared && holder_elsewhere) {
+    choice.import_from = sources.holder_endpoint;
+    cost += costs_.import_from_engine;
+    hit = shared;
+  } else if (hit < shared && home != nullptr && &it != home &&
+             home->cache_scope == it.cache_scope) {
+    choice.import_from = home->upstream->endpoint;
+    cost += costs_.import_from_engine;
+    hit = shared;
+  } else if (&it == home) {
+    hit = shared;
   }
-  return newest;
+  if (shared > 0 && !sources.exported) {
+    choice.export_to = fleet.kv_store_endpoint;
+  }
+  choice.expected_hit_tokens = hit;
+  choice.missing_tokens =
+      query.prompt_tokens - std::min(query.prompt_tokens, hit);
+  cost += Cost(choice.missing_tokens / costs_.prefill_tokens_per_ms);
+  cost += costs_.reread_per_k_tokens * ((shared - hit) / kTokensPerK);
+  return cost;
 }
 
 DirectPlacement::Cost DirectPlacement::WaitAt(const UpstreamEntry& upstream,
-                                              std::uint64_t kv_capacity,
                                               const PlacementQuery& query,
+                                              std::uint64_t kv_capacity,
                                               const UpstreamLoad& load,
                                               TimePoint now) const {
   const WorkAmount work = load.Total(upstream.id, now);
-  Cost wait = options_.wait_per_request * work.requests;
+  Cost wait = costs_.per_request * work.requests;
   wait += Cost(static_cast<double>(work.prefill_tokens) /
-               options_.prefill_tokens_per_ms);
+               costs_.prefill_tokens_per_ms);
+  double used_share = 0;
   if (kv_capacity > 0) {
-    const double used = static_cast<double>(
-        work.kv_tokens + query.prompt_tokens + query.output_tokens);
-    const double share = used / static_cast<double>(kv_capacity);
-    if (share > options_.full_share) {
-      wait += options_.full_cost * (1.0 + share - options_.full_share);
-    }
-  } else if (work.requests >= upstream.slots) {
-    wait += options_.full_cost * (1 + work.requests - upstream.slots) /
-            upstream.slots;
+    const std::uint64_t tokens =
+        work.kv_tokens + query.prompt_tokens + query.output_tokens;
+    used_share = static_cast<double>(tokens) / static_cast<double>(kv_capacity);
+  } else {
+    used_share = static_cast<double>(work.requests + 1) / upstream.slots;
+  }
+  if (used_share > costs_.full_share) {
+    wait += costs_.full * (used_share - costs_.full_share);
   }
-  if (upstream.domain != options_.own_domain) {
-    const double kilobytes = static_cast<double>(query.body_bytes) / 1'000.0;
-    wait += options_.domain_cost + options_.domain_cost_per_kb * kilobytes;
+  if (upstream.domain != own_domain_) {
+    wait += costs_.domain;
+    wait += costs_.domain_per_kb * (query.body_bytes / kBytesPerKb);
   }
   return wait;
 }
 
+DirectPlacement::Cost DirectPlacement::RiskAt(
+    const PlacementCandidate& candidate, const UpstreamHealth& health,
+    TimePoint now) const {
+  const UpstreamId& id = candidate.upstream->id;
+  Cost risk = costs_.failure * health.FailureRate(id, now);
+  if (candidate.loading || health.Paused(id, now)) risk += costs_.avoid;
+  if (candidate.old_weights) risk += costs_.old_weights;
+  return risk;
+}
+
 std::optional<DirectChoice> DirectPlacement::Choose(
-    const PlacementQuery& query,
-    const std::vector<PlacementCandidate>& candidates,
-    std::uint64_t kv_capacity, const UpstreamLoad& load,
+    const PlacementQuery& query, const PlacementFleet& fleet,
+    const PartDirectory& directory, const UpstreamLoad& load,
     const UpstreamHealth& health, TimePoint now) const {
-  const std::vector<ChainLink> chain = SharedChain(query);
-  const std::uint32_t shared = chain.empty() ? 0 : chain.back().tokens;
-  const std::uint64_t key = chain.empty() ? 0 : chain.back().hash;
-
-  const PlacementCandidate* home = nullptr;
-  std::uint64_t home_score = 0;
-  for (const PlacementCandidate& candidate : candidates) {
-    if (chain.empty() || candidate.loading) continue;
-    if (health.Paused(candidate.upstream->id, now)) continue;
-    const std::uint64_t score =
-        RendezvousScore(key, RendezvousNodeHash(candidate.upstream->id.value));
-    if (home != nullptr && score <= home_score) continue;
-    home = &candidate;
-    home_score = score;
-  }
-
-  const Holder* holder = chain.empty() ? nullptr : NewestHolder(key, now);
-  std::string holder_endpoint;
-  if (holder != nullptr) {
-    for (const PlacementCandidate& candidate : candidates) {
-      if (candidate.upstream->id == holder->upstream && !candidate.loading) {
-        holder_endpoint = candidate.upstream->endpoint;
-      }
-    }
-  }
-  if (holder_endpoint.empty() && home != nullptr) {
-    holder_endpoint = home->upstream->endpoint;
-  }
-
+  const PlacementCandidate* home = HomeOf(query, fleet, health, now);
+  std::map<std::string, PartSources> sources;
   std::optional<DirectChoice> best;
-  for (const PlacementCandidate& candidate : candidates) {
-    const UpstreamEntry& upstream = *candidate.upstream;
-    if (std::find(query.tried.begin(), query.tried.end(), upstream.id) !=
-        query.tried.end()) {
-      continue;
+  for (const PlacementCandidate& it : fleet.candidates) {
+    if (WasTried(query, it.upstream->id)) continue;
+    auto found = sources.find(it.cache_scope);
+    if (found == sources.end()) {
+      found = sources
+                  .emplace(it.cache_scope, SourcesIn(it.cache_scope, query,
+                                                     fleet, directory, now))
+                  .first;
     }
     DirectChoice choice;
-    choice.upstream = upstream.id;
-    choice.expected_hit_tokens = KnownTokens(chain, upstream.id, now);
-    if (&candidate == home) choice.expected_hit_tokens = shared;
-    choice.cost = WaitAt(upstream, kv_capacity, query, load, now);
-    if (choice.expected_hit_tokens < shared && !holder_endpoint.empty() &&
-        holder_endpoint != upstream.endpoint) {
-      choice.import_from = holder_endpoint;
-      choice.cost += options_.import_cost;
-      choice.expected_hit_tokens = shared;
-    }
-    choice.missing_tokens =
-        query.prompt_tokens -
-        std::min(query.prompt_tokens, choice.expected_hit_tokens);
-    choice.cost += Cost(static_cast<double>(choice.missing_tokens) /
-                        options_.prefill_tokens_per_ms);
-    choice.cost += options_.failure_cost * health.FailureRate(upstream.id, now);
-    if (candidate.loading || health.Paused(upstream.id, now)) {
-      choice.cost += options_.avoid_cost;
-    }
+    choice.upstream = it.upstream->id;
+    choice.cache_scope = it.cache_scope;
+    choice.cost =
+        WaitAt(*it.upstream, query, fleet.kv_capacity_tokens, load, now);
+    choice.cost += RiskAt(it, health, now);
+    choice.cost += PlanParts(found->second, query, fleet, it, home, directory,
+                             now, choice);
     if (!best || choice.cost < best->cost) best = std::move(choice);
   }
   return best;
 }
 
-void DirectPlacement::OnServed(const PlacementQuery& query,
-                               const UpstreamId& upstream, TimePoint now) {
-  for (const ChainLink& link : SharedChain(query)) {
-    KnownPart& part = parts_[link.hash];
-    part.used_at = now;
-    const auto it = std::find_if(
-        part.holders.begin(), part.holders.end(),
-        [&upstream](const Holder& h) { return h.upstream == upstream; });
-    if (it != part.holders.end()) {
-      it->used_at = now;
-    } else {
-      part.holders.push_back({upstream, now});
-    }
-  }
-  if (parts_.size() > options_.max_known_parts) DropOldest();
-}
-
-void DirectPlacement::OnCacheLost(const UpstreamId& upstream) {
-  for (auto& [hash, part] : parts_) {
-    std::erase_if(part.holders, [&upstream](const Holder& holder) {
-      return holder.upstream == upstream;
-    });
-  }
-}
-
-void DirectPlacement::DropOldest() {
-  std::vector<TimePoint> times;
-  times.reserve(parts_.size());
-  for (const auto& [hash, part] : parts_) times.push_back(part.used_at);
-  const auto middle =
-      times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
-  std::nth_element(times.begin(), middle, times.end());
-  const TimePoint oldest_kept = *middle;
-  absl::erase_if(parts_, [oldest_kept](const auto& entry) {
-    return entry.second.used_at < oldest_kept;
-  });
-}
-
 }  // namespace yuccapick
--- a/src/gateway/gateway_command.cc
+++ b/src/gateway/gateway_command.cc
@@ -8,6 +8,7 @@
 #include "gateway/gateway_process.h"
 #include "platform/settings_file.h"
 #include "shell/commands.h"
+#include "shell/process_life.h"
 
 namespace yuccapick {
 namespace {
@@ -112,7 +113,7 @@
   if (arguments.check_only) return kExitOk;
   std::signal(SIGPIPE, SIG_IGN);
   asio::io_context loop(1);
-  GatewayProcess process(loop, *std::move(settings));
+  GatewayProcess process(loop, *std::move(settings), NewIncarnation());
   const absl::Status status = process.Start();
   if (!status.ok()) {
     std::fprintf(stderr, "%s\n", status.message().data());
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -22,8 +22,21 @@
 constexpr int kHttpNotFound = 404;
 constexpr int kHttpUnavailable = 503;
 
-constexpr milliseconds kTickEvery{250};
-constexpr std::uint64_t kTicksBetweenSweeps = 4;
+constexpr milliseconds kTickEvery{100};
+constexpr std::uint64_t kTicksBetweenSweeps = 10;
+constexpr std::uint64_t kTicksBetweenFlushes = 2;
+/// Reports to peers; rarer where there are many, so that a gateway's traffic
+/// does not grow with their number.
+constexpr milliseconds kReportEvery{250};
+constexpr std::size_t kPeersAtFullRate = 10;
+constexpr milliseconds kPeerListEvery{15'000};
+constexpr milliseconds kPeerListRetry{1'000};
+/// Rows that a peer has and the store has not told us for this long are taken
+/// from the peer.
+constexpr milliseconds kBehindBeforeFetch{250};
+constexpr char kGatewayTable[] = "yuccapick-gateways";
+/// What fits a datagram beside the work reports.
+constexpr std::size_t kMaxExportedInReport = 48;
 /// A configuration that nobody confirmed for this long may be outdated.
 constexpr milliseconds kConfirmationLifetime{7'000};
 /// The balancer sends new callers for about two more questions of its own.
@@ -75,10 +88,17 @@
   IngressServer metrics_;
 };
 
-GatewayProcess::GatewayProcess(asio::io_context& loop, GatewaySettings settings)
+GatewayProcess::GatewayProcess(asio::io_context& loop, GatewaySettings settings,
+                               Incarnation life)
     : loop_(loop),
       state_(loop, std::move(settings)),
       table_calls_(loop, {}),
+      life_(life),
+      exchange_(
+          loop, table_calls_,
+          fmt::format("{}:{}", state_.settings.ip, state_.settings.peer_port),
+          *this),
+      rollout_(std::make_shared<RolloutDuty>(state_, table_calls_, life)),
       tick_timer_(loop) {
   TableWatchHandler& watch_handler = *this;
   IngressHandler& ingress_handler = *this;
@@ -102,6 +122,8 @@
 absl::Status GatewayProcess::Start() {
   absl::Status status = status_pages_->Open(state_.settings);
   if (!status.ok()) return status;
+  status = exchange_.Open();
+  if (!status.ok()) return status;
   status = callers_->Open(state_.settings.caller_endpoint);
   if (!status.ok()) return status;
   state_.log.Write(LogKind::kLife, state_.Now(),
@@ -110,6 +132,11 @@
                    state_.settings.table_endpoint);
   operator_watch_->Start();
   upstream_watch_->Start();
+  for (const std::string& seed : state_.settings.seed_endpoints) {
+    const std::string ip = seed.substr(0, seed.rfind(':'));
+    peers_.OnEndpoint(fmt::format("{}:{}", ip, state_.settings.peer_port),
+                      state_.Now());
+  }
   Tick();
   return absl::OkStatus();
 }
@@ -119,7 +146,9 @@
 }
 
 bool GatewayProcess::ConfigConfirmed(TimePoint now) const {
-  return now - operator_watch_->heard_at() < kConfirmationLifetime;
+  if (now - operator_watch_->heard_at() < kConfirmationLifetime) return true;
+  return state_.config != nullptr &&
+         peers_.Confirms(state_.config->version(), now);
 }
 
 std::shared_ptr<IngressWork> GatewayProcess::OnRequest(
@@ -260,16 +289,127 @@
   if (change.kind == Kind::kRestarted || change.kind == Kind::kRemoved) {
     state_.health.Forget(change.id);
     state_.load.ForgetUpstream(change.id);
-    state_.placement.OnCacheLost(change.id);
+    state_.parts.OnCacheLost(change.id);
     state_.loading.erase(change.id);
   }
 }
 
+void GatewayProcess::OnPeerReport(const PeerReport& report) {
+  const TimePoint now = state_.Now();
+  if (report.instance == state_.settings.instance) return;
+  if (!peers_.OnReport(report, now)) return;
+  state_.load.OnPeerReport(report.instance, report.work, now);
+  for (const std::uint64_t hash : report.exported) {
+    state_.parts.OnExported(hash, now);
+  }
+  for (const SeenWeights& seen : report.weights) {
+    if (state_.roster.OnWeightsSeen(seen.upstream, seen.model, seen.weights)) {
+      state_.parts.OnCacheLost(seen.upstream);
+    }
+  }
+}
+
+void GatewayProcess::OnPeerTables(const PeerTables& tables) {
+  state_.log.Write(LogKind::kBelief, state_.Now(),
+                   "event=tables_from_peer operator_as_of={} upstream_as_of={}",
+                   tables.operator_rows.as_of, tables.upstream_rows.as_of);
+  operator_watch_->OnPeerSnapshot(tables.operator_rows);
+  upstream_watch_->OnPeerSnapshot(tables.upstream_rows);
+}
+
+PeerTables GatewayProcess::TablesForPeers() const {
+  return {operator_watch_->mirror().Snapshot(),
+          upstream_watch_->mirror().Snapshot()};
+}
+
+void GatewayProcess::Register() {
+  platform::RowWrite write;
+  write.table = kGatewayTable;
+  write.key = state_.settings.instance.value;
+  write.value = exchange_.endpoint();
+  const std::string& store = state_.settings.table_endpoint;
+  table_calls_.Call(store, platform::EncodeWrite(store, write), kPeerListRetry,
+                    [this](const absl::StatusOr<CallAnswer>& answer) {
+                      registered_ = answer.ok() && answer->status == kHttpOk;
+                    });
+}
+
+void GatewayProcess::LearnPeers() {
+  const std::string& store = state_.settings.table_endpoint;
+  table_calls_.Call(store, platform::EncodeReadRows(store, kGatewayTable, ""),
+                    kPeerListRetry,
+                    [this](const absl::StatusOr<CallAnswer>& answer) {
+                      if (!answer.ok() || answer->status != kHttpOk) return;
+                      const auto rows = platform::DecodeRows(answer->body);
+                      if (!rows.ok()) return;
+                      next_peer_list_ = state_.Now() + kPeerListEvery;
+                      for (const MirrorRow& row : rows->rows) {
+                        if (row.value == exchange_.endpoint()) continue;
+                        peers_.OnEndpoint(row.value, state_.Now());
+                      }
+                    });
+}
+
+PeerReport GatewayProcess::MakeReport() {
+  PeerReport report;
+  report.instance = state_.settings.instance;
+  report.life = life_;
+  report.sequence = ++reports_sent_;
+  report.endpoint = exchange_.endpoint();
+  report.store_in_touch = operator_watch_->in_touch();
+  if (state_.config != nullptr) report.config = state_.config->version();
+  report.operator_rows = operator_watch_->mirror().newest_change();
+  report.upstream_rows = upstream_watch_->mirror().newest_change();
+  report.holds_rollout = rollout_->holds();
+  report.leaving = draining_;
+  report.work = state_.load.OwnReports();
+  const std::set<UpstreamId> loading = rollout_->Loading();
+  report.loading.assign(loading.begin(), loading.end());
+  report.weights = std::exchange(state_.seen_weights, {});
+  const std::size_t n = std::min(state_.exported.size(), kMaxExportedInReport);
+  const auto end = state_.exported.begin() + static_cast<std::ptrdiff_t>(n);
+  report.exported.assign(state_.exported.begin(), end);
+  state_.exported.erase(state_.exported.begin(), end);
+  return report;
+}
+
+void GatewayProcess::ExchangeWithPeers(TimePoint now) {
+  if (now >= next_peer_list_) {
+    next_peer_list_ = now + kPeerListRetry;
+    if (!registered_) Register();
+    LearnPeers();
+  }
+  if (now < next_report_) return;
+  peers_.OnTick(now);
+  const std::size_t live = peers_.LiveCount(now);
+  state_.SetGatewayCount(live + 1);
+  next_report_ =
+      now + kReportEvery * std::max<std::size_t>(1, live / kPeersAtFullRate);
+  exchange_.Send(MakeReport(), peers_.Targets(now));
+  const PeerReport* newer =
+      peers_.NewerThan(operator_watch_->mirror().newest_change(),
+                       upstream_watch_->mirror().newest_change(), now);
+  if (newer == nullptr) {
+    behind_since_.reset();
+    return;
+  }
+  if (!behind_since_) behind_since_ = now;
+  if (now - *behind_since_ < kBehindBeforeFetch) return;
+  exchange_.FetchTables(newer->endpoint);
+}
+
 void GatewayProcess::Tick() {
   const TimePoint now = state_.Now();
   for (const RosterChange& change : state_.roster.OnTick(now)) {
     ApplyChange(change);
   }
+  ExchangeWithPeers(now);
+  state_.loading = peers_.Loading(now);
+  const std::set<UpstreamId> own_loading = rollout_->Loading();
+  state_.loading.insert(own_loading.begin(), own_loading.end());
+  if (state_.config != nullptr) {
+    rollout_->OnTick(peers_.SomeoneHoldsRollout(now));
+  }
   callers_->CheckTimeouts(now);
   if (++ticks_ % kTicksBetweenSweeps == 0) {
     state_.upstream_connections.DropExpired(now);
@@ -277,7 +417,7 @@
     status_pages_->CheckTimeouts(now);
   }
   if (draining_) CheckDrained(now);
-  state_.log.Flush(now);
+  if (ticks_ % kTicksBetweenFlushes == 0) state_.log.Flush(now);
   tick_timer_.expires_after(kTickEvery);
   tick_timer_.async_wait([this](const asio::error_code& ec) {
     if (!ec) Tick();
@@ -290,6 +430,7 @@
   drain_began_ = state_.Now();
   drained_ = std::move(done);
   callers_->AnnounceClose();
+  rollout_->Retire();
   state_.log.Write(LogKind::kLife, drain_began_,
                    "event=drain_started sessions={} busy={}",
                    callers_->session_count(), callers_->busy_count());
--- a/src/gateway/gateway_process.h
+++ b/src/gateway/gateway_process.h
@@ -8,6 +8,7 @@
 #include <asio.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -16,14 +17,20 @@
 #include "gateway/gateway_settings.h"
 #include "gateway/gateway_state.h"
 #include "gateway/ingress_session.h"
+#include "gateway/peer_exchange.h"
+#include "gateway/rollout_duty.h"
 #include "gateway/table_watch.h"
 
 namespace yuccapick {
 
 /// Wires sockets, timers and decisions together.
-class GatewayProcess : private IngressHandler, private TableWatchHandler {
+class GatewayProcess : private IngressHandler,
+                       private TableWatchHandler,
+                       private PeerExchangeHandler {
  public:
-  GatewayProcess(asio::io_context& loop, GatewaySettings settings);
+  /// @param life of this process, higher than that of any before it
+  GatewayProcess(asio::io_context& loop, GatewaySettings settings,
+                 Incarnation life);
   ~GatewayProcess() override;
 
   absl::Status Start();
@@ -45,6 +52,14 @@
   void OnTableLost(const std::string& table, std::string_view reason) override;
   void OnTableHeard(const std::string& table) override;
 
+  void OnPeerReport(const PeerReport& report) override;
+  void OnPeerTables(const PeerTables& tables) override;
+  PeerTables TablesForPeers() const override;
+
+  void Register();
+  void LearnPeers();
+  PeerReport MakeReport();
+  void ExchangeWithPeers(TimePoint now);
   void ApplyOperatorRow(const MirrorRow& row);
   void ApplyUpstreamRow(const MirrorRow& row);
   void ApplyConfig(const MirrorRow& row);
@@ -59,6 +74,15 @@
   CallClient table_calls_;
   std::shared_ptr<TableWatch> operator_watch_;
   std::shared_ptr<TableWatch> upstream_watch_;
+  Incarnation life_;
+  PeerPicture peers_;
+  PeerExchange exchange_;
+  std::shared_ptr<RolloutDuty> rollout_;
+  std::uint64_t reports_sent_ = 0;
+  TimePoint next_report_;
+  TimePoint next_peer_list_;
+  std::optional<TimePoint> behind_since_;  ///< A peer has newer rows.
+  bool registered_ = false;
   std::unique_ptr<StatusPages> status_pages_;
   std::unique_ptr<IngressServer> callers_;
   asio::steady_timer tick_timer_;
--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -9,18 +9,12 @@
 constexpr std::size_t kTeamsWithLabels = 64;
 constexpr std::chrono::milliseconds kPeerReportLifetime{1'500};
 /// Gateways that share the retry budget while the peers are not known yet.
-constexpr std::size_t kAssumedGateways = 16;
+constexpr std::size_t kAssumedGateways = 8;
 /// Part of the promised retry budget that is made use of.
 constexpr double kBudgetUse = 0.8;
 
 HttpConnectionOptions UpstreamConnectionOptions() { return {}; }
 
-DirectPlacementOptions PlacementOptions(const GatewaySettings& settings) {
-  DirectPlacementOptions options;
-  options.own_domain = settings.domain;
-  return options;
-}
-
 }  // namespace
 
 GatewayState::GatewayState(asio::io_context& io,
@@ -30,7 +24,7 @@
       metrics(kTeamsWithLabels),
       upstream_connections(io, UpstreamConnectionOptions()),
       load(kPeerReportLifetime),
-      placement(PlacementOptions(settings)),
+      placement(settings.domain, {}),
       gateway_count(kAssumedGateways) {}
 
 RetryBudget& GatewayState::BudgetOf(const ServiceId& service) {
@@ -44,11 +38,22 @@
 }
 
 void GatewayState::SetGatewayCount(std::size_t n) {
-  gateway_count = std::max<std::size_t>(n, 1);
+  // Those cut off spend from the same budget, so the count never falls.
+  gateway_count = std::max(gateway_count, n);
   for (auto& [service, budget] : budgets) {
     budget.SetReserve(settings.bounds.retry_reserve * kBudgetUse /
                       static_cast<double>(gateway_count));
   }
 }
 
+void GatewayState::NoteWeights(const UpstreamId& upstream, const ModelId& model,
+                               WeightNumber weights) {
+  if (!roster.OnWeightsSeen(upstream, model, weights)) return;
+  parts.OnCacheLost(upstream);
+  seen_weights.push_back({upstream, model, weights});
+  log.Write(LogKind::kBelief, Now(),
+            "event=weights_seen upstream={} model={} weights={}",
+            upstream.value, model.value, weights);
+}
+
 }  // namespace yuccapick
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "absl/random/random.h"
 #include "gateway/gateway_settings.h"
@@ -15,6 +16,8 @@
 #include "gateway/log_sink.h"
 #include "yuccapick/direct_placement.h"
 #include "yuccapick/gateway_config.h"
+#include "yuccapick/part_directory.h"
+#include "yuccapick/peer_report.h"
 #include "yuccapick/request_metrics.h"
 #include "yuccapick/retry_budget.h"
 #include "yuccapick/upstream_health.h"
@@ -31,6 +34,9 @@
   RetryBudget& BudgetOf(const ServiceId& service);
   /// Splits the services' budgets among this many gateways.
   void SetGatewayCount(std::size_t n);
+  /// An upstream told which weights it has; peers will hear of it.
+  void NoteWeights(const UpstreamId& upstream, const ModelId& model,
+                   WeightNumber weights);
   TimePoint Now() const { return std::chrono::steady_clock::now(); }
 
   asio::io_context& loop;
@@ -45,10 +51,13 @@
   UpstreamLoad load;
   UpstreamHealth health;
   DirectPlacement placement;
+  PartDirectory parts;
   std::set<UpstreamId> loading;  ///< New weights are on their way to these.
   std::map<ModelId, WeightNumber> named_weights;  ///< Newest by model.
-  /// The store or a peer confirmed the configuration lately.
-  bool config_confirmed = false;
+  /// Prefixes put into the KV store that peers have not heard of yet.
+  std::vector<std::uint64_t> exported;
+  /// Weights seen at upstreams that peers have not heard of yet.
+  std::vector<SeenWeights> seen_weights;
 
   std::map<ServiceId, RetryBudget> budgets;
   std::size_t gateway_count;
--- /dev/null
+++ b/src/gateway/peer_codec.cc
@@ -0,0 +1,145 @@
+#include "gateway/peer_codec.h"
+
+#include "yuccapick/msgpack_types.h"
+
+namespace msgpack {
+MSGPACK_API_VERSION_NAMESPACE(MSGPACK_DEFAULT_API_NS) {
+  namespace adaptor {
+
+  /// Packs a struct as an array of the members that `Fields` ties together.
+  template <typename T, typename Fields>
+  struct PackAsArray {
+    const msgpack::object& operator()(const msgpack::object& o, T& v) const {
+      auto fields = Fields()(v);
+      fields.msgpack_unpack(o);
+      return o;
+    }
+    template <typename Stream>
+    packer<Stream>& operator()(packer<Stream>& o, const T& v) const {
+      const auto fields = Fields()(const_cast<T&>(v));
+      fields.msgpack_pack(o);
+      return o;
+    }
+  };
+
+  struct WorkReportFields {
+    auto operator()(yuccapick::WorkReport& v) const {
+      return msgpack::type::make_define_array(v.upstream, v.amount.requests,
+                                              v.amount.kv_tokens,
+                                              v.amount.prefill_tokens);
+    }
+  };
+  struct SeenWeightsFields {
+    auto operator()(yuccapick::SeenWeights& v) const {
+      return msgpack::type::make_define_array(v.upstream, v.model, v.weights);
+    }
+  };
+  struct PeerReportFields {
+    auto operator()(yuccapick::PeerReport& v) const {
+      return msgpack::type::make_define_array(
+          v.instance, v.life, v.sequence, v.endpoint, v.store_in_touch,
+          v.config, v.operator_rows, v.upstream_rows, v.holds_rollout,
+          v.leaving, v.work, v.loading, v.weights, v.exported);
+    }
+  };
+  struct MirrorRowFields {
+    auto operator()(yuccapick::MirrorRow& v) const {
+      return msgpack::type::make_define_array(v.key, v.value, v.version,
+                                              v.removed);
+    }
+  };
+  struct TableSnapshotFields {
+    auto operator()(yuccapick::TableSnapshot& v) const {
+      return msgpack::type::make_define_array(v.rows, v.as_of);
+    }
+  };
+  struct PeerTablesFields {
+    auto operator()(yuccapick::PeerTables& v) const {
+      return msgpack::type::make_define_array(v.operator_rows, v.upstream_rows);
+    }
+  };
+
+  template <>
+  struct convert<yuccapick::WorkReport>
+      : PackAsArray<yuccapick::WorkReport, WorkReportFields> {};
+  template <>
+  struct pack<yuccapick::WorkReport>
+      : PackAsArray<yuccapick::WorkReport, WorkReportFields> {};
+  template <>
+  struct convert<yuccapick::SeenWeights>
+      : PackAsArray<yuccapick::SeenWeights, SeenWeightsFields> {};
+  template <>
+  struct pack<yuccapick::SeenWeights>
+      : PackAsArray<yuccapick::SeenWeights, SeenWeightsFields> {};
+  template <>
+  struct convert<yuccapick::PeerReport>
+      : PackAsArray<yuccapick::PeerReport, PeerReportFields> {};
+  template <>
+  struct pack<yuccapick::PeerReport>
+      : PackAsArray<yuccapick::PeerReport, PeerReportFields> {};
+  template <>
+  struct convert<yuccapick::MirrorRow>
+      : PackAsArray<yuccapick::MirrorRow, MirrorRowFields> {};
+  template <>
+  struct pack<yuccapick::MirrorRow>
+      : PackAsArray<yuccapick::MirrorRow, MirrorRowFields> {};
+  template <>
+  struct convert<yuccapick::TableSnapshot>
+      : PackAsArray<yuccapick::TableSnapshot, TableSnapshotFields> {};
+  template <>
+  struct pack<yuccapick::TableSnapshot>
+      : PackAsArray<yuccapick::TableSnapshot, TableSnapshotFields> {};
+  template <>
+  struct convert<yuccapick::PeerTables>
+      : PackAsArray<yuccapick::PeerTables, PeerTablesFields> {};
+  template <>
+  struct pack<yuccapick::PeerTables>
+      : PackAsArray<yuccapick::PeerTables, PeerTablesFields> {};
+
+  }  // namespace adaptor
+}  // MSGPACK_API_VERSION_NAMESPACE
+}  // namespace msgpack
+
+namespace yuccapick {
+namespace {
+
+template <typename T>
+std::string Encode(const T& message) {
+  msgpack::sbuffer buf;
+  msgpack::pack(buf, message);
+  return {buf.data(), buf.size()};
+}
+
+template <typename T>
+std::optional<T> Decode(std::string_view bytes) {
+  try {
+    T message;
+    const msgpack::object_handle handle =
+        msgpack::unpack(bytes.data(), bytes.size());
+    handle.get().convert(message);
+    return message;
+  } catch (const std::exception&) {
+    // The library throws its own types and those of the standard library.
+    return std::nullopt;
+  }
+}
+
+}  // namespace
+
+std::string EncodePeerReport(const PeerReport& report) {
+  return Encode(report);
+}
+
+std::optional<PeerReport> DecodePeerReport(std::string_view bytes) {
+  return Decode<PeerReport>(bytes);
+}
+
+std::string EncodePeerTables(const PeerTables& tables) {
+  return Encode(tables);
+}
+
+std::optional<PeerTables> DecodePeerTables(std::string_view bytes) {
+  return Decode<PeerTables>(bytes);
+}
+
+}  // namespace yuccapick
--- /dev/null
+++ b/src/gateway/peer_codec.h
@@ -0,0 +1,32 @@
+#ifndef YUCCAPICK_GATEWAY_PEER_CODEC_H_
+#define YUCCAPICK_GATEWAY_PEER_CODEC_H_
+
+/// @file
+/// Bytes of what gateways tell each other (MessagePack).
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "yuccapick/peer_report.h"
+#include "yuccapick/table_mirror.h"
+
+namespace yuccapick {
+
+/// Copies of the store's tables that a gateway gives to a peer.
+struct PeerTables {
+  TableSnapshot operator_rows;
+  TableSnapshot upstream_rows;
+};
+
+std::string EncodePeerReport(const PeerReport& report);
+/// @return nothing if the bytes are no report
+std::optional<PeerReport> DecodePeerReport(std::string_view bytes);
+
+std::string EncodePeerTables(const PeerTables& tables);
+/// @return nothing if the bytes are no tables
+std::optional<PeerTables> DecodePeerTables(std::string_view bytes);
+
+}  // namespace yuccapick
+
+#endif  // YUCCAPICK_GATEWAY_PEER_CODEC_H_
--- /dev/null
+++ b/src/gateway/peer_exchange.cc
@@ -0,0 +1,101 @@
+#include "gateway/peer_exchange.h"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+#include "gateway/http_connection.h"
+
+namespace yuccapick {
+namespace {
+
+constexpr int kHttpOk = 200;
+constexpr int kHttpNotFound = 404;
+constexpr std::string_view kTablesPath = "/tables";
+constexpr std::chrono::milliseconds kFetchTimeout{500};
+
+}  // namespace
+
+PeerExchange::PeerExchange(asio::io_context& loop, CallClient& calls,
+                           std::string endpoint, PeerExchangeHandler& handler)
+    : loop_(loop),
+      calls_(calls),
+      endpoint_(std::move(endpoint)),
+      handler_(handler),
+      socket_(loop),
+      server_(loop, *this) {}
+
+absl::Status PeerExchange::Open() {
+  const asio::ip::tcp::endpoint address = ParseEndpoint(endpoint_);
+  asio::error_code ec;
+  socket_.open(asio::ip::udp::v4(), ec);
+  if (!ec) socket_.bind({address.address(), address.port()}, ec);
+  if (!ec) socket_.non_blocking(true, ec);
+  if (ec) {
+    return absl::UnavailableError(
+        fmt::format("cannot take datagrams at {}: {}; check the peer port",
+                    endpoint_, ec.message()));
+  }
+  Receive();
+  return server_.Open(endpoint_);
+}
+
+void PeerExchange::Close() {
+  asio::error_code ignored;  // The process ends.
+  socket_.close(ignored);
+  server_.CloseListener();
+  server_.CloseAll();
+}
+
+void PeerExchange::Receive() {
+  socket_.async_receive_from(
+      asio::buffer(buf_), sender_,
+      [this](const asio::error_code& ec, std::size_t n) {
+        if (!socket_.is_open() || ec == asio::error::operation_aborted) return;
+        if (!ec) {
+          const auto report = DecodePeerReport({buf_.data(), n});
+          if (report) handler_.OnPeerReport(*report);
+        }
+        Receive();
+      });
+}
+
+void PeerExchange::Send(const PeerReport& report,
+                        const std::vector<std::string>& targets) {
+  if (targets.empty()) return;
+  const std::string bytes = EncodePeerReport(report);
+  for (const std::string& target : targets) {
+    if (target == endpoint_) continue;
+    const asio::ip::tcp::endpoint address = ParseEndpoint(target);
+    if (address.port() == 0) continue;
+    asio::error_code ignored;  // The next report follows shortly.
+    socket_.send_to(asio::buffer(bytes), {address.address(), address.port()}, 0,
+                    ignored);
+  }
+}
+
+std::shared_ptr<IngressWork> PeerExchange::OnRequest(
+    IngressRequest request, std::shared_ptr<IngressSession> session) {
+  if (request.head.target != kTablesPath) {
+    session->Respond(kHttpNotFound, {}, "");
+    return nullptr;
+  }
+  session->Respond(kHttpOk, {}, EncodePeerTables(handler_.TablesForPeers()));
+  return nullptr;
+}
+
+void PeerExchange::FetchTables(const std::string& peer_endpoint) {
+  if (fetching_) return;
+  fetching_ = true;
+  calls_.Call(peer_endpoint,
+              fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\n\r\n", kTablesPath,
+                          peer_endpoint),
+              kFetchTimeout, [this](const absl::StatusOr<CallAnswer>& answer) {
+                fetching_ = false;
+                if (!answer.ok() || answer->status != kHttpOk) return;
+                const auto tables = DecodePeerTables(answer->body);
+                if (tables) handler_.OnPeerTables(*tables);
+              });
+}
+
+}  // namespace yuccapick
--- a/src/gateway/request_flight.cc
+++ b/src/gateway/request_flight.cc
@@ -105,21 +105,34 @@
   return it->second;
 }
 
-std::vector<PlacementCandidate> RequestFlight::Candidates() const {
-  std::vector<PlacementCandidate> candidates;
-  const bool needs_model = !admitted_.caller.model.empty();
+PlacementFleet RequestFlight::Fleet() const {
+  PlacementFleet fleet;
+  const GatewayConfig& config = *admitted_.config;
+  const GatewayService* service = config.FindService(service_);
+  const bool engines = service != nullptr && service->engine.has_value();
+  if (engines) {
+    fleet.kv_capacity_tokens = service->engine->kv_capacity_tokens;
+    fleet.kv_store_endpoint = config.KvStoreEndpoint();
+  }
+  const auto named = state_.named_weights.find(admitted_.caller.model);
   for (const UpstreamEntry* upstream : state_.roster.Usable(service_)) {
-    if (needs_model && !upstream->weights.empty() && !WeightsAt(*upstream)) {
-      continue;
+    PlacementCandidate candidate;
+    candidate.upstream = upstream;
+    candidate.loading = state_.loading.contains(upstream->id);
+    if (engines) {
+      const std::optional<WeightNumber> weights = WeightsAt(*upstream);
+      if (!weights) continue;
+      candidate.cache_scope = config.CacheScopeOf(admitted_.team, *weights);
+      candidate.old_weights =
+          named != state_.named_weights.end() && *weights < named->second;
     }
-    const bool loading = state_.loading.contains(upstream->id);
-    candidates.push_back({upstream, loading});
+    fleet.candidates.push_back(std::move(candidate));
   }
-  return candidates;
+  return fleet;
 }
 
 bool RequestFlight::HasUntriedUpstream() const {
-  for (const PlacementCandidate& candidate : Candidates()) {
+  for (const PlacementCandidate& candidate : Fleet().candidates) {
     const auto& tried = query_.tried;
     if (std::find(tried.begin(), tried.end(), candidate.upstream->id) ==
         tried.end()) {
@@ -132,18 +145,8 @@
 void RequestFlight::TrySend() {
   const TimePoint now = state_.Now();
   if (now >= deadline_) return Conclude(AttemptEnd::kTimedOut, "no time left");
-  const std::vector<PlacementCandidate> candidates = Candidates();
-  const GatewayService* service = admitted_.config->FindService(service_);
-  const bool engine = service != nullptr && service->engine.has_value();
-  const std::uint64_t capacity =
-      engine ? service->engine->kv_capacity_tokens : 0;
-  // Parts are shared within a weight version; the newest is the common one.
-  const auto named = state_.named_weights.find(admitted_.caller.model);
-  const WeightNumber newest =
-      named == state_.named_weights.end() ? 0 : named->second;
-  query_.cache_scope = admitted_.config->CacheScopeOf(admitted_.team, newest);
   const std::optional<DirectChoice> choice = state_.placement.Choose(
-      query_, candidates, capacity, state_.load, state_.health, now);
+      query_, Fleet(), state_.parts, state_.load, state_.health, now);
   if (!choice) return Conclude(AttemptEnd::kNotSent, "no usable upstream");
   Send(*choice, *state_.roster.FindUsable(choice->upstream));
 }
@@ -158,10 +161,9 @@
   if (admitted_.route->kind != RouteKind::kStreaming) return head;
   head.urgency = Urgency();
   head.weights = WeightsAt(upstream);
-  if (!head.weights) return head;
-  head.cache_scope =
-      admitted_.config->CacheScopeOf(admitted_.team, *head.weights);
+  head.cache_scope = choice.cache_scope;
   head.import_from = choice.import_from;
+  head.export_to = choice.export_to;
   return head;
 }
 
@@ -185,6 +187,7 @@
   attempt.upstream = upstream;
   attempt.sent_at = now;
   attempt.last_progress = now;
+  attempt.choice = choice;
   attempt.amount.requests = 1;
   const std::uint32_t shared = SharedTokens(query_.parts);
   attempt.amount.kv_tokens =
@@ -201,14 +204,14 @@
   state_.log.Write(
       LogKind::kRequest, now,
       "event=request_sent id={} attempt={} route={} upstream={} cost_ms={:.1f} "
-      "hit_tokens={} missing_tokens={} import_from={} weights={} left_ms={} "
-      "config={}",
+      "hit_tokens={} missing_tokens={} import_from={} export={} weights={} "
+      "left_ms={} config={}",
       admitted_.caller.attempt_id, sends_, admitted_.route->name,
       upstream.id.value, choice.cost.count(), choice.expected_hit_tokens,
       choice.missing_tokens,
       choice.import_from.empty() ? "-" : choice.import_from,
-      head.weights.value_or(0), head.time_left.count(),
-      admitted_.config->version().value);
+      !choice.export_to.empty(), head.weights.value_or(0),
+      head.time_left.count(), admitted_.config->version().value);
   const auto self = shared_from_this();
   const auto connection = state_.upstream_connections.Start(
       upstream.endpoint, std::move(request),
@@ -256,8 +259,6 @@
   const auto stuck_at = StuckAt();
   if (!stuck_at || now < *stuck_at) return ArmTimer();
   // Giving up an answer under way pays only if it can be had elsewhere.
-  FlightFacts facts;
-  facts.may_repeat = true;
   if (arrivals_ + 1 >= admitted_.route->max_attempts || !HasUntriedUpstream()) {
     attempt_->last_progress = now;
     return ArmTimer();
@@ -290,6 +291,11 @@
     return HeadVerdict::kReject;
   }
   state_.health.OnHeard(attempt_->upstream.id, state_.Now());
+  if (facts.weights &&
+      *facts.weights > WeightsAt(attempt_->upstream).value_or(0)) {
+    state_.NoteWeights(attempt_->upstream.id, admitted_.caller.model,
+                       *facts.weights);
+  }
   streaming_ = success && admitted_.route->kind == RouteKind::kStreaming;
   attempt_->facts = std::move(facts);
   attempt_->head = head;
@@ -332,7 +338,18 @@
   read.kv_tokens = 0;
   state_.load.End(attempt_->upstream.id, read);
   attempt_->amount -= read;
-  state_.placement.OnServed(query_, attempt_->upstream.id, now);
+  NoteCachedParts(now);
+}
+
+void RequestFlight::NoteCachedParts(TimePoint now) {
+  const DirectChoice& choice = attempt_->choice;
+  if (choice.cache_scope.empty()) return;
+  const PartChain chain = SharedChain(choice.cache_scope, query_.parts);
+  if (chain.empty()) return;
+  state_.parts.OnUsed(chain, attempt_->upstream.id, now);
+  if (choice.export_to.empty()) return;
+  state_.parts.OnExported(chain.back().hash, now);
+  state_.exported.push_back(chain.back().hash);
 }
 
 void RequestFlight::BeginAnswer() {
--- a/src/gateway/request_flight.h
+++ b/src/gateway/request_flight.h
@@ -54,11 +54,12 @@
     TimePoint last_progress;
     std::optional<HttpHead> head;
     AnswerFacts facts;
+    DirectChoice choice;
     bool first_event = false;
   };
 
   ServiceId PickService();
-  std::vector<PlacementCandidate> Candidates() const;
+  PlacementFleet Fleet() const;
   bool HasUntriedUpstream() const;
   void TrySend();
   void Send(const DirectChoice& choice, const UpstreamEntry& upstream);
@@ -73,6 +74,7 @@
   std::optional<TimePoint> StuckAt() const;
 
   void OnFirstEvent();
+  void NoteCachedParts(TimePoint now);
   void BeginAnswer();
   void ConcludeAnswer();
   void ReleaseAttempt();
--- /dev/null
+++ b/src/gateway/rollout_duty.cc
@@ -0,0 +1,254 @@
+#include "gateway/rollout_duty.h"
+
+#include <ctime>
+#include <utility>
+
+#include "platform/engine_calls.h"
+#include "platform/table_calls.h"
+
+namespace yuccapick {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr char kLeaseTable[] = "yuccapick-lease";
+constexpr char kLeaseKey[] = "rollout";
+
+constexpr int kHttpOk = 200;
+constexpr int kHttpAccepted = 202;
+constexpr int kHttpConflict = 409;
+constexpr int kHttpPreconditionFailed = 412;
+constexpr int kHttpTooMany = 429;
+constexpr int kHttpUnavailable = 503;
+
+constexpr milliseconds kLeaseTerm{2'000};
+constexpr milliseconds kRenewEvery{700};
+constexpr milliseconds kLeaseRetry{300};
+constexpr milliseconds kTableTimeout{600};
+constexpr milliseconds kOrderTimeout{400};
+constexpr milliseconds kReportTimeout{300};
+/// A new holder waits this much longer than the promised gap.
+constexpr milliseconds kGapReserve{200};
+
+LeaseOptions MakeLeaseOptions(const GatewayState& state, Incarnation life) {
+  LeaseOptions options;
+  options.key = kLeaseKey;
+  options.holder = state.settings.instance.value;
+  options.life = life;
+  options.term = kLeaseTerm;
+  options.renew_every = kRenewEvery;
+  options.retry_every = kLeaseRetry;
+  return options;
+}
+
+/// Reads the lease's row out of an answer.
+/// @return nothing if the store did not answer; version 0 if there is no row
+std::optional<TableRow> LeaseRowOf(const absl::StatusOr<CallAnswer>& answer) {
+  if (!answer.ok() || answer->status != kHttpOk) return std::nullopt;
+  const auto rows = platform::DecodeRows(answer->body);
+  if (!rows.ok()) return std::nullopt;
+  for (const MirrorRow& row : rows->rows) {
+    if (row.key == kLeaseKey) return TableRow{row.key, row.value, row.version};
+  }
+  return TableRow{kLeaseKey, "", 0};
+}
+
+WriteResult WriteResultOf(const absl::StatusOr<CallAnswer>& answer) {
+  if (!answer.ok()) {
+    return absl::IsUnavailable(answer.status()) ? WriteResult::kNotApplied
+                                                : WriteResult::kUnknown;
+  }
+  switch (answer->status) {
+    case kHttpOk:
+      return WriteResult::kApplied;
+    case kHttpPreconditionFailed:
+    case kHttpTooMany:
+    case kHttpUnavailable:
+      return WriteResult::kNotApplied;
+    default:
+      return WriteResult::kUnknown;
+  }
+}
+
+OrderAnswer OrderAnswerOf(const absl::StatusOr<CallAnswer>& answer) {
+  if (!answer.ok()) {
+    return absl::IsUnavailable(answer.status()) ? OrderAnswer::kRefused
+                                                : OrderAnswer::kNone;
+  }
+  switch (answer->status) {
+    case kHttpAccepted:
+      return OrderAnswer::kAccepted;
+    case kHttpOk:
+      return OrderAnswer::kAlreadyHolds;
+    case kHttpConflict:
+      return OrderAnswer::kConflict;
+    default:
+      return OrderAnswer::kRefused;
+  }
+}
+
+}  // namespace
+
+TimePoint LeaseNow() {
+  timespec time{};
+  ::clock_gettime(CLOCK_BOOTTIME, &time);
+  return TimePoint(std::chrono::seconds(time.tv_sec) +
+                   std::chrono::nanoseconds(time.tv_nsec));
+}
+
+RolloutDuty::RolloutDuty(GatewayState& state, CallClient& calls,
+                         Incarnation life)
+    : state_(state), calls_(calls), lease_(MakeLeaseOptions(state, life)) {}
+
+bool RolloutDuty::holds() const { return lease_.MayAct(LeaseNow()); }
+
+std::set<UpstreamId> RolloutDuty::Loading() const {
+  return holds() ? planner_.Loading() : std::set<UpstreamId>();
+}
+
+void RolloutDuty::OnTick(bool other_holder) {
+  NoteHolding();
+  // A holder that is heard makes asking the store needless.
+  if (!other_holder || holds() || lease_.busy()) RunLease();
+  if (!MayOrder()) return;
+  for (const RolloutAction& action : planner_.OnTick(
+           state_.named_weights, state_.roster, state_.load, state_.Now())) {
+    std::visit([this](const auto& it) { Carry(it); }, action);
+  }
+}
+
+void RolloutDuty::NoteHolding() {
+  const TimePoint now = LeaseNow();
+  const FencingToken fence = lease_.fence(now);
+  if (fence == held_fence_) return;
+  const bool gained = fence.value != 0;
+  state_.log.Write(LogKind::kBelief, state_.Now(),
+                   "event={} lease={} fence={} before={}",
+                   gained ? "lease_gained" : "lease_lost", kLeaseKey,
+                   fence.value, held_fence_.value);
+  held_fence_ = fence;
+  planner_.Reset();
+  order_from_.reset();
+  if (!gained) return;
+  // The first holder ever has no predecessor whose orders may be under way.
+  const bool first = fence.value == 1;
+  order_from_ = now;
+  if (!first) {
+    *order_from_ += state_.settings.bounds.lease_gap + kGapReserve;
+  }
+}
+
+bool RolloutDuty::MayOrder() const {
+  const TimePoint now = LeaseNow();
+  return lease_.MayAct(now) && order_from_ && now >= *order_from_ &&
+         lease_.fence(now) == held_fence_;
+}
+
+void RolloutDuty::RunLease() {
+  const std::optional<LeaseAction> action = lease_.OnTick(LeaseNow());
+  if (!action) return;
+  if (const auto* commit = std::get_if<LeaseCommit>(&*action)) {
+    return Commit(commit->transaction);
+  }
+  Read();
+}
+
+void RolloutDuty::Read() {
+  const std::string& endpoint = state_.settings.table_endpoint;
+  calls_.Call(endpoint,
+              platform::EncodeReadRows(endpoint, kLeaseTable, kLeaseKey),
+              kTableTimeout,
+              [self = shared_from_this()](absl::StatusOr<CallAnswer> answer) {
+                self->OnRead(std::move(answer));
+              });
+}
+
+void RolloutDuty::OnRead(absl::StatusOr<CallAnswer> answer) {
+  lease_.OnRead(LeaseRowOf(answer), LeaseNow());
+  NoteHolding();
+}
+
+void RolloutDuty::Commit(const TableTransaction& transaction) {
+  const std::string& endpoint = state_.settings.table_endpoint;
+  platform::RowWrite write;
+  write.table = kLeaseTable;
+  write.key = transaction.puts.front().key;
+  write.value = transaction.puts.front().value;
+  write.expected = transaction.checks.front().version;
+  calls_.Call(endpoint, platform::EncodeWrite(endpoint, write), kTableTimeout,
+              [self = shared_from_this()](absl::StatusOr<CallAnswer> answer) {
+                self->OnCommitted(std::move(answer));
+              });
+}
+
+void RolloutDuty::OnCommitted(absl::StatusOr<CallAnswer> answer) {
+  CommitResult result;
+  result.result = WriteResultOf(answer);
+  lease_.OnCommitted(result, LeaseNow());
+  NoteHolding();
+}
+
+void RolloutDuty::Carry(const RolloutOrder& order) {
+  const UpstreamEntry* upstream = state_.roster.FindUsable(order.upstream);
+  if (upstream == nullptr || !MayOrder()) {
+    return planner_.OnOrderAnswer(order.upstream, OrderAnswer::kRefused,
+                                  state_.Now());
+  }
+  LoadOrder load;
+  load.model = order.model;
+  load.weights = order.weights;
+  load.holder = state_.settings.instance.value;
+  load.fence = held_fence_;
+  load.expected_orders = order.expected_orders;
+  calls_.Call(upstream->endpoint, platform::EncodeLoadOrder(*upstream, load),
+              kOrderTimeout,
+              [self = shared_from_this(),
+               order](const absl::StatusOr<CallAnswer>& answer) {
+                self->OnOrderAnswer(order, answer);
+              });
+}
+
+void RolloutDuty::OnOrderAnswer(const RolloutOrder& order,
+                                const absl::StatusOr<CallAnswer>& answer) {
+  state_.log.Write(
+      LogKind::kBelief, state_.Now(),
+      "event=order_answered upstream={} model={} weights={} fence={} "
+      "expected_orders={} status={} reason=\"{}\"",
+      order.upstream.value, order.model.value, order.weights, held_fence_.value,
+      order.expected_orders, answer.ok() ? answer->status : 0,
+      answer.ok() ? "" : answer.status().message().data());
+  planner_.OnOrderAnswer(order.upstream, OrderAnswerOf(answer), state_.Now());
+}
+
+void RolloutDuty::Carry(const RolloutQuestion& question) {
+  const UpstreamEntry* upstream = state_.roster.FindUsable(question.upstream);
+  if (upstream == nullptr) {
+    return planner_.OnReport(question.upstream, std::nullopt, state_.Now());
+  }
+  calls_.Call(upstream->endpoint, platform::EncodeReportCall(*upstream),
+              kReportTimeout,
+              [self = shared_from_this(),
+               id = upstream->id](const absl::StatusOr<CallAnswer>& answer) {
+                self->OnReportAnswer(id, answer);
+              });
+}
+
+void RolloutDuty::OnReportAnswer(const UpstreamId& upstream,
+                                 const absl::StatusOr<CallAnswer>& answer) {
+  std::optional<RolloutReport> report;
+  if (answer.ok() && answer->status == kHttpOk) {
+    const auto decoded = platform::DecodeReport(answer->body);
+    if (decoded.ok()) {
+      report = RolloutReport{decoded->weights, decoded->busy,
+                             decoded->orders_accepted};
+    }
+  }
+  if (report && !report->busy) {
+    for (const auto& [model, weights] : report->weights) {
+      state_.NoteWeights(upstream, model, weights);
+    }
+  }
+  planner_.OnReport(upstream, report, state_.Now());
+}
+
+}  // namespace yuccapick
--- /dev/null
+++ b/src/gateway/rollout_duty.h
@@ -0,0 +1,66 @@
+#ifndef YUCCAPICK_GATEWAY_ROLLOUT_DUTY_H_
+#define YUCCAPICK_GATEWAY_ROLLOUT_DUTY_H_
+
+/// @file
+/// The duty to bring engines to the named weights, held by one gateway at a
+/// time under a lease.
+
+#include <asio.hpp>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "gateway/call_client.h"
+#include "gateway/gateway_state.h"
+#include "yuccapick/lease.h"
+#include "yuccapick/rollout_planner.h"
+
+namespace yuccapick {
+
+/// Carries out what `Lease` and `RolloutPlanner` decide.
+class RolloutDuty : public std::enable_shared_from_this<RolloutDuty> {
+ public:
+  RolloutDuty(GatewayState& state, CallClient& calls, Incarnation life);
+
+  /// Called often; starts the calls that are due.
+  /// @param other_holder a peer said lately that it holds the duty
+  void OnTick(bool other_holder);
+  /// Hands the lease back; no order is given any more.
+  void Retire() { lease_.HandBack(); }
+
+  /// True if this process holds the lease now.
+  bool holds() const;
+  bool retired() const { return lease_.released(); }
+  /// Upstreams that load or are about to, if this process holds the duty.
+  std::set<UpstreamId> Loading() const;
+
+ private:
+  void RunLease();
+  void Read();
+  void OnRead(absl::StatusOr<CallAnswer> answer);
+  void Commit(const TableTransaction& transaction);
+  void OnCommitted(absl::StatusOr<CallAnswer> answer);
+  void NoteHolding();
+  bool MayOrder() const;
+  void Carry(const RolloutOrder& order);
+  void Carry(const RolloutQuestion& question);
+  void OnOrderAnswer(const RolloutOrder& order,
+                     const absl::StatusOr<CallAnswer>& answer);
+  void OnReportAnswer(const UpstreamId& upstream,
+                      const absl::StatusOr<CallAnswer>& answer);
+
+  GatewayState& state_;
+  CallClient& calls_;
+  Lease lease_;
+  RolloutPlanner planner_;
+  FencingToken held_fence_;
+  std::optional<TimePoint> order_from_;  ///< Earliest order of this term.
+};
+
+/// Clock that counts the time a machine is suspended. Leases run on it.
+TimePoint LeaseNow();
+
+}  // namespace yuccapick
+
+#endif  // YUCCAPICK_GATEWAY_ROLLOUT_DUTY_H_
--- a/src/gateway_config.cc
+++ b/src/gateway_config.cc
@@ -76,6 +76,13 @@
   return nullptr;
 }
 
+std::string GatewayConfig::KvStoreEndpoint() const {
+  for (const GatewayService& service : services_) {
+    if (!service.kv_store_endpoint.empty()) return service.kv_store_endpoint;
+  }
+  return {};
+}
+
 std::string GatewayConfig::CacheScopeOf(const GatewayTeam* team,
                                         std::uint64_t weight_version) const {
   const bool isolated = team != nullptr && team->isolated;
--- a/src/table_mirror.cc
+++ b/src/table_mirror.cc
@@ -6,6 +6,7 @@
 namespace yuccapick {
 
 bool TableMirror::Apply(const MirrorRow& row) {
+  newest_change_ = std::max(newest_change_, row.version);
   const auto it = rows_.find(row.key);
   if (it == rows_.end()) {
     // A removal that a newer snapshot already left out is no change.
--- a/src/upstream_roster.cc
+++ b/src/upstream_roster.cc
@@ -1,5 +1,6 @@
 #include "yuccapick/upstream_roster.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace yuccapick {
@@ -44,6 +45,12 @@
   if (before.life != entry.life)
     return RosterChange{Kind::kRestarted, entry.id};
   member.entry.leaving |= before.leaving;
+  // Within one life weights only rise; the entry may lag.
+  for (const auto& [model, weights] : before.weights) {
+    const auto listed = member.entry.weights.find(model);
+    if (listed == member.entry.weights.end()) continue;
+    listed->second = std::max(listed->second, weights);
+  }
   if (member.entry.leaving && !before.leaving) {
     return RosterChange{Kind::kLeaving, entry.id};
   }
@@ -65,6 +72,17 @@
   return RosterChange{Kind::kRemoved, id};
 }
 
+bool UpstreamRoster::OnWeightsSeen(const UpstreamId& id, const ModelId& model,
+                                   WeightNumber weights) {
+  const auto it = members_.find(id);
+  if (it == members_.end()) return false;
+  const auto held = it->second.entry.weights.find(model);
+  if (held == it->second.entry.weights.end()) return false;
+  if (held->second >= weights) return false;
+  held->second = weights;
+  return true;
+}
+
 void UpstreamRoster::OnListLost(TimePoint now) {
   if (!lost_since_) lost_since_ = now;
 }
