Follow cache events to know where prompt parts are

Change: PartDirectory is keyed by part and scope and fed by the events of every engine and of the KV store, own answers and peers' exports; engines that hold a part are preferred to the store; the oldest weights are rolled out first and the next engine is prepared before a load ends.

--- a/include/yuccapick/direct_placement.h
+++ b/include/yuccapick/direct_placement.h
@@ -66,7 +66,7 @@
   double full_share = 0.8;
   Cost full{400.0};
   /// A request that is answered with weights that were replaced.
-  Cost old_weights{60.0};
+  Cost old_weights{150.0};
   /// An upstream that is about to load weights, or is paused after failures,
   /// is taken only when nothing better is left.
   Cost avoid{5'000.0};
@@ -105,8 +105,9 @@
   /// Where the shared parts of a request are, within one scope.
   struct PartSources {
     PartChain chain;
-    std::string holder_endpoint;  ///< Engine that used them lately, or empty.
-    bool exported = false;        ///< The KV store holds them.
+    std::uint32_t shared_tokens = 0;
+    std::vector<std::string> holder_endpoints;  ///< Engines that hold them all.
+    bool in_store = false;                      ///< The KV store holds them.
   };
 
   const PlacementCandidate* HomeOf(const PlacementQuery& query,
@@ -116,6 +117,14 @@
   PartSources SourcesIn(const std::string& scope, const PlacementQuery& query,
                         const PlacementFleet& fleet,
                         const PartDirectory& directory, TimePoint now) const;
+  /// Where missing parts come from.
+  /// @param hit tokens that the candidate holds
+  /// @param cost grows by what the import costs
+  /// @return an endpoint, or empty if there is no source
+  std::string ImportSource(const PartSources& sources,
+                           const PlacementFleet& fleet,
+                           const PlacementCandidate& it, std::uint32_t hit,
+                           Cost& cost) const;
   /// Sets hits, import and export of a candidate.
   /// @return what the missing parts cost
   Cost PlanParts(const PartSources& sources, const PlacementQuery& query,
--- a/include/yuccapick/gateway_config.h
+++ b/include/yuccapick/gateway_config.h
@@ -57,6 +57,8 @@
 struct EngineProfile {
   std::uint32_t slots = 0;
   std::uint64_t kv_capacity_tokens = 0;
+  /// Processes that may follow an engine's cache events at once.
+  std::uint32_t max_cache_watchers = 0;
   std::vector<ModelId> models;
 };
 
@@ -67,6 +69,7 @@
   std::optional<EngineProfile> engine;
   std::string kv_store_endpoint;  ///< `IP:PORT`; empty if it is no such store.
   FailureDomain kv_store_domain;
+  std::uint32_t kv_store_watchers = 0;  ///< As `max_cache_watchers`.
 };
 
 struct GatewayTeam {
@@ -103,8 +106,8 @@
   /// @return the team that holds `key`, or null
   const GatewayTeam* FindTeam(std::string_view key) const;
   const GatewayService* FindService(const ServiceId& id) const;
-  /// @return endpoint of the store of kept KV cache, empty if there is none
-  std::string KvStoreEndpoint() const;
+  /// @return the store of kept KV cache, or null if there is none
+  const GatewayService* FindKvStore() const;
 
   /// Separates cached prefixes that must not be shared: by weight version, by
   /// isolated team, and by the set of isolated teams, since entries made
--- a/include/yuccapick/part_directory.h
+++ b/include/yuccapick/part_directory.h
@@ -2,7 +2,7 @@
 #define YUCCAPICK_PART_DIRECTORY_H_
 
 /// @file
-/// Which upstreams are thought to have cached which prompt parts.
+/// Which upstreams have cached which prompt parts, as far as is known.
 
 #include <chrono>
 #include <cstdint>
@@ -21,29 +21,35 @@
   std::uint32_t tokens = 0;
 };
 
-/// Hash of a part with all parts before it, and their tokens together.
-struct PartLink {
+/// A part within a cache scope. Parts are shared within one scope only.
+struct PartKey {
   std::uint64_t hash = 0;
   std::uint32_t tokens = 0;
 };
 
-/// The shared parts of a prompt: all but the last one.
-using PartChain = std::vector<PartLink>;
+/// The shared parts of a prompt in order: all but the last one.
+using PartChain = std::vector<PartKey>;
 
-/// @param scope parts are cached within one scope only
+std::uint64_t PartHash(std::string_view scope, std::string_view id);
 PartChain SharedChain(std::string_view scope,
                       const std::vector<PromptPart>& parts);
 
+/// A change of what a cache holds, as the cache tells it.
+struct CacheChange {
+  std::uint64_t part_hash = 0;
+  bool held = false;
+  std::uint32_t tokens = 0;  ///< Held now; a part may be held up to here.
+};
+
 struct PartDirectoryOptions {
-  /// Parts not used for this long are taken for evicted by an engine.
-  std::chrono::milliseconds engine_lifetime{4'000};
-  /// The same for the KV store.
+  /// A part that was neither used nor told of for this long counts as evicted.
+  std::chrono::milliseconds engine_lifetime{12'000};
   std::chrono::milliseconds store_lifetime{60'000};
-  std::size_t max_parts = 8'192;
+  std::size_t max_parts = 16'384;
 };
 
-/// Learns from answered requests and from peers. It may be wrong: a miss costs
-/// time, never a wrong answer.
+/// Learns from the caches' events, from answered requests and from peers. It
+/// may be wrong: a miss costs time, never a wrong answer.
 class PartDirectory {
  public:
   explicit PartDirectory(PartDirectoryOptions options = {})
@@ -51,13 +57,16 @@
 
   // Commands.
 
-  /// The parts of `chain` are cached at `upstream` now.
+  void OnEngineChange(const UpstreamId& upstream, const CacheChange& change,
+                      TimePoint now);
+  void OnStoreChange(const CacheChange& change, TimePoint now);
+  /// A request has read the parts of `chain` at `upstream`.
   void OnUsed(const PartChain& chain, const UpstreamId& upstream,
               TimePoint now);
-  /// The chain that ends with `hash` was put into the KV store.
-  void OnExported(std::uint64_t hash, TimePoint now);
+  /// A request has put the parts of `chain` into the KV store.
+  void OnExported(const PartChain& chain, TimePoint now);
   /// Nothing is cached at `upstream` any more.
-  void OnCacheLost(const UpstreamId& upstream);
+  void OnEngineLost(const UpstreamId& upstream);
   /// The KV store is empty again.
   void OnStoreLost();
 
@@ -66,22 +75,30 @@
   /// Tokens from the beginning that `upstream` holds.
   std::uint32_t TokensAt(const PartChain& chain, const UpstreamId& upstream,
                          TimePoint now) const;
-  /// @return the upstream that used the whole chain last, or null
-  const UpstreamId* NewestHolder(const PartChain& chain, TimePoint now) const;
+  /// Upstreams that hold the whole chain, the last one to use it first.
+  std::vector<UpstreamId> Holders(const PartChain& chain, TimePoint now) const;
   /// True if the KV store holds the whole chain.
-  bool Exported(const PartChain& chain, TimePoint now) const;
+  bool InStore(const PartChain& chain, TimePoint now) const;
+  std::size_t size() const { return parts_.size(); }
 
  private:
   struct Holder {
     UpstreamId upstream;
-    TimePoint used_at;
+    std::uint32_t tokens = 0;
+    TimePoint known_at;
   };
   struct KnownPart {
     std::vector<Holder> holders;
+    std::uint32_t store_tokens = 0;
+    TimePoint in_store_at;
     TimePoint used_at;
-    TimePoint exported_at;
   };
 
+  static void Hold(KnownPart& part, const UpstreamId& upstream,
+                   std::uint32_t tokens, TimePoint now);
+  std::uint32_t HeldAt(const PartKey& key, const UpstreamId& upstream,
+                       TimePoint now) const;
+  KnownPart& Touch(std::uint64_t hash, TimePoint now);
   void DropOldest();
 
   PartDirectoryOptions options_;
--- a/include/yuccapick/peer_report.h
+++ b/include/yuccapick/peer_report.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "yuccapick/ids.h"
+#include "yuccapick/part_directory.h"
 #include "yuccapick/upstream_load.h"
 #include "yuccapick/upstream_roster.h"
 
@@ -38,9 +39,9 @@
   bool holds_rollout = false;
   bool leaving = false;
   std::vector<WorkReport> work;
-  std::vector<UpstreamId> loading;      ///< If it holds the rollout duty.
-  std::vector<SeenWeights> weights;     ///< New since the last few reports.
-  std::vector<std::uint64_t> exported;  ///< Prefixes put into the KV store.
+  std::vector<UpstreamId> loading;   ///< If it holds the rollout duty.
+  std::vector<SeenWeights> weights;  ///< New since the last few reports.
+  PartChain exported;                ///< Parts put into the KV store.
 };
 
 /// Newest report of each peer.
--- a/include/yuccapick/rollout_planner.h
+++ b/include/yuccapick/rollout_planner.h
@@ -59,9 +59,14 @@
   std::size_t min_at_once = 3;
   /// Peers learn that an upstream is about to load before it gets the order.
   std::chrono::milliseconds announce{150};
-  /// When to ask an upstream that accepted an order, and how often then.
+  /// An upstream is prepared for its order this long before a load under way
+  /// is expected to end.
+  std::chrono::milliseconds prepare_ahead{350};
+  /// When to ask an upstream that accepted an order, and how often then. Once
+  /// it is known how long loads take, it is asked from shortly before the end.
   std::chrono::milliseconds first_question{350};
-  std::chrono::milliseconds question_every{200};
+  std::chrono::milliseconds question_ahead{100};
+  std::chrono::milliseconds question_every{100};
   /// Refused orders are tried again after this time.
   std::chrono::milliseconds retry_pause{400};
   /// An order without any sign of being carried out is given again.
@@ -120,6 +125,7 @@
     const UpstreamEntry* upstream;
     ModelId model;
     WeightNumber weights;
+    WeightNumber held;  ///< What it has now.
     WorkAmount work;
   };
 
@@ -128,17 +134,27 @@
       const std::map<ModelId, WeightNumber>& named);
   void DropFinished(const std::map<ModelId, WeightNumber>& named,
                     const UpstreamRoster& roster);
-  void Begin(const std::map<ModelId, WeightNumber>& named,
-             const UpstreamRoster& roster, const UpstreamLoad& load,
-             TimePoint now);
+  std::vector<Outdated> Outstanding(
+      const std::map<ModelId, WeightNumber>& named,
+      const UpstreamRoster& roster, const UpstreamLoad& load,
+      TimePoint now) const;
+  void Begin(const std::vector<Outdated>& outdated, TimePoint now);
   std::optional<RolloutAction> Advance(const UpstreamId& upstream, Task& task,
                                        TimePoint now);
+  /// Tasks whose load takes room among those at once.
+  std::size_t Ordered() const;
+  /// Loads that are expected to end soon.
+  std::size_t EndingSoon(TimePoint now) const;
+  void NoteLoadTime(std::chrono::steady_clock::duration elapsed);
   RolloutAction Ask(const UpstreamId& upstream, Task& task, TimePoint now);
   static void Enter(Task& task, Stage stage, TimePoint now);
 
   RolloutOptions options_;
   std::map<UpstreamId, Task> tasks_;
   std::map<UpstreamId, TimePoint> aside_until_;
+  std::size_t at_once_ = 1;
+  /// Shortest time lately from an accepted order to loaded weights.
+  std::chrono::milliseconds load_time_{0};
 };
 
 }  // namespace yuccapick
--- a/src/direct_placement.cc
+++ b/src/direct_placement.cc
@@ -44,56 +44,57 @@
     TimePoint now) const {
   PartSources sources;
   sources.chain = SharedChain(scope, query.parts);
-  sources.exported = !fleet.kv_store_endpoint.empty() &&
-                     directory.Exported(sources.chain, now);
-  const UpstreamId* holder = directory.NewestHolder(sources.chain, now);
-  if (holder == nullptr) return sources;
-  for (const PlacementCandidate& it : fleet.candidates) {
-    if (it.upstream->id != *holder || it.loading) continue;
-    if (it.cache_scope == scope)
-      sources.holder_endpoint = it.upstream->endpoint;
+  for (const PartKey& key : sources.chain) sources.shared_tokens += key.tokens;
+  sources.in_store =
+      !fleet.kv_store_endpoint.empty() && directory.InStore(sources.chain, now);
+  for (const UpstreamId& holder : directory.Holders(sources.chain, now)) {
+    for (const PlacementCandidate& it : fleet.candidates) {
+      if (it.upstream->id != holder || it.loading) continue;
+      if (it.cache_scope != scope) continue;
+      sources.holder_endpoints.push_back(it.upstream->endpoint);
+    }
   }
   return sources;
 }
 
+std::string DirectPlacement::ImportSource(const PartSources& sources,
+                                          const PlacementFleet& fleet,
+                                          const PlacementCandidate& it,
+                                          std::uint32_t hit, Cost& cost) const {
+  // A source named beside a whole hit costs nothing, and helps where the
+  // picture is wrong.
+  const bool whole = hit >= sources.shared_tokens;
+  if (whole) return sources.in_store ? fleet.kv_store_endpoint : std::string();
+  // Engines have wider links than the store, which all of them share.
+  for (const std::string& endpoint : sources.holder_endpoints) {
+    if (endpoint == it.upstream->endpoint) continue;
+    cost += costs_.import_from_engine;
+    return endpoint;
+  }
+  if (!sources.in_store) return {};
+  cost += costs_.import_from_store;
+  return fleet.kv_store_endpoint;
+}
+
 DirectPlacement::Cost DirectPlacement::PlanParts(
     const PartSources& sources, const PlacementQuery& query,
     const PlacementFleet& fleet, const PlacementCandidate& it,
     const PlacementCandidate* home, const PartDirectory& directory,
     TimePoint now, DirectChoice& choice) const {
-  const std::uint32_t shared =
-      sources.chain.empty() ? 0 : sources.chain.back().tokens;
   Cost cost{0};
   std::uint32_t hit = directory.TokensAt(sources.chain, it.upstream->id, now);
-  const bool holder_elsewhere =
-      !sources.holder_endpoint.empty() &&
-      sources.holder_endpoint != it.upstream->endpoint;
-  if (hit < shared && sources.exported) {
-    // The home may still hold what other processes sent there.
-    const bool likely_held = &it == home;
-    choice.import_from = fleet.kv_store_endpoint;
-    if (!likely_held) cost += costs_.import_from_store;
-    hit = shared;
-  } else if (hit < shared && holder_elsewhere) {
-    choice.import_from = sources.holder_endpoint;
-    cost += costs_.import_from_engine;
-    hit = shared;
-  } else if (hit < shared && home != nullptr && &it != home &&
-             home->cache_scope == it.cache_scope) {
-    choice.import_from = home->upstream->endpoint;
-    cost += costs_.import_from_engine;
-    hit = shared;
-  } else if (&it == home) {
-    hit = shared;
-  }
-  if (shared > 0 && !sources.exported) {
+  choice.import_from = ImportSource(sources, fleet, it, hit, cost);
+  if (!choice.import_from.empty()) hit = sources.shared_tokens;
+  if (sources.shared_tokens > 0 && !sources.in_store) {
     choice.export_to = fleet.kv_store_endpoint;
   }
   choice.expected_hit_tokens = hit;
   choice.missing_tokens =
       query.prompt_tokens - std::min(query.prompt_tokens, hit);
   cost += Cost(choice.missing_tokens / costs_.prefill_tokens_per_ms);
-  cost += costs_.reread_per_k_tokens * ((shared - hit) / kTokensPerK);
+  const std::uint32_t unread = sources.shared_tokens - hit;
+  // Where nobody is known to hold the parts, the home is the best guess.
+  if (&it != home) cost += costs_.reread_per_k_tokens * (unread / kTokensPerK);
   return cost;
 }
 
--- /dev/null
+++ b/src/gateway/cache_watch.cc
@@ -0,0 +1,133 @@
+#include "gateway/cache_watch.h"
+
+#include <algorithm>
+
+#include "platform/engine_calls.h"
+
+namespace yuccapick {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kHttpOk = 200;
+constexpr milliseconds kWait{1'000};
+constexpr milliseconds kTimeout{1'600};
+/// Events are collected for this long between two calls.
+constexpr milliseconds kPause{150};
+constexpr milliseconds kFailurePause{700};
+constexpr char kStoreName[] = "kv-store";
+/// Part of the watchers that a cache takes which is made use of.
+constexpr double kWatcherUse = 0.75;
+/// The KV store is left alone after this many failures in a row.
+constexpr std::uint32_t kStoreFailures = 1;
+
+}  // namespace
+
+bool CacheWatch::MayWatch(const std::string& /*name*/,
+                          std::uint32_t max_watchers) const {
+  const double limit = max_watchers * kWatcherUse;
+  return static_cast<double>(state_.gateway_count) <= limit;
+}
+
+void CacheWatch::OnTick(TimePoint now) {
+  if (state_.config == nullptr) return;
+  std::map<std::string, bool> wanted;
+  const GatewayService* store = state_.config->FindKvStore();
+  if (store != nullptr && MayWatch(kStoreName, store->kv_store_watchers)) {
+    wanted[kStoreName] = true;
+    Follow(kStoreName, store->kv_store_endpoint, UpstreamId());
+  }
+  for (const UpstreamEntry* upstream : state_.roster.All()) {
+    if (upstream->leaving || upstream->weights.empty()) continue;
+    const GatewayService* service =
+        state_.config->FindService(upstream->service);
+    if (service == nullptr || !service->engine) continue;
+    const std::string& name = upstream->id.value;
+    if (!MayWatch(name, service->engine->max_cache_watchers)) continue;
+    wanted[name] = true;
+    Follow(name, upstream->endpoint, upstream->id);
+  }
+  DropOthers(wanted);
+  for (auto& [name, target] : targets_) {
+    if (!target.asking && now >= target.next_call) Ask(name, target);
+  }
+}
+
+void CacheWatch::Follow(const std::string& name, const std::string& endpoint,
+                        const UpstreamId& upstream) {
+  Target& target = targets_[name];
+  if (target.endpoint == endpoint) return;
+  target = Target();
+  target.endpoint = endpoint;
+  target.upstream = upstream;
+  target.generation = ++generations_;
+}
+
+void CacheWatch::DropOthers(const std::map<std::string, bool>& wanted) {
+  std::erase_if(targets_, [&wanted](const auto& entry) {
+    return !wanted.contains(entry.first);
+  });
+}
+
+void CacheWatch::Ask(const std::string& name, Target& target) {
+  target.asking = true;
+  const std::uint64_t generation = target.generation;
+  calls_.Call(target.endpoint,
+              platform::EncodeCacheWatch(target.endpoint, target.since, kWait),
+              kTimeout,
+              [this, name, generation](const absl::StatusOr<CallAnswer>& it) {
+                OnAnswer(name, generation, it);
+              });
+}
+
+void CacheWatch::OnAnswer(const std::string& name, std::uint64_t generation,
+                          const absl::StatusOr<CallAnswer>& answer) {
+  const auto it = targets_.find(name);
+  if (it == targets_.end() || it->second.generation != generation) return;
+  Target& target = it->second;
+  target.asking = false;
+  if (!answer.ok()) return OnFailure(target, answer.status().message().data());
+  if (answer->status != kHttpOk) return OnFailure(target, "refused");
+  const absl::StatusOr<CacheEvents> events =
+      platform::DecodeCacheEvents(answer->body);
+  if (!events.ok()) return OnFailure(target, events.status().message().data());
+  target.failures = 0;
+  target.next_call = state_.Now() + kPause;
+  Apply(target, *events);
+}
+
+void CacheWatch::OnFailure(Target& target, std::string_view reason) {
+  const TimePoint now = state_.Now();
+  ++target.failures;
+  target.next_call = now + kFailurePause;
+  if (!target.upstream.empty() || target.failures != kStoreFailures) return;
+  state_.kv_store_usable = false;
+  state_.log.Write(LogKind::kLife, now,
+                   "event=kv_store_lost endpoint={} reason=\"{}\"",
+                   target.endpoint, reason);
+}
+
+void CacheWatch::Apply(Target& target, const CacheEvents& events) {
+  const TimePoint now = state_.Now();
+  const bool is_store = target.upstream.empty();
+  if (is_store && !state_.kv_store_usable) {
+    state_.kv_store_usable = true;
+    state_.log.Write(LogKind::kLife, now, "event=kv_store_regained endpoint={}",
+                     target.endpoint);
+  }
+  const bool new_life =
+      target.life != Incarnation() && target.life != events.life;
+  target.life = events.life;
+  if (new_life && is_store) state_.parts.OnStoreLost();
+  if (new_life && !is_store) state_.parts.OnEngineLost(target.upstream);
+  for (const CacheChange& change : events.changes) {
+    if (is_store) {
+      state_.parts.OnStoreChange(change, now);
+    } else {
+      state_.parts.OnEngineChange(target.upstream, change, now);
+    }
+  }
+  target.since = events.next;
+}
+
+}  // namespace yuccapick
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -99,6 +99,7 @@
           fmt::format("{}:{}", state_.settings.ip, state_.settings.peer_port),
           *this),
       rollout_(std::make_shared<RolloutDuty>(state_, table_calls_, life)),
+      cache_watch_(state_, table_calls_),
       tick_timer_(loop) {
   TableWatchHandler& watch_handler = *this;
   IngressHandler& ingress_handler = *this;
@@ -289,7 +290,7 @@
   if (change.kind == Kind::kRestarted || change.kind == Kind::kRemoved) {
     state_.health.Forget(change.id);
     state_.load.ForgetUpstream(change.id);
-    state_.parts.OnCacheLost(change.id);
+    state_.parts.OnEngineLost(change.id);
     state_.loading.erase(change.id);
   }
 }
@@ -299,12 +300,10 @@
   if (report.instance == state_.settings.instance) return;
   if (!peers_.OnReport(report, now)) return;
   state_.load.OnPeerReport(report.instance, report.work, now);
-  for (const std::uint64_t hash : report.exported) {
-    state_.parts.OnExported(hash, now);
-  }
+  state_.parts.OnExported(report.exported, now);
   for (const SeenWeights& seen : report.weights) {
     if (state_.roster.OnWeightsSeen(seen.upstream, seen.model, seen.weights)) {
-      state_.parts.OnCacheLost(seen.upstream);
+      state_.parts.OnEngineLost(seen.upstream);
     }
   }
 }
@@ -410,6 +409,7 @@
   if (state_.config != nullptr) {
     rollout_->OnTick(peers_.SomeoneHoldsRollout(now));
   }
+  cache_watch_.OnTick(now);
   callers_->CheckTimeouts(now);
   if (++ticks_ % kTicksBetweenSweeps == 0) {
     state_.upstream_connections.DropExpired(now);
--- a/src/gateway/gateway_process.h
+++ b/src/gateway/gateway_process.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "absl/status/status.h"
+#include "gateway/cache_watch.h"
 #include "gateway/call_client.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/gateway_state.h"
@@ -78,6 +79,7 @@
   PeerPicture peers_;
   PeerExchange exchange_;
   std::shared_ptr<RolloutDuty> rollout_;
+  CacheWatch cache_watch_;
   std::uint64_t reports_sent_ = 0;
   TimePoint next_report_;
   TimePoint next_peer_list_;
--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -49,7 +49,7 @@
 void GatewayState::NoteWeights(const UpstreamId& upstream, const ModelId& model,
                                WeightNumber weights) {
   if (!roster.OnWeightsSeen(upstream, model, weights)) return;
-  parts.OnCacheLost(upstream);
+  parts.OnEngineLost(upstream);
   seen_weights.push_back({upstream, model, weights});
   log.Write(LogKind::kBelief, Now(),
             "event=weights_seen upstream={} model={} weights={}",
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -54,8 +54,10 @@
   PartDirectory parts;
   std::set<UpstreamId> loading;  ///< New weights are on their way to these.
   std::map<ModelId, WeightNumber> named_weights;  ///< Newest by model.
-  /// Prefixes put into the KV store that peers have not heard of yet.
-  std::vector<std::uint64_t> exported;
+  /// False while the store of kept KV cache does not answer.
+  bool kv_store_usable = true;
+  /// Parts put into the KV store that peers have not heard of yet.
+  PartChain exported;
   /// Weights seen at upstreams that peers have not heard of yet.
   std::vector<SeenWeights> seen_weights;
 
--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -29,6 +29,11 @@
                                               v.amount.prefill_tokens);
     }
   };
+  struct PartKeyFields {
+    auto operator()(yuccapick::PartKey& v) const {
+      return msgpack::type::make_define_array(v.hash, v.tokens);
+    }
+  };
   struct SeenWeightsFields {
     auto operator()(yuccapick::SeenWeights& v) const {
       return msgpack::type::make_define_array(v.upstream, v.model, v.weights);
@@ -66,6 +71,12 @@
   struct pack<yuccapick::WorkReport>
       : PackAsArray<yuccapick::WorkReport, WorkReportFields> {};
   template <>
+  struct convert<yuccapick::PartKey>
+      : PackAsArray<yuccapick::PartKey, PartKeyFields> {};
+  template <>
+  struct pack<yuccapick::PartKey>
+      : PackAsArray<yuccapick::PartKey, PartKeyFields> {};
+  template <>
   struct convert<yuccapick::SeenWeights>
       : PackAsArray<yuccapick::SeenWeights, SeenWeightsFields> {};
   template <>
--- a/src/gateway/request_flight.cc
+++ b/src/gateway/request_flight.cc
@@ -112,7 +112,10 @@
   const bool engines = service != nullptr && service->engine.has_value();
   if (engines) {
     fleet.kv_capacity_tokens = service->engine->kv_capacity_tokens;
-    fleet.kv_store_endpoint = config.KvStoreEndpoint();
+    const GatewayService* store = config.FindKvStore();
+    if (store != nullptr && state_.kv_store_usable) {
+      fleet.kv_store_endpoint = store->kv_store_endpoint;
+    }
   }
   const auto named = state_.named_weights.find(admitted_.caller.model);
   for (const UpstreamEntry* upstream : state_.roster.Usable(service_)) {
@@ -348,8 +351,8 @@
   if (chain.empty()) return;
   state_.parts.OnUsed(chain, attempt_->upstream.id, now);
   if (choice.export_to.empty()) return;
-  state_.parts.OnExported(chain.back().hash, now);
-  state_.exported.push_back(chain.back().hash);
+  state_.parts.OnExported(chain, now);
+  state_.exported.insert(state_.exported.end(), chain.begin(), chain.end());
 }
 
 void RequestFlight::BeginAnswer() {
--- a/src/gateway/upstream_messages.h
+++ b/src/gateway/upstream_messages.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -71,6 +72,14 @@
   std::optional<Incarnation> life;
 };
 
+/// Changes of one cache, in order.
+struct CacheEvents {
+  Incarnation life;        ///< Changes when the cache starts empty again.
+  std::uint64_t next = 0;  ///< Where to go on.
+  bool gap = false;        ///< Events before these are not to be had.
+  std::vector<CacheChange> changes;
+};
+
 }  // namespace yuccapick
 
 #endif  // YUCCAPICK_GATEWAY_UPSTREAM_MESSAGES_H_
--- a/src/gateway_config.cc
+++ b/src/gateway_config.cc
@@ -76,11 +76,11 @@
   return nullptr;
 }
 
-std::string GatewayConfig::KvStoreEndpoint() const {
+const GatewayService* GatewayConfig::FindKvStore() const {
   for (const GatewayService& service : services_) {
-    if (!service.kv_store_endpoint.empty()) return service.kv_store_endpoint;
+    if (!service.kv_store_endpoint.empty()) return &service;
   }
-  return {};
+  return nullptr;
 }
 
 std::string GatewayConfig::CacheScopeOf(const GatewayTeam* team,
--- a/src/part_directory.cc
+++ b/src/part_directory.cc
@@ -5,46 +5,84 @@
 #include <algorithm>
 
 namespace yuccapick {
+namespace {
+
+/// Caches keep whole blocks, so a part's last few tokens may not be held.
+constexpr std::uint32_t kBlockTokens = 16;
+
+bool HoldsWhole(std::uint32_t held, std::uint32_t part) {
+  return held > 0 && held + kBlockTokens >= part;
+}
+
+}  // namespace
+
+std::uint64_t PartHash(std::string_view scope, std::string_view id) {
+  return XXH3_64bits_withSeed(id.data(), id.size(),
+                              XXH3_64bits(scope.data(), scope.size()));
+}
 
 PartChain SharedChain(std::string_view scope,
                       const std::vector<PromptPart>& parts) {
   PartChain chain;
-  std::uint64_t hash = XXH3_64bits(scope.data(), scope.size());
-  std::uint32_t tokens = 0;
   for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
-    const PromptPart& part = parts[i];
-    hash = XXH3_64bits_withSeed(part.id.data(), part.id.size(), hash);
-    tokens += part.tokens;
-    chain.push_back({hash, tokens});
+    chain.push_back({PartHash(scope, parts[i].id), parts[i].tokens});
   }
   return chain;
 }
 
+PartDirectory::KnownPart& PartDirectory::Touch(std::uint64_t hash,
+                                               TimePoint now) {
+  if (parts_.size() >= options_.max_parts) DropOldest();
+  KnownPart& part = parts_[hash];
+  part.used_at = now;
+  return part;
+}
+
+void PartDirectory::Hold(KnownPart& part, const UpstreamId& upstream,
+                         std::uint32_t tokens, TimePoint now) {
+  for (Holder& holder : part.holders) {
+    if (holder.upstream != upstream) continue;
+    holder.tokens = tokens;
+    holder.known_at = now;
+    return;
+  }
+  part.holders.push_back({upstream, tokens, now});
+}
+
+void PartDirectory::OnEngineChange(const UpstreamId& upstream,
+                                   const CacheChange& change, TimePoint now) {
+  if (change.held || change.tokens > 0) {
+    return Hold(Touch(change.part_hash, now), upstream, change.tokens, now);
+  }
+  const auto it = parts_.find(change.part_hash);
+  if (it == parts_.end()) return;
+  std::erase_if(it->second.holders, [&upstream](const Holder& holder) {
+    return holder.upstream == upstream;
+  });
+}
+
+void PartDirectory::OnStoreChange(const CacheChange& change, TimePoint now) {
+  KnownPart& part = Touch(change.part_hash, now);
+  part.store_tokens = change.tokens;
+  part.in_store_at = change.tokens > 0 ? now : TimePoint();
+}
+
 void PartDirectory::OnUsed(const PartChain& chain, const UpstreamId& upstream,
                            TimePoint now) {
-  for (const PartLink& link : chain) {
-    KnownPart& part = parts_[link.hash];
-    part.used_at = now;
-    const auto it = std::find_if(
-        part.holders.begin(), part.holders.end(),
-        [&upstream](const Holder& h) { return h.upstream == upstream; });
-    if (it != part.holders.end()) {
-      it->used_at = now;
-    } else {
-      part.holders.push_back({upstream, now});
-    }
+  for (const PartKey& key : chain) {
+    Hold(Touch(key.hash, now), upstream, key.tokens, now);
   }
-  if (parts_.size() > options_.max_parts) DropOldest();
 }
 
-void PartDirectory::OnExported(std::uint64_t hash, TimePoint now) {
-  KnownPart& part = parts_[hash];
-  part.exported_at = now;
-  part.used_at = now;
-  if (parts_.size() > options_.max_parts) DropOldest();
+void PartDirectory::OnExported(const PartChain& chain, TimePoint now) {
+  for (const PartKey& key : chain) {
+    KnownPart& part = Touch(key.hash, now);
+    part.store_tokens = key.tokens;
+    part.in_store_at = now;
+  }
 }
 
-void PartDirectory::OnCacheLost(const UpstreamId& upstream) {
+void PartDirectory::OnEngineLost(const UpstreamId& upstream) {
   for (auto& [hash, part] : parts_) {
     std::erase_if(part.holders, [&upstream](const Holder& holder) {
       return holder.upstream == upstream;
@@ -53,41 +91,68 @@
 }
 
 void PartDirectory::OnStoreLost() {
-  for (auto& [hash, part] : parts_) part.exported_at = TimePoint();
+  for (auto& [hash, part] : parts_) {
+    part.store_tokens = 0;
+    part.in_store_at = TimePoint();
+  }
+}
+
+std::uint32_t PartDirectory::HeldAt(const PartKey& key,
+                                    const UpstreamId& upstream,
+                                    TimePoint now) const {
+  const auto it = parts_.find(key.hash);
+  if (it == parts_.end()) return 0;
+  for (const Holder& holder : it->second.holders) {
+    if (holder.upstream != upstream) continue;
+    if (now - holder.known_at >= options_.engine_lifetime) return 0;
+    return HoldsWhole(holder.tokens, key.tokens)
+               ? key.tokens
+               : std::min(holder.tokens, key.tokens);
+  }
+  return 0;
 }
 
 std::uint32_t PartDirectory::TokensAt(const PartChain& chain,
                                       const UpstreamId& upstream,
                                       TimePoint now) const {
-  for (auto link = chain.rbegin(); link != chain.rend(); ++link) {
-    const auto it = parts_.find(link->hash);
-    if (it == parts_.end()) continue;
-    for (const Holder& holder : it->second.holders) {
-      if (holder.upstream != upstream) continue;
-      if (now - holder.used_at < options_.engine_lifetime) return link->tokens;
-    }
+  std::uint32_t tokens = 0;
+  for (const PartKey& key : chain) {
+    const std::uint32_t held = HeldAt(key, upstream, now);
+    tokens += held;
+    if (held < key.tokens) break;
   }
-  return 0;
+  return tokens;
 }
 
-const UpstreamId* PartDirectory::NewestHolder(const PartChain& chain,
-                                              TimePoint now) const {
-  if (chain.empty()) return nullptr;
+std::vector<UpstreamId> PartDirectory::Holders(const PartChain& chain,
+                                               TimePoint now) const {
+  if (chain.empty()) return {};
   const auto it = parts_.find(chain.back().hash);
-  if (it == parts_.end()) return nullptr;
-  const Holder* newest = nullptr;
+  if (it == parts_.end()) return {};
+  std::uint32_t whole = 0;
+  for (const PartKey& key : chain) whole += key.tokens;
+  std::vector<Holder> found;
   for (const Holder& holder : it->second.holders) {
-    if (now - holder.used_at >= options_.engine_lifetime) continue;
-    if (newest == nullptr || holder.used_at > newest->used_at) newest = &holder;
+    if (TokensAt(chain, holder.upstream, now) >= whole) found.push_back(holder);
   }
-  return newest == nullptr ? nullptr : &newest->upstream;
+  std::sort(found.begin(), found.end(), [](const Holder& a, const Holder& b) {
+    return a.known_at > b.known_at;
+  });
+  std::vector<UpstreamId> holders;
+  for (const Holder& holder : found) holders.push_back(holder.upstream);
+  return holders;
 }
 
-bool PartDirectory::Exported(const PartChain& chain, TimePoint now) const {
-  if (chain.empty()) return false;
-  const auto it = parts_.find(chain.back().hash);
-  if (it == parts_.end() || it->second.exported_at == TimePoint()) return false;
-  return now - it->second.exported_at < options_.store_lifetime;
+bool PartDirectory::InStore(const PartChain& chain, TimePoint now) const {
+  for (const PartKey& key : chain) {
+    const auto it = parts_.find(key.hash);
+    if (it == parts_.end()) return false;
+    const KnownPart& part = it->second;
+    if (part.in_store_at == TimePoint()) return false;
+    if (now - part.in_store_at >= options_.store_lifetime) return false;
+    if (!HoldsWhole(part.store_tokens, key.tokens)) return false;
+  }
+  return !chain.empty();
 }
 
 void PartDirectory::DropOldest() {
--- a/src/rollout_planner.cc
+++ b/src/rollout_planner.cc
@@ -11,7 +11,7 @@
   for (const auto& [model, weights] : upstream.weights) {
     const auto it = named.find(model);
     if (it != named.end() && weights < it->second) {
-      return Outdated{&upstream, model, it->second, {}};
+      return Outdated{&upstream, model, it->second, weights, {}};
     }
   }
   return std::nullopt;
@@ -37,15 +37,12 @@
   }
 }
 
-void RolloutPlanner::Begin(const std::map<ModelId, WeightNumber>& named,
-                           const UpstreamRoster& roster,
-                           const UpstreamLoad& load, TimePoint now) {
+std::vector<RolloutPlanner::Outdated> RolloutPlanner::Outstanding(
+    const std::map<ModelId, WeightNumber>& named, const UpstreamRoster& roster,
+    const UpstreamLoad& load, TimePoint now) const {
   std::vector<Outdated> outdated;
-  std::size_t engines = 0;
   for (const UpstreamEntry* upstream : roster.All()) {
-    if (upstream->leaving || upstream->weights.empty()) continue;
-    ++engines;
-    if (tasks_.contains(upstream->id)) continue;
+    if (upstream->leaving || tasks_.contains(upstream->id)) continue;
     const auto aside = aside_until_.find(upstream->id);
     if (aside != aside_until_.end() && now < aside->second) continue;
     auto found = OutdatedModel(*upstream, named);
@@ -53,16 +50,44 @@
     found->work = load.Total(upstream->id, now);
     outdated.push_back(*found);
   }
-  // Those with the least work lose the least.
+  // The oldest weights are due first; then those with the least to lose.
   std::stable_sort(outdated.begin(), outdated.end(),
                    [](const Outdated& a, const Outdated& b) {
+                     if (a.held != b.held) return a.held < b.held;
                      return a.work.kv_tokens < b.work.kv_tokens;
                    });
-  const auto share = static_cast<std::size_t>(
-      std::floor(static_cast<double>(engines) * options_.share_at_once));
-  const std::size_t at_once = std::max(options_.min_at_once, share);
+  return outdated;
+}
+
+std::size_t RolloutPlanner::Ordered() const {
+  return static_cast<std::size_t>(
+      std::count_if(tasks_.begin(), tasks_.end(), [](const auto& entry) {
+        const Stage stage = entry.second.stage;
+        return stage == Stage::kOrdered || stage == Stage::kLoading;
+      }));
+}
+
+std::size_t RolloutPlanner::EndingSoon(TimePoint now) const {
+  if (load_time_.count() == 0) return 0;
+  return static_cast<std::size_t>(std::count_if(
+      tasks_.begin(), tasks_.end(), [this, now](const auto& entry) {
+        const Task& task = entry.second;
+        return task.stage == Stage::kLoading &&
+               now - task.since >= load_time_ - options_.prepare_ahead;
+      }));
+}
+
+void RolloutPlanner::NoteLoadTime(std::chrono::steady_clock::duration elapsed) {
+  const auto ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(elapsed);
+  load_time_ = load_time_.count() == 0 ? ms : std::min(load_time_, ms);
+}
+
+void RolloutPlanner::Begin(const std::vector<Outdated>& outdated,
+                           TimePoint now) {
+  const std::size_t limit = at_once_ + EndingSoon(now);
   for (const Outdated& next : outdated) {
-    if (tasks_.size() >= at_once) return;
+    if (tasks_.size() >= limit) return;
     Task task;
     task.model = next.model;
     task.weights = next.weights;
@@ -93,6 +118,7 @@
         if (now < task.next_question) return std::nullopt;
         return Ask(upstream, task, now);
       }
+      if (Ordered() >= at_once_) return std::nullopt;
       Enter(task, Stage::kOrdered, now);
       task.waiting = true;
       return RolloutOrder{upstream, task.model, task.weights,
@@ -115,7 +141,14 @@
     const std::map<ModelId, WeightNumber>& named, const UpstreamRoster& roster,
     const UpstreamLoad& load, TimePoint now) {
   DropFinished(named, roster);
-  Begin(named, roster, load, now);
+  const auto engines = static_cast<double>(
+      std::ranges::count_if(roster.All(), [](const UpstreamEntry* upstream) {
+        return !upstream->leaving && !upstream->weights.empty();
+      }));
+  at_once_ = std::max(
+      options_.min_at_once,
+      static_cast<std::size_t>(std::floor(engines * options_.share_at_once)));
+  Begin(Outstanding(named, roster, load, now), now);
   std::vector<RolloutAction> actions;
   for (auto& [upstream, task] : tasks_) {
     // Weights named meanwhile replace those not ordered yet.
@@ -139,7 +172,8 @@
   switch (answer) {
     case OrderAnswer::kAccepted:
       Enter(task, Stage::kLoading, now);
-      task.next_question = now + options_.first_question;
+      task.next_question = now + std::max(options_.first_question,
+                                          load_time_ - options_.question_ahead);
       return;
     case OrderAnswer::kAlreadyHolds:
     case OrderAnswer::kNone:
@@ -170,6 +204,7 @@
   if (held != report->weights.end() && held->second >= task.weights &&
       !report->busy) {
     // Its entry in the list follows; until then it is no task any more.
+    if (task.stage == Stage::kLoading) NoteLoadTime(now - task.since);
     tasks_.erase(it);
     return;
   }
