--- a/include/yuccapick/part_directory.h
+++ b/include/yuccapick/part_directory.h
@@ -45,6 +45,8 @@
   /// A part that was neither used nor told of for this long counts as evicted.
   std::chrono::milliseconds engine_lifetime{12'000};
   std::chrono::milliseconds store_lifetime{60'000};
+  /// A request that was sent has read its parts after this long.
+  std::chrono::milliseconds pending_lifetime{1'500};
   std::size_t max_parts = 16'384;
 };
 
@@ -60,6 +62,10 @@
   void OnEngineChange(const UpstreamId& upstream, const CacheChange& change,
                       TimePoint now);
   void OnStoreChange(const CacheChange& change, TimePoint now);
+  /// A request that will read the parts of `chain` was sent to `upstream`.
+  /// Later ones that go there too find them, but nobody can import them yet.
+  void OnSent(const PartChain& chain, const UpstreamId& upstream,
+              TimePoint now);
   /// A request has read the parts of `chain` at `upstream`.
   void OnUsed(const PartChain& chain, const UpstreamId& upstream,
               TimePoint now);
@@ -86,6 +92,7 @@
     UpstreamId upstream;
     std::uint32_t tokens = 0;
     TimePoint known_at;
+    bool pending = false;  ///< Being read.
   };
   struct KnownPart {
     std::vector<Holder> holders;
--- a/include/yuccapick/rollout_planner.h
+++ b/include/yuccapick/rollout_planner.h
@@ -62,6 +62,10 @@
   /// An upstream gets no new requests from this long before a load under way
   /// is expected to end, so that its own runs end meanwhile.
   std::chrono::milliseconds prepare_ahead{900};
+  /// While engines have more than this to read on average, no more than
+  /// `busy_prepared` are prepared at once.
+  std::uint64_t busy_prefill_tokens = 3'000;
+  std::size_t busy_prepared = 1;
   /// When to ask an upstream that accepted an order, and how often then. Once
   /// it is known how long loads take, it is asked from shortly before the end.
   std::chrono::milliseconds first_question{350};
@@ -140,7 +144,11 @@
       const std::map<ModelId, WeightNumber>& named,
       const UpstreamRoster& roster, const UpstreamLoad& load,
       TimePoint now) const;
-  void Begin(const std::vector<Outdated>& outdated, TimePoint now);
+  void Begin(const std::vector<Outdated>& outdated, bool busy, TimePoint now);
+  /// Sets how many may load at once.
+  /// @return true if the engines have much to read
+  bool Survey(const UpstreamRoster& roster, const UpstreamLoad& load,
+              TimePoint now);
   std::optional<RolloutAction> Advance(const UpstreamId& upstream, Task& task,
                                        TimePoint now);
   /// Tasks whose load takes room among those at once.
--- a/src/gateway/request_flight.cc
+++ b/src/gateway/request_flight.cc
@@ -211,6 +211,10 @@
       query_.output_tokens;
   attempt.amount.prefill_tokens = choice.missing_tokens;
   state_.load.Begin(upstream.id, attempt.amount);
+  if (!choice.cache_scope.empty()) {
+    state_.parts.OnSent(SharedChain(choice.cache_scope, query_.parts),
+                        upstream.id, now);
+  }
   ++sends_;
   query_.tried.push_back(upstream.id);
   splitter_.DropPartial();
--- a/src/part_directory.cc
+++ b/src/part_directory.cc
@@ -44,9 +44,10 @@
     if (holder.upstream != upstream) continue;
     holder.tokens = tokens;
     holder.known_at = now;
+    holder.pending = false;
     return;
   }
-  part.holders.push_back({upstream, tokens, now});
+  part.holders.push_back({upstream, tokens, now, false});
 }
 
 void PartDirectory::OnEngineChange(const UpstreamId& upstream,
@@ -67,6 +68,21 @@
   part.in_store_at = change.tokens > 0 ? now : TimePoint();
 }
 
+void PartDirectory::OnSent(const PartChain& chain, const UpstreamId& upstream,
+                           TimePoint now) {
+  for (const PartKey& key : chain) {
+    KnownPart& part = Touch(key.hash, now);
+    const auto it = std::find_if(
+        part.holders.begin(), part.holders.end(),
+        [&upstream](const Holder& h) { return h.upstream == upstream; });
+    if (it == part.holders.end()) {
+      part.holders.push_back({upstream, key.tokens, now, true});
+    } else if (it->pending || now - it->known_at >= options_.engine_lifetime) {
+      *it = {upstream, key.tokens, now, true};
+    }
+  }
+}
+
 void PartDirectory::OnUsed(const PartChain& chain, const UpstreamId& upstream,
                            TimePoint now) {
   for (const PartKey& key : chain) {
@@ -104,7 +120,9 @@
   if (it == parts_.end()) return 0;
   for (const Holder& holder : it->second.holders) {
     if (holder.upstream != upstream) continue;
-    if (now - holder.known_at >= options_.engine_lifetime) return 0;
+    const auto lifetime =
+        holder.pending ? options_.pending_lifetime : options_.engine_lifetime;
+    if (now - holder.known_at >= lifetime) return 0;
     return HoldsWhole(holder.tokens, key.tokens)
                ? key.tokens
                : std::min(holder.tokens, key.tokens);
@@ -133,6 +151,7 @@
   for (const PartKey& key : chain) whole += key.tokens;
   std::vector<Holder> found;
   for (const Holder& holder : it->second.holders) {
+    if (holder.pending) continue;
     if (TokensAt(chain, holder.upstream, now) >= whole) found.push_back(holder);
   }
   std::sort(found.begin(), found.end(), [](const Holder& a, const Holder& b) {
--- a/src/rollout_planner.cc
+++ b/src/rollout_planner.cc
@@ -83,9 +83,26 @@
   load_time_ = load_time_.count() == 0 ? ms : std::min(load_time_, ms);
 }
 
-void RolloutPlanner::Begin(const std::vector<Outdated>& outdated,
+bool RolloutPlanner::Survey(const UpstreamRoster& roster,
+                            const UpstreamLoad& load, TimePoint now) {
+  std::size_t engines = 0;
+  std::uint64_t tokens = 0;
+  for (const UpstreamEntry* upstream : roster.All()) {
+    if (upstream->leaving || upstream->weights.empty()) continue;
+    ++engines;
+    tokens += load.Total(upstream->id, now).prefill_tokens;
+  }
+  const double share = static_cast<double>(engines) * options_.share_at_once;
+  at_once_ = std::max(options_.min_at_once,
+                      static_cast<std::size_t>(std::floor(share)));
+  return tokens > options_.busy_prefill_tokens * engines;
+}
+
+void RolloutPlanner::Begin(const std::vector<Outdated>& outdated, bool busy,
                            TimePoint now) {
-  const std::size_t limit = at_once_ + EndingSoon(now);
+  std::size_t prepared = EndingSoon(now);
+  if (busy) prepared = std::min(prepared, options_.busy_prepared);
+  const std::size_t limit = at_once_ + prepared;
   for (const Outdated& next : outdated) {
     if (tasks_.size() >= limit) return;
     Task task;
@@ -142,14 +159,8 @@
     const std::map<ModelId, WeightNumber>& named, const UpstreamRoster& roster,
     const UpstreamLoad& load, TimePoint now) {
   DropFinished(named, roster);
-  const auto engines = static_cast<double>(
-      std::ranges::count_if(roster.All(), [](const UpstreamEntry* upstream) {
-        return !upstream->leaving && !upstream->weights.empty();
-      }));
-  at_once_ = std::max(
-      options_.min_at_once,
-      static_cast<std::size_t>(std::floor(engines * options_.share_at_once)));
-  Begin(Outstanding(named, roster, load, now), now);
+  const bool busy = Survey(roster, load, now);
+  Begin(Outstanding(named, roster, load, now), busy, now);
   std::vector<RolloutAction> actions;
   for (auto& [upstream, task] : tasks_) {
     // Weights named meanwhile replace those not ordered yet.
