--- a/include/yuccapick/lease.h
+++ b/include/yuccapick/lease.h
@@ -40,6 +40,9 @@
   /// Clocks of two processes drift apart by at most this share. A holder counts
   /// its term shorter by it, an observer longer.
   double drift = 0.02;
+  /// At most one process bears `holder` at any time: an earlier life of it has
+  /// ended, and its lease may be taken at once.
+  bool one_life_at_a_time = false;
 };
 
 /// Reads the lease's row.
@@ -72,6 +75,9 @@
   bool MayAct(TimePoint now) const { return now < valid_until_; }
   /// Fencing token of the term held; zero if none is.
   FencingToken fence(TimePoint now) const;
+  /// Who held the lease before the term that this process acquired; empty if
+  /// nobody did, or if it was handed back.
+  const std::string& predecessor() const { return predecessor_; }
   /// True while a call's answer is awaited.
   bool busy() const { return busy_; }
   /// True once a lease that was handed back cannot be this process's any more.
@@ -79,6 +85,7 @@
 
  private:
   void Observe(const TableRow& row, TimePoint now);
+  LeaseAction Acquire(const LeaseRow& current, TimePoint now);
   LeaseAction Write(LeaseRow next, TimePoint now);
   std::chrono::nanoseconds HolderTerm() const;
   std::chrono::nanoseconds ObserverTerm() const;
@@ -92,6 +99,7 @@
   TableRow row_;
   std::optional<LeaseRow> value_;
   bool own_row_ = false;  ///< The row as last seen names this process.
+  std::string predecessor_;
   std::uint64_t writes_ = 0;
   LeaseRow sent_;  ///< Last write.
   TimePoint sent_at_;
--- a/include/yuccapick/named_weights.h
+++ b/include/yuccapick/named_weights.h
@@ -6,7 +6,6 @@
 
 #include <chrono>
 #include <map>
-#include <optional>
 #include <vector>
 
 #include "yuccapick/ids.h"
@@ -20,10 +19,12 @@
  public:
   // Commands.
 
-  /// @param named_at when it became known; nothing if it may be long ago
+  /// @param known_at when it became known
   /// @return true if `weights` is newer than all before
-  bool OnNamed(const ModelId& model, WeightNumber weights,
-               std::optional<TimePoint> named_at);
+  bool OnNamed(const ModelId& model, WeightNumber weights, TimePoint known_at);
+  /// The version was named earlier than it became known here.
+  void OnNamedEarlier(const ModelId& model, WeightNumber weights,
+                      TimePoint named_at);
 
   // Queries.
 
@@ -38,7 +39,7 @@
  private:
   struct Named {
     WeightNumber weights = 0;
-    std::optional<TimePoint> named_at;
+    TimePoint named_at;
   };
 
   std::map<ModelId, std::vector<Named>> named_;  ///< In rising order.
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -39,8 +39,6 @@
 constexpr std::size_t kMaxExportedInReport = 48;
 /// A configuration that nobody confirmed for this long may be outdated.
 constexpr milliseconds kConfirmationLifetime{7'000};
-/// The balancer sends new callers for about two more questions of its own.
-constexpr milliseconds kListenAfterDrain{3'200};
 /// Left of the shutdown grace when the process ends in any case.
 constexpr milliseconds kGraceReserve{300};
 constexpr milliseconds kHandBackReserve{900};
@@ -100,6 +98,7 @@
           fmt::format("{}:{}", state_.settings.ip, state_.settings.peer_port),
           *this),
       rollout_(std::make_shared<RolloutDuty>(state_, table_calls_, life)),
+      naming_times_(std::make_shared<NamingTimes>(state_, table_calls_)),
       cache_watch_(state_, table_calls_),
       tick_timer_(loop) {
   TableWatchHandler& watch_handler = *this;
@@ -235,11 +234,14 @@
   if (!row.key.starts_with(platform::kVersionKeyPrefix)) return;
   const auto named = platform::DecodeNamedWeights(row.value);
   if (!named) return;
+  const TimePoint now = state_.Now();
+  if (!state_.named_weights.OnNamed(named->model, named->weights, now)) return;
   // What the first read shows may have been named long ago.
-  std::optional<TimePoint> named_at;
-  if (operator_rows_read_) named_at = state_.Now();
-  if (!state_.named_weights.OnNamed(named->model, named->weights, named_at)) {
-    return;
+  if (operator_rows_read_ && operator_watch_->in_touch()) {
+    naming_times_->Save(named->model, named->weights,
+                        operator_watch_->store_time());
+  } else {
+    naming_times_->Load();
   }
   state_.log.Write(LogKind::kBelief, state_.Now(),
                    "event=weights_named model={} weights={} row_version={}",
@@ -445,7 +447,7 @@
 
 void GatewayProcess::CheckDrained(TimePoint now) {
   const auto age = now - drain_began_;
-  if (age < kListenAfterDrain) return;
+  if (age < state_.settings.listen_after_drain) return;
   callers_->CloseListener();
   callers_->DrainSessions();
   const bool out_of_time =
--- a/src/gateway/gateway_process.h
+++ b/src/gateway/gateway_process.h
@@ -18,6 +18,7 @@
 #include "gateway/gateway_settings.h"
 #include "gateway/gateway_state.h"
 #include "gateway/ingress_session.h"
+#include "gateway/naming_times.h"
 #include "gateway/peer_exchange.h"
 #include "gateway/rollout_duty.h"
 #include "gateway/table_watch.h"
@@ -79,6 +80,7 @@
   PeerPicture peers_;
   PeerExchange exchange_;
   std::shared_ptr<RolloutDuty> rollout_;
+  std::shared_ptr<NamingTimes> naming_times_;
   CacheWatch cache_watch_;
   std::uint64_t reports_sent_ = 0;
   TimePoint next_report_;
--- a/src/gateway/rollout_duty.cc
+++ b/src/gateway/rollout_duty.cc
@@ -38,6 +38,7 @@
   options.term = kLeaseTerm;
   options.renew_every = kRenewEvery;
   options.retry_every = kLeaseRetry;
+  options.one_life_at_a_time = true;
   return options;
 }
 
@@ -135,10 +136,12 @@
   planner_.Reset();
   order_from_.reset();
   if (!gained) return;
-  // The first holder ever has no predecessor whose orders may be under way.
+  // Neither the first holder ever nor one that takes over from its own past
+  // life has to keep apart from the orders of another.
   const bool first = fence.value == 1;
+  const bool own_past = lease_.predecessor() == state_.settings.instance.value;
   order_from_ = now;
-  if (!first) {
+  if (!first && !own_past) {
     *order_from_ += state_.settings.bounds.lease_gap + kGapReserve;
   }
 }
--- a/src/gateway/table_watch.cc
+++ b/src/gateway/table_watch.cc
@@ -84,6 +84,7 @@
     Failed(rows.status().message().data());
     return std::nullopt;
   }
+  store_time_ = rows->store_time;
   return *std::move(rows);
 }
 
--- a/src/gateway/table_watch.h
+++ b/src/gateway/table_watch.h
@@ -62,6 +62,8 @@
   /// True while the last call was answered.
   bool in_touch() const { return in_touch_; }
   TimePoint heard_at() const { return heard_at_; }
+  /// The store's clock in its last answer.
+  std::chrono::milliseconds store_time() const { return store_time_; }
 
  private:
   void Next();
@@ -89,6 +91,7 @@
   bool stopped_ = false;
   std::chrono::milliseconds pause_;
   TimePoint heard_at_;
+  std::chrono::milliseconds store_time_{0};
 };
 
 }  // namespace yuccapick
--- a/src/lease.cc
+++ b/src/lease.cc
@@ -57,14 +57,18 @@
   const bool free = row_.version == 0 || current.holder.empty();
   const bool lapsed =
       observed_since_ && now - *observed_since_ >= ObserverTerm();
-  if (free || lapsed) {
-    return Write({options_.holder, options_.life, current.fence.Next(), 0},
-                 now);
-  }
+  const bool own_past =
+      options_.one_life_at_a_time && current.holder == options_.holder;
+  if (free || lapsed || own_past) return Acquire(current, now);
   busy_ = true;
   return LeaseRead{};
 }
 
+LeaseAction Lease::Acquire(const LeaseRow& current, TimePoint now) {
+  predecessor_ = current.holder;
+  return Write({options_.holder, options_.life, current.fence.Next(), 0}, now);
+}
+
 LeaseAction Lease::Write(LeaseRow next, TimePoint now) {
   next.write = ++writes_;
   sent_ = next;
--- a/src/named_weights.cc
+++ b/src/named_weights.cc
@@ -1,5 +1,7 @@
 #include "yuccapick/named_weights.h"
 
+#include <algorithm>
+
 namespace yuccapick {
 namespace {
 
@@ -9,17 +11,24 @@
 }  // namespace
 
 bool NamedWeightsLog::OnNamed(const ModelId& model, WeightNumber weights,
-                              std::optional<TimePoint> named_at) {
+                              TimePoint known_at) {
   std::vector<Named>& versions = named_[model];
   if (!versions.empty() && weights <= versions.back().weights) return false;
-  versions.push_back({weights, named_at});
-  if (versions.size() > kMaxVersions) {
-    versions.erase(versions.begin());
-    versions.front().named_at.reset();
-  }
+  versions.push_back({weights, known_at});
+  if (versions.size() > kMaxVersions) versions.erase(versions.begin());
   return true;
 }
 
+void NamedWeightsLog::OnNamedEarlier(const ModelId& model, WeightNumber weights,
+                                     TimePoint named_at) {
+  const auto it = named_.find(model);
+  if (it == named_.end()) return;
+  for (Named& named : it->second) {
+    if (named.weights != weights) continue;
+    named.named_at = std::min(named.named_at, named_at);
+  }
+}
+
 WeightNumber NamedWeightsLog::Newest(const ModelId& model) const {
   const auto it = named_.find(model);
   return it == named_.end() ? 0 : it->second.back().weights;
@@ -40,7 +49,7 @@
   if (it == named_.end()) return false;
   for (const Named& named : it->second) {
     if (named.weights <= held) continue;
-    if (!named.named_at || now - *named.named_at >= limit) return true;
+    if (now - named.named_at >= limit) return true;
   }
   return false;
 }
--- /dev/null
+++ b/test/direct_placement_test.cc
@@ -0,0 +1,172 @@
+#include "yuccapick/direct_placement.h"
+
+#include <rapidcheck/catch.h>
+
+#include <catch2/catch.hpp>
+#include <deque>
+#include <map>
+
+namespace yuccapick {
+namespace {
+
+using std::chrono::milliseconds;
+
+const TimePoint kStart{std::chrono::seconds(100)};
+const FailureDomain kHere("here");
+const FailureDomain kThere("there");
+constexpr std::uint64_t kCapacity = 106'560;
+
+/// Engines, all alike, with everything placement looks at.
+class Fleet {
+ public:
+  explicit Fleet(int engines) {
+    for (int i = 0; i < engines; ++i) {
+      UpstreamEntry entry;
+      entry.id = UpstreamId("engine-" + std::to_string(i));
+      entry.endpoint = "10.0.0." + std::to_string(i) + ":80";
+      entry.domain = kHere;
+      entry.slots = 64;
+      entries.push_back(entry);
+    }
+    for (const UpstreamEntry& entry : entries) {
+      fleet.candidates.push_back({&entry, "v1", false, false});
+    }
+    fleet.kv_capacity_tokens = kCapacity;
+    fleet.kv_store_endpoint = "10.0.1.1:80";
+  }
+
+  std::optional<DirectChoice> Choose(const PlacementQuery& query) const {
+    return DirectPlacement(kHere, {}).Choose(query, fleet, directory, load,
+                                             health, now);
+  }
+
+  std::deque<UpstreamEntry> entries;
+  PlacementFleet fleet;
+  PartDirectory directory;
+  UpstreamLoad load{milliseconds(1'000)};
+  UpstreamHealth health;
+  TimePoint now = kStart;
+};
+
+PlacementQuery Query(const std::string& document) {
+  PlacementQuery query;
+  query.parts = {{"guide", 2'500}, {document, 3'800}, {"own", 2'900}};
+  query.prompt_tokens = 9'200;
+  query.output_tokens = 10;
+  query.body_bytes = 18'000;
+  return query;
+}
+
+TEST_CASE("Processes that know nothing agree on a prefix's home") {
+  Fleet one(6);
+  Fleet two(6);
+  for (const char* document : {"x", "y", "z"}) {
+    CHECK(one.Choose(Query(document))->upstream ==
+          two.Choose(Query(document))->upstream);
+  }
+}
+
+TEST_CASE("A request goes where its shared parts are cached") {
+  Fleet fleet(6);
+  const UpstreamId& holder = fleet.entries[4].id;
+  fleet.directory.OnUsed(SharedChain("v1", Query("x").parts), holder, kStart);
+  const auto choice = fleet.Choose(Query("x"));
+  CHECK(choice->upstream == holder);
+  CHECK(choice->expected_hit_tokens == 6'300);
+  CHECK(choice->import_from.empty());
+}
+
+TEST_CASE("Parts move with the request when their engine is busy") {
+  Fleet fleet(2);
+  const UpstreamEntry& holder = fleet.entries[0];
+  fleet.directory.OnUsed(SharedChain("v1", Query("x").parts), holder.id,
+                         kStart);
+  fleet.load.Begin(holder.id, {12, 60'000, 40'000});
+  const auto choice = fleet.Choose(Query("x"));
+  CHECK(choice->upstream == fleet.entries[1].id);
+  CHECK(choice->import_from == holder.endpoint);
+  CHECK(choice->missing_tokens == 2'900);
+}
+
+TEST_CASE("The KV store serves parts that no engine holds") {
+  Fleet fleet(3);
+  const PartChain chain = SharedChain("v1", Query("x").parts);
+  CHECK(fleet.Choose(Query("x"))->export_to == fleet.fleet.kv_store_endpoint);
+  fleet.directory.OnExported(chain, kStart);
+  const auto choice = fleet.Choose(Query("x"));
+  CHECK(choice->import_from == fleet.fleet.kv_store_endpoint);
+  CHECK(choice->export_to.empty());
+}
+
+TEST_CASE("Parts of other weights are no source") {
+  Fleet fleet(2);
+  fleet.directory.OnUsed(SharedChain("v1", Query("x").parts),
+                         fleet.entries[0].id, kStart);
+  for (PlacementCandidate& it : fleet.fleet.candidates) it.cache_scope = "v2";
+  const auto choice = fleet.Choose(Query("x"));
+  CHECK(choice->import_from.empty());
+  CHECK(choice->cache_scope == "v2");
+}
+
+TEST_CASE("Engines that load weights, fail or were tried are avoided") {
+  Fleet fleet(3);
+  fleet.fleet.candidates[0].loading = true;
+  fleet.health.OnUnreachable(fleet.entries[1].id, kStart);
+  CHECK(fleet.Choose(Query("x"))->upstream == fleet.entries[2].id);
+  PlacementQuery tried = Query("x");
+  for (const UpstreamEntry& entry : fleet.entries) {
+    tried.tried.push_back(entry.id);
+  }
+  CHECK_FALSE(fleet.Choose(tried).has_value());
+}
+
+TEST_CASE("A plain service's requests stay in the domain while it has room") {
+  Fleet fleet(2);
+  fleet.fleet.kv_capacity_tokens = 0;
+  fleet.fleet.kv_store_endpoint.clear();
+  fleet.entries[0].domain = kThere;
+  for (UpstreamEntry& entry : fleet.entries) entry.slots = 6;
+  PlacementQuery query;
+  query.body_bytes = 600;
+  CHECK(fleet.Choose(query)->upstream == fleet.entries[1].id);
+  fleet.load.Begin(fleet.entries[1].id, {6, 0, 0});
+  CHECK(fleet.Choose(query)->upstream == fleet.entries[0].id);
+}
+
+TEST_CASE("A burst on one hot prefix spreads before an engine is full") {
+  Fleet fleet(6);
+  std::map<UpstreamId, int> placed;
+  for (int i = 0; i < 120; ++i) {
+    const PlacementQuery query = Query("hot");
+    const auto choice = fleet.Choose(query);
+    const PartChain chain = SharedChain("v1", query.parts);
+    fleet.directory.OnUsed(chain, choice->upstream, fleet.now);
+    fleet.load.Begin(choice->upstream, {1, 6'000, choice->missing_tokens});
+    ++placed[choice->upstream];
+  }
+  CHECK(placed.size() == 6);
+  for (const auto& [upstream, n] : placed) CHECK(n <= 30);
+}
+
+TEST_CASE("A choice is always an untried candidate, the same for one state") {
+  rc::prop("valid and repeatable", [] {
+    Fleet fleet(*rc::gen::inRange(1, 8));
+    PlacementQuery query = Query(*rc::gen::element<std::string>("a", "b"));
+    for (const UpstreamEntry& entry : fleet.entries) {
+      if (*rc::gen::arbitrary<bool>()) query.tried.push_back(entry.id);
+      if (*rc::gen::arbitrary<bool>()) {
+        fleet.load.Begin(entry.id, {3, *rc::gen::inRange(0U, 90'000U), 900});
+      }
+    }
+    const auto choice = fleet.Choose(query);
+    RC_ASSERT(choice.has_value() ==
+              (query.tried.size() < fleet.entries.size()));
+    if (!choice) return;
+    RC_ASSERT(std::find(query.tried.begin(), query.tried.end(),
+                        choice->upstream) == query.tried.end());
+    RC_ASSERT(fleet.Choose(query)->upstream == choice->upstream);
+  });
+}
+
+}  // namespace
+}  // namespace yuccapick
--- /dev/null
+++ b/test/gateway/gateway_world.h
@@ -0,0 +1,157 @@
+#ifndef YUCCAPICK_TEST_GATEWAY_GATEWAY_WORLD_H_
+#define YUCCAPICK_TEST_GATEWAY_GATEWAY_WORLD_H_
+
+/// @file
+/// A gateway on loopback before a scripted store and scripted upstreams.
+
+#include <asio.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "gateway/gateway_process.h"
+#include "test/shell/scripted_server.h"
+
+namespace yuccapick {
+
+/// A request as an upstream received it.
+struct ReceivedRequest {
+  std::string head;
+  std::string body;
+
+  /// @return the field's value, or empty
+  std::string Field(const std::string& name) const;
+  std::string path() const;
+};
+
+/// An upstream whose script answers each whole request.
+class FakeUpstream {
+ public:
+  using Connection = ScriptedServer::Connection;
+  using Script = std::function<void(Connection&, const ReceivedRequest&)>;
+
+  FakeUpstream(asio::io_context& loop, std::string id, Script script);
+
+  /// Writes a whole answer that carries the upstream's proof.
+  void Answer(Connection& connection, const ReceivedRequest& request,
+              int status, const std::string& body,
+              const std::string& more_fields = "") const;
+  /// Writes the head of an event stream.
+  void BeginStream(Connection& connection,
+                   const ReceivedRequest& request) const;
+  std::string endpoint() const;
+  const std::string& id() const { return id_; }
+  /// Requests for callers, without reports and event calls.
+  const std::vector<ReceivedRequest>& received() const { return received_; }
+  ScriptedServer& server() { return server_; }
+
+ private:
+  void OnInput(Connection& connection);
+
+  std::string id_;
+  Script script_;
+  std::vector<ReceivedRequest> received_;
+  ScriptedServer server_;
+};
+
+/// The store's tables `op` and `servers`, read whole and watched.
+class FakeStore {
+ public:
+  explicit FakeStore(asio::io_context& loop);
+
+  void Put(const std::string& table, const std::string& key,
+           const std::string& value);
+  void Remove(const std::string& table, const std::string& key);
+  /// While false, every call is answered 503.
+  void set_up(bool up) { up_ = up; }
+  std::string endpoint() const;
+
+ private:
+  struct Row {
+    std::string value;
+    std::uint64_t version = 0;
+    bool removed = false;
+  };
+  struct Watcher {
+    std::shared_ptr<ScriptedServer::Connection> connection;
+    std::string table;
+    std::uint64_t after = 0;
+  };
+
+  void OnInput(ScriptedServer::Connection& connection);
+  void Reply(ScriptedServer::Connection& connection, int status,
+             const std::string& body);
+  std::string RowsAfter(const std::string& table, std::uint64_t after,
+                        bool with_removed) const;
+  void Notify();
+
+  std::map<std::string, std::map<std::string, Row>> tables_;
+  std::uint64_t version_ = 0;
+  bool up_ = true;
+  std::vector<Watcher> watchers_;
+  ScriptedServer server_;
+};
+
+/// A caller's connection. Closed when it is destroyed.
+class FakeCaller {
+ public:
+  FakeCaller(asio::io_context& loop, const std::string& endpoint);
+  ~FakeCaller() { Close(); }
+  FakeCaller(const FakeCaller&) = delete;
+  FakeCaller& operator=(const FakeCaller&) = delete;
+
+  void Send(const std::string& bytes);
+  void Close();
+
+  const std::string& input() const { return connection_->input; }
+  bool closed() const { return connection_->closed; }
+
+ private:
+  /// Outlives the caller while a read is under way.
+  struct Connection : std::enable_shared_from_this<Connection> {
+    explicit Connection(asio::io_context& loop) : socket(loop) {}
+    void Read();
+
+    asio::ip::tcp::socket socket;
+    std::array<char, 4096> buf{};
+    std::string input;
+    bool closed = false;
+  };
+
+  std::shared_ptr<Connection> connection_;
+};
+
+/// One gateway with its surroundings. Ports are taken from the system.
+class GatewayWorld {
+ public:
+  GatewayWorld();
+  ~GatewayWorld();
+
+  /// Registers an upstream and waits until the gateway knows it.
+  void Register(const FakeUpstream& upstream, const std::string& service,
+                const std::string& state = "ready");
+  void PutConfig(std::uint64_t version, const std::string& routes);
+  void Start();
+  /// Sends a request and waits for the answer's end or the close.
+  std::string Ask(const std::string& request);
+  bool RunUntilTrue(const std::function<bool()>& done) {
+    return RunUntil(loop, done);
+  }
+  bool IsReady();
+
+  asio::io_context loop;
+  FakeStore store;
+  GatewaySettings settings;
+  std::unique_ptr<GatewayProcess> gateway;
+};
+
+/// A request of a caller for `path`, with an attempt id and a key.
+std::string CallerRequest(const std::string& method, const std::string& path,
+                          const std::string& more_fields = "",
+                          const std::string& body = "");
+
+}  // namespace yuccapick
+
+#endif  // YUCCAPICK_TEST_GATEWAY_GATEWAY_WORLD_H_
--- /dev/null
+++ b/test/gateway/http_reader_test.cc
@@ -0,0 +1,122 @@
+#include "gateway/http_reader.h"
+
+#include <rapidcheck/catch.h>
+
+#include <catch2/catch.hpp>
+
+namespace yuccapick {
+namespace {
+
+constexpr std::size_t kMaxHead = 1'000;
+
+/// Records the parts of one message.
+class Recorder : public HttpReaderHandler {
+ public:
+  void OnHttpHead(HttpHead h) override { head = std::move(h); }
+  void OnHttpBody(std::string_view bytes) override { body += bytes; }
+  void OnHttpEnd() override { ended = true; }
+
+  HttpHead head;
+  std::string body;
+  bool ended = false;
+};
+
+absl::Status FeedAll(HttpReader& reader, std::string_view bytes) {
+  std::size_t consumed = 0;
+  return reader.Feed(bytes, consumed);
+}
+
+absl::Status ReadRequest(const std::string& text) {
+  Recorder recorder;
+  HttpReader reader(HttpReader::Kind::kRequest, kMaxHead, recorder);
+  return FeedAll(reader, text);
+}
+
+TEST_CASE("A request is read the same however its bytes are cut") {
+  rc::prop("parts of any size", [] {
+    const std::string text =
+        "POST /a/b?x=1 HTTP/1.1\r\nHost: h\r\nX-Key:  v \r\n"
+        "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n3\r\nyou\r\n0\r\n\r\n";
+    Recorder recorder;
+    HttpReader reader(HttpReader::Kind::kRequest, kMaxHead, recorder);
+    std::size_t at = 0;
+    while (at < text.size()) {
+      const auto n = *rc::gen::inRange<std::size_t>(1, 30);
+      std::size_t consumed = 0;
+      RC_ASSERT(
+          reader.Feed(std::string_view(text).substr(at, n), consumed).ok());
+      RC_ASSERT(consumed > 0U);
+      at += consumed;
+    }
+    RC_ASSERT(recorder.ended);
+    RC_ASSERT(recorder.head.method == "POST");
+    RC_ASSERT(recorder.head.target == "/a/b?x=1");
+    RC_ASSERT(*recorder.head.Find("x-key") == "v");
+    RC_ASSERT(recorder.body == "helloyou");
+  });
+}
+
+TEST_CASE("Reading stops at the end of a message") {
+  Recorder recorder;
+  HttpReader reader(HttpReader::Kind::kRequest, kMaxHead, recorder);
+  const std::string first = "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n";
+  std::size_t consumed = 0;
+  REQUIRE(reader.Feed(first + "GET /2", consumed).ok());
+  CHECK(consumed == first.size());
+  CHECK(reader.complete());
+  reader.Restart();
+  CHECK(reader.at_start());
+}
+
+TEST_CASE("Requests whose framing can be read in two ways are refused") {
+  const std::string host = "Host: h\r\n";
+  for (const std::string& fields :
+       {std::string("Content-Length: 3\r\nTransfer-Encoding: chunked\r\n"),
+        std::string("Content-Length: 3\r\nContent-Length: 4\r\n"),
+        std::string("Transfer-Encoding: chunked, identity\r\n"),
+        std::string("Transfer-Encoding: xchunked\r\n"),
+        std::string("Content-Length : 3\r\n"),
+        std::string("Content-Length: 3x\r\n"),
+        std::string("Content-Length: -3\r\n")}) {
+    INFO(fields);
+    CHECK_FALSE(
+        ReadRequest("POST / HTTP/1.1\r\n" + host + fields + "\r\nabc").ok());
+  }
+}
+
+TEST_CASE("Lines that are no request are refused") {
+  for (const std::string& text :
+       {std::string("hello\r\n\r\n"), std::string("GET / HTTP/2.0\r\n\r\n"),
+        std::string("GET /a b HTTP/1.1\r\n\r\n"),
+        std::string("GET / HTTP/1.1\r\nno colon\r\n\r\n"),
+        std::string("GET / HTTP/1.1\r\nbad name: x\r\n\r\n")}) {
+    INFO(text);
+    CHECK_FALSE(ReadRequest(text).ok());
+  }
+}
+
+TEST_CASE("A head over the limit is told from a malformed one") {
+  const std::string text =
+      "GET / HTTP/1.1\r\nX-Long: " + std::string(2'000, 'x') + "\r\n\r\n";
+  CHECK(absl::IsResourceExhausted(ReadRequest(text)));
+}
+
+TEST_CASE("An answer without a length ends with its connection") {
+  Recorder recorder;
+  HttpReader reader(HttpReader::Kind::kResponse, kMaxHead, recorder);
+  REQUIRE(FeedAll(reader, "HTTP/1.1 200 OK\r\n\r\npart").ok());
+  CHECK_FALSE(reader.complete());
+  CHECK(reader.FeedEnd().ok());
+  CHECK(recorder.body == "part");
+}
+
+TEST_CASE("An answer cut before its length is not complete") {
+  Recorder recorder;
+  HttpReader reader(HttpReader::Kind::kResponse, kMaxHead, recorder);
+  REQUIRE(
+      FeedAll(reader, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart").ok());
+  CHECK_FALSE(reader.FeedEnd().ok());
+}
+
+}  // namespace
+}  // namespace yuccapick
--- /dev/null
+++ b/test/gateway_config_test.cc
@@ -0,0 +1,100 @@
+#include "yuccapick/gateway_config.h"
+
+#include <catch2/catch.hpp>
+
+#include "yuccapick/gateway_admission.h"
+
+namespace yuccapick {
+namespace {
+
+GatewayRoute Route(std::string name, std::string prefix) {
+  GatewayRoute route;
+  route.name = std::move(name);
+  route.host = "crew.example";
+  route.prefix = std::move(prefix);
+  route.targets = {{ServiceId("crew-app"), 1.0}};
+  return route;
+}
+
+GatewayTeam Team(std::string name, std::string key, bool isolated) {
+  GatewayTeam team;
+  team.id = TeamId(std::move(name));
+  team.keys = {std::move(key)};
+  team.isolated = isolated;
+  return team;
+}
+
+GatewayConfig Example() {
+  GatewayRoute open = Route("open", "/open/");
+  open.anonymous = true;
+  return GatewayConfig(
+      ConfigVersion(3), {Route("all", "/a/"), Route("inner", "/a/b/"), open},
+      {}, {Team("moor", "key-moor", false), Team("fen", "key-fen", true)}, {});
+}
+
+AdmissionRefusal RefusalOf(const GatewayConfig* config, bool confirmed,
+                           const AdmissionQuery& query) {
+  return std::get<AdmissionRefusal>(AdmitToRoute(config, confirmed, query));
+}
+
+TEST_CASE("The longest prefix of a host selects the route") {
+  const GatewayConfig config = Example();
+  CHECK(config.FindRoute("crew.example", "/a/b/c")->name == "inner");
+  CHECK(config.FindRoute("crew.example", "/a/x")->name == "all");
+  CHECK(config.FindRoute("crew.example", "/a") == nullptr);
+  CHECK(config.FindRoute("other.example", "/a/b/c") == nullptr);
+}
+
+TEST_CASE("A key names its team, and a route may need none") {
+  const GatewayConfig config = Example();
+  const auto permit = std::get<RoutePermit>(
+      AdmitToRoute(&config, true, {"crew.example", "/a/x?q=1", "key-moor"}));
+  CHECK(permit.route->name == "all");
+  CHECK(permit.team->id == TeamId("moor"));
+  const auto open = std::get<RoutePermit>(
+      AdmitToRoute(&config, true, {"crew.example", "/open/x", ""}));
+  CHECK(open.team == nullptr);
+}
+
+TEST_CASE("Unknown routes and keys are told apart") {
+  const GatewayConfig config = Example();
+  CHECK(RefusalOf(&config, true, {"crew.example", "/none/", "key-moor"}) ==
+        AdmissionRefusal::kUnknownRoute);
+  CHECK(RefusalOf(&config, true, {"crew.example", "/a/x", "no-key"}) ==
+        AdmissionRefusal::kUnknownKey);
+  CHECK(RefusalOf(&config, true, {"crew.example", "/a/x", ""}) ==
+        AdmissionRefusal::kUnknownKey);
+}
+
+TEST_CASE("Without a confirmed configuration nothing is denied for good") {
+  const GatewayConfig config = Example();
+  CHECK(RefusalOf(nullptr, true, {"crew.example", "/a/x", "key-moor"}) ==
+        AdmissionRefusal::kNoConfig);
+  CHECK(RefusalOf(&config, false, {"crew.example", "/none/", "key-moor"}) ==
+        AdmissionRefusal::kNoConfig);
+  CHECK(RefusalOf(&config, false, {"crew.example", "/a/x", "no-key"}) ==
+        AdmissionRefusal::kNoConfig);
+}
+
+TEST_CASE("Cache scopes keep weights and isolated teams apart") {
+  const GatewayConfig config = Example();
+  const GatewayTeam* moor = config.FindTeam("key-moor");
+  const GatewayTeam* fen = config.FindTeam("key-fen");
+  CHECK(config.CacheScopeOf(moor, 1) == config.CacheScopeOf(nullptr, 1));
+  CHECK(config.CacheScopeOf(moor, 1) != config.CacheScopeOf(moor, 2));
+  CHECK(config.CacheScopeOf(fen, 1) != config.CacheScopeOf(moor, 1));
+}
+
+TEST_CASE("A team that becomes isolated leaves the common scope's entries") {
+  const GatewayConfig before = Example();
+  const GatewayConfig after(
+      ConfigVersion(4), {}, {},
+      {Team("moor", "key-moor", true), Team("fen", "key-fen", true),
+       Team("dale", "key-dale", false)},
+      {});
+  CHECK(before.CacheScopeOf(before.FindTeam("key-moor"), 1) !=
+        after.CacheScopeOf(after.FindTeam("key-dale"), 1));
+}
+
+}  // namespace
+}  // namespace yuccapick
--- /dev/null
+++ b/test/part_directory_test.cc
@@ -0,0 +1,90 @@
+#include "yuccapick/part_directory.h"
+
+#include <catch2/catch.hpp>
+
+namespace yuccapick {
+namespace {
+
+using std::chrono::milliseconds;
+
+const TimePoint kStart{std::chrono::seconds(100)};
+const UpstreamId kA("a");
+const UpstreamId kB("b");
+const std::vector<PromptPart> kPrompt{
+    {"guide", 2'500}, {"log", 3'800}, {"own", 2'900}};
+
+TEST_CASE("The request's own part is not shared") {
+  const PartChain chain = SharedChain("v1", kPrompt);
+  REQUIRE(chain.size() == 2);
+  CHECK(chain[1].tokens == 3'800);
+  CHECK(chain[0].hash != SharedChain("v2", kPrompt)[0].hash);
+}
+
+TEST_CASE("A part counts only if all parts before it are held") {
+  PartDirectory directory;
+  const PartChain chain = SharedChain("v1", kPrompt);
+  directory.OnEngineChange(kA, {chain[1].hash, true, 3'800}, kStart);
+  CHECK(directory.TokensAt(chain, kA, kStart) == 0);
+  directory.OnEngineChange(kA, {chain[0].hash, true, 2'500}, kStart);
+  CHECK(directory.TokensAt(chain, kA, kStart) == 6'300);
+  CHECK(directory.Holders(chain, kStart) == std::vector<UpstreamId>{kA});
+}
+
+TEST_CASE("An eviction is believed, also of a part's end") {
+  PartDirectory directory;
+  const PartChain chain = SharedChain("v1", kPrompt);
+  directory.OnUsed(chain, kA, kStart);
+  directory.OnEngineChange(kA, {chain[1].hash, false, 1'600}, kStart);
+  CHECK(directory.TokensAt(chain, kA, kStart) == 4'100);
+  directory.OnEngineChange(kA, {chain[1].hash, false, 0}, kStart);
+  CHECK(directory.TokensAt(chain, kA, kStart) == 2'500);
+  CHECK(directory.Holders(chain, kStart).empty());
+}
+
+TEST_CASE("Parts being read attract requests but cannot be imported") {
+  PartDirectory directory;
+  const PartChain chain = SharedChain("v1", kPrompt);
+  directory.OnSent(chain, kA, kStart);
+  CHECK(directory.TokensAt(chain, kA, kStart) == 6'300);
+  CHECK(directory.Holders(chain, kStart).empty());
+  CHECK(directory.TokensAt(chain, kA, kStart + milliseconds(1'600)) == 0);
+  directory.OnUsed(chain, kA, kStart);
+  CHECK(directory.Holders(chain, kStart).size() == 1);
+}
+
+TEST_CASE("The last engine that used the parts is named first") {
+  PartDirectory directory;
+  const PartChain chain = SharedChain("v1", kPrompt);
+  directory.OnUsed(chain, kA, kStart);
+  directory.OnUsed(chain, kB, kStart + milliseconds(1));
+  CHECK(directory.Holders(chain, kStart + milliseconds(2)) ==
+        std::vector<UpstreamId>{kB, kA});
+}
+
+TEST_CASE("A restart of an engine or of the store loses what it held") {
+  PartDirectory directory;
+  const PartChain chain = SharedChain("v1", kPrompt);
+  directory.OnUsed(chain, kA, kStart);
+  directory.OnExported(chain, kStart);
+  CHECK(directory.InStore(chain, kStart));
+  directory.OnEngineLost(kA);
+  CHECK(directory.TokensAt(chain, kA, kStart) == 0);
+  directory.OnStoreLost();
+  CHECK_FALSE(directory.InStore(chain, kStart));
+}
+
+TEST_CASE("The number of known parts is bounded and the newest stay") {
+  PartDirectoryOptions options;
+  options.max_parts = 64;
+  PartDirectory directory(options);
+  for (int i = 0; i < 1'000; ++i) {
+    directory.OnEngineChange(kA, {PartHash("v1", std::to_string(i)), true, 100},
+                             kStart + milliseconds(i));
+  }
+  CHECK(directory.size() <= 65);
+  const PartChain newest{{PartHash("v1", "999"), 100}};
+  CHECK(directory.TokensAt(newest, kA, kStart + milliseconds(1'000)) == 100);
+}
+
+}  // namespace
+}  // namespace yuccapick
--- /dev/null
+++ b/test/peer_report_test.cc
@@ -0,0 +1,109 @@
+#include "yuccapick/peer_report.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+#include "gateway/peer_codec.h"
+
+namespace yuccapick {
+namespace {
+
+using std::chrono::milliseconds;
+
+const TimePoint kStart{std::chrono::seconds(100)};
+
+PeerReport Report(std::string instance, std::uint64_t sequence) {
+  PeerReport report;
+  report.instance = InstanceId(instance);
+  report.life = Incarnation(1);
+  report.sequence = sequence;
+  report.endpoint = instance + ":1";
+  report.store_in_touch = true;
+  report.config = ConfigVersion(4);
+  return report;
+}
+
+TEST_CASE("A report out of order or of an earlier life is dropped") {
+  PeerPicture peers;
+  PeerReport report = Report("one", 5);
+  CHECK(peers.OnReport(report, kStart));
+  CHECK_FALSE(peers.OnReport(report, kStart));
+  report.life = Incarnation(2);
+  report.sequence = 1;
+  CHECK(peers.OnReport(report, kStart));
+  CHECK_FALSE(peers.OnReport(Report("one", 9), kStart));
+}
+
+TEST_CASE("A silent peer is not counted on") {
+  PeerPicture peers;
+  PeerReport report = Report("one", 1);
+  report.holds_rollout = true;
+  report.loading = {UpstreamId("a")};
+  peers.OnReport(report, kStart);
+  CHECK(peers.SomeoneHoldsRollout(kStart));
+  CHECK(peers.Loading(kStart).contains(UpstreamId("a")));
+  CHECK(peers.Confirms(ConfigVersion(4), kStart));
+  CHECK_FALSE(peers.Confirms(ConfigVersion(3), kStart));
+  const TimePoint later = kStart + milliseconds(1'600);
+  CHECK_FALSE(peers.SomeoneHoldsRollout(later));
+  CHECK(peers.Loading(later).empty());
+  CHECK_FALSE(peers.Confirms(ConfigVersion(4), later));
+  CHECK(peers.LiveCount(later) == 0);
+}
+
+TEST_CASE("The peer with the newest rows is asked for them") {
+  PeerPicture peers;
+  PeerReport one = Report("one", 1);
+  one.operator_rows = 7;
+  PeerReport two = Report("two", 1);
+  two.operator_rows = 9;
+  peers.OnReport(one, kStart);
+  peers.OnReport(two, kStart);
+  CHECK(peers.NewerThan(6, 0, kStart)->instance == InstanceId("two"));
+  CHECK(peers.NewerThan(9, 0, kStart) == nullptr);
+}
+
+TEST_CASE("Endpoints from a list are tried until they answer or grow old") {
+  PeerPicture peers;
+  peers.OnEndpoint("one:1", kStart);
+  const auto tried = [&peers](TimePoint from) {
+    for (int i = 0; i < 8; ++i) {
+      const auto targets = peers.Targets(from + milliseconds(250 * i));
+      if (std::find(targets.begin(), targets.end(), "one:1") != targets.end()) {
+        return true;
+      }
+    }
+    return false;
+  };
+  CHECK(tried(kStart));
+  peers.OnTick(kStart + milliseconds(21'000));
+  CHECK_FALSE(tried(kStart + milliseconds(21'000)));
+}
+
+TEST_CASE("Reports and tables survive their encoding") {
+  PeerReport report = Report("one", 3);
+  report.work = {{UpstreamId("a"), {1, 2, 3}}};
+  report.weights = {{UpstreamId("a"), ModelId("m"), 4}};
+  report.exported = {{77, 120}};
+  const auto decoded = DecodePeerReport(EncodePeerReport(report));
+  REQUIRE(decoded.has_value());
+  CHECK(decoded->instance == report.instance);
+  CHECK(decoded->work[0].amount == WorkAmount{1, 2, 3});
+  CHECK(decoded->weights[0].weights == 4);
+  CHECK(decoded->exported[0].hash == 77);
+
+  const PeerTables tables{{{{"k", "v", 3, false}}, 9}, {{}, 2}};
+  const auto copy = DecodePeerTables(EncodePeerTables(tables));
+  REQUIRE(copy.has_value());
+  CHECK(copy->operator_rows.rows == tables.operator_rows.rows);
+  CHECK(copy->operator_rows.as_of == 9);
+}
+
+TEST_CASE("Bytes that are no report are told apart") {
+  CHECK_FALSE(DecodePeerReport("").has_value());
+  CHECK_FALSE(DecodePeerReport("\xc1garbage").has_value());
+  CHECK_FALSE(DecodePeerTables("[1,2]").has_value());
+}
+
+}  // namespace
+}  // namespace yuccapick
--- /dev/null
+++ b/test/table_mirror_test.cc
@@ -0,0 +1,88 @@
+#include "yuccapick/table_mirror.h"
+
+#include <rapidcheck/catch.h>
+
+#include <catch2/catch.hpp>
+#include <map>
+
+namespace yuccapick {
+namespace {
+
+MirrorRow Row(std::string key, std::string value, std::uint64_t version) {
+  return {std::move(key), std::move(value), version, false};
+}
+
+MirrorRow Removal(std::string key, std::uint64_t version) {
+  return {std::move(key), "", version, true};
+}
+
+TEST_CASE("An older snapshot changes nothing") {
+  TableMirror mirror;
+  mirror.OnChanges({Row("a", "new", 9)}, 9);
+  CHECK(mirror.OnSnapshot({{Row("a", "old", 4)}, 5}).empty());
+  CHECK(mirror.Snapshot().rows.at(0).value == "new");
+}
+
+TEST_CASE("A snapshot without a row removes it") {
+  TableMirror mirror;
+  mirror.OnSnapshot({{Row("a", "1", 1), Row("b", "2", 2)}, 2});
+  const auto changes = mirror.OnSnapshot({{Row("b", "2", 2)}, 7});
+  REQUIRE(changes.size() == 1);
+  CHECK(changes[0] == Removal("a", 7));
+}
+
+TEST_CASE("A row that is newer than the snapshot stays") {
+  TableMirror mirror;
+  mirror.OnChanges({Row("a", "1", 8)}, 3);
+  CHECK(mirror.OnSnapshot({{}, 5}).empty());
+  CHECK(mirror.Snapshot().rows.size() == 1);
+}
+
+TEST_CASE("Copies that hear changes in any mix end alike and never go back") {
+  rc::prop("the mirror follows the table", [] {
+    std::map<std::string, MirrorRow> table;
+    std::vector<MirrorRow> log;
+    TableMirror mirror;
+    std::map<std::string, std::uint64_t> seen;
+    const int steps = *rc::gen::inRange(1, 40);
+    for (int i = 1; i <= steps; ++i) {
+      const auto version = static_cast<std::uint64_t>(i);
+      const std::string key(1, *rc::gen::element('a', 'b', 'c'));
+      const bool remove = *rc::gen::arbitrary<bool>();
+      MirrorRow row =
+          remove ? Removal(key, version) : Row(key, std::to_string(i), version);
+      log.push_back(row);
+      if (remove) {
+        table.erase(key);
+      } else {
+        table[key] = row;
+      }
+      const int how = *rc::gen::inRange(0, 4);
+      std::vector<MirrorRow> changes;
+      if (how == 0) {
+        const auto from = *rc::gen::inRange<std::size_t>(0, log.size());
+        if (log[from].version > mirror.as_of() + 1) continue;
+        changes = mirror.OnChanges(
+            {log.begin() + static_cast<std::ptrdiff_t>(from), log.end()},
+            version);
+      } else if (how == 1) {
+        TableSnapshot snapshot;
+        for (const auto& [k, r] : table) snapshot.rows.push_back(r);
+        snapshot.as_of = version;
+        changes = mirror.OnSnapshot(snapshot);
+      }
+      for (const MirrorRow& change : changes) {
+        RC_ASSERT(change.version > seen[change.key]);
+        seen[change.key] = change.version;
+      }
+    }
+    TableSnapshot last;
+    for (const auto& [k, r] : table) last.rows.push_back(r);
+    last.as_of = static_cast<std::uint64_t>(steps);
+    mirror.OnSnapshot(last);
+    RC_ASSERT(mirror.Snapshot().rows == last.rows);
+  });
+}
+
+}  // namespace
+}  // namespace yuccapick
