Keep the roll-out within its limit while gateways are stopped in turn

Change: a holder that hands back notes its last orders for the next one, so only those upstreams wait; engines are taken out of service as the limit needs; requests later than 2.8 s after SIGTERM are refused; the KV store's link is a queue whose wait counts.

--- a/include/yuccapick/direct_placement.h
+++ b/include/yuccapick/direct_placement.h
@@ -13,6 +13,7 @@
 
 #include "yuccapick/ids.h"
 #include "yuccapick/part_directory.h"
+#include "yuccapick/transfer_link.h"
 #include "yuccapick/upstream_health.h"
 #include "yuccapick/upstream_load.h"
 #include "yuccapick/upstream_roster.h"
@@ -41,6 +42,7 @@
   std::vector<PlacementCandidate> candidates;
   std::uint64_t kv_capacity_tokens = 0;  ///< Of an engine; 0: no engines.
   std::string kv_store_endpoint;         ///< Empty if there is none.
+  const TransferLink* kv_store_link = nullptr;  ///< Null: of no account.
 };
 
 /// Costs are waits, or what else is lost expressed as a wait.
@@ -58,15 +60,17 @@
   Cost per_request{1.0};
   /// Importing cached parts, by source.
   Cost import_from_engine{25.0};
-  Cost import_from_store{35.0};
+  Cost import_from_store{20.0};  ///< Beside the time that its link takes.
+  /// Parts are not put into the store while transfers there wait longer.
+  Cost export_wait{60.0};
   /// A request that fails for sure.
   Cost failure{3'000.0};
   /// Memory beyond `full_share` of an engine's brings preemption; a plain
   /// service beyond its slots queues.
   double full_share = 0.8;
-  Cost full{400.0};
+  Cost full{1'500.0};
   /// A request that is answered with weights that were replaced.
-  Cost old_weights{150.0};
+  Cost old_weights{80.0};
   /// An upstream that is about to load weights, or is paused after failures,
   /// is taken only when nothing better is left.
   Cost avoid{5'000.0};
@@ -80,6 +84,7 @@
   std::string cache_scope;
   std::uint32_t expected_hit_tokens = 0;
   std::uint32_t missing_tokens = 0;
+  std::uint32_t store_tokens = 0;  ///< Expected over the KV store's link.
   PlacementCosts::Cost cost{0};
 };
 
@@ -119,12 +124,12 @@
                         const PartDirectory& directory, TimePoint now) const;
   /// Where missing parts come from.
   /// @param hit tokens that the candidate holds
-  /// @param cost grows by what the import costs
+  /// @param choice its cost and transfer grow by the import's
   /// @return an endpoint, or empty if there is no source
   std::string ImportSource(const PartSources& sources,
                            const PlacementFleet& fleet,
                            const PlacementCandidate& it, std::uint32_t hit,
-                           Cost& cost) const;
+                           TimePoint now, DirectChoice& choice) const;
   /// Sets hits, import and export of a candidate.
   /// @return what the missing parts cost
   Cost PlanParts(const PartSources& sources, const PlacementQuery& query,
--- a/include/yuccapick/gateway_config.h
+++ b/include/yuccapick/gateway_config.h
@@ -57,6 +57,7 @@
 struct EngineProfile {
   std::uint32_t slots = 0;
   std::uint64_t kv_capacity_tokens = 0;
+  double kv_token_bits = 0;  ///< Memory of one token, as it is transferred.
   /// Processes that may follow an engine's cache events at once.
   std::uint32_t max_cache_watchers = 0;
   std::vector<ModelId> models;
@@ -69,6 +70,7 @@
   std::optional<EngineProfile> engine;
   std::string kv_store_endpoint;  ///< `IP:PORT`; empty if it is no such store.
   FailureDomain kv_store_domain;
+  double kv_store_bits_per_ms = 0;      ///< Of its link.
   std::uint32_t kv_store_watchers = 0;  ///< As `max_cache_watchers`.
 };
 
@@ -106,6 +108,9 @@
   /// @return the team that holds `key`, or null
   const GatewayTeam* FindTeam(std::string_view key) const;
   const GatewayService* FindService(const ServiceId& id) const;
+  /// Time that the KV store's link takes for one token of an engine; zero if
+  /// it is not known.
+  std::chrono::duration<double, std::milli> KvStoreTimePerToken() const;
   /// @return the store of kept KV cache, or null if there is none
   const GatewayService* FindKvStore() const;
 
--- a/include/yuccapick/lease.h
+++ b/include/yuccapick/lease.h
@@ -22,6 +22,7 @@
   Incarnation life;         ///< Of the holder.
   FencingToken fence;       ///< Rises with each new holder.
   std::uint64_t write = 0;  ///< Tells the writes of one holder apart.
+  std::string note;         ///< From a holder that handed back to the next.
 
   bool operator==(const LeaseRow&) const = default;
 };
@@ -67,7 +68,8 @@
   void OnRead(const std::optional<TableRow>& row, TimePoint now);
   void OnCommitted(const CommitResult& result, TimePoint now);
   /// Gives the lease up, or stops trying for it.
-  void HandBack();
+  /// @param note what the next holder has to know
+  void HandBack(std::string note = {});
 
   // Queries.
 
@@ -78,6 +80,8 @@
   /// Who held the lease before the term that this process acquired; empty if
   /// nobody did, or if it was handed back.
   const std::string& predecessor() const { return predecessor_; }
+  /// What that holder left when it handed back.
+  const std::string& predecessor_note() const { return predecessor_note_; }
   /// True while a call's answer is awaited.
   bool busy() const { return busy_; }
   /// True once a lease that was handed back cannot be this process's any more.
@@ -100,6 +104,8 @@
   std::optional<LeaseRow> value_;
   bool own_row_ = false;  ///< The row as last seen names this process.
   std::string predecessor_;
+  std::string predecessor_note_;
+  std::string note_;
   std::uint64_t writes_ = 0;
   LeaseRow sent_;  ///< Last write.
   TimePoint sent_at_;
--- a/include/yuccapick/rollout_planner.h
+++ b/include/yuccapick/rollout_planner.h
@@ -54,18 +54,24 @@
 };
 
 struct RolloutOptions {
-  /// Loads at once: this share of the engines, at least `min_at_once`.
+  /// Loads at once: this share of the engines, at least `min_at_once`. More
+  /// would slow each other down.
   double share_at_once = 1.0 / 6.0;
   std::size_t min_at_once = 3;
+  /// When all engines must have new weights. As many are taken out of service
+  /// as it takes to be done within `limit_use` of it.
+  std::chrono::milliseconds limit{12'000};
+  double limit_use = 0.75;
+  /// Time that one engine takes, before any was measured.
+  std::chrono::milliseconds first_cycle{2'000};
+  /// While engines have no more than this to read on average, one more than
+  /// may load is out of service.
+  std::uint64_t idle_prefill_tokens = 3'000;
   /// Peers learn that an upstream is about to load before it gets the order.
   std::chrono::milliseconds announce{150};
-  /// An upstream gets no new requests from this long before a load under way
-  /// is expected to end, so that its own runs end meanwhile.
-  std::chrono::milliseconds prepare_ahead{900};
-  /// While engines have more than this to read on average, no more than
-  /// `busy_prepared` are prepared at once.
-  std::uint64_t busy_prefill_tokens = 3'000;
-  std::size_t busy_prepared = 1;
+  /// An upstream gets its order once its requests have ended, or after this;
+  /// then it ends them itself before it loads.
+  std::chrono::milliseconds drain{700};
   /// When to ask an upstream that accepted an order, and how often then. Once
   /// it is known how long loads take, it is asked from shortly before the end.
   std::chrono::milliseconds first_question{350};
@@ -109,29 +115,31 @@
 
  private:
   enum class Stage : std::uint8_t {
-    kAnnounced,
-    kAsking,   ///< The count of orders is asked for.
-    kOrdered,  ///< The order is on its way.
-    kLoading,  ///< Accepted, or perhaps accepted.
+    kDraining,  ///< Gets no new requests; the count of orders is asked for.
+    kOrdered,   ///< The order is on its way.
+    kLoading,   ///< Accepted, or perhaps accepted.
     kPaused,
   };
   struct Task {
-    Stage stage = Stage::kAnnounced;
+    Stage stage = Stage::kDraining;
     ModelId model;
     WeightNumber weights = 0;
     Incarnation life;
     std::optional<std::uint64_t> orders_accepted;
+    std::uint64_t number = 0;  ///< Rises with each task.
+    TimePoint begun;
     TimePoint since;  ///< Of the stage.
     TimePoint next_question;
     bool waiting = false;          ///< For an answer.
     std::uint32_t unanswered = 0;  ///< Questions in a row.
   };
+  using Tasks = std::map<UpstreamId, Task>;
+
   struct Outdated {
     const UpstreamEntry* upstream;
     ModelId model;
     WeightNumber weights;
     WeightNumber held;  ///< What it has now.
-    std::uint64_t orders_accepted;
     WorkAmount work;
   };
 
@@ -144,27 +152,36 @@
       const std::map<ModelId, WeightNumber>& named,
       const UpstreamRoster& roster, const UpstreamLoad& load,
       TimePoint now) const;
-  void Begin(const std::vector<Outdated>& outdated, bool busy, TimePoint now);
+  /// Engines that may be out of service at once.
+  std::size_t OutOfServiceLimit(std::size_t outdated, bool idle) const;
+  void Begin(const std::vector<Outdated>& outdated, std::size_t limit,
+             TimePoint now);
   /// Sets how many may load at once.
-  /// @return true if the engines have much to read
+  /// @return true if the engines have little to read
   bool Survey(const UpstreamRoster& roster, const UpstreamLoad& load,
               TimePoint now);
   std::optional<RolloutAction> Advance(const UpstreamId& upstream, Task& task,
-                                       TimePoint now);
-  /// Tasks whose load takes room among those at once.
-  std::size_t Ordered() const;
-  /// Loads that are expected to end soon.
-  std::size_t EndingSoon(TimePoint now) const;
-  void NoteLoadTime(std::chrono::steady_clock::duration elapsed);
+                                       const UpstreamLoad& load, TimePoint now);
+  std::optional<RolloutAction> AdvanceDraining(const UpstreamId& upstream,
+                                               Task& task,
+                                               const UpstreamLoad& load,
+                                               TimePoint now);
+  std::vector<Tasks::iterator> InOrderOfBeginning();
+  /// Loads under way: orders given to upstreams whose requests have ended.
+  std::size_t LoadsUnderWay(const UpstreamLoad& load, TimePoint now) const;
+  void NoteDone(const Task& task, TimePoint now);
   RolloutAction Ask(const UpstreamId& upstream, Task& task, TimePoint now);
   static void Enter(Task& task, Stage stage, TimePoint now);
 
   RolloutOptions options_;
-  std::map<UpstreamId, Task> tasks_;
+  Tasks tasks_;
+  std::uint64_t tasks_begun_ = 0;
   std::map<UpstreamId, TimePoint> aside_until_;
   std::size_t at_once_ = 1;
   /// Shortest time lately from an accepted order to loaded weights.
   std::chrono::milliseconds load_time_{0};
+  /// Mean time lately that an engine was out of service.
+  std::chrono::milliseconds cycle_{0};
 };
 
 }  // namespace yuccapick
--- /dev/null
+++ b/include/yuccapick/transfer_link.h
@@ -0,0 +1,50 @@
+#ifndef YUCCAPICK_TRANSFER_LINK_H_
+#define YUCCAPICK_TRANSFER_LINK_H_
+
+/// @file
+/// Estimates the wait at a link whose transfers run one after another.
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+
+#include "yuccapick/ids.h"
+
+namespace yuccapick {
+
+/// The link of the KV store, which all engines share. A process knows only the
+/// transfers that it caused; it takes its peers to cause as many each.
+class TransferLink {
+ public:
+  using Time = std::chrono::duration<double, std::milli>;
+
+  // Commands.
+
+  /// @param per_token time that the link takes for one token
+  void SetRate(Time per_token) { per_token_ = per_token; }
+  /// @param processes that use the link, this one included
+  void OnTransfer(std::uint64_t tokens, std::size_t processes, TimePoint now) {
+    const Time busy = TimeFor(tokens) * static_cast<double>(processes);
+    busy_until_ =
+        std::max(busy_until_, now) +
+        std::chrono::duration_cast<std::chrono::steady_clock::duration>(busy);
+  }
+
+  // Queries.
+
+  Time TimeFor(std::uint64_t tokens) const {
+    return per_token_ * static_cast<double>(tokens);
+  }
+  /// How long a transfer that is asked for now waits for those before it.
+  Time Wait(TimePoint now) const {
+    return busy_until_ <= now ? Time(0) : Time(busy_until_ - now);
+  }
+
+ private:
+  Time per_token_{0};
+  TimePoint busy_until_;
+};
+
+}  // namespace yuccapick
+
+#endif  // YUCCAPICK_TRANSFER_LINK_H_
--- a/include/yuccapick/upstream_roster.h
+++ b/include/yuccapick/upstream_roster.h
@@ -28,7 +28,6 @@
   std::uint32_t slots = 1;
   bool leaving = false;
   std::map<ModelId, WeightNumber> weights;
-  std::uint64_t orders_accepted = 0;
   Incarnation life;  ///< Changes when it restarts under the same id.
 
   bool operator==(const UpstreamEntry&) const = default;
--- a/src/direct_placement.cc
+++ b/src/direct_placement.cc
@@ -60,7 +60,8 @@
 std::string DirectPlacement::ImportSource(const PartSources& sources,
                                           const PlacementFleet& fleet,
                                           const PlacementCandidate& it,
-                                          std::uint32_t hit, Cost& cost) const {
+                                          std::uint32_t hit, TimePoint now,
+                                          DirectChoice& choice) const {
   // A source named beside a whole hit costs nothing, and helps where the
   // picture is wrong.
   const bool whole = hit >= sources.shared_tokens;
@@ -68,11 +69,20 @@
   // Engines have wider links than the store, which all of them share.
   for (const std::string& endpoint : sources.holder_endpoints) {
     if (endpoint == it.upstream->endpoint) continue;
-    cost += costs_.import_from_engine;
+    choice.cost += costs_.import_from_engine;
     return endpoint;
   }
   if (!sources.in_store) return {};
-  cost += costs_.import_from_store;
+  const std::uint32_t tokens = sources.shared_tokens - hit;
+  Cost cost = costs_.import_from_store;
+  if (fleet.kv_store_link != nullptr) {
+    cost += fleet.kv_store_link->Wait(now);
+    cost += fleet.kv_store_link->TimeFor(tokens);
+  }
+  // Reading the parts again may be the lesser loss.
+  if (cost > costs_.reread_per_k_tokens * (tokens / kTokensPerK)) return {};
+  choice.cost += cost;
+  choice.store_tokens += tokens;
   return fleet.kv_store_endpoint;
 }
 
@@ -83,10 +93,14 @@
     TimePoint now, DirectChoice& choice) const {
   Cost cost{0};
   std::uint32_t hit = directory.TokensAt(sources.chain, it.upstream->id, now);
-  choice.import_from = ImportSource(sources, fleet, it, hit, cost);
+  choice.import_from = ImportSource(sources, fleet, it, hit, now, choice);
   if (!choice.import_from.empty()) hit = sources.shared_tokens;
-  if (sources.shared_tokens > 0 && !sources.in_store) {
+  const TransferLink* link = fleet.kv_store_link;
+  const bool store_free =
+      link == nullptr || link->Wait(now) <= costs_.export_wait;
+  if (sources.shared_tokens > 0 && !sources.in_store && store_free) {
     choice.export_to = fleet.kv_store_endpoint;
+    choice.store_tokens += query.prompt_tokens;
   }
   choice.expected_hit_tokens = hit;
   choice.missing_tokens =
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -44,6 +44,8 @@
 constexpr milliseconds kHandBackReserve{900};
 
 constexpr std::string_view kRetryAfterSeconds = "0.5";
+/// Another gateway takes the request at once.
+constexpr std::string_view kDrainRetryAfterSeconds = "0.02";
 
 }  // namespace
 
@@ -163,6 +165,15 @@
     return nullptr;
   }
   const TimePoint now = state_.Now();
+  if (draining_ && now - drain_began_ >= state_.settings.listen_after_drain) {
+    state_.log.Write(LogKind::kFailure, now,
+                     "event=request_not_admitted id={} status={} reason=drain",
+                     caller.attempt_id, kHttpUnavailable);
+    session->Respond(kHttpUnavailable,
+                     {{"Retry-After", std::string(kDrainRetryAfterSeconds)}},
+                     "stopping\n");
+    return nullptr;
+  }
   const auto admission = AdmitToRoute(state_.config.get(), ConfigConfirmed(now),
                                       {*host, request.head.target, caller.key});
   if (const auto* refusal = std::get_if<AdmissionRefusal>(&admission)) {
@@ -262,6 +273,7 @@
     return;
   }
   state_.config = *config;
+  state_.kv_store_link.SetRate(state_.config->KvStoreTimePerToken());
   state_.log.Write(LogKind::kBelief, state_.Now(),
                    "event=config_in_force version={} row_version={}",
                    state_.config->version().value, row.version);
@@ -289,11 +301,10 @@
   const UpstreamEntry* entry = state_.roster.Find(change.id);
   state_.log.Write(LogKind::kBelief, state_.Now(),
                    "event=upstream_changed upstream={} change={} endpoint={} "
-                   "leaving={} orders={}",
+                   "leaving={}",
                    change.id.value, RosterChangeName(change.kind),
                    entry == nullptr ? "-" : entry->endpoint,
-                   entry != nullptr && entry->leaving,
-                   entry == nullptr ? 0 : entry->orders_accepted);
+                   entry != nullptr && entry->leaving);
   if (change.kind == Kind::kRestarted || change.kind == Kind::kRemoved) {
     state_.health.Forget(change.id);
     state_.load.ForgetUpstream(change.id);
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -40,9 +40,9 @@
   std::uint16_t metrics_port = 0;
   std::string table_endpoint;  ///< Of the platform's table service.
   std::chrono::milliseconds heartbeat{1'200};  ///< Of upstreams' entries.
-  /// How long callers are still accepted after a stop signal: the balancer
-  /// sends new ones until it has missed two answers.
-  std::chrono::milliseconds listen_after_drain{3'200};
+  /// How long requests are still taken after a stop signal: the balancer sends
+  /// new callers until it has missed two answers.
+  std::chrono::milliseconds listen_after_drain{2'800};
   GatewayBounds bounds;
 };
 
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -57,6 +57,7 @@
   NamedWeightsLog named_weights;
   /// False while the store of kept KV cache does not answer.
   bool kv_store_usable = true;
+  TransferLink kv_store_link;
   /// Parts put into the KV store that peers have not heard of yet.
   PartChain exported;
   /// Weights seen at upstreams that peers have not heard of yet.
--- a/src/gateway/request_flight.cc
+++ b/src/gateway/request_flight.cc
@@ -41,7 +41,7 @@
 constexpr int kLeastUrgent = 9;
 
 /// A request may wait this long at an upstream before it begins.
-constexpr milliseconds kWeightsReserve{1'500};
+constexpr milliseconds kWeightsReserve{2'000};
 
 /// Statuses that promise a caller that its request has not run.
 bool PromisesNotRun(int status) {
@@ -118,6 +118,7 @@
     const GatewayService* store = config.FindKvStore();
     if (store != nullptr && state_.kv_store_usable) {
       fleet.kv_store_endpoint = store->kv_store_endpoint;
+      fleet.kv_store_link = &state_.kv_store_link;
     }
   }
   const ModelId& model = admitted_.caller.model;
@@ -215,6 +216,10 @@
     state_.parts.OnSent(SharedChain(choice.cache_scope, query_.parts),
                         upstream.id, now);
   }
+  if (choice.store_tokens > 0) {
+    state_.kv_store_link.OnTransfer(choice.store_tokens, state_.gateway_count,
+                                    now);
+  }
   ++sends_;
   query_.tried.push_back(upstream.id);
   splitter_.DropPartial();
--- a/src/gateway/rollout_duty.cc
+++ b/src/gateway/rollout_duty.cc
@@ -42,6 +42,12 @@
   return options;
 }
 
+RolloutOptions MakeRolloutOptions(const GatewayState& state) {
+  RolloutOptions options;
+  options.limit = state.settings.bounds.weights_limit;
+  return options;
+}
+
 /// Reads the lease's row out of an answer.
 /// @return nothing if the store did not answer; version 0 if there is no row
 std::optional<TableRow> LeaseRowOf(const absl::StatusOr<CallAnswer>& answer) {
@@ -99,7 +105,11 @@
 
 RolloutDuty::RolloutDuty(GatewayState& state, CallClient& calls,
                          Incarnation life)
-    : state_(state), calls_(calls), lease_(MakeLeaseOptions(state, life)) {}
+    : state_(state),
+      calls_(calls),
+      lease_(MakeLeaseOptions(state, life)),
+      planner_(MakeRolloutOptions(state)),
+      orders_(state.settings.bounds.lease_gap + kGapReserve) {}
 
 bool RolloutDuty::holds() const { return lease_.MayAct(LeaseNow()); }
 
@@ -136,16 +146,21 @@
   planner_.Reset();
   order_from_.reset();
   if (!gained) return;
-  // Neither the first holder ever nor one that takes over from its own past
-  // life has to keep apart from the orders of another.
+  orders_.Clear();
+  order_from_ = now;
+  // Orders of a predecessor that did not hand back may be of any age. The first
+  // holder ever has none, and one of this instance's own past is no other.
   const bool first = fence.value == 1;
   const bool own_past = lease_.predecessor() == state_.settings.instance.value;
-  order_from_ = now;
-  if (!first && !own_past) {
+  const bool told = lease_.predecessor().empty() &&
+                    orders_.TakeOver(lease_.predecessor_note(), now);
+  if (!first && !own_past && !told) {
     *order_from_ += state_.settings.bounds.lease_gap + kGapReserve;
   }
 }
 
+void RolloutDuty::Retire() { lease_.HandBack(orders_.Note(LeaseNow())); }
+
 bool RolloutDuty::MayOrder() const {
   const TimePoint now = LeaseNow();
   return lease_.MayAct(now) && order_from_ && now >= *order_from_ &&
@@ -198,10 +213,13 @@
 
 void RolloutDuty::Carry(const RolloutOrder& order) {
   const UpstreamEntry* upstream = state_.roster.FindUsable(order.upstream);
-  if (upstream == nullptr || !MayOrder()) {
+  const TimePoint now = LeaseNow();
+  if (upstream == nullptr || !MayOrder() ||
+      !orders_.MayOrder(order.upstream, now)) {
     return planner_.OnOrderAnswer(order.upstream, OrderAnswer::kRefused,
                                   state_.Now());
   }
+  orders_.OnOrder(order.upstream, now);
   LoadOrder load;
   load.model = order.model;
   load.weights = order.weights;
--- a/src/gateway/rollout_duty.h
+++ b/src/gateway/rollout_duty.h
@@ -14,6 +14,7 @@
 #include "gateway/call_client.h"
 #include "gateway/gateway_state.h"
 #include "yuccapick/lease.h"
+#include "yuccapick/order_history.h"
 #include "yuccapick/rollout_planner.h"
 
 namespace yuccapick {
@@ -27,7 +28,7 @@
   /// @param other_holder a peer said lately that it holds the duty
   void OnTick(bool other_holder);
   /// Hands the lease back; no order is given any more.
-  void Retire() { lease_.HandBack(); }
+  void Retire();
 
   /// True if this process holds the lease now.
   bool holds() const;
@@ -59,6 +60,7 @@
   RolloutPlanner planner_;
   FencingToken held_fence_;
   std::optional<TimePoint> order_from_;  ///< Earliest order of this term.
+  OrderHistory orders_;
 };
 
 /// Clock that counts the time a machine is suspended. Leases run on it.
--- a/src/gateway_config.cc
+++ b/src/gateway_config.cc
@@ -83,6 +83,18 @@
   return nullptr;
 }
 
+std::chrono::duration<double, std::milli> GatewayConfig::KvStoreTimePerToken()
+    const {
+  using Time = std::chrono::duration<double, std::milli>;
+  const GatewayService* store = FindKvStore();
+  if (store == nullptr || store->kv_store_bits_per_ms <= 0) return Time(0);
+  double bits = 0;
+  for (const GatewayService& service : services_) {
+    if (service.engine) bits = std::max(bits, service.engine->kv_token_bits);
+  }
+  return Time(bits / store->kv_store_bits_per_ms);
+}
+
 std::string GatewayConfig::CacheScopeOf(const GatewayTeam* team,
                                         std::uint64_t weight_version) const {
   const bool isolated = team != nullptr && team->isolated;
--- a/src/lease.cc
+++ b/src/lease.cc
@@ -14,17 +14,18 @@
   return Json{{"holder", row.holder},
               {"life", row.life.value},
               {"fence", row.fence.value},
-              {"write", row.write}}
+              {"write", row.write},
+              {"note", row.note}}
       .dump();
 }
 
 std::optional<LeaseRow> ParseLease(const std::string& bytes) {
   try {
     const Json json = Json::parse(bytes);
-    return LeaseRow{json.at("holder"),
-                    Incarnation(json.at("life").get<std::uint64_t>()),
-                    FencingToken(json.at("fence").get<std::uint64_t>()),
-                    json.at("write").get<std::uint64_t>()};
+    return LeaseRow{
+        json.at("holder"), Incarnation(json.at("life").get<std::uint64_t>()),
+        FencingToken(json.at("fence").get<std::uint64_t>()),
+        json.at("write").get<std::uint64_t>(), json.value("note", "")};
   } catch (const Json::exception&) {
     return std::nullopt;
   }
@@ -51,8 +52,9 @@
   if (own_row_) {
     const bool renewed = MayAct(now) && now < sent_at_ + options_.renew_every;
     if (renewed && !leaving_) return std::nullopt;
-    if (leaving_) return Write({"", Incarnation(), current.fence, 0}, now);
-    return Write({options_.holder, options_.life, current.fence, 0}, now);
+    if (leaving_)
+      return Write({"", Incarnation(), current.fence, 0, note_}, now);
+    return Write({options_.holder, options_.life, current.fence, 0, ""}, now);
   }
   const bool free = row_.version == 0 || current.holder.empty();
   const bool lapsed =
@@ -66,7 +68,9 @@
 
 LeaseAction Lease::Acquire(const LeaseRow& current, TimePoint now) {
   predecessor_ = current.holder;
-  return Write({options_.holder, options_.life, current.fence.Next(), 0}, now);
+  predecessor_note_ = current.note;
+  return Write({options_.holder, options_.life, current.fence.Next(), 0, ""},
+               now);
 }
 
 LeaseAction Lease::Write(LeaseRow next, TimePoint now) {
@@ -116,7 +120,10 @@
   valid_until_ = sent_at_ + HolderTerm();
 }
 
-void Lease::HandBack() { leaving_ = true; }
+void Lease::HandBack(std::string note) {
+  if (!leaving_) note_ = std::move(note);
+  leaving_ = true;
+}
 
 FencingToken Lease::fence(TimePoint now) const {
   return MayAct(now) ? sent_.fence : FencingToken();
--- a/src/rollout_planner.cc
+++ b/src/rollout_planner.cc
@@ -11,8 +11,7 @@
   for (const auto& [model, weights] : upstream.weights) {
     const auto it = named.find(model);
     if (it != named.end() && weights < it->second) {
-      return Outdated{
-          &upstream, model, it->second, weights, upstream.orders_accepted, {}};
+      return Outdated{&upstream, model, it->second, weights, {}};
     }
   }
   return std::nullopt;
@@ -60,27 +59,35 @@
   return outdated;
 }
 
-std::size_t RolloutPlanner::Ordered() const {
-  return static_cast<std::size_t>(
-      std::count_if(tasks_.begin(), tasks_.end(), [](const auto& entry) {
-        const Stage stage = entry.second.stage;
-        return stage == Stage::kOrdered || stage == Stage::kLoading;
-      }));
+std::size_t RolloutPlanner::LoadsUnderWay(const UpstreamLoad& load,
+                                          TimePoint now) const {
+  std::size_t n = 0;
+  for (const auto& [upstream, task] : tasks_) {
+    const bool ordered =
+        task.stage == Stage::kOrdered || task.stage == Stage::kLoading;
+    if (ordered && load.Total(upstream, now).requests == 0) ++n;
+  }
+  return n;
 }
 
-std::size_t RolloutPlanner::EndingSoon(TimePoint now) const {
-  return static_cast<std::size_t>(std::count_if(
-      tasks_.begin(), tasks_.end(), [this, now](const auto& entry) {
-        const Task& task = entry.second;
-        return task.stage == Stage::kLoading &&
-               now - task.since >= load_time_ - options_.prepare_ahead;
-      }));
+void RolloutPlanner::NoteDone(const Task& task, TimePoint now) {
+  using std::chrono::duration_cast;
+  using std::chrono::milliseconds;
+  const auto load = duration_cast<milliseconds>(now - task.since);
+  load_time_ = load_time_.count() == 0 ? load : std::min(load_time_, load);
+  const auto cycle = duration_cast<milliseconds>(now - task.begun);
+  cycle_ = cycle_.count() == 0 ? cycle : (cycle_ * 3 + cycle) / 4;
 }
 
-void RolloutPlanner::NoteLoadTime(std::chrono::steady_clock::duration elapsed) {
-  const auto ms =
-      std::chrono::duration_cast<std::chrono::milliseconds>(elapsed);
-  load_time_ = load_time_.count() == 0 ? ms : std::min(load_time_, ms);
+std::size_t RolloutPlanner::OutOfServiceLimit(std::size_t outdated,
+                                              bool idle) const {
+  const std::chrono::duration<double> cycle =
+      cycle_.count() == 0 ? options_.first_cycle : cycle_;
+  const std::chrono::duration<double> time =
+      options_.limit * options_.limit_use;
+  const double needed = static_cast<double>(outdated) * (cycle / time);
+  const std::size_t room = idle ? at_once_ + 1 : at_once_;
+  return std::max(room, static_cast<std::size_t>(std::ceil(needed)));
 }
 
 bool RolloutPlanner::Survey(const UpstreamRoster& roster,
@@ -95,22 +102,20 @@
   const double share = static_cast<double>(engines) * options_.share_at_once;
   at_once_ = std::max(options_.min_at_once,
                       static_cast<std::size_t>(std::floor(share)));
-  return tokens > options_.busy_prefill_tokens * engines;
+  return tokens <= options_.idle_prefill_tokens * engines;
 }
 
-void RolloutPlanner::Begin(const std::vector<Outdated>& outdated, bool busy,
-                           TimePoint now) {
-  std::size_t prepared = EndingSoon(now);
-  if (busy) prepared = std::min(prepared, options_.busy_prepared);
-  const std::size_t limit = at_once_ + prepared;
+void RolloutPlanner::Begin(const std::vector<Outdated>& outdated,
+                           std::size_t limit, TimePoint now) {
   for (const Outdated& next : outdated) {
     if (tasks_.size() >= limit) return;
     Task task;
     task.model = next.model;
     task.weights = next.weights;
     task.life = next.upstream->life;
-    task.orders_accepted = next.orders_accepted;
-    Enter(task, Stage::kAnnounced, now);
+    task.begun = now;
+    task.number = ++tasks_begun_;
+    Enter(task, Stage::kDraining, now);
     tasks_.emplace(next.upstream->id, task);
   }
 }
@@ -122,32 +127,39 @@
   return RolloutQuestion{upstream};
 }
 
+std::optional<RolloutAction> RolloutPlanner::AdvanceDraining(
+    const UpstreamId& upstream, Task& task, const UpstreamLoad& load,
+    TimePoint now) {
+  if (!task.orders_accepted) {
+    if (now < task.next_question) return std::nullopt;
+    return Ask(upstream, task, now);
+  }
+  const auto age = now - task.since;
+  const bool drained = load.Total(upstream, now).requests == 0;
+  if (age < options_.announce) return std::nullopt;
+  if (!drained && age < options_.drain) return std::nullopt;
+  if (LoadsUnderWay(load, now) >= at_once_) return std::nullopt;
+  Enter(task, Stage::kOrdered, now);
+  task.waiting = true;
+  return RolloutOrder{upstream, task.model, task.weights,
+                      *task.orders_accepted};
+}
+
 std::optional<RolloutAction> RolloutPlanner::Advance(const UpstreamId& upstream,
                                                      Task& task,
+                                                     const UpstreamLoad& load,
                                                      TimePoint now) {
   if (task.waiting) return std::nullopt;
   switch (task.stage) {
-    case Stage::kAnnounced:
-      if (now - task.since < options_.announce) return std::nullopt;
-      Enter(task, Stage::kAsking, now);
-      return Advance(upstream, task, now);
-    case Stage::kAsking:
-      if (!task.orders_accepted) {
-        if (now < task.next_question) return std::nullopt;
-        return Ask(upstream, task, now);
-      }
-      if (Ordered() >= at_once_) return std::nullopt;
-      Enter(task, Stage::kOrdered, now);
-      task.waiting = true;
-      return RolloutOrder{upstream, task.model, task.weights,
-                          *task.orders_accepted};
+    case Stage::kDraining:
+      return AdvanceDraining(upstream, task, load, now);
     case Stage::kLoading:
       if (now < task.next_question) return std::nullopt;
       return Ask(upstream, task, now);
     case Stage::kPaused:
       if (now - task.since < options_.retry_pause) return std::nullopt;
       task.orders_accepted.reset();
-      Enter(task, Stage::kAsking, now);
+      Enter(task, Stage::kDraining, now);
       return Ask(upstream, task, now);
     case Stage::kOrdered:
       return std::nullopt;
@@ -155,20 +167,33 @@
   return std::nullopt;
 }
 
+std::vector<RolloutPlanner::Tasks::iterator>
+RolloutPlanner::InOrderOfBeginning() {
+  std::vector<Tasks::iterator> order;
+  for (auto it = tasks_.begin(); it != tasks_.end(); ++it) order.push_back(it);
+  std::stable_sort(order.begin(), order.end(), [](auto a, auto b) {
+    return a->second.number < b->second.number;
+  });
+  return order;
+}
+
 std::vector<RolloutAction> RolloutPlanner::OnTick(
     const std::map<ModelId, WeightNumber>& named, const UpstreamRoster& roster,
     const UpstreamLoad& load, TimePoint now) {
   DropFinished(named, roster);
-  const bool busy = Survey(roster, load, now);
-  Begin(Outstanding(named, roster, load, now), busy, now);
+  const bool idle = Survey(roster, load, now);
+  const std::vector<Outdated> outdated = Outstanding(named, roster, load, now);
+  Begin(outdated, OutOfServiceLimit(outdated.size() + tasks_.size(), idle),
+        now);
   std::vector<RolloutAction> actions;
-  for (auto& [upstream, task] : tasks_) {
+  for (const auto& it : InOrderOfBeginning()) {
+    auto& [upstream, task] = *it;
     // Weights named meanwhile replace those not ordered yet.
     const auto newest = named.find(task.model);
     const bool ordered =
         task.stage == Stage::kOrdered || task.stage == Stage::kLoading;
     if (newest != named.end() && !ordered) task.weights = newest->second;
-    if (auto action = Advance(upstream, task, now)) {
+    if (auto action = Advance(upstream, task, load, now)) {
       actions.push_back(std::move(*action));
     }
   }
@@ -216,11 +241,11 @@
   if (held != report->weights.end() && held->second >= task.weights &&
       !report->busy) {
     // Its entry in the list follows; until then it is no task any more.
-    if (task.stage == Stage::kLoading) NoteLoadTime(now - task.since);
+    if (task.stage == Stage::kLoading) NoteDone(task, now);
     tasks_.erase(it);
     return;
   }
-  if (task.stage == Stage::kAsking) {
+  if (task.stage == Stage::kDraining) {
     if (!report->busy) task.orders_accepted = report->orders_accepted;
     return;
   }
--- a/test/rollout_planner_test.cc
+++ b/test/rollout_planner_test.cc
@@ -2,6 +2,7 @@
 
 #include <rapidcheck/catch.h>
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
 
@@ -74,6 +75,7 @@
   TimePoint now = kStart;
   std::size_t most_at_once = 0;
   std::vector<RolloutOrder> orders;
+  std::vector<WeightNumber> held_at_order;
 
  private:
   struct LateOrder {
@@ -111,13 +113,13 @@
     engine.loading.reset();
     UpstreamEntry entry = *roster.Find(id);
     entry.weights[kModel] = engine.weights;
-    entry.orders_accepted = engine.accepted;
     roster.OnEntry(entry, now);
   }
 
   void Carry(const RolloutOrder& order, OrderFate fate) {
-    orders.push_back(order);
     Engine& engine = engines_[order.upstream];
+    orders.push_back(order);
+    held_at_order.push_back(engine.weights);
     OrderAnswer answer = OrderAnswer::kNone;
     if (!engine.silent) {
       switch (fate) {
@@ -162,6 +164,36 @@
   CHECK(world.planner.Loading().empty());
 }
 
+TEST_CASE("An engine gets its order only after its requests have ended") {
+  World world(6);
+  world.load.Begin(UpstreamId("engine-0"), {1, 500, 0});
+  world.Name(2);
+  const auto ordered = [&world] {
+    return std::any_of(world.orders.begin(), world.orders.end(), [](auto& o) {
+      return o.upstream == UpstreamId("engine-0");
+    });
+  };
+  for (int i = 0; i < 13; ++i) world.Step();
+  CHECK_FALSE(ordered());
+  CHECK(world.orders.size() >= 3);
+  world.load.End(UpstreamId("engine-0"), {1, 500, 0});
+  for (int i = 0; i < 40; ++i) world.Step();
+  CHECK(ordered());
+}
+
+TEST_CASE("While engines are busy, few more than needed are out of service") {
+  World world(12);
+  for (int i = 0; i < 12; ++i) {
+    world.load.Begin(UpstreamId("engine-" + std::to_string(i)),
+                     {5, 40'000, 20'000});
+  }
+  world.Name(2);
+  for (int i = 0; i < 30; ++i) {
+    world.Step();
+    CHECK(world.planner.Loading().size() <= 4);
+  }
+}
+
 TEST_CASE("Engines are announced as loading before they get the order") {
   World world(4);
   world.Name(2);
@@ -176,10 +208,13 @@
   for (int i = 0; i < 40; ++i) world.Step();
   world.Name(3);
   const std::size_t before = world.orders.size();
-  for (int i = 0; i < 60; ++i) world.Step();
-  for (std::size_t i = before; i < before + 3; ++i) {
-    const bool had_new = world.loads(world.orders[i].upstream.value) > 1;
-    CHECK_FALSE(had_new);
+  const std::size_t oldest = world.Outdated(2);
+  REQUIRE(oldest >= 3);
+  for (int i = 0; i < 200; ++i) world.Step();
+  CHECK(world.Outdated(3) == 0);
+  for (std::size_t i = before; i < before + oldest - 3; ++i) {
+    INFO("order " << i << " of " << before << " and " << oldest);
+    CHECK(world.held_at_order[i] == 1);
   }
 }
 
