--- a/include/yuccapick/named_weights.h
+++ b/include/yuccapick/named_weights.h
@@ -22,7 +22,7 @@
   /// @param known_at when it became known
   /// @return true if `weights` is newer than all before
   bool OnNamed(const ModelId& model, WeightNumber weights, TimePoint known_at);
-  /// The version was named earlier than it became known here.
+  /// A version was named before it became known here, or was replaced before.
   void OnNamedEarlier(const ModelId& model, WeightNumber weights,
                       TimePoint named_at);
 
--- a/src/gateway/naming_times.cc
+++ b/src/gateway/naming_times.cc
@@ -16,6 +16,8 @@
 constexpr char kTable[] = "yuccapick-weights";
 constexpr int kHttpOk = 200;
 constexpr milliseconds kTimeout{800};
+/// Gateways that write a time, on average.
+constexpr double kWriters = 4.0;
 
 /// Splits `MODEL/WEIGHTS`.
 bool ParseKey(const std::string& key, ModelId& model, WeightNumber& weights) {
@@ -35,9 +37,9 @@
   write.key = fmt::format("{}/{}", model.value, weights);
   write.value = fmt::to_string(store_time.count());
   write.expected = 0;
-  // One gateway in a few writes, so that the store is not asked by all; the
-  // condition keeps the first time.
-  const double share = 2.0 / static_cast<double>(state_.gateway_count);
+  // A few gateways write, so that the store is not asked by all; the condition
+  // keeps the first time.
+  const double share = kWriters / static_cast<double>(state_.gateway_count);
   if (!absl::Bernoulli(state_.random, std::min(1.0, share))) return;
   calls_.Call(store, platform::EncodeWrite(store, write), kTimeout,
               [self = shared_from_this(),
--- a/src/named_weights.cc
+++ b/src/named_weights.cc
@@ -21,12 +21,15 @@
 
 void NamedWeightsLog::OnNamedEarlier(const ModelId& model, WeightNumber weights,
                                      TimePoint named_at) {
-  const auto it = named_.find(model);
-  if (it == named_.end()) return;
-  for (Named& named : it->second) {
-    if (named.weights != weights) continue;
-    named.named_at = std::min(named.named_at, named_at);
+  std::vector<Named>& versions = named_[model];
+  const auto it = std::lower_bound(
+      versions.begin(), versions.end(), weights,
+      [](const Named& named, WeightNumber w) { return named.weights < w; });
+  if (it != versions.end() && it->weights == weights) {
+    it->named_at = std::min(it->named_at, named_at);
+    return;
   }
+  versions.insert(it, {weights, named_at});
 }
 
 WeightNumber NamedWeightsLog::Newest(const ModelId& model) const {
--- a/test/named_weights_test.cc
+++ b/test/named_weights_test.cc
@@ -37,6 +37,16 @@
   CHECK(log.Overdue(kModel, 1, kLimit, kStart + kLimit));
 }
 
+TEST_CASE("A version that was replaced before the start still counts") {
+  NamedWeightsLog log;
+  const TimePoint started = kStart + milliseconds(12'000);
+  log.OnNamed(kModel, 4, started);
+  log.OnNamedEarlier(kModel, 3, kStart);
+  CHECK(log.Newest(kModel) == 4);
+  CHECK(log.Overdue(kModel, 2, kLimit, started));
+  CHECK_FALSE(log.Overdue(kModel, 3, kLimit, started));
+}
+
 TEST_CASE("An unknown model is never overdue") {
   NamedWeightsLog log;
   CHECK(log.Newest(kModel) == 0);
