--- a/src/gateway/http_connection.cc
+++ b/src/gateway/http_connection.cc
@@ -111,8 +111,8 @@
     auto self = shared_from_this();
     return socket_.async_wait(asio::ip::tcp::socket::wait_write,
                               [self](const asio::error_code& wait_ec) {
-                                if (!self->closed_ && !wait_ec)
-                                  self->SendRest();
+                                if (self->closed_ || wait_ec) return;
+                                self->SendRest();
                               });
   }
 }
--- a/src/gateway/rollout_duty.cc
+++ b/src/gateway/rollout_duty.cc
@@ -178,15 +178,15 @@
 
 void RolloutDuty::Read() {
   const std::string& endpoint = state_.settings.table_endpoint;
-  calls_.Call(endpoint,
-              platform::EncodeReadRows(endpoint, kLeaseTable, kLeaseKey),
-              kTableTimeout,
-              [self = shared_from_this()](absl::StatusOr<CallAnswer> answer) {
-                self->OnRead(std::move(answer));
-              });
+  calls_.Call(
+      endpoint, platform::EncodeReadRows(endpoint, kLeaseTable, kLeaseKey),
+      kTableTimeout,
+      [self = shared_from_this()](const absl::StatusOr<CallAnswer>& answer) {
+        self->OnRead(answer);
+      });
 }
 
-void RolloutDuty::OnRead(absl::StatusOr<CallAnswer> answer) {
+void RolloutDuty::OnRead(const absl::StatusOr<CallAnswer>& answer) {
   lease_.OnRead(LeaseRowOf(answer), LeaseNow());
   NoteHolding();
 }
@@ -198,13 +198,14 @@
   write.key = transaction.puts.front().key;
   write.value = transaction.puts.front().value;
   write.expected = transaction.checks.front().version;
-  calls_.Call(endpoint, platform::EncodeWrite(endpoint, write), kTableTimeout,
-              [self = shared_from_this()](absl::StatusOr<CallAnswer> answer) {
-                self->OnCommitted(std::move(answer));
-              });
+  calls_.Call(
+      endpoint, platform::EncodeWrite(endpoint, write), kTableTimeout,
+      [self = shared_from_this()](const absl::StatusOr<CallAnswer>& answer) {
+        self->OnCommitted(answer);
+      });
 }
 
-void RolloutDuty::OnCommitted(absl::StatusOr<CallAnswer> answer) {
+void RolloutDuty::OnCommitted(const absl::StatusOr<CallAnswer>& answer) {
   CommitResult result;
   result.result = WriteResultOf(answer);
   lease_.OnCommitted(result, LeaseNow());
--- a/src/gateway/rollout_duty.h
+++ b/src/gateway/rollout_duty.h
@@ -42,9 +42,9 @@
   void RunLease();
   void RunPlanner();
   void Read();
-  void OnRead(absl::StatusOr<CallAnswer> answer);
+  void OnRead(const absl::StatusOr<CallAnswer>& answer);
   void Commit(const TableTransaction& transaction);
-  void OnCommitted(absl::StatusOr<CallAnswer> answer);
+  void OnCommitted(const absl::StatusOr<CallAnswer>& answer);
   void NoteHolding();
   bool MayOrder() const;
   void Carry(const RolloutOrder& order);
--- a/src/gateway/table_watch.cc
+++ b/src/gateway/table_watch.cc
@@ -49,16 +49,16 @@
   ReadAll("");
 }
 
-void TableWatch::ReadAll(std::string from_key) {
+void TableWatch::ReadAll(const std::string& from_key) {
   const std::uint64_t generation = ++generation_;
   auto self = shared_from_this();
   client_.Call(
       options_.endpoint,
       platform::EncodeReadRows(options_.endpoint, options_.table, from_key),
       options_.read_timeout,
-      [self, generation](absl::StatusOr<CallAnswer> answer) {
+      [self, generation](const absl::StatusOr<CallAnswer>& answer) {
         if (generation != self->generation_) return;
-        self->OnReadAnswer(std::move(answer));
+        self->OnReadAnswer(answer);
       });
 }
 
@@ -88,7 +88,7 @@
   return *std::move(rows);
 }
 
-void TableWatch::OnReadAnswer(absl::StatusOr<CallAnswer> answer) {
+void TableWatch::OnReadAnswer(const absl::StatusOr<CallAnswer>& answer) {
   const std::optional<platform::RowsAnswer> rows = Rows(answer);
   if (!rows) return;
   // Later pages may be newer than the first; what lies between is watched.
@@ -110,13 +110,13 @@
                platform::EncodeWatchRows(options_.endpoint, options_.table,
                                          mirror_.as_of(), options_.wait),
                options_.wait + options_.slack,
-               [self, generation](absl::StatusOr<CallAnswer> answer) {
+               [self, generation](const absl::StatusOr<CallAnswer>& answer) {
                  if (generation != self->generation_) return;
-                 self->OnWatchAnswer(std::move(answer));
+                 self->OnWatchAnswer(answer);
                });
 }
 
-void TableWatch::OnWatchAnswer(absl::StatusOr<CallAnswer> answer) {
+void TableWatch::OnWatchAnswer(const absl::StatusOr<CallAnswer>& answer) {
   const std::optional<platform::RowsAnswer> rows = Rows(answer);
   if (!rows) return;
   Heard();
--- a/src/gateway/table_watch.h
+++ b/src/gateway/table_watch.h
@@ -67,10 +67,10 @@
 
  private:
   void Next();
-  void ReadAll(std::string from_key);
-  void OnReadAnswer(absl::StatusOr<CallAnswer> answer);
+  void ReadAll(const std::string& from_key);
+  void OnReadAnswer(const absl::StatusOr<CallAnswer>& answer);
   void Watch();
-  void OnWatchAnswer(absl::StatusOr<CallAnswer> answer);
+  void OnWatchAnswer(const absl::StatusOr<CallAnswer>& answer);
   /// @return nothing if the answer holds no rows; the failure is handled then
   std::optional<platform::RowsAnswer> Rows(
       const absl::StatusOr<CallAnswer>& answer);
--- a/src/lease.cc
+++ b/src/lease.cc
@@ -52,8 +52,9 @@
   if (own_row_) {
     const bool renewed = MayAct(now) && now < sent_at_ + options_.renew_every;
     if (renewed && !leaving_) return std::nullopt;
-    if (leaving_)
+    if (leaving_) {
       return Write({"", Incarnation(), current.fence, 0, note_}, now);
+    }
     return Write({options_.holder, options_.life, current.fence, 0, ""}, now);
   }
   const bool free = row_.version == 0 || current.holder.empty();
--- a/src/upstream_roster.cc
+++ b/src/upstream_roster.cc
@@ -42,8 +42,9 @@
   const bool was_unconfirmed = member.unconfirmed_until.has_value();
   member.unconfirmed_until.reset();
   const UpstreamEntry before = std::exchange(member.entry, entry);
-  if (before.life != entry.life)
+  if (before.life != entry.life) {
     return RosterChange{Kind::kRestarted, entry.id};
+  }
   member.entry.leaving |= before.leaving;
   // Within one life weights only rise; the entry may lag.
   for (const auto& [model, weights] : before.weights) {
--- a/test/gateway/gateway_process_test.cc
+++ b/test/gateway/gateway_process_test.cc
@@ -58,8 +58,8 @@
 
 /// A world with two upstreams; whichever gets the first request misbehaves.
 struct TwoUpstreams {
-  explicit TwoUpstreams(FakeUpstream::Script first_answer,
-                        FakeUpstream::Script second_answer) {
+  explicit TwoUpstreams(const FakeUpstream::Script& first_answer,
+                        const FakeUpstream::Script& second_answer) {
     const auto script = [this, first_answer, second_answer](
                             Connection& c, const ReceivedRequest& r) {
       if (++requests == 1) {
--- a/test/gateway/gateway_world.cc
+++ b/test/gateway/gateway_world.cc
@@ -278,8 +278,9 @@
                           const std::string& more_fields,
                           const std::string& body) {
   std::string length;
-  if (!body.empty())
+  if (!body.empty()) {
     length = fmt::format("Content-Length: {}\r\n", body.size());
+  }
   return fmt::format(
       "{} {} HTTP/1.1\r\nHost: crew.example\r\nX-Attempt-Id: id-1\r\n"
       "X-Key: key-moor\r\n{}{}\r\n{}",
--- a/test/gateway/http_reader_test.cc
+++ b/test/gateway/http_reader_test.cc
@@ -69,7 +69,6 @@
 }
 
 TEST_CASE("Requests whose framing can be read in two ways are refused") {
-  const std::string host = "Host: h\r\n";
   for (const std::string& fields :
        {std::string("Content-Length: 3\r\nTransfer-Encoding: chunked\r\n"),
         std::string("Content-Length: 3\r\nContent-Length: 4\r\n"),
@@ -79,8 +78,9 @@
         std::string("Content-Length: 3x\r\n"),
         std::string("Content-Length: -3\r\n")}) {
     INFO(fields);
-    CHECK_FALSE(
-        ReadRequest("POST / HTTP/1.1\r\n" + host + fields + "\r\nabc").ok());
+    std::string text = "POST / HTTP/1.1\r\nHost: h\r\n";
+    text.append(fields).append("\r\nabc");
+    CHECK_FALSE(ReadRequest(text).ok());
   }
 }
 
--- a/test/peer_report_test.cc
+++ b/test/peer_report_test.cc
@@ -12,7 +12,7 @@
 
 const TimePoint kStart{std::chrono::seconds(100)};
 
-PeerReport Report(std::string instance, std::uint64_t sequence) {
+PeerReport Report(const std::string& instance, std::uint64_t sequence) {
   PeerReport report;
   report.instance = InstanceId(instance);
   report.life = Incarnation(1);
