Close the lease tests' holes and count the gateway's requests

Cause: two faults planted in src/lease.cc passed all tests: an observer's term shorter than the holder's, and a holder that acts on while its hand-back is under way. The gateway recorded no finished request in its metrics.

--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -9,6 +9,7 @@
 #include "platform/header_fields.h"
 #include "platform/names.h"
 #include "platform/operator_rows.h"
+#include "shell/metrics_server.h"
 #include "yuccapick/gateway_admission.h"
 
 namespace yuccapick {
@@ -73,7 +74,7 @@
       std::shared_ptr<IngressSession> session) override {
     if (request.head.target == "/metrics") {
       session->Respond(kHttpOk, {{"Content-Type", "text/plain"}},
-                       process_.state_.metrics.Render());
+                       process_.RenderMetrics());
       return nullptr;
     }
     const bool ready = process_.Ready();
@@ -144,6 +145,34 @@
   return absl::OkStatus();
 }
 
+std::string GatewayProcess::RenderMetrics() const {
+  const TimePoint now = state_.Now();
+  std::string out = state_.metrics.Render();
+  const auto age = std::chrono::duration_cast<milliseconds>(
+      now - operator_watch_->heard_at());
+  const auto gauge = [&out](std::string_view name, std::uint64_t value) {
+    AppendMetric(out, "gauge", name, value);
+  };
+  gauge("yuccapick_config_version",
+        state_.config == nullptr ? 0 : state_.config->version().value);
+  gauge("yuccapick_config_age_ms", static_cast<std::uint64_t>(age.count()));
+  gauge("yuccapick_store_in_touch", operator_watch_->in_touch() ? 1 : 0);
+  gauge("yuccapick_upstreams_listed", state_.roster.All().size());
+  gauge("yuccapick_upstreams_loading", state_.loading.size());
+  gauge("yuccapick_peers_live", peers_.LiveCount(now));
+  gauge("yuccapick_rollout_lease_held", rollout_->holds() ? 1 : 0);
+  gauge("yuccapick_known_prompt_parts", state_.parts.size());
+  gauge("yuccapick_caller_connections", callers_->session_count());
+  gauge("yuccapick_requests_under_way", callers_->busy_count());
+  AppendMetric(out, "counter", "yuccapick_log_lines_dropped",
+               state_.log.dropped());
+  AppendMetric(out, "counter", "yuccapick_log_bytes",
+               state_.log.written_bytes());
+  AppendMetric(out, "counter", "yuccapick_requests_not_admitted",
+               not_admitted_);
+  return out;
+}
+
 bool GatewayProcess::Ready() const {
   return !draining_ && state_.config != nullptr && !state_.roster.All().empty();
 }
@@ -189,6 +218,7 @@
         "event=request_not_admitted id={} status={} target={} config={}",
         caller.attempt_id, status, request.head.target,
         state_.config == nullptr ? 0 : state_.config->version().value);
+    ++not_admitted_;
     session->Respond(status, fields, "not admitted\n");
     return nullptr;
   }
--- a/src/gateway/gateway_process.h
+++ b/src/gateway/gateway_process.h
@@ -66,6 +66,7 @@
   void ApplyUpstreamRow(const MirrorRow& row);
   void ApplyConfig(const MirrorRow& row);
   void ApplyChange(const RosterChange& change);
+  std::string RenderMetrics() const;
   bool Ready() const;
   bool ConfigConfirmed(TimePoint now) const;
   void Tick();
@@ -93,6 +94,7 @@
   std::unique_ptr<IngressServer> callers_;
   asio::steady_timer tick_timer_;
   std::uint64_t ticks_ = 0;
+  std::uint64_t not_admitted_ = 0;
   bool draining_ = false;
   TimePoint drain_began_;
   std::function<void()> drained_;
--- a/src/gateway/request_flight.cc
+++ b/src/gateway/request_flight.cc
@@ -54,6 +54,16 @@
   return tokens;
 }
 
+ErrorKind ErrorOf(std::string_view outcome, int status) {
+  if (outcome == "refused") return ErrorKind::kOverloaded;
+  if (outcome == "outcome_unknown") return ErrorKind::kOutcomeUnknown;
+  if (outcome == "deadline_exceeded") return ErrorKind::kDeadlineExceeded;
+  if (outcome == "incomplete_answer") return ErrorKind::kIncompleteAnswer;
+  if (outcome == "cancelled") return ErrorKind::kCancelled;
+  return status == kHttpBadGateway ? ErrorKind::kOutcomeUnknown
+                                   : ErrorKind::kUpstreamFailed;
+}
+
 std::int64_t Count(std::chrono::steady_clock::duration d) {
   return std::chrono::duration_cast<milliseconds>(d).count();
 }
@@ -221,6 +231,7 @@
                                     now);
   }
   ++sends_;
+  expected_hit_tokens_ = choice.expected_hit_tokens;
   query_.tried.push_back(upstream.id);
   splitter_.DropPartial();
   body_.clear();
@@ -548,10 +559,34 @@
       admitted_.team == nullptr ? "-" : admitted_.team->id.value, sends_,
       first_event_at_ == TimePoint() ? -1 : Count(first_event_at_ - arrived),
       Count(now - arrived), splitter_.events(), reason);
+  RecordMetrics(outcome, status, now);
   attempt_.reset();
   session_.reset();
 }
 
+void RequestFlight::RecordMetrics(std::string_view outcome, int status,
+                                  TimePoint now) {
+  using std::chrono::duration_cast;
+  using std::chrono::microseconds;
+  RequestFinished finished;
+  if (admitted_.team != nullptr) finished.team = admitted_.team->id;
+  finished.service = service_;
+  finished.urgent = Urgency() == 0;
+  finished.complete = outcome == "complete";
+  finished.error = ErrorOf(outcome, status);
+  finished.attempts = sends_;
+  finished.total = duration_cast<microseconds>(now - admitted_.request.arrived);
+  finished.first_token = finished.total;
+  if (first_event_at_ != TimePoint()) {
+    finished.first_token = duration_cast<microseconds>(
+        first_event_at_ - admitted_.request.arrived);
+    finished.usage.prompt_tokens = query_.prompt_tokens;
+    finished.usage.cached_tokens = expected_hit_tokens_;
+    finished.usage.completion_tokens = splitter_.events();
+  }
+  state_.metrics.Record(finished);
+}
+
 void RequestFlight::OnCallerGone() {
   if (done_) return;
   const auto self = shared_from_this();
--- a/src/gateway/request_flight.h
+++ b/src/gateway/request_flight.h
@@ -84,6 +84,7 @@
   void Refuse(std::string_view reason);
   void Deliver();
   void Finish(std::string_view outcome, int status, std::string_view reason);
+  void RecordMetrics(std::string_view outcome, int status, TimePoint now);
   std::chrono::milliseconds RetryAfter();
   std::chrono::milliseconds TimeLeft(TimePoint now) const;
 
@@ -98,6 +99,7 @@
   std::optional<Attempt> attempt_;
   std::uint32_t sends_ = 0;
   std::uint32_t arrivals_ = 0;
+  std::uint32_t expected_hit_tokens_ = 0;
   bool may_have_run_ = false;
   bool done_ = false;
 
--- a/test/lease_test.cc
+++ b/test/lease_test.cc
@@ -34,6 +34,8 @@
  public:
   Process(FakeRow& table, std::string name, std::uint64_t life)
       : table_(table), lease_({kKey, std::move(name), Incarnation(life)}) {}
+  Process(FakeRow& table, const LeaseOptions& options)
+      : table_(table), lease_(options) {}
 
   void Step(Fate fate, TimePoint now) {
     if (!call_) call_ = lease_.OnTick(now);
@@ -149,6 +151,107 @@
   });
 }
 
+TEST_CASE("A holder does not act while its hand-back is under way") {
+  FakeRow table;
+  Process one(table, "router-1", 1);
+  const TimePoint now = Run(one, kStart, milliseconds(1'000));
+  REQUIRE(one.lease().MayAct(now));
+  one.lease().HandBack();
+  TimePoint later = now;
+  // The write is sent, and its answer does not come.
+  for (int i = 0; i < 20 && one.lease().MayAct(later); ++i) {
+    later += milliseconds(50);
+    one.Step(Fate::kStalled, later);
+  }
+  CHECK(one.lease().busy());
+  CHECK_FALSE(one.lease().MayAct(later));
+}
+
+TEST_CASE("What a holder hands back is told to the next") {
+  FakeRow table;
+  Process one(table, "router-1", 1);
+  Process two(table, "router-2", 1);
+  TimePoint now = Run(one, kStart, milliseconds(1'000));
+  one.lease().HandBack("note for the next");
+  now = Run(one, now, milliseconds(1'000));
+  now = Run(two, now, milliseconds(1'000));
+  REQUIRE(two.lease().MayAct(now));
+  CHECK(two.lease().predecessor().empty());
+  CHECK(two.lease().predecessor_note() == "note for the next");
+}
+
+TEST_CASE("A restarted process takes its own former lease at once") {
+  FakeRow table;
+  LeaseOptions options{kKey, "router-1", Incarnation(1)};
+  options.one_life_at_a_time = true;
+  Process before(table, options);
+  TimePoint now = Run(before, kStart, milliseconds(1'000));
+  options.life = Incarnation(2);
+  Process after(table, options);
+  now = Run(after, now, milliseconds(700));
+  CHECK(after.lease().MayAct(now));
+  CHECK(after.lease().fence(now) == FencingToken(2));
+  CHECK(after.lease().predecessor() == "router-1");
+}
+
+/// Two processes whose clocks drift apart by what the options allow, with
+/// pauses and lost answers.
+TEST_CASE("Holders with drifting clocks never overlap") {
+  rc::prop("one holder at a time in true time", [] {
+    FakeRow table;
+    const double drift = LeaseOptions().drift;
+    // A clock that runs fast makes its owner observe a term too short.
+    const double rates[2] = {1.0 - drift * *rc::gen::inRange(0, 100) / 100.0,
+                             1.0 + drift * *rc::gen::inRange(0, 100) / 100.0};
+    std::vector<Process> processes;
+    processes.emplace_back(table, "router-0", 1);
+    processes.emplace_back(table, "router-1", 1);
+    const auto local = [&rates](int who, milliseconds elapsed) {
+      return kStart + std::chrono::duration_cast<std::chrono::nanoseconds>(
+                          elapsed * rates[who]);
+    };
+    const auto steps = *rc::gen::container<std::vector<std::tuple<int, int>>>(
+        120, rc::gen::tuple(rc::gen::inRange(0, 16), rc::gen::inRange(0, 12)));
+    milliseconds elapsed{0};
+    int acted[2] = {0, 0};
+    milliseconds paused_until{0};
+    for (const auto& [pause, fate] : steps) {
+      elapsed += milliseconds(70);
+      // The first holder pauses now and then, for up to five seconds.
+      if (pause == 0) paused_until = elapsed + milliseconds(5'000);
+      for (int who = 0; who < 2; ++who) {
+        if (who == 0 && elapsed < paused_until) continue;
+        const Fate now_fate =
+            fate < 3 ? static_cast<Fate>(fate) : Fate::kAnswered;
+        processes[who].Step(now_fate, local(who, elapsed));
+      }
+      const bool first = processes[0].lease().MayAct(local(0, elapsed));
+      const bool second = processes[1].lease().MayAct(local(1, elapsed));
+      acted[0] += first ? 1 : 0;
+      acted[1] += second ? 1 : 0;
+      RC_ASSERT(!(first && second));
+    }
+    RC_ASSERT(acted[0] + acted[1] > 0);
+  });
+}
+
+TEST_CASE("An observer with a fast clock waits for the whole term") {
+  FakeRow table;
+  Process holder(table, "router-1", 1);
+  Process observer(table, "router-2", 1);
+  const LeaseOptions options;
+  TimePoint now = Run(holder, kStart, milliseconds(600));
+  // The holder's last renewal is seen at once; then nothing more comes.
+  TimePoint seen = now;
+  observer.Step(Fate::kAnswered, seen);
+  const auto term = std::chrono::duration_cast<std::chrono::nanoseconds>(
+      options.term * (1.0 + options.drift));
+  for (TimePoint t = seen; t < seen + term; t += milliseconds(20)) {
+    observer.Step(Fate::kAnswered, t);
+    CHECK_FALSE(observer.lease().MayAct(t));
+  }
+}
+
 /// Depth-first search over every schedule of two processes.
 class Explorer {
  public:
