--- a/src/shell/commands.h
+++ b/src/shell/commands.h
@@ -22,6 +22,7 @@
 int RunCheck(int argc, char** argv);
 int RunShow(int argc, char** argv);
 int RunGateway(int argc, char** argv);
+int RunExplain(int argc, char** argv);
 
 }  // namespace yuccapick
 
--- /dev/null
+++ b/src/shell/explain_command.cc
@@ -0,0 +1,83 @@
+#include <getopt.h>
+
+#include <array>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include "shell/commands.h"
+#include "yuccapick/log_story.h"
+
+namespace yuccapick {
+namespace {
+
+constexpr const char* kUsage =
+    "Usage: yuccapick explain [--log FILE]... ID\n"
+    "\n"
+    "Prints what the logs of all gateways tell of the request with attempt id\n"
+    "ID, in order of time, and one line on why it ended as it did.\n"
+    "\n"
+    "Options:\n"
+    "  --log FILE  log of one process, more than once for several; standard\n"
+    "              input if none is given\n"
+    "  --help      print this text\n";
+
+void ReadLines(std::istream& in, std::vector<LogLine>& lines) {
+  std::string text;
+  while (std::getline(in, text)) {
+    if (auto line = ParseLogLine(text)) lines.push_back(*std::move(line));
+  }
+}
+
+bool ReadFiles(const std::vector<std::string>& files,
+               std::vector<LogLine>& lines) {
+  if (files.empty()) ReadLines(std::cin, lines);
+  for (const std::string& name : files) {
+    std::ifstream file(name);
+    if (!file) {
+      std::fprintf(stderr, "%s cannot be opened; check the path\n",
+                   name.c_str());
+      return false;
+    }
+    ReadLines(file, lines);
+  }
+  return true;
+}
+
+}  // namespace
+
+int RunExplain(int argc, char** argv) {
+  static constexpr std::array<option, 3> kOptions{{
+      {"log", required_argument, nullptr, 'l'},
+      {"help", no_argument, nullptr, 'h'},
+      {nullptr, 0, nullptr, 0},
+  }};
+  std::vector<std::string> files;
+  int flag = 0;
+  while ((flag = getopt_long(argc, argv, "l:h", kOptions.data(), nullptr)) !=
+         -1) {
+    if (flag == 'h') {
+      std::fputs(kUsage, stdout);
+      return kExitOk;
+    }
+    if (flag != 'l') {
+      std::fputs(kUsage, stderr);
+      return kExitUsage;
+    }
+    files.emplace_back(optarg);
+  }
+  if (optind + 1 != argc) {
+    std::fputs(kUsage, stderr);
+    return kExitUsage;
+  }
+  std::vector<LogLine> lines;
+  if (!ReadFiles(files, lines)) return kExitFailed;
+  const RequestStory story = ExplainRequest(lines, argv[optind]);
+  for (const LogLine& line : story.lines) std::puts(line.text.c_str());
+  std::puts(story.verdict.c_str());
+  return story.lines.empty() ? kExitFailed : kExitOk;
+}
+
+}  // namespace yuccapick
--- a/src/shell/main.cc
+++ b/src/shell/main.cc
@@ -21,6 +21,7 @@
     "  publish  check a configuration directory and put it into force\n"
     "  check    check a configuration directory and report every error\n"
     "  show     query configuration, upstreams, operations and orders\n"
+    "  explain  tell from log files what became of one request\n"
     "\n"
     "Options:\n"
     "  --help     print this text, or that of a command\n"
@@ -31,13 +32,14 @@
   int (*run)(int argc, char** argv);
 };
 
-constexpr std::array<Command, 6> kCommands{{
+constexpr std::array<Command, 7> kCommands{{
     {"router", yuccapick::RunRouter},
     {"gateway", yuccapick::RunGateway},
     {"agent", yuccapick::RunAgent},
     {"publish", yuccapick::RunPublish},
     {"check", yuccapick::RunCheck},
     {"show", yuccapick::RunShow},
+    {"explain", yuccapick::RunExplain},
 }};
 
 void Print(std::FILE* stream, std::string_view text) {
--- /dev/null
+++ b/test/log_story_test.cc
@@ -0,0 +1,67 @@
+#include "yuccapick/log_story.h"
+
+#include <catch2/catch.hpp>
+
+namespace yuccapick {
+namespace {
+
+std::vector<LogLine> Parse(const std::vector<std::string>& texts) {
+  std::vector<LogLine> lines;
+  for (const std::string& text : texts) {
+    if (auto line = ParseLogLine(text)) lines.push_back(*std::move(line));
+  }
+  return lines;
+}
+
+TEST_CASE("A line is read with its quoted values, after any prefix") {
+  const auto line = ParseLogLine(
+      "  1.2 front-1 time=1200 event=request_done id=9 reason=\"no answer\" "
+      "status=502");
+  REQUIRE(line.has_value());
+  CHECK(line->time_ms == 1'200);
+  CHECK(line->Field("reason") == "no answer");
+  CHECK(line->Field("status") == "502");
+  CHECK(line->Field("none").empty());
+  CHECK_FALSE(ParseLogLine("hello").has_value());
+  CHECK_FALSE(ParseLogLine("time=soon event=x").has_value());
+}
+
+TEST_CASE("A failed request's story names its upstream and what befell it") {
+  const RequestStory story = ExplainRequest(
+      Parse({"time=2000 event=request_done id=9 outcome=upstream_failed "
+             "status=502 total_ms=900 reason=\"End of file\"",
+             "time=1100 event=request_sent id=9 attempt=1 upstream=i-1",
+             "time=1990 event=attempt_ended id=9 attempt=1 upstream=i-1 "
+             "end=broken reason=\"End of file\" step=fail",
+             "time=1500 event=request_sent id=8 attempt=1 upstream=i-1",
+             "time=1995 event=upstream_changed upstream=i-1 change=removed",
+             "time=1996 event=upstream_changed upstream=i-2 change=removed"}),
+      "9");
+  REQUIRE(story.lines.size() == 4);
+  CHECK(story.lines.front().Field("event") == "request_sent");
+  CHECK(story.verdict ==
+        "Ended as upstream_failed with status 502 after 900 ms: attempt 1 at "
+        "i-1 ended as broken (End of file); i-1 was removed.");
+}
+
+TEST_CASE("A refused, an endless and an unknown request are told apart") {
+  const auto lines =
+      Parse({"time=1 event=request_not_admitted id=1 status=401 config=7",
+             "time=2 event=request_sent id=2 attempt=1 upstream=i-1"});
+  CHECK(ExplainRequest(lines, "1").verdict ==
+        "Not admitted with status 401 under configuration 7.");
+  CHECK(ExplainRequest(lines, "2").verdict ==
+        "It has no end in these logs: the process may have been killed.");
+  CHECK(ExplainRequest(lines, "3").verdict == "No line names this request.");
+}
+
+TEST_CASE("A request that went well is said so") {
+  const auto lines =
+      Parse({"time=3 event=request_done id=4 outcome=complete status=200 "
+             "total_ms=41 reason=\"\""});
+  CHECK(ExplainRequest(lines, "4").verdict ==
+        "Ended as complete with status 200 after 41 ms.");
+}
+
+}  // namespace
+}  // namespace yuccapick
