--- a/include/yuccapick/part_directory.h
+++ b/include/yuccapick/part_directory.h
@@ -83,6 +83,8 @@
                          TimePoint now) const;
   /// Upstreams that hold the whole chain, the last one to use it first.
   std::vector<UpstreamId> Holders(const PartChain& chain, TimePoint now) const;
+  /// True if some request had the part among its shared ones.
+  bool IsShared(std::uint64_t part_hash) const;
   /// True if the KV store holds the whole chain.
   bool InStore(const PartChain& chain, TimePoint now) const;
   std::size_t size() const { return parts_.size(); }
@@ -96,6 +98,7 @@
   };
   struct KnownPart {
     std::vector<Holder> holders;
+    bool shared = false;
     std::uint32_t store_tokens = 0;
     TimePoint in_store_at;
     TimePoint used_at;
--- a/include/yuccapick/peer_report.h
+++ b/include/yuccapick/peer_report.h
@@ -26,6 +26,13 @@
   WeightNumber weights = 0;
 };
 
+/// A change of what an engine holds of a shared part.
+struct PartNews {
+  UpstreamId upstream;
+  std::uint64_t part_hash = 0;
+  std::uint32_t tokens = 0;  ///< Held now.
+};
+
 /// One report. Reports may be lost, doubled or late; each stands for itself.
 struct PeerReport {
   InstanceId instance;
@@ -42,6 +49,7 @@
   std::vector<UpstreamId> loading;   ///< If it holds the rollout duty.
   std::vector<SeenWeights> weights;  ///< New since the last few reports.
   PartChain exported;                ///< Parts put into the KV store.
+  std::vector<PartNews> parts;       ///< From caches that the sender watches.
 };
 
 /// Newest report of each peer.
@@ -70,6 +78,7 @@
   /// Where to send reports: live peers always, silent ones now and then.
   std::vector<std::string> Targets(TimePoint now) const;
   std::size_t LiveCount(TimePoint now) const;
+  std::vector<InstanceId> LiveInstances(TimePoint now) const;
   bool SomeoneHoldsRollout(TimePoint now) const;
   /// Upstreams that holders of the duty report as loading.
   std::set<UpstreamId> Loading(TimePoint now) const;
--- a/src/gateway/cache_watch.cc
+++ b/src/gateway/cache_watch.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "platform/engine_calls.h"
+#include "yuccapick/rendezvous.h"
 
 namespace yuccapick {
 namespace {
@@ -18,15 +19,45 @@
 constexpr char kStoreName[] = "kv-store";
 /// Part of the watchers that a cache takes which is made use of.
 constexpr double kWatcherUse = 0.75;
+/// Where not all gateways may watch a cache, this many do, so that one of them
+/// can go; the first tells the others.
+constexpr std::size_t kFewWatchers = 2;
+/// What fits a report beside the rest.
+constexpr std::size_t kMaxPartNews = 96;
 /// The KV store is left alone after this many failures in a row.
 constexpr std::uint32_t kStoreFailures = 1;
 
 }  // namespace
 
-bool CacheWatch::MayWatch(const std::string& /*name*/,
+std::size_t CacheWatch::RankFor(const std::string& name) const {
+  const std::uint64_t key = RendezvousNodeHash(name);
+  const std::uint64_t own =
+      RendezvousScore(key, RendezvousNodeHash(state_.settings.instance.value));
+  std::size_t rank = 0;
+  for (const InstanceId& peer : state_.live_peers) {
+    if (RendezvousScore(key, RendezvousNodeHash(peer.value)) > own) ++rank;
+  }
+  return rank;
+}
+
+bool CacheWatch::AllMayWatch(std::uint32_t max_watchers) const {
+  return static_cast<double>(state_.gateway_count) <=
+         max_watchers * kWatcherUse;
+}
+
+bool CacheWatch::MayWatch(const std::string& name,
                           std::uint32_t max_watchers) const {
-  const double limit = max_watchers * kWatcherUse;
-  return static_cast<double>(state_.gateway_count) <= limit;
+  if (AllMayWatch(max_watchers)) return true;
+  if (state_.live_peers.empty() || max_watchers < kFewWatchers) return false;
+  return RankFor(name) < kFewWatchers;
+}
+
+void CacheWatch::TellPeers(const Target& target, const CacheChange& change) {
+  if (!target.tells_peers) return;
+  if (!state_.parts.IsShared(change.part_hash)) return;
+  if (state_.part_news.size() >= kMaxPartNews) return;
+  state_.part_news.push_back(
+      {target.upstream, change.part_hash, change.tokens});
 }
 
 void CacheWatch::OnTick(TimePoint now) {
@@ -35,7 +66,7 @@
   const GatewayService* store = state_.config->FindKvStore();
   if (store != nullptr && MayWatch(kStoreName, store->kv_store_watchers)) {
     wanted[kStoreName] = true;
-    Follow(kStoreName, store->kv_store_endpoint, UpstreamId());
+    Follow(kStoreName, store->kv_store_endpoint, UpstreamId(), false);
   }
   for (const UpstreamEntry* upstream : state_.roster.All()) {
     if (upstream->leaving || upstream->weights.empty()) continue;
@@ -45,7 +76,9 @@
     const std::string& name = upstream->id.value;
     if (!MayWatch(name, service->engine->max_cache_watchers)) continue;
     wanted[name] = true;
-    Follow(name, upstream->endpoint, upstream->id);
+    const bool tells_peers =
+        !AllMayWatch(service->engine->max_cache_watchers) && RankFor(name) == 0;
+    Follow(name, upstream->endpoint, upstream->id, tells_peers);
   }
   DropOthers(wanted);
   for (auto& [name, target] : targets_) {
@@ -54,13 +87,15 @@
 }
 
 void CacheWatch::Follow(const std::string& name, const std::string& endpoint,
-                        const UpstreamId& upstream) {
+                        const UpstreamId& upstream, bool tells_peers) {
   Target& target = targets_[name];
+  target.tells_peers = tells_peers;
   if (target.endpoint == endpoint) return;
   target = Target();
   target.endpoint = endpoint;
   target.upstream = upstream;
   target.generation = ++generations_;
+  target.tells_peers = tells_peers;
 }
 
 void CacheWatch::DropOthers(const std::map<std::string, bool>& wanted) {
@@ -125,6 +160,7 @@
       state_.parts.OnStoreChange(change, now);
     } else {
       state_.parts.OnEngineChange(target.upstream, change, now);
+      TellPeers(target, change);
     }
   }
   target.since = events.next;
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -349,6 +349,10 @@
   if (!peers_.OnReport(report, now)) return;
   state_.load.OnPeerReport(report.instance, report.work, now);
   state_.parts.OnExported(report.exported, now);
+  for (const PartNews& news : report.parts) {
+    state_.parts.OnEngineChange(
+        news.upstream, {news.part_hash, news.tokens > 0, news.tokens}, now);
+  }
   for (const SeenWeights& seen : report.weights) {
     if (state_.roster.OnWeightsSeen(seen.upstream, seen.model, seen.weights)) {
       state_.parts.OnEngineLost(seen.upstream);
@@ -413,6 +417,7 @@
   const std::set<UpstreamId> loading = rollout_->Loading();
   report.loading.assign(loading.begin(), loading.end());
   report.weights = std::exchange(state_.seen_weights, {});
+  report.parts = std::exchange(state_.part_news, {});
   const std::size_t n = std::min(state_.exported.size(), kMaxExportedInReport);
   const auto end = state_.exported.begin() + static_cast<std::ptrdiff_t>(n);
   report.exported.assign(state_.exported.begin(), end);
@@ -433,6 +438,7 @@
   peers_.OnTick(now);
   const std::size_t live = peers_.LiveCount(now);
   state_.SetGatewayCount(live + 1);
+  state_.live_peers = peers_.LiveInstances(now);
   next_report_ =
       now + kReportEvery * std::max<std::size_t>(1, live / kPeersAtFullRate);
   exchange_.Send(MakeReport(), peers_.Targets(now));
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -60,6 +60,10 @@
   TransferLink kv_store_link;
   /// Parts put into the KV store that peers have not heard of yet.
   PartChain exported;
+  /// Changes of watched caches that peers have not heard of yet.
+  std::vector<PartNews> part_news;
+  /// Live peers, for sharing out what not all of them may do.
+  std::vector<InstanceId> live_peers;
   /// Weights seen at upstreams that peers have not heard of yet.
   std::vector<SeenWeights> seen_weights;
 
--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -34,6 +34,12 @@
       return msgpack::type::make_define_array(v.hash, v.tokens);
     }
   };
+  struct PartNewsFields {
+    auto operator()(yuccapick::PartNews& v) const {
+      return msgpack::type::make_define_array(v.upstream, v.part_hash,
+                                              v.tokens);
+    }
+  };
   struct SeenWeightsFields {
     auto operator()(yuccapick::SeenWeights& v) const {
       return msgpack::type::make_define_array(v.upstream, v.model, v.weights);
@@ -44,7 +50,7 @@
       return msgpack::type::make_define_array(
           v.instance, v.life, v.sequence, v.endpoint, v.store_in_touch,
           v.config, v.operator_rows, v.upstream_rows, v.holds_rollout,
-          v.leaving, v.work, v.loading, v.weights, v.exported);
+          v.leaving, v.work, v.loading, v.weights, v.exported, v.parts);
     }
   };
   struct MirrorRowFields {
@@ -77,6 +83,12 @@
   struct pack<yuccapick::PartKey>
       : PackAsArray<yuccapick::PartKey, PartKeyFields> {};
   template <>
+  struct convert<yuccapick::PartNews>
+      : PackAsArray<yuccapick::PartNews, PartNewsFields> {};
+  template <>
+  struct pack<yuccapick::PartNews>
+      : PackAsArray<yuccapick::PartNews, PartNewsFields> {};
+  template <>
   struct convert<yuccapick::SeenWeights>
       : PackAsArray<yuccapick::SeenWeights, SeenWeightsFields> {};
   template <>
--- a/src/gateway/request_flight.cc
+++ b/src/gateway/request_flight.cc
@@ -84,6 +84,7 @@
       std::min(caller.time_limit.value_or(admitted_.route->timeout),
                admitted_.route->timeout);
   deadline_ = admitted_.request.arrived + limit;
+  last_progress_ = admitted_.request.arrived;
   splitter_.set_last_id(caller.last_event_id);
   service_ = PickService();
   query_.parts = caller.parts;
@@ -213,6 +214,7 @@
   attempt.upstream = upstream;
   attempt.sent_at = now;
   attempt.last_progress = now;
+  last_progress_ = now;
   attempt.choice = choice;
   attempt.amount.requests = 1;
   const std::uint32_t shared = SharedTokens(query_.parts);
@@ -341,6 +343,7 @@
   if (!attempt_ || !attempt_->head) return;
   const TimePoint now = state_.Now();
   attempt_->last_progress = now;
+  last_progress_ = now;
   state_.health.OnHeard(attempt_->upstream.id, now);
   if (!streaming_) {
     if (attempt_->facts.not_executed) return;
@@ -554,11 +557,14 @@
   state_.log.Write(
       complete ? LogKind::kRequest : LogKind::kFailure, now,
       "event=request_done id={} outcome={} status={} route={} team={} "
-      "attempts={} first_ms={} total_ms={} events={} reason=\"{}\"",
+      "attempts={} upstream={} first_ms={} total_ms={} silent_ms={} events={} "
+      "reason=\"{}\"",
       admitted_.caller.attempt_id, outcome, status, admitted_.route->name,
       admitted_.team == nullptr ? "-" : admitted_.team->id.value, sends_,
+      query_.tried.empty() ? "-" : query_.tried.back().value,
       first_event_at_ == TimePoint() ? -1 : Count(first_event_at_ - arrived),
-      Count(now - arrived), splitter_.events(), reason);
+      Count(now - arrived), Count(now - last_progress_), splitter_.events(),
+      reason);
   RecordMetrics(outcome, status, now);
   attempt_.reset();
   session_.reset();
--- a/src/gateway/request_flight.h
+++ b/src/gateway/request_flight.h
@@ -108,6 +108,7 @@
   bool answer_started_ = false;  ///< The caller has got the head.
   std::string body_;             ///< Of an answer that is sent as a whole.
   TimePoint first_event_at_;
+  TimePoint last_progress_;  ///< Last byte of an answer, or the last send.
 };
 
 }  // namespace yuccapick
--- a/src/log_story.cc
+++ b/src/log_story.cc
@@ -72,8 +72,10 @@
       last.Field("status"), last.Field("total_ms"));
   if (cause.empty()) {
     const std::string_view reason = last.Field("reason");
-    return reason.empty() ? outcome + "."
-                          : fmt::format("{}: {}.", outcome, reason);
+    if (reason.empty()) return outcome + ".";
+    return fmt::format("{}: {}; {} had sent nothing for {} ms{}.", outcome,
+                       reason, last.Field("upstream"), last.Field("silent_ms"),
+                       ChangeAround(around));
   }
   return fmt::format("{}: {}{}.", outcome, cause, ChangeAround(around));
 }
--- a/src/part_directory.cc
+++ b/src/part_directory.cc
@@ -72,6 +72,7 @@
                            TimePoint now) {
   for (const PartKey& key : chain) {
     KnownPart& part = Touch(key.hash, now);
+    part.shared = true;
     const auto it = std::find_if(
         part.holders.begin(), part.holders.end(),
         [&upstream](const Holder& h) { return h.upstream == upstream; });
@@ -113,6 +114,11 @@
   }
 }
 
+bool PartDirectory::IsShared(std::uint64_t part_hash) const {
+  const auto it = parts_.find(part_hash);
+  return it != parts_.end() && it->second.shared;
+}
+
 std::uint32_t PartDirectory::HeldAt(const PartKey& key,
                                     const UpstreamId& upstream,
                                     TimePoint now) const {
--- a/src/peer_report.cc
+++ b/src/peer_report.cc
@@ -66,6 +66,14 @@
   return n;
 }
 
+std::vector<InstanceId> PeerPicture::LiveInstances(TimePoint now) const {
+  std::vector<InstanceId> instances;
+  for (const auto& [instance, peer] : peers_) {
+    if (Live(peer, now)) instances.push_back(instance);
+  }
+  return instances;
+}
+
 bool PeerPicture::SomeoneHoldsRollout(TimePoint now) const {
   for (const auto& [instance, peer] : peers_) {
     if (peer.report.holds_rollout && Live(peer, now)) return true;
--- a/test/log_story_test.cc
+++ b/test/log_story_test.cc
@@ -55,6 +55,16 @@
   CHECK(ExplainRequest(lines, "3").verdict == "No line names this request.");
 }
 
+TEST_CASE("A caller that left is put down to the upstream's silence") {
+  const auto lines =
+      Parse({"time=3 event=request_done id=4 outcome=cancelled status=0 "
+             "upstream=i-1 total_ms=3200 silent_ms=3150 "
+             "reason=\"caller closed its connection\""});
+  CHECK(ExplainRequest(lines, "4").verdict ==
+        "Ended as cancelled with status 0 after 3200 ms: caller closed its "
+        "connection; i-1 had sent nothing for 3150 ms.");
+}
+
 TEST_CASE("A request that went well is said so") {
   const auto lines =
       Parse({"time=3 event=request_done id=4 outcome=complete status=200 "
--- a/test/part_directory_test.cc
+++ b/test/part_directory_test.cc
@@ -73,6 +73,16 @@
   CHECK_FALSE(directory.InStore(chain, kStart));
 }
 
+TEST_CASE("Parts of requests' own are told from shared ones") {
+  PartDirectory directory;
+  const PartChain chain = SharedChain("v1", kPrompt);
+  directory.OnSent(chain, kA, kStart);
+  const std::uint64_t own = PartHash("v1", "own");
+  directory.OnEngineChange(kA, {own, true, 2'900}, kStart);
+  CHECK(directory.IsShared(chain[1].hash));
+  CHECK_FALSE(directory.IsShared(own));
+}
+
 TEST_CASE("The number of known parts is bounded and the newest stay") {
   PartDirectoryOptions options;
   options.max_parts = 64;
--- a/test/peer_report_test.cc
+++ b/test/peer_report_test.cc
@@ -85,12 +85,14 @@
   report.work = {{UpstreamId("a"), {1, 2, 3}}};
   report.weights = {{UpstreamId("a"), ModelId("m"), 4}};
   report.exported = {{77, 120}};
+  report.parts = {{UpstreamId("a"), 99, 640}};
   const auto decoded = DecodePeerReport(EncodePeerReport(report));
   REQUIRE(decoded.has_value());
   CHECK(decoded->instance == report.instance);
   CHECK(decoded->work[0].amount == WorkAmount{1, 2, 3});
   CHECK(decoded->weights[0].weights == 4);
   CHECK(decoded->exported[0].hash == 77);
+  CHECK(decoded->parts[0].tokens == 640);
 
   const PeerTables tables{{{{"k", "v", 3, false}}, 9}, {{}, 2}};
   const auto copy = DecodePeerTables(EncodePeerTables(tables));
