--- a/include/yuccapick/peer_report.h
+++ b/include/yuccapick/peer_report.h
@@ -50,6 +50,9 @@
   std::vector<SeenWeights> weights;  ///< New since the last few reports.
   PartChain exported;                ///< Parts put into the KV store.
   std::vector<PartNews> parts;       ///< From caches that the sender watches.
+  /// Tokens that the sender's requests moved over the KV store's link since
+  /// its last report.
+  std::uint64_t kv_store_tokens = 0;
 };
 
 /// Newest report of each peer.
--- a/include/yuccapick/transfer_link.h
+++ b/include/yuccapick/transfer_link.h
@@ -12,8 +12,8 @@
 
 namespace yuccapick {
 
-/// The link of the KV store, which all engines share. A process knows only the
-/// transfers that it caused; it takes its peers to cause as many each.
+/// The link of the KV store, which all engines share. A process counts the
+/// transfers that it causes, and those that its peers report.
 class TransferLink {
  public:
   using Time = std::chrono::duration<double, std::milli>;
@@ -22,9 +22,8 @@
 
   /// @param per_token time that the link takes for one token
   void SetRate(Time per_token) { per_token_ = per_token; }
-  /// @param processes that use the link, this one included
-  void OnTransfer(std::uint64_t tokens, std::size_t processes, TimePoint now) {
-    const Time busy = TimeFor(tokens) * static_cast<double>(processes);
+  void OnTransfer(std::uint64_t tokens, TimePoint now) {
+    const Time busy = TimeFor(tokens);
     busy_until_ =
         std::max(busy_until_, now) +
         std::chrono::duration_cast<std::chrono::steady_clock::duration>(busy);
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -349,6 +349,7 @@
   if (!peers_.OnReport(report, now)) return;
   state_.load.OnPeerReport(report.instance, report.work, now);
   state_.parts.OnExported(report.exported, now);
+  state_.kv_store_link.OnTransfer(report.kv_store_tokens, now);
   for (const PartNews& news : report.parts) {
     state_.parts.OnEngineChange(
         news.upstream, {news.part_hash, news.tokens > 0, news.tokens}, now);
@@ -418,6 +419,7 @@
   report.loading.assign(loading.begin(), loading.end());
   report.weights = std::exchange(state_.seen_weights, {});
   report.parts = std::exchange(state_.part_news, {});
+  report.kv_store_tokens = std::exchange(state_.kv_store_tokens, 0);
   const std::size_t n = std::min(state_.exported.size(), kMaxExportedInReport);
   const auto end = state_.exported.begin() + static_cast<std::ptrdiff_t>(n);
   report.exported.assign(state_.exported.begin(), end);
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -58,6 +58,8 @@
   /// False while the store of kept KV cache does not answer.
   bool kv_store_usable = true;
   TransferLink kv_store_link;
+  /// Sent over that link, and not reported to peers yet.
+  std::uint64_t kv_store_tokens = 0;
   /// Parts put into the KV store that peers have not heard of yet.
   PartChain exported;
   /// Changes of watched caches that peers have not heard of yet.
--- a/src/gateway/request_flight.cc
+++ b/src/gateway/request_flight.cc
@@ -229,8 +229,8 @@
                         upstream.id, now);
   }
   if (choice.store_tokens > 0) {
-    state_.kv_store_link.OnTransfer(choice.store_tokens, state_.gateway_count,
-                                    now);
+    state_.kv_store_link.OnTransfer(choice.store_tokens, now);
+    state_.kv_store_tokens += choice.store_tokens;
   }
   ++sends_;
   expected_hit_tokens_ = choice.expected_hit_tokens;
--- a/test/peer_report_test.cc
+++ b/test/peer_report_test.cc
@@ -86,6 +86,7 @@
   report.weights = {{UpstreamId("a"), ModelId("m"), 4}};
   report.exported = {{77, 120}};
   report.parts = {{UpstreamId("a"), 99, 640}};
+  report.kv_store_tokens = 9'200;
   const auto decoded = DecodePeerReport(EncodePeerReport(report));
   REQUIRE(decoded.has_value());
   CHECK(decoded->instance == report.instance);
@@ -93,6 +94,7 @@
   CHECK(decoded->weights[0].weights == 4);
   CHECK(decoded->exported[0].hash == 77);
   CHECK(decoded->parts[0].tokens == 640);
+  CHECK(decoded->kv_store_tokens == 9'200);
 
   const PeerTables tables{{{{"k", "v", 3, false}}, 9}, {{}, 2}};
   const auto copy = DecodePeerTables(EncodePeerTables(tables));
