--- a/include/yuccapick/peer_report.h
+++ b/include/yuccapick/peer_report.h
@@ -45,6 +45,7 @@
   std::uint64_t upstream_rows = 0;
   bool holds_rollout = false;
   bool leaving = false;
+  bool kv_store_lost = false;  ///< The sender watches it, and it is silent.
   std::vector<WorkReport> work;
   std::vector<UpstreamId> loading;   ///< If it holds the rollout duty.
   std::vector<SeenWeights> weights;  ///< New since the last few reports.
@@ -83,6 +84,7 @@
   std::size_t LiveCount(TimePoint now) const;
   std::vector<InstanceId> LiveInstances(TimePoint now) const;
   bool SomeoneHoldsRollout(TimePoint now) const;
+  bool SomeoneLostKvStore(TimePoint now) const;
   /// Upstreams that holders of the duty report as loading.
   std::set<UpstreamId> Loading(TimePoint now) const;
   /// True if a live peer in touch with the store has this version in force.
--- a/src/gateway/cache_watch.cc
+++ b/src/gateway/cache_watch.cc
@@ -64,7 +64,10 @@
   if (state_.config == nullptr) return;
   std::map<std::string, bool> wanted;
   const GatewayService* store = state_.config->FindKvStore();
-  if (store != nullptr && MayWatch(kStoreName, store->kv_store_watchers)) {
+  watches_kv_store_ =
+      store != nullptr && MayWatch(kStoreName, store->kv_store_watchers);
+  if (!watches_kv_store_) state_.kv_store_usable = !state_.peers_lost_kv_store;
+  if (watches_kv_store_) {
     wanted[kStoreName] = true;
     Follow(kStoreName, store->kv_store_endpoint, UpstreamId(), false);
   }
--- a/src/gateway/cache_watch.h
+++ b/src/gateway/cache_watch.h
@@ -23,6 +23,8 @@
 
   /// Starts and stops loops to fit the engines and the configuration.
   void OnTick(TimePoint now);
+  /// True if this gateway itself follows the KV store's events.
+  bool watches_kv_store() const { return watches_kv_store_; }
 
  private:
   struct Target {
@@ -56,6 +58,7 @@
   CallClient& calls_;
   std::map<std::string, Target> targets_;
   std::uint64_t generations_ = 0;
+  bool watches_kv_store_ = false;
 };
 
 }  // namespace yuccapick
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -414,6 +414,8 @@
   report.upstream_rows = upstream_watch_->mirror().newest_change();
   report.holds_rollout = rollout_->holds();
   report.leaving = draining_;
+  report.kv_store_lost =
+      !state_.kv_store_usable && cache_watch_.watches_kv_store();
   report.work = state_.load.OwnReports();
   const std::set<UpstreamId> loading = rollout_->Loading();
   report.loading.assign(loading.begin(), loading.end());
@@ -468,6 +470,7 @@
   if (state_.config != nullptr) {
     rollout_->OnTick(peers_.SomeoneHoldsRollout(now));
   }
+  state_.peers_lost_kv_store = peers_.SomeoneLostKvStore(now);
   cache_watch_.OnTick(now);
   callers_->CheckTimeouts(now);
   if (++ticks_ % kTicksBetweenSweeps == 0) {
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -57,6 +57,8 @@
   NamedWeightsLog named_weights;
   /// False while the store of kept KV cache does not answer.
   bool kv_store_usable = true;
+  /// A peer that watches that store says that it does not answer.
+  bool peers_lost_kv_store = false;
   TransferLink kv_store_link;
   /// Sent over that link, and not reported to peers yet.
   std::uint64_t kv_store_tokens = 0;
--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -50,8 +50,8 @@
       return msgpack::type::make_define_array(
           v.instance, v.life, v.sequence, v.endpoint, v.store_in_touch,
           v.config, v.operator_rows, v.upstream_rows, v.holds_rollout,
-          v.leaving, v.work, v.loading, v.weights, v.exported, v.parts,
-          v.kv_store_tokens);
+          v.leaving, v.kv_store_lost, v.work, v.loading, v.weights, v.exported,
+          v.parts, v.kv_store_tokens);
     }
   };
   struct MirrorRowFields {
--- a/src/peer_report.cc
+++ b/src/peer_report.cc
@@ -81,6 +81,13 @@
   return false;
 }
 
+bool PeerPicture::SomeoneLostKvStore(TimePoint now) const {
+  for (const auto& [instance, peer] : peers_) {
+    if (peer.report.kv_store_lost && Live(peer, now)) return true;
+  }
+  return false;
+}
+
 std::set<UpstreamId> PeerPicture::Loading(TimePoint now) const {
   std::set<UpstreamId> loading;
   for (const auto& [instance, peer] : peers_) {
--- a/test/peer_report_test.cc
+++ b/test/peer_report_test.cc
@@ -38,15 +38,18 @@
   PeerPicture peers;
   PeerReport report = Report("one", 1);
   report.holds_rollout = true;
+  report.kv_store_lost = true;
   report.loading = {UpstreamId("a")};
   peers.OnReport(report, kStart);
   CHECK(peers.SomeoneHoldsRollout(kStart));
+  CHECK(peers.SomeoneLostKvStore(kStart));
   CHECK(peers.Loading(kStart).contains(UpstreamId("a")));
   CHECK(peers.Confirms(ConfigVersion(4), kStart));
   CHECK_FALSE(peers.Confirms(ConfigVersion(3), kStart));
   const TimePoint later = kStart + milliseconds(1'600);
   CHECK_FALSE(peers.SomeoneHoldsRollout(later));
   CHECK(peers.Loading(later).empty());
+  CHECK_FALSE(peers.SomeoneLostKvStore(later));
   CHECK_FALSE(peers.Confirms(ConfigVersion(4), later));
   CHECK(peers.LiveCount(later) == 0);
 }
