--- a/src/gateway/cache_watch.cc
+++ b/src/gateway/cache_watch.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "gateway/http_status.h"
 #include "platform/engine_calls.h"
 #include "yuccapick/rendezvous.h"
 
@@ -10,7 +11,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr int kHttpOk = 200;
 constexpr milliseconds kWait{1'000};
 constexpr milliseconds kTimeout{1'600};
 /// Events are collected for this long between two calls.
--- /dev/null
+++ b/src/gateway/gateway_process_peers.cc
@@ -0,0 +1,142 @@
+#include <algorithm>
+#include <utility>
+
+#include "gateway/gateway_process.h"
+#include "gateway/http_status.h"
+
+namespace yuccapick {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Reports to peers; rarer where there are many, so that a gateway's traffic
+/// does not grow with their number.
+constexpr milliseconds kReportEvery{250};
+constexpr std::size_t kPeersAtFullRate = 10;
+constexpr milliseconds kPeerListEvery{15'000};
+constexpr milliseconds kPeerListRetry{1'000};
+/// Rows that a peer has and the store has not told us for this long are taken
+/// from the peer.
+constexpr milliseconds kBehindBeforeFetch{250};
+constexpr char kGatewayTable[] = "yuccapick-gateways";
+/// What fits a datagram beside the work reports.
+constexpr std::size_t kMaxExportedInReport = 48;
+
+}  // namespace
+
+void GatewayProcess::OnPeerReport(const PeerReport& report) {
+  const TimePoint now = state_.Now();
+  if (report.instance == state_.settings.instance) return;
+  if (!peers_.OnReport(report, now)) return;
+  state_.load.OnPeerReport(report.instance, report.work, now);
+  state_.parts.OnExported(report.exported, now);
+  state_.kv_store_link.OnTransfer(report.kv_store_tokens, now);
+  for (const PartNews& news : report.parts) {
+    state_.parts.OnEngineChange(
+        news.upstream, {news.part_hash, news.tokens > 0, news.tokens}, now);
+  }
+  for (const SeenWeights& seen : report.weights) {
+    if (state_.roster.OnWeightsSeen(seen.upstream, seen.model, seen.weights)) {
+      state_.parts.OnEngineLost(seen.upstream);
+    }
+  }
+}
+
+void GatewayProcess::OnPeerTables(const PeerTables& tables) {
+  state_.log.Write(LogKind::kBelief, state_.Now(),
+                   "event=tables_from_peer operator_as_of={} upstream_as_of={}",
+                   tables.operator_rows.as_of, tables.upstream_rows.as_of);
+  operator_watch_->OnPeerSnapshot(tables.operator_rows);
+  upstream_watch_->OnPeerSnapshot(tables.upstream_rows);
+}
+
+PeerTables GatewayProcess::TablesForPeers() const {
+  return {operator_watch_->mirror().Snapshot(),
+          upstream_watch_->mirror().Snapshot()};
+}
+
+void GatewayProcess::Register() {
+  platform::RowWrite write;
+  write.table = kGatewayTable;
+  write.key = state_.settings.instance.value;
+  write.value = exchange_.endpoint();
+  const std::string& store = state_.settings.table_endpoint;
+  table_calls_.Call(store, platform::EncodeWrite(store, write), kPeerListRetry,
+                    [this](const absl::StatusOr<CallAnswer>& answer) {
+                      registered_ = answer.ok() && answer->status == kHttpOk;
+                    });
+}
+
+void GatewayProcess::LearnPeers() {
+  const std::string& store = state_.settings.table_endpoint;
+  table_calls_.Call(store, platform::EncodeReadRows(store, kGatewayTable, ""),
+                    kPeerListRetry,
+                    [this](const absl::StatusOr<CallAnswer>& answer) {
+                      if (!answer.ok() || answer->status != kHttpOk) return;
+                      const auto rows = platform::DecodeRows(answer->body);
+                      if (!rows.ok()) return;
+                      next_peer_list_ = state_.Now() + kPeerListEvery;
+                      for (const MirrorRow& row : rows->rows) {
+                        if (row.value == exchange_.endpoint()) continue;
+                        peers_.OnEndpoint(row.value, state_.Now());
+                      }
+                    });
+}
+
+PeerReport GatewayProcess::MakeReport() {
+  PeerReport report;
+  report.instance = state_.settings.instance;
+  report.life = life_;
+  report.sequence = ++reports_sent_;
+  report.endpoint = exchange_.endpoint();
+  report.store_in_touch = operator_watch_->in_touch();
+  if (state_.config != nullptr) report.config = state_.config->version();
+  report.operator_rows = operator_watch_->mirror().newest_change();
+  report.upstream_rows = upstream_watch_->mirror().newest_change();
+  report.holds_rollout = rollout_->holds();
+  report.leaving = draining_;
+  report.kv_store_lost =
+      !state_.kv_store_usable && cache_watch_.watches_kv_store();
+  report.work = state_.load.OwnReports();
+  const std::set<UpstreamId> loading = rollout_->Loading();
+  report.loading.assign(loading.begin(), loading.end());
+  report.weights = std::exchange(state_.seen_weights, {});
+  report.parts = std::exchange(state_.part_news, {});
+  report.kv_store_tokens = std::exchange(state_.kv_store_tokens, 0);
+  const std::size_t n = std::min(state_.exported.size(), kMaxExportedInReport);
+  const auto end = state_.exported.begin() + static_cast<std::ptrdiff_t>(n);
+  report.exported.assign(state_.exported.begin(), end);
+  state_.exported.erase(state_.exported.begin(), end);
+  return report;
+}
+
+void GatewayProcess::ExchangeWithPeers(TimePoint now) {
+  if (now >= next_peer_list_) {
+    next_peer_list_ = now + kPeerListRetry;
+    if (!registered_) Register();
+    LearnPeers();
+  }
+  std::set<UpstreamId> loading = rollout_->Loading();
+  const bool news = loading != reported_loading_;
+  if (now < next_report_ && !news) return;
+  reported_loading_ = std::move(loading);
+  peers_.OnTick(now);
+  const std::size_t live = peers_.LiveCount(now);
+  state_.SetGatewayCount(live + 1);
+  state_.live_peers = peers_.LiveInstances(now);
+  next_report_ =
+      now + kReportEvery * std::max<std::size_t>(1, live / kPeersAtFullRate);
+  exchange_.Send(MakeReport(), peers_.Targets(now));
+  const PeerReport* newer =
+      peers_.NewerThan(operator_watch_->mirror().newest_change(),
+                       upstream_watch_->mirror().newest_change(), now);
+  if (newer == nullptr) {
+    behind_since_.reset();
+    return;
+  }
+  if (!behind_since_) behind_since_ = now;
+  if (now - *behind_since_ < kBehindBeforeFetch) return;
+  exchange_.FetchTables(newer->endpoint);
+}
+
+}  // namespace yuccapick
--- /dev/null
+++ b/src/gateway/http_status.h
@@ -0,0 +1,33 @@
+#ifndef YUCCAPICK_GATEWAY_HTTP_STATUS_H_
+#define YUCCAPICK_GATEWAY_HTTP_STATUS_H_
+
+/// @file
+/// HTTP status codes that the gateway sends or looks for.
+
+namespace yuccapick {
+
+inline constexpr int kHttpContinue = 100;
+inline constexpr int kHttpOk = 200;
+inline constexpr int kHttpAccepted = 202;
+inline constexpr int kHttpNoContent = 204;
+inline constexpr int kHttpRedirect = 300;  ///< First of the redirections.
+inline constexpr int kHttpNotModified = 304;
+inline constexpr int kHttpBadRequest = 400;
+inline constexpr int kHttpUnauthorized = 401;
+inline constexpr int kHttpNotFound = 404;
+inline constexpr int kHttpRequestTimeout = 408;
+inline constexpr int kHttpConflict = 409;
+inline constexpr int kHttpGone = 410;
+inline constexpr int kHttpPreconditionFailed = 412;
+inline constexpr int kHttpPayloadTooLarge = 413;
+inline constexpr int kHttpMisdirected = 421;
+inline constexpr int kHttpTooMany = 429;
+inline constexpr int kHttpHeadTooLarge = 431;
+inline constexpr int kHttpServerError = 500;  ///< First of the failures.
+inline constexpr int kHttpBadGateway = 502;
+inline constexpr int kHttpUnavailable = 503;
+inline constexpr int kHttpGatewayTimeout = 504;
+
+}  // namespace yuccapick
+
+#endif  // YUCCAPICK_GATEWAY_HTTP_STATUS_H_
--- a/src/gateway/ingress_session.cc
+++ b/src/gateway/ingress_session.cc
@@ -7,18 +7,11 @@
 #include <utility>
 
 #include "gateway/http_connection.h"
+#include "gateway/http_status.h"
 
 namespace yuccapick {
 namespace {
 
-constexpr int kHttpContinue = 100;
-constexpr int kHttpNoContent = 204;
-constexpr int kHttpNotModified = 304;
-constexpr int kHttpBadRequest = 400;
-constexpr int kHttpRequestTimeout = 408;
-constexpr int kHttpPayloadTooLarge = 413;
-constexpr int kHttpHeadTooLarge = 431;
-
 /// Requests that a caller sends ahead of the answer are kept up to here.
 constexpr std::size_t kMaxPendingBytes = 65'536;
 /// An answer that the caller does not read is given up beyond this.
--- a/src/gateway/naming_times.cc
+++ b/src/gateway/naming_times.cc
@@ -6,6 +6,7 @@
 
 #include "absl/random/random.h"
 #include "absl/strings/numbers.h"
+#include "gateway/http_status.h"
 #include "platform/table_calls.h"
 
 namespace yuccapick {
@@ -14,7 +15,6 @@
 using std::chrono::milliseconds;
 
 constexpr char kTable[] = "yuccapick-weights";
-constexpr int kHttpOk = 200;
 constexpr milliseconds kTimeout{800};
 /// Gateways that write a time, on average.
 constexpr double kWriters = 4.0;
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -5,12 +5,11 @@
 #include <utility>
 
 #include "gateway/http_connection.h"
+#include "gateway/http_status.h"
 
 namespace yuccapick {
 namespace {
 
-constexpr int kHttpOk = 200;
-constexpr int kHttpNotFound = 404;
 constexpr std::string_view kTablesPath = "/tables";
 constexpr std::chrono::milliseconds kFetchTimeout{500};
 
--- a/src/gateway/request_flight.cc
+++ b/src/gateway/request_flight.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "gateway/http_status.h"
 #include "platform/header_fields.h"
 
 namespace yuccapick {
@@ -13,16 +14,7 @@
 
 using std::chrono::milliseconds;
 
-constexpr int kHttpOk = 200;
-constexpr int kHttpRedirect = 300;
-constexpr int kHttpServerError = 500;
-constexpr int kHttpBadGateway = 502;
-constexpr int kHttpUnavailable = 503;
-constexpr int kHttpGatewayTimeout = 504;
-
 constexpr std::size_t kMaxEventBytes = 1'048'576;
-/// Answers up to this size are sent once they are whole.
-constexpr std::size_t kMaxHeldBytes = 262'144;
 
 /// An attempt that may be repeated is given up when its upstream has sent
 /// nothing to anybody for this long, or three times as long otherwise.
@@ -31,10 +23,6 @@
 constexpr double kGapPatience = 1.75;
 constexpr int kPatienceIfOthersAreServed = 3;
 
-/// Callers come back spread over this time, so that they do not all meet.
-constexpr milliseconds kRetryAfterMin{150};
-constexpr milliseconds kRetryAfterSpread{450};
-
 /// Part of a shared prefix's memory that one request accounts for.
 constexpr double kSharedMemoryPart = 0.5;
 
@@ -45,7 +33,8 @@
 
 /// Statuses that promise a caller that its request has not run.
 bool PromisesNotRun(int status) {
-  return status == 408 || status == 421 || status == 429 || status == 503;
+  return status == kHttpRequestTimeout || status == kHttpMisdirected ||
+         status == kHttpTooMany || status == kHttpUnavailable;
 }
 
 std::uint32_t SharedTokens(const std::vector<PromptPart>& parts) {
@@ -54,20 +43,6 @@
   return tokens;
 }
 
-ErrorKind ErrorOf(std::string_view outcome, int status) {
-  if (outcome == "refused") return ErrorKind::kOverloaded;
-  if (outcome == "outcome_unknown") return ErrorKind::kOutcomeUnknown;
-  if (outcome == "deadline_exceeded") return ErrorKind::kDeadlineExceeded;
-  if (outcome == "incomplete_answer") return ErrorKind::kIncompleteAnswer;
-  if (outcome == "cancelled") return ErrorKind::kCancelled;
-  return status == kHttpBadGateway ? ErrorKind::kOutcomeUnknown
-                                   : ErrorKind::kUpstreamFailed;
-}
-
-std::int64_t Count(std::chrono::steady_clock::duration d) {
-  return std::chrono::duration_cast<milliseconds>(d).count();
-}
-
 }  // namespace
 
 RequestFlight::RequestFlight(GatewayState& state, AdmittedFlight admitted,
@@ -312,90 +287,6 @@
   Conclude(AttemptEnd::kBroken, "upstream is silent");
 }
 
-HeadVerdict RequestFlight::OnAnswerHead(const HttpHead& head) {
-  if (!attempt_) return HeadVerdict::kReject;
-  AnswerFacts facts = platform::DecodeAnswer(head);
-  const std::string& id = admitted_.caller.attempt_id;
-  if (!facts.attempt_id.empty() && facts.attempt_id != id) {
-    state_.log.Write(LogKind::kFailure, state_.Now(),
-                     "event=answer_skipped id={} answer_id={} upstream={} "
-                     "reason=\"answers another request\"",
-                     id, facts.attempt_id, attempt_->upstream.id.value);
-    return HeadVerdict::kSkip;
-  }
-  const bool success = head.status >= kHttpOk && head.status < kHttpRedirect;
-  if (success && (!facts.proven || facts.encoded || facts.attempt_id.empty())) {
-    return HeadVerdict::kReject;
-  }
-  state_.health.OnHeard(attempt_->upstream.id, state_.Now());
-  if (facts.weights &&
-      *facts.weights > WeightsAt(attempt_->upstream).value_or(0)) {
-    state_.NoteWeights(attempt_->upstream.id, admitted_.caller.model,
-                       *facts.weights);
-  }
-  streaming_ = success && admitted_.route->kind == RouteKind::kStreaming;
-  attempt_->facts = std::move(facts);
-  attempt_->head = head;
-  return HeadVerdict::kAccept;
-}
-
-void RequestFlight::OnAnswerBody(std::string_view bytes) {
-  if (!attempt_ || !attempt_->head) return;
-  const TimePoint now = state_.Now();
-  attempt_->last_progress = now;
-  last_progress_ = now;
-  state_.health.OnHeard(attempt_->upstream.id, now);
-  if (!streaming_) {
-    if (attempt_->facts.not_executed) return;
-    if (answer_started_) return session_->StreamBody(bytes);
-    body_.append(bytes);
-    if (body_.size() > kMaxHeldBytes) {
-      BeginAnswer();
-      session_->StreamBody(std::exchange(body_, std::string()));
-    }
-    return;
-  }
-  const absl::StatusOr<std::string> events = splitter_.Feed(bytes);
-  if (!events.ok()) {
-    attempt_->connection->Abandon();
-    return OnExchangeEnd(ExchangeEnd::kBroken,
-                         events.status().message().data());
-  }
-  if (events->empty()) return;
-  if (!attempt_->first_event) OnFirstEvent();
-  if (!answer_started_) BeginAnswer();
-  session_->StreamBody(*events);
-}
-
-void RequestFlight::OnFirstEvent() {
-  const TimePoint now = state_.Now();
-  attempt_->first_event = true;
-  if (first_event_at_ == TimePoint()) first_event_at_ = now;
-  WorkAmount read = attempt_->amount;
-  read.requests = 0;
-  read.kv_tokens = 0;
-  state_.load.End(attempt_->upstream.id, read);
-  attempt_->amount -= read;
-  NoteCachedParts(now);
-}
-
-void RequestFlight::NoteCachedParts(TimePoint now) {
-  const DirectChoice& choice = attempt_->choice;
-  if (choice.cache_scope.empty()) return;
-  const PartChain chain = SharedChain(choice.cache_scope, query_.parts);
-  if (chain.empty()) return;
-  state_.parts.OnUsed(chain, attempt_->upstream.id, now);
-  if (choice.export_to.empty()) return;
-  state_.parts.OnExported(chain, now);
-  state_.exported.insert(state_.exported.end(), chain.begin(), chain.end());
-}
-
-void RequestFlight::BeginAnswer() {
-  answer_started_ = true;
-  session_->BeginStream(attempt_->head->status,
-                        platform::AnswerFields(*attempt_->head));
-}
-
 void RequestFlight::ReleaseAttempt() {
   if (!attempt_) return;
   state_.load.End(attempt_->upstream.id, attempt_->amount);
@@ -403,60 +294,6 @@
   attempt_.reset();
 }
 
-void RequestFlight::OnExchangeEnd(ExchangeEnd end, std::string_view reason) {
-  if (done_ || !attempt_) return;
-  const auto self = shared_from_this();
-  const TimePoint now = state_.Now();
-  const UpstreamId upstream = attempt_->upstream.id;
-  state_.load.End(upstream, attempt_->amount);
-  attempt_->amount = WorkAmount();
-  if (end == ExchangeEnd::kNotSent) {
-    state_.health.OnUnreachable(upstream, now);
-    attempt_.reset();
-    return Conclude(AttemptEnd::kNotSent, reason);
-  }
-  ++arrivals_;
-  if (end == ExchangeEnd::kBroken) {
-    state_.health.OnFailure(upstream, now);
-    may_have_run_ = true;
-    attempt_.reset();
-    return Conclude(AttemptEnd::kBroken, reason);
-  }
-  ConcludeAnswer();
-}
-
-void RequestFlight::ConcludeAnswer() {
-  const TimePoint now = state_.Now();
-  const UpstreamId upstream = attempt_->upstream.id;
-  const AnswerFacts& facts = attempt_->facts;
-  if (facts.not_executed) {
-    const bool wrong = facts.wrong_upstream;
-    if (wrong) --arrivals_;
-    if (!wrong) state_.health.OnFailure(upstream, now);
-    attempt_.reset();
-    return Conclude(wrong ? AttemptEnd::kWrongUpstream : AttemptEnd::kRejected,
-                    wrong ? "other instance or weights" : "upstream is full");
-  }
-  may_have_run_ = true;
-  const int status = attempt_->head->status;
-  if (streaming_ && !splitter_.AtBoundary()) {
-    state_.health.OnFailure(upstream, now);
-    attempt_.reset();
-    return Conclude(AttemptEnd::kBroken, "stream ends within an event");
-  }
-  if (status >= kHttpServerError) {
-    state_.health.OnFailure(upstream, now);
-    return Conclude(AttemptEnd::kFailedStatus, "upstream failed");
-  }
-  if (answer_started_ && !streaming_ && body_.empty() &&
-      admitted_.route->kind == RouteKind::kStreaming) {
-    attempt_.reset();
-    return Conclude(AttemptEnd::kBroken, "resumption was answered otherwise");
-  }
-  state_.health.OnSuccess(upstream, now);
-  Deliver();
-}
-
 FlightStep RequestFlight::NextStep(AttemptEnd end) {
   FlightFacts facts;
   facts.may_repeat = admitted_.route->MayRepeat();
@@ -521,85 +358,6 @@
   }
 }
 
-milliseconds RequestFlight::RetryAfter() {
-  const auto spread =
-      absl::Uniform<std::int64_t>(state_.random, 0, kRetryAfterSpread.count());
-  return kRetryAfterMin + milliseconds(spread);
-}
-
-void RequestFlight::Refuse(std::string_view reason) {
-  const milliseconds after = RetryAfter();
-  const std::string seconds =
-      fmt::format("{:.3f}", std::chrono::duration<double>(after).count());
-  session_->Respond(kHttpUnavailable, {{"Retry-After", seconds}}, "not run\n");
-  Finish("refused", kHttpUnavailable, reason);
-}
-
-void RequestFlight::Deliver() {
-  const HttpHead& head = *attempt_->head;
-  const int status = head.status;
-  if (answer_started_) {
-    session_->EndStream();
-  } else {
-    session_->Respond(status, platform::AnswerFields(head), body_);
-  }
-  Finish(status < kHttpServerError ? "complete" : "failed_status", status, "");
-}
-
-void RequestFlight::Finish(std::string_view outcome, int status,
-                           std::string_view reason) {
-  if (done_) return;
-  done_ = true;
-  timer_.cancel();
-  const TimePoint now = state_.Now();
-  const bool complete = outcome == "complete";
-  const TimePoint arrived = admitted_.request.arrived;
-  state_.log.Write(
-      complete ? LogKind::kRequest : LogKind::kFailure, now,
-      "event=request_done id={} outcome={} status={} route={} team={} "
-      "attempts={} upstream={} first_ms={} total_ms={} silent_ms={} events={} "
-      "reason=\"{}\"",
-      admitted_.caller.attempt_id, outcome, status, admitted_.route->name,
-      admitted_.team == nullptr ? "-" : admitted_.team->id.value, sends_,
-      query_.tried.empty() ? "-" : query_.tried.back().value,
-      first_event_at_ == TimePoint() ? -1 : Count(first_event_at_ - arrived),
-      Count(now - arrived), Count(now - last_progress_), splitter_.events(),
-      reason);
-  RecordMetrics(outcome, status, now);
-  attempt_.reset();
-  session_.reset();
-}
-
-void RequestFlight::RecordMetrics(std::string_view outcome, int status,
-                                  TimePoint now) {
-  using std::chrono::duration_cast;
-  using std::chrono::microseconds;
-  RequestFinished finished;
-  if (admitted_.team != nullptr) finished.team = admitted_.team->id;
-  finished.service = service_;
-  finished.urgent = Urgency() == 0;
-  finished.complete = outcome == "complete";
-  finished.error = ErrorOf(outcome, status);
-  finished.attempts = sends_;
-  finished.total = duration_cast<microseconds>(now - admitted_.request.arrived);
-  finished.first_token = finished.total;
-  if (first_event_at_ != TimePoint()) {
-    finished.first_token = duration_cast<microseconds>(
-        first_event_at_ - admitted_.request.arrived);
-    finished.usage.prompt_tokens = query_.prompt_tokens;
-    finished.usage.cached_tokens = expected_hit_tokens_;
-    finished.usage.completion_tokens = splitter_.events();
-  }
-  state_.metrics.Record(finished);
-}
-
-void RequestFlight::OnCallerGone() {
-  if (done_) return;
-  const auto self = shared_from_this();
-  ReleaseAttempt();
-  Finish("cancelled", 0, "caller closed its connection");
-}
-
 milliseconds RequestFlight::TimeLeft(TimePoint now) const {
   return std::max(milliseconds(0),
                   std::chrono::duration_cast<milliseconds>(deadline_ - now));
--- /dev/null
+++ b/src/gateway/request_flight_end.cc
@@ -0,0 +1,99 @@
+#include <fmt/format.h>
+
+#include "gateway/http_status.h"
+#include "gateway/request_flight.h"
+
+namespace yuccapick {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Callers come back spread over this time, so that they do not all meet.
+constexpr milliseconds kRetryAfterMin{150};
+constexpr milliseconds kRetryAfterSpread{450};
+
+std::int64_t Count(std::chrono::steady_clock::duration d) {
+  return std::chrono::duration_cast<milliseconds>(d).count();
+}
+
+ErrorKind ErrorOf(std::string_view outcome, int status) {
+  if (outcome == "refused") return ErrorKind::kOverloaded;
+  if (outcome == "outcome_unknown") return ErrorKind::kOutcomeUnknown;
+  if (outcome == "deadline_exceeded") return ErrorKind::kDeadlineExceeded;
+  if (outcome == "incomplete_answer") return ErrorKind::kIncompleteAnswer;
+  if (outcome == "cancelled") return ErrorKind::kCancelled;
+  return status == kHttpBadGateway ? ErrorKind::kOutcomeUnknown
+                                   : ErrorKind::kUpstreamFailed;
+}
+
+}  // namespace
+
+milliseconds RequestFlight::RetryAfter() {
+  const auto spread =
+      absl::Uniform<std::int64_t>(state_.random, 0, kRetryAfterSpread.count());
+  return kRetryAfterMin + milliseconds(spread);
+}
+
+void RequestFlight::Refuse(std::string_view reason) {
+  const milliseconds after = RetryAfter();
+  const std::string seconds =
+      fmt::format("{:.3f}", std::chrono::duration<double>(after).count());
+  session_->Respond(kHttpUnavailable, {{"Retry-After", seconds}}, "not run\n");
+  Finish("refused", kHttpUnavailable, reason);
+}
+
+void RequestFlight::Finish(std::string_view outcome, int status,
+                           std::string_view reason) {
+  if (done_) return;
+  done_ = true;
+  timer_.cancel();
+  const TimePoint now = state_.Now();
+  const bool complete = outcome == "complete";
+  const TimePoint arrived = admitted_.request.arrived;
+  state_.log.Write(
+      complete ? LogKind::kRequest : LogKind::kFailure, now,
+      "event=request_done id={} outcome={} status={} route={} team={} "
+      "attempts={} upstream={} first_ms={} total_ms={} silent_ms={} events={} "
+      "reason=\"{}\"",
+      admitted_.caller.attempt_id, outcome, status, admitted_.route->name,
+      admitted_.team == nullptr ? "-" : admitted_.team->id.value, sends_,
+      query_.tried.empty() ? "-" : query_.tried.back().value,
+      first_event_at_ == TimePoint() ? -1 : Count(first_event_at_ - arrived),
+      Count(now - arrived), Count(now - last_progress_), splitter_.events(),
+      reason);
+  RecordMetrics(outcome, status, now);
+  attempt_.reset();
+  session_.reset();
+}
+
+void RequestFlight::RecordMetrics(std::string_view outcome, int status,
+                                  TimePoint now) {
+  using std::chrono::duration_cast;
+  using std::chrono::microseconds;
+  RequestFinished finished;
+  if (admitted_.team != nullptr) finished.team = admitted_.team->id;
+  finished.service = service_;
+  finished.urgent = Urgency() == 0;
+  finished.complete = outcome == "complete";
+  finished.error = ErrorOf(outcome, status);
+  finished.attempts = sends_;
+  finished.total = duration_cast<microseconds>(now - admitted_.request.arrived);
+  finished.first_token = finished.total;
+  if (first_event_at_ != TimePoint()) {
+    finished.first_token = duration_cast<microseconds>(
+        first_event_at_ - admitted_.request.arrived);
+    finished.usage.prompt_tokens = query_.prompt_tokens;
+    finished.usage.cached_tokens = expected_hit_tokens_;
+    finished.usage.completion_tokens = splitter_.events();
+  }
+  state_.metrics.Record(finished);
+}
+
+void RequestFlight::OnCallerGone() {
+  if (done_) return;
+  const auto self = shared_from_this();
+  ReleaseAttempt();
+  Finish("cancelled", 0, "caller closed its connection");
+}
+
+}  // namespace yuccapick
--- a/src/gateway/rollout_duty.cc
+++ b/src/gateway/rollout_duty.cc
@@ -3,6 +3,7 @@
 #include <ctime>
 #include <utility>
 
+#include "gateway/http_status.h"
 #include "platform/engine_calls.h"
 #include "platform/table_calls.h"
 
@@ -14,13 +15,6 @@
 constexpr char kLeaseTable[] = "yuccapick-lease";
 constexpr char kLeaseKey[] = "rollout";
 
-constexpr int kHttpOk = 200;
-constexpr int kHttpAccepted = 202;
-constexpr int kHttpConflict = 409;
-constexpr int kHttpPreconditionFailed = 412;
-constexpr int kHttpTooMany = 429;
-constexpr int kHttpUnavailable = 503;
-
 constexpr milliseconds kLeaseTerm{2'000};
 constexpr milliseconds kRenewEvery{700};
 constexpr milliseconds kLeaseRetry{300};
--- a/src/gateway/table_watch.cc
+++ b/src/gateway/table_watch.cc
@@ -5,13 +5,10 @@
 #include <algorithm>
 #include <utility>
 
-namespace yuccapick {
-namespace {
-
-constexpr int kHttpOk = 200;
-constexpr int kHttpGone = 410;
+#include "gateway/http_status.h"
 
-}  // namespace
+namespace yuccapick {
+namespace {}  // namespace
 
 TableWatch::TableWatch(asio::io_context& loop, CallClient& client,
                        TableWatchOptions options, TableWatchHandler& handler)
