--- a/test/log_story_test.cc
+++ b/test/log_story_test.cc
@@ -27,16 +27,22 @@
 }
 
 TEST_CASE("A failed request's story names its upstream and what befell it") {
+  const std::string done =
+      "time=2000 event=request_done id=9 outcome=upstream_failed status=502 "
+      "total_ms=900 reason=\"End of file\"";
+  const std::string sent =
+      "time=1100 event=request_sent id=9 attempt=1 upstream=i-1";
+  const std::string ended =
+      "time=1990 event=attempt_ended id=9 attempt=1 upstream=i-1 end=broken "
+      "reason=\"End of file\" step=fail";
+  const std::string other =
+      "time=1500 event=request_sent id=8 attempt=1 upstream=i-1";
+  const std::string removed =
+      "time=1995 event=upstream_changed upstream=i-1 change=removed";
+  const std::string elsewhere =
+      "time=1996 event=upstream_changed upstream=i-2 change=removed";
   const RequestStory story = ExplainRequest(
-      Parse({"time=2000 event=request_done id=9 outcome=upstream_failed "
-             "status=502 total_ms=900 reason=\"End of file\"",
-             "time=1100 event=request_sent id=9 attempt=1 upstream=i-1",
-             "time=1990 event=attempt_ended id=9 attempt=1 upstream=i-1 "
-             "end=broken reason=\"End of file\" step=fail",
-             "time=1500 event=request_sent id=8 attempt=1 upstream=i-1",
-             "time=1995 event=upstream_changed upstream=i-1 change=removed",
-             "time=1996 event=upstream_changed upstream=i-2 change=removed"}),
-      "9");
+      Parse({done, sent, ended, other, removed, elsewhere}), "9");
   REQUIRE(story.lines.size() == 4);
   CHECK(story.lines.front().Field("event") == "request_sent");
   CHECK(story.verdict ==
