Serve the routers' callers with the gateway's HTTP stack

Change: caller_server.cc sits on IngressServer; sessions write to a CallerStream, plain or TLS. Malformed calls get an error body. A call has its own id, so the table of calls by connection goes.

--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -65,7 +65,9 @@
                      ready ? "ready\n" : "not ready\n");
     return nullptr;
   }
-  void OnBadRequest(int /*status*/, std::string_view /*reason*/) override {}
+  std::string OnBadRequest(int /*status*/, std::string_view reason) override {
+    return std::string(reason);
+  }
   CallerLimits limits() const override { return {}; }
 
   GatewayProcess& process_;
@@ -172,8 +174,8 @@
   const std::string* host = request.head.Find("Host");
   if (host == nullptr || request.head.Count("Host") != 1 ||
       !request.head.target.starts_with('/')) {
-    OnBadRequest(kHttpBadRequest, "no usable host or path");
-    session->Respond(kHttpBadRequest, {}, "no usable host or path\n");
+    session->Respond(kHttpBadRequest, {},
+                     OnBadRequest(kHttpBadRequest, "no usable host or path"));
     return nullptr;
   }
   const TimePoint now = state_.Now();
@@ -214,9 +216,10 @@
   return flight;
 }
 
-void GatewayProcess::OnBadRequest(int status, std::string_view reason) {
+std::string GatewayProcess::OnBadRequest(int status, std::string_view reason) {
   state_.log.Write(LogKind::kFailure, state_.Now(),
                    "event=bad_request status={} reason=\"{}\"", status, reason);
+  return std::string(reason);
 }
 
 CallerLimits GatewayProcess::limits() const {
--- a/src/gateway/gateway_process.h
+++ b/src/gateway/gateway_process.h
@@ -46,7 +46,7 @@
 
   std::shared_ptr<IngressWork> OnRequest(
       IngressRequest request, std::shared_ptr<IngressSession> session) override;
-  void OnBadRequest(int status, std::string_view reason) override;
+  std::string OnBadRequest(int status, std::string_view reason) override;
   CallerLimits limits() const override;
 
   void OnTableRows(const std::string& table,
--- a/src/gateway/ingress_session.cc
+++ b/src/gateway/ingress_session.cc
@@ -31,31 +31,26 @@
 
 }  // namespace
 
-IngressSession::IngressSession(asio::ip::tcp::socket socket,
+IngressSession::IngressSession(std::shared_ptr<CallerStream> stream,
                                IngressHandler& handler)
-    : socket_(std::move(socket)),
+    : stream_(std::move(stream)),
       handler_(handler),
       reader_(HttpReader::Kind::kRequest, handler.limits().max_header_bytes,
               *this),
       last_active_(std::chrono::steady_clock::now()) {}
 
-void IngressSession::Start() {
-  asio::error_code ignored;  // Options are best effort.
-  socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
-  socket_.non_blocking(true, ignored);
-  Read();
-}
+void IngressSession::Start() { Read(); }
 
 void IngressSession::Read() {
   if (reading_ || closed_) return;
   if (!lingering_ && pending_.size() >= kMaxPendingBytes) return;
   reading_ = true;
   auto self = shared_from_this();
-  socket_.async_read_some(asio::buffer(buf_),
-                          [self](const asio::error_code& ec, std::size_t n) {
-                            self->reading_ = false;
-                            self->OnRead(ec, n);
-                          });
+  stream_->ReadSome(asio::buffer(buf_),
+                    [self](const asio::error_code& ec, std::size_t n) {
+                      self->reading_ = false;
+                      self->OnRead(ec, n);
+                    });
 }
 
 void IngressSession::OnRead(const asio::error_code& ec, std::size_t n) {
@@ -130,10 +125,10 @@
 }
 
 void IngressSession::Refuse(int status, std::string_view reason) {
-  handler_.OnBadRequest(status, reason);
+  const std::string body = handler_.OnBadRequest(status, reason);
   close_after_answer_ = true;
   in_request_ = true;
-  Respond(status, {}, reason);
+  Respond(status, {}, body);
 }
 
 void IngressSession::WriteHead(int status, const std::vector<HttpField>& fields,
@@ -203,7 +198,7 @@
   }
   if (pending_.empty()) return;
   auto self = shared_from_this();
-  asio::post(socket_.get_executor(), [self] {
+  asio::post(stream_->executor(), [self] {
     self->ConsumePending();
     self->Read();
   });
@@ -212,28 +207,28 @@
 void IngressSession::Flush() {
   if (waiting_to_write_ || closed_) return;
   asio::error_code ec;
-  while (out_sent_ < out_.size()) {
-    const std::size_t n = socket_.write_some(
-        asio::buffer(out_.data() + out_sent_, out_.size() - out_sent_), ec);
-    out_sent_ += n;
-    if (!ec) continue;
-    if (ec != asio::error::would_block || out_.size() > kMaxUnsentBytes) {
+  out_sent_ += stream_->WriteSome(std::string_view(out_).substr(out_sent_), ec);
+  if (out_sent_ < out_.size()) {
+    if (ec != asio::error::would_block || unsent_bytes() > kMaxUnsentBytes) {
       return Abort();
     }
-    waiting_to_write_ = true;
-    auto self = shared_from_this();
-    return socket_.async_wait(asio::ip::tcp::socket::wait_write,
-                              [self](const asio::error_code& wait_ec) {
-                                self->waiting_to_write_ = false;
-                                if (self->closed_ || wait_ec) return;
-                                self->Flush();
-                                if (self->out_.empty()) self->OnFlushed();
-                              });
+    return WaitToWrite();
   }
   out_.clear();
   out_sent_ = 0;
 }
 
+void IngressSession::WaitToWrite() {
+  waiting_to_write_ = true;
+  auto self = shared_from_this();
+  stream_->WaitWritable([self](const asio::error_code& ec) {
+    self->waiting_to_write_ = false;
+    if (self->closed_ || ec) return;
+    self->Flush();
+    if (self->out_.empty()) self->OnFlushed();
+  });
+}
+
 void IngressSession::OnFlushed() {
   if (close_after_answer_ && !in_request_) BeginLingeringClose();
 }
@@ -244,18 +239,14 @@
   last_active_ = std::chrono::steady_clock::now();
   message_began_ = last_active_;
   pending_.clear();
-  asio::error_code ignored;  // The peer may have closed already.
-  socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  stream_->ShutdownSend();
   Read();
 }
 
 void IngressSession::Abort() {
   const auto work = std::exchange(work_, nullptr);
-  if (streaming_ && !chunked_) {
-    // Without a length or chunks only a reset shows that the answer ends early.
-    asio::error_code ignored;  // A plain close is what is left.
-    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
-  }
+  // Without a length or chunks only a reset shows that the answer ends early.
+  if (streaming_ && !chunked_) stream_->ResetOnClose();
   Close();
   if (work != nullptr) work->OnCallerGone();
 }
@@ -264,8 +255,7 @@
   if (closed_) return;
   closed_ = true;
   in_request_ = false;
-  asio::error_code ignored;  // The connection is given up either way.
-  socket_.close(ignored);
+  stream_->Close();
 }
 
 void IngressSession::Drain() {
@@ -293,8 +283,13 @@
   }
 }
 
-IngressServer::IngressServer(asio::io_context& loop, IngressHandler& handler)
-    : loop_(loop), handler_(handler), acceptor_(loop), accept_pause_(loop) {}
+IngressServer::IngressServer(asio::io_context& loop, IngressHandler& handler,
+                             IngressOptions options)
+    : loop_(loop),
+      handler_(handler),
+      options_(std::move(options)),
+      acceptor_(loop),
+      accept_pause_(loop) {}
 
 absl::Status IngressServer::Open(std::string_view endpoint) {
   const asio::ip::tcp::endpoint address = ParseEndpoint(endpoint);
@@ -315,19 +310,14 @@
 }
 
 void IngressServer::Accept() {
+  if (sessions_.size() >= options_.max_sessions) return AcceptAfterPause();
   acceptor_.async_accept(
       [this](const asio::error_code& ec, asio::ip::tcp::socket socket) {
         if (!acceptor_.is_open()) return;
-        if (ec) {
-          // Out of descriptors, say: try again shortly instead of spinning.
-          accept_pause_.expires_after(kAcceptPause);
-          accept_pause_.async_wait([this](const asio::error_code& wait_ec) {
-            if (!wait_ec && acceptor_.is_open()) Accept();
-          });
-          return;
-        }
-        auto session =
-            std::make_shared<IngressSession>(std::move(socket), handler_);
+        // Out of descriptors, say.
+        if (ec) return AcceptAfterPause();
+        auto session = std::make_shared<IngressSession>(
+            options_.make_stream(std::move(socket)), handler_);
         if (announce_close_) session->AnnounceClose();
         sessions_.push_back(session);
         session->Start();
@@ -335,6 +325,15 @@
       });
 }
 
+void IngressServer::AcceptAfterPause() {
+  accept_pause_.expires_after(kAcceptPause);
+  accept_pause_.async_wait([this](const asio::error_code& ec) {
+    if (ec || !acceptor_.is_open()) return;
+    DropClosedSessions();
+    Accept();
+  });
+}
+
 void IngressServer::CloseListener() {
   asio::error_code ignored;  // Nothing is left to accept.
   acceptor_.close(ignored);
@@ -342,6 +341,10 @@
 
 void IngressServer::CheckTimeouts(TimePoint now) {
   for (const auto& session : sessions_) session->CheckTimeouts(now);
+  DropClosedSessions();
+}
+
+void IngressServer::DropClosedSessions() {
   std::erase_if(sessions_, [](const auto& s) { return s->closed(); });
 }
 
--- a/src/gateway/ingress_session.h
+++ b/src/gateway/ingress_session.h
@@ -7,11 +7,13 @@
 #include <array>
 #include <asio.hpp>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "gateway/caller_stream.h"
 #include "gateway/http_reader.h"
 #include "yuccapick/gateway_config.h"
 #include "yuccapick/ids.h"
@@ -41,8 +43,9 @@
   /// @return the work under way; null if the request is already answered
   virtual std::shared_ptr<IngressWork> OnRequest(
       IngressRequest request, std::shared_ptr<IngressSession> session) = 0;
-  /// Bytes that are no request were refused.
-  virtual void OnBadRequest(int status, std::string_view reason) = 0;
+  /// Bytes that are no request are refused.
+  /// @return the body of the refusal
+  virtual std::string OnBadRequest(int status, std::string_view reason) = 0;
   virtual CallerLimits limits() const = 0;
 };
 
@@ -50,7 +53,7 @@
 class IngressSession : public std::enable_shared_from_this<IngressSession>,
                        private HttpReaderHandler {
  public:
-  IngressSession(asio::ip::tcp::socket socket, IngressHandler& handler);
+  IngressSession(std::shared_ptr<CallerStream> stream, IngressHandler& handler);
 
   void Start();
 
@@ -76,6 +79,8 @@
   void CheckTimeouts(TimePoint now);
 
   bool closed() const { return closed_; }
+  /// Bytes of answers that the network has not taken yet.
+  std::size_t unsent_bytes() const { return out_.size() - out_sent_; }
   bool busy() const { return in_request_; }
   bool receiving() const { return !in_request_ && !reader_.at_start(); }
 
@@ -93,11 +98,12 @@
                  std::string_view framing);
   void FinishAnswer();
   void Flush();
+  void WaitToWrite();
   void OnFlushed();
   void BeginLingeringClose();
   void Close();
 
-  asio::ip::tcp::socket socket_;
+  std::shared_ptr<CallerStream> stream_;
   IngressHandler& handler_;
   HttpReader reader_;
   std::array<char, 8192> buf_{};
@@ -121,10 +127,17 @@
   TimePoint message_began_;
 };
 
+struct IngressOptions {
+  CallerStreamFactory make_stream = PlainStreams();
+  /// Connections beyond these wait until one of them ends.
+  std::size_t max_sessions = std::numeric_limits<std::size_t>::max();
+};
+
 /// Accepts callers' connections and watches their timeouts.
 class IngressServer {
  public:
-  IngressServer(asio::io_context& loop, IngressHandler& handler);
+  IngressServer(asio::io_context& loop, IngressHandler& handler,
+                IngressOptions options = {});
 
   /// @param endpoint `IP:PORT`
   absl::Status Open(std::string_view endpoint);
@@ -140,9 +153,12 @@
 
  private:
   void Accept();
+  void AcceptAfterPause();
+  void DropClosedSessions();
 
   asio::io_context& loop_;
   IngressHandler& handler_;
+  IngressOptions options_;
   asio::ip::tcp::acceptor acceptor_;
   asio::steady_timer accept_pause_;
   std::vector<std::shared_ptr<IngressSession>> sessions_;
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -49,7 +49,9 @@
  private:
   std::shared_ptr<IngressWork> OnRequest(
       IngressRequest request, std::shared_ptr<IngressSession> session) override;
-  void OnBadRequest(int /*status*/, std::string_view /*reason*/) override {}
+  std::string OnBadRequest(int /*status*/, std::string_view reason) override {
+    return std::string(reason);
+  }
   CallerLimits limits() const override { return {}; }
 
   void Receive();
--- a/src/shell/caller_duty.cc
+++ b/src/shell/caller_duty.cc
@@ -104,7 +104,7 @@
   asio::post(thread_.loop(), [this, view = std::move(view)] { view_ = view; });
 }
 
-void CallerDuty::OnCall(std::uint64_t connection, HttpCall call,
+void CallerDuty::OnCall(std::uint64_t call_id, HttpCall call,
                         std::shared_ptr<CallerExchange> exchange) {
   const CallerRoute route = RouteOf(call.method, call.target);
   switch (route) {
@@ -124,12 +124,11 @@
              NotRun(ErrorKind::kNotFound, error_messages::kRouteUnknown));
       return;
     default:
-      TakeRequest(route, connection, std::move(call), exchange);
+      TakeRequest(route, RequestId(call_id), std::move(call), exchange);
   }
 }
 
-void CallerDuty::TakeRequest(CallerRoute route, std::uint64_t connection,
-                             HttpCall call,
+void CallerDuty::TakeRequest(CallerRoute route, RequestId id, HttpCall call,
                              const std::shared_ptr<CallerExchange>& exchange) {
   if (view_ == nullptr || !ready_.load()) {
     Refuse(*exchange, NotRun(ErrorKind::kNotReady, error_messages::kNotReady,
@@ -154,7 +153,7 @@
     return;
   }
   if (route == CallerRoute::kOperation) {
-    TakeQuery(call, *team, connection, exchange);
+    TakeQuery(call, *team, id, exchange);
     return;
   }
   ParsedRequest parsed =
@@ -164,13 +163,13 @@
     return;
   }
   auto& request = std::get<CallerRequest>(parsed);
-  const RequestId id = Remember(connection, request.streamed, exchange);
   request.id = id;
-  Submit(id, RequestArrived{std::move(request)});
+  Submit(id, {exchange, request.streamed, false},
+         RequestArrived{std::move(request)});
 }
 
 void CallerDuty::TakeQuery(const HttpCall& call, const TeamId& team,
-                           std::uint64_t connection,
+                           RequestId id,
                            const std::shared_ptr<CallerExchange>& exchange) {
   const OperationName name = OperationOf(call);
   if (name.service.empty()) {
@@ -178,25 +177,17 @@
                              error_messages::kOperationServiceMissing));
     return;
   }
-  const RequestId id = Remember(connection, false, exchange);
-  Submit(id, OperationQueried{id, team, name.service, name.key});
+  Submit(id, {exchange, false, false},
+         OperationQueried{id, team, name.service, name.key});
 }
 
-RequestId CallerDuty::Remember(
-    std::uint64_t connection, bool event_stream,
-    const std::shared_ptr<CallerExchange>& exchange) {
-  const RequestId id(++last_id_);
-  pending_[id] = {exchange, connection, event_stream, false};
-  by_connection_[connection].push_back(id);
-  return id;
-}
-
-void CallerDuty::Submit(RequestId id, RouterEvent event) {
-  if (outputs_.post(std::move(event))) return;
-  Refuse(*pending_[id].exchange,
-         NotRun(ErrorKind::kOverloaded, error_messages::kRouterBusy,
-                kBusyRetryAfter));
-  Forget(id);
+void CallerDuty::Submit(RequestId id, Pending pending, RouterEvent event) {
+  if (!outputs_.post(std::move(event))) {
+    return Refuse(*pending.exchange,
+                  NotRun(ErrorKind::kOverloaded, error_messages::kRouterBusy,
+                         kBusyRetryAfter));
+  }
+  pending_[id] = std::move(pending);
 }
 
 void CallerDuty::AnswerMetrics(
@@ -208,16 +199,11 @@
   });
 }
 
-void CallerDuty::OnConnectionClosed(std::uint64_t connection) {
-  auto it = by_connection_.find(connection);
-  if (it == by_connection_.end()) return;
-  const std::vector<RequestId> ids = std::move(it->second);
-  by_connection_.erase(it);
-  for (const RequestId id : ids) {
-    pending_.erase(id);
-    // A lost notice costs work, not truth: the answer finds no caller.
-    static_cast<void>(outputs_.post(CallerGone{id}));
-  }
+void CallerDuty::OnCallerGone(std::uint64_t call_id) {
+  const RequestId id(call_id);
+  if (pending_.erase(id) == 0) return;
+  // A lost notice costs work, not truth: the answer finds no caller.
+  static_cast<void>(outputs_.post(CallerGone{id}));
 }
 
 void CallerDuty::On(const BeginAnswer& reply) {
@@ -233,7 +219,7 @@
   if (pending == nullptr) return;
   if (pending->exchange->UnsentBytes() > kMaxUnsentBytes) {
     pending->exchange->BreakOff();
-    return;
+    return OnCallerGone(reply.request.value);
   }
   pending->exchange->Send(pending->event_stream
                               ? fmt::format("data: {}\n\n", reply.data)
@@ -245,7 +231,7 @@
   if (pending == nullptr) return;
   if (pending->event_stream) pending->exchange->Send("data: [DONE]\n\n");
   pending->exchange->Finish();
-  Forget(reply.request);
+  pending_.erase(reply.request);
 }
 
 void CallerDuty::On(const FailRequest& reply) {
@@ -260,7 +246,7 @@
     }
     pending->exchange->BreakOff();
   }
-  Forget(reply.request);
+  pending_.erase(reply.request);
 }
 
 void CallerDuty::On(const OperationFound& reply) {
@@ -269,7 +255,7 @@
   const bool readable = reply.status != OperationStatus::kUnavailable;
   pending->exchange->Respond(readable ? 200 : 503, ContentType(kJson),
                              OperationBody(reply));
-  Forget(reply.request);
+  pending_.erase(reply.request);
 }
 
 CallerDuty::Pending* CallerDuty::Find(RequestId id) {
@@ -277,15 +263,4 @@
   return it == pending_.end() ? nullptr : &it->second;
 }
 
-void CallerDuty::Forget(RequestId id) {
-  auto it = pending_.find(id);
-  if (it == pending_.end()) return;
-  const auto connection = by_connection_.find(it->second.connection);
-  if (connection != by_connection_.end()) {
-    std::erase(connection->second, id);
-    if (connection->second.empty()) by_connection_.erase(connection);
-  }
-  pending_.erase(it);
-}
-
 }  // namespace yuccapick
--- a/src/shell/caller_duty.h
+++ b/src/shell/caller_duty.h
@@ -63,23 +63,20 @@
   };
   struct Pending {
     std::shared_ptr<CallerExchange> exchange;
-    std::uint64_t connection = 0;
     bool event_stream = false;
     bool begun = false;
   };
 
-  void OnCall(std::uint64_t connection, HttpCall call,
+  void OnCall(std::uint64_t call_id, HttpCall call,
               std::shared_ptr<CallerExchange> exchange) override;
-  void OnConnectionClosed(std::uint64_t connection) override;
+  void OnCallerGone(std::uint64_t call_id) override;
 
-  void TakeRequest(CallerRoute route, std::uint64_t connection, HttpCall call,
+  void TakeRequest(CallerRoute route, RequestId id, HttpCall call,
                    const std::shared_ptr<CallerExchange>& exchange);
-  void TakeQuery(const HttpCall& call, const TeamId& team,
-                 std::uint64_t connection,
+  void TakeQuery(const HttpCall& call, const TeamId& team, RequestId id,
                  const std::shared_ptr<CallerExchange>& exchange);
-  RequestId Remember(std::uint64_t connection, bool event_stream,
-                     const std::shared_ptr<CallerExchange>& exchange);
-  void Submit(RequestId id, RouterEvent event);
+  /// Hands an event to the decisions and remembers whom to answer.
+  void Submit(RequestId id, Pending pending, RouterEvent event);
   void AnswerMetrics(const std::shared_ptr<CallerExchange>& exchange);
 
   void On(const BeginAnswer& reply);
@@ -88,7 +85,6 @@
   void On(const FailRequest& reply);
   void On(const OperationFound& reply);
   Pending* Find(RequestId id);
-  void Forget(RequestId id);
 
   Outputs outputs_;
   LoopThread thread_;
@@ -97,9 +93,7 @@
   std::shared_ptr<const View> view_;
   std::atomic<bool> ready_{false};
   std::atomic<std::size_t> delayed_{0};
-  std::uint64_t last_id_ = 0;
   absl::flat_hash_map<RequestId, Pending> pending_;
-  absl::flat_hash_map<std::uint64_t, std::vector<RequestId>> by_connection_;
 };
 
 }  // namespace yuccapick
--- a/src/shell/caller_server.cc
+++ b/src/shell/caller_server.cc
@@ -2,254 +2,174 @@
 
 #include <fmt/format.h>
 
-#include <algorithm>
-#include <cctype>
-#include <restinio/all.hpp>
-#include <restinio/tls.hpp>
+#include <asio/ssl.hpp>
 #include <utility>
 
+#include "absl/strings/ascii.h"
+#include "gateway/http_status.h"
+#include "gateway/ingress_session.h"
+
 namespace yuccapick {
 namespace {
 
-namespace http = restinio;
-
-constexpr std::size_t kMaxFieldCount = 100;
-/// One request in work and one waiting: while the server can read the next
-/// request, it also notices that the caller closes the connection.
-constexpr std::size_t kMaxPipelinedRequests = 2;
-constexpr std::size_t kConcurrentAccepts = 8;
-/// Deadlines are the router core's; this only bounds leaks.
-constexpr std::chrono::hours kHandlingLimit{2};
-constexpr std::chrono::seconds kWriteLimit{30};
-/// Bodies up to this many times the limit are read, so that the refusal
-/// reaches the caller; above, the connection is closed.
+constexpr std::chrono::milliseconds kTimeoutCheckPeriod{250};
+/// Bodies up to this many times the limit are read, so that the refusal names
+/// their size; longer ones are refused unread.
 constexpr std::size_t kOversizeReadFactor = 4;
 
-struct ConnectionListener {
-  CallerHandler* handler = nullptr;
-
-  void state_changed(
-      const http::connection_state::notice_t& notice) const noexcept {
-    if (http::holds_alternative<http::connection_state::closed_t>(
-            notice.cause())) {
-      handler->OnConnectionClosed(notice.connection_id());
-    }
-  }
-};
-
-struct PlainTraits : http::default_single_thread_traits_t {
-  using connection_state_listener_t = ConnectionListener;
-  using request_handler_t =
-      std::function<http::request_handling_status_t(http::request_handle_t)>;
-  // NOLINTNEXTLINE(readability-identifier-naming): the library reads it.
-  static constexpr bool use_connection_count_limiter = true;
-};
-
-struct TlsTraits : http::single_thread_tls_traits_t<http::asio_timer_manager_t,
-                                                    http::null_logger_t> {
-  using connection_state_listener_t = ConnectionListener;
-  using request_handler_t =
-      std::function<http::request_handling_status_t(http::request_handle_t)>;
-  // NOLINTNEXTLINE(readability-identifier-naming): the library reads it.
-  static constexpr bool use_connection_count_limiter = true;
-};
-
-std::string LowerCase(std::string text) {
-  std::transform(text.begin(), text.end(), text.begin(),
-                 [](unsigned char c) { return std::tolower(c); });
-  return text;
-}
-
-HttpCall ToCall(const http::request_t& request) {
-  const auto& header = request.header();
+HttpCall ToCall(IngressRequest request) {
   HttpCall call;
-  call.method = header.method().c_str();
-  call.target = header.request_target();
-  call.body = request.body();
-  header.for_each_field([&call](const auto& field) {
-    call.headers.push_back({LowerCase(field.name()), field.value()});
-  });
+  call.method = std::move(request.head.method);
+  call.target = std::move(request.head.target);
+  call.body = std::move(request.body);
+  for (HttpField& field : request.head.fields) {
+    call.headers.push_back(
+        {absl::AsciiStrToLower(field.name), std::move(field.value)});
+  }
   return call;
 }
 
-std::string ReasonOf(std::uint32_t status) {
-  switch (status) {
-    case 200:
-      return "OK";
-    case 201:
-      return "Created";
-    case 202:
-      return "Accepted";
-    case 400:
-      return "Bad Request";
-    case 401:
-      return "Unauthorized";
-    case 403:
-      return "Forbidden";
-    case 404:
-      return "Not Found";
-    case 409:
-      return "Conflict";
-    case 413:
-      return "Payload Too Large";
-    case 422:
-      return "Unprocessable Entity";
-    case 429:
-      return "Too Many Requests";
-    case 502:
-      return "Bad Gateway";
-    case 503:
-      return "Service Unavailable";
-    case 504:
-      return "Gateway Timeout";
-    default:
-      return status < 400 ? "Success" : "Error";
+std::vector<HttpField> ToFields(const std::vector<Header>& headers) {
+  std::vector<HttpField> fields;
+  fields.reserve(headers.size());
+  for (const Header& header : headers) {
+    fields.push_back({header.name, header.value});
   }
+  return fields;
 }
 
-http::http_status_line_t StatusLine(std::uint32_t status) {
-  return {http::http_status_code_t(static_cast<std::uint16_t>(status)),
-          ReasonOf(status)};
-}
-
-class Exchange : public CallerExchange,
-                 public std::enable_shared_from_this<Exchange> {
+/// Holds its connection until the answer has ended.
+class Exchange : public CallerExchange, public IngressWork {
  public:
-  explicit Exchange(http::request_handle_t request)
-      : request_(std::move(request)),
-        request_id_(request_->request_id()),
-        connection_(http::impl::access_req_connection(*request_)) {}
+  Exchange(std::uint64_t call_id, CallerHandler& handler,
+           std::shared_ptr<IngressSession> session)
+      : call_id_(call_id), handler_(handler), session_(std::move(session)) {}
 
   void Respond(std::uint32_t status, const std::vector<Header>& headers,
                std::string body) override {
     if (state_ != State::kWaiting) return;
-    state_ = State::kEnded;
-    auto response = request_->create_response(StatusLine(status));
-    for (const Header& header : headers) {
-      response.append_header(header.name, header.value);
-    }
-    response.set_body(std::move(body));
-    response.done();
-    request_.reset();
+    const auto session = End();
+    session->Respond(static_cast<int>(status), ToFields(headers), body);
   }
 
   void Begin(std::uint32_t status,
              const std::vector<Header>& headers) override {
     if (state_ != State::kWaiting) return;
     state_ = State::kBegun;
-    response_.emplace(
-        request_->create_response<http::chunked_output_t>(StatusLine(status)));
-    for (const Header& header : headers) {
-      response_->append_header(header.name, header.value);
-    }
-    response_->flush();
-    request_.reset();
+    session_->BeginStream(static_cast<int>(status), ToFields(headers));
   }
 
   void Send(std::string data) override {
-    if (state_ != State::kBegun || data.empty()) return;
-    const std::size_t size = data.size();
-    unsent_ += size;
-    response_->append_chunk(std::move(data));
-    response_->flush([self = shared_from_this(), size](const auto& /*ec*/) {
-      self->unsent_ -= size;
-    });
+    if (state_ == State::kBegun) session_->StreamBody(data);
   }
 
   void Finish() override {
     if (state_ != State::kBegun) return;
-    state_ = State::kEnded;
-    response_->done();
-    response_.reset();
-    connection_.reset();
+    End()->EndStream();
   }
 
   void BreakOff() override {
     if (state_ == State::kEnded) return;
-    state_ = State::kEnded;
-    http::write_group_t nothing{http::writable_items_container_t{}};
-    nothing.after_write_notificator([](const auto& /*ec*/) {});
-    connection_->write_response_parts(
-        request_id_,
-        {http::response_parts_attr_t::final_parts,
-         http::response_connection_attr_t::connection_close},
-        std::move(nothing));
-    response_.reset();
-    request_.reset();
-    connection_.reset();
+    End()->Abort();
   }
 
-  std::size_t UnsentBytes() const override { return unsent_; }
+  std::size_t UnsentBytes() const override {
+    return session_ == nullptr ? 0 : session_->unsent_bytes();
+  }
+
+  void OnCallerGone() override {
+    if (state_ == State::kEnded) return;
+    End();
+    handler_.OnCallerGone(call_id_);
+  }
 
  private:
-  enum class State { kWaiting, kBegun, kEnded };
+  enum class State : std::uint8_t { kWaiting, kBegun, kEnded };
+
+  std::shared_ptr<IngressSession> End() {
+    state_ = State::kEnded;
+    return std::move(session_);
+  }
 
   State state_ = State::kWaiting;
-  http::request_handle_t request_;
-  http::request_id_t request_id_;
-  http::impl::connection_handle_t connection_;
-  std::optional<http::response_builder_t<http::chunked_output_t>> response_;
-  std::size_t unsent_ = 0;
+  std::uint64_t call_id_;
+  CallerHandler& handler_;
+  std::shared_ptr<IngressSession> session_;
 };
 
-template <typename Traits>
-http::server_settings_t<Traits> ServerSettings(const RouterSettings& settings,
-                                               CallerHandler& handler) {
-  http::server_settings_t<Traits> server;
-  server.address(settings.listen.host)
-      .port(settings.listen.port)
-      .connection_state_listener(
-          std::make_shared<ConnectionListener>(ConnectionListener{&handler}))
-      .max_parallel_connections(settings.max_connections)
-      .max_pipelined_requests(kMaxPipelinedRequests)
-      .concurrent_accepts_count(kConcurrentAccepts)
-      .read_next_http_message_timelimit(settings.read_timeout)
-      .write_http_response_timelimit(kWriteLimit)
-      .handle_request_timeout(kHandlingLimit)
-      .incoming_http_msg_limits(
-          http::incoming_http_msg_limits_t{}
-              .max_url_size(settings.max_header_bytes)
-              .max_field_name_size(settings.max_header_bytes)
-              .max_field_value_size(settings.max_header_bytes)
-              .max_field_count(kMaxFieldCount)
-              .max_body_size(kOversizeReadFactor * settings.max_body_bytes))
-      .request_handler([&handler](const http::request_handle_t& request) {
-        auto exchange = std::make_shared<Exchange>(request);
-        handler.OnCall(request->connection_id(), ToCall(*request),
-                       std::move(exchange));
-        return http::request_accepted();
-      })
-      .socket_options_setter([](auto& options) {
-        options.set_option(asio::ip::tcp::no_delay(true));
-      })
-      .acceptor_options_setter([](auto& options) {
-        options.set_option(asio::ip::tcp::acceptor::reuse_address(true));
-      });
-  return server;
+CallerStreamFactory StreamsOf(const TlsSettings& tls) {
+  if (!tls.enabled()) return PlainStreams();
+  auto context =
+      std::make_shared<asio::ssl::context>(asio::ssl::context::tls_server);
+  context->set_options(asio::ssl::context::default_workarounds |
+                       asio::ssl::context::no_tlsv1 |
+                       asio::ssl::context::no_tlsv1_1);
+  context->use_certificate_chain_file(tls.certificate_file);
+  context->use_private_key_file(tls.key_file, asio::ssl::context::pem);
+  return TlsStreams(std::move(context));
 }
 
-template <typename Traits>
-class Server : public CallerServer {
+class Server : public CallerServer, private IngressHandler {
  public:
-  Server(asio::io_context& loop, http::server_settings_t<Traits> settings)
-      : server_(http::external_io_context(loop), std::move(settings)) {}
+  Server(asio::io_context& loop, const RouterSettings& settings,
+         const TlsSettings& tls, CallerHandler& handler)
+      : endpoint_(
+            fmt::format("{}:{}", settings.listen.host, settings.listen.port)),
+        handler_(handler),
+        timer_(loop),
+        ingress_(loop, *this, {StreamsOf(tls), settings.max_connections}) {
+    limits_.max_header_bytes = settings.max_header_bytes;
+    limits_.max_body_bytes = kOversizeReadFactor * settings.max_body_bytes;
+    limits_.header_timeout = settings.read_timeout;
+    limits_.idle_timeout = settings.read_timeout;
+  }
 
   absl::Status Open() override {
-    try {
-      server_.open_sync();
-    } catch (const std::exception& error) {
-      return absl::UnavailableError(fmt::format(
-          "cannot listen for callers: {}; free the address or change "
-          "router.listen",
-          error.what()));
-    }
-    return absl::OkStatus();
+    absl::Status status = ingress_.Open(endpoint_);
+    if (status.ok()) CheckTimeouts();
+    return status;
   }
 
-  void Close() override { server_.close_sync(); }
+  void Close() override {
+    timer_.cancel();
+    ingress_.CloseListener();
+    ingress_.CloseAll();
+  }
 
  private:
-  http::http_server_t<Traits> server_;
+  std::shared_ptr<IngressWork> OnRequest(
+      IngressRequest request,
+      std::shared_ptr<IngressSession> session) override {
+    const std::uint64_t call_id = ++last_call_id_;
+    auto exchange =
+        std::make_shared<Exchange>(call_id, handler_, std::move(session));
+    handler_.OnCall(call_id, ToCall(std::move(request)), exchange);
+    return exchange;
+  }
+
+  std::string OnBadRequest(int status, std::string_view reason) override {
+    const ErrorKind kind = status == kHttpPayloadTooLarge
+                               ? ErrorKind::kPayloadTooLarge
+                               : ErrorKind::kBadRequest;
+    return ErrorBody({kind, Execution::kNotRun, std::string(reason), {}});
+  }
+
+  CallerLimits limits() const override { return limits_; }
+
+  void CheckTimeouts() {
+    ingress_.CheckTimeouts(std::chrono::steady_clock::now());
+    timer_.expires_after(kTimeoutCheckPeriod);
+    timer_.async_wait([this](const asio::error_code& ec) {
+      if (!ec) CheckTimeouts();
+    });
+  }
+
+  std::string endpoint_;
+  CallerHandler& handler_;
+  CallerLimits limits_;
+  std::uint64_t last_call_id_ = 0;
+  asio::steady_timer timer_;
+  IngressServer ingress_;
 };
 
 }  // namespace
@@ -257,19 +177,7 @@
 std::unique_ptr<CallerServer> CallerServer::Create(
     asio::io_context& loop, const RouterSettings& settings,
     const TlsSettings& tls, CallerHandler& handler) {
-  if (!tls.enabled()) {
-    return std::make_unique<Server<PlainTraits>>(
-        loop, ServerSettings<PlainTraits>(settings, handler));
-  }
-  asio::ssl::context context(asio::ssl::context::tls_server);
-  context.set_options(asio::ssl::context::default_workarounds |
-                      asio::ssl::context::no_tlsv1 |
-                      asio::ssl::context::no_tlsv1_1);
-  context.use_certificate_chain_file(tls.certificate_file);
-  context.use_private_key_file(tls.key_file, asio::ssl::context::pem);
-  auto server = ServerSettings<TlsTraits>(settings, handler);
-  server.tls_context(std::move(context));
-  return std::make_unique<Server<TlsTraits>>(loop, std::move(server));
+  return std::make_unique<Server>(loop, settings, tls, handler);
 }
 
 }  // namespace yuccapick
--- a/src/shell/caller_server.h
+++ b/src/shell/caller_server.h
@@ -6,7 +6,6 @@
 
 #include <asio.hpp>
 #include <cstdint>
-#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -42,10 +41,11 @@
 class CallerHandler {
  public:
   virtual ~CallerHandler() = default;
-  /// @param connection identifies the connection for `OnConnectionClosed`
-  virtual void OnCall(std::uint64_t connection, HttpCall call,
+  /// @param call_id unique within the server, for `OnCallerGone`
+  virtual void OnCall(std::uint64_t call_id, HttpCall call,
                       std::shared_ptr<CallerExchange> exchange) = 0;
-  virtual void OnConnectionClosed(std::uint64_t connection) = 0;
+  /// The connection of an unanswered call was closed.
+  virtual void OnCallerGone(std::uint64_t call_id) = 0;
 };
 
 /// HTTP/1.1 server, with TLS if the settings name a certificate.
--- a/src/shell/metrics_server.cc
+++ b/src/shell/metrics_server.cc
@@ -30,7 +30,7 @@
       server_(CallerServer::Create(loop, ListenerSettings(listen), {}, *this)) {
 }
 
-void MetricsServer::OnCall(std::uint64_t /*connection*/, HttpCall call,
+void MetricsServer::OnCall(std::uint64_t /*call_id*/, HttpCall call,
                            std::shared_ptr<CallerExchange> exchange) {
   const std::vector<Header> headers{{"content-type", "text/plain"}};
   switch (RouteOf(call.method, call.target)) {
--- a/src/shell/metrics_server.h
+++ b/src/shell/metrics_server.h
@@ -31,9 +31,9 @@
   void Close() { server_->Close(); }
 
  private:
-  void OnCall(std::uint64_t connection, HttpCall call,
+  void OnCall(std::uint64_t call_id, HttpCall call,
               std::shared_ptr<CallerExchange> exchange) override;
-  void OnConnectionClosed(std::uint64_t /*connection*/) override {}
+  void OnCallerGone(std::uint64_t /*call_id*/) override {}
 
   MetricsSources sources_;
   std::unique_ptr<CallerServer> server_;
