--- a/include/yuccapick/lease.h
+++ b/include/yuccapick/lease.h
@@ -22,7 +22,7 @@
   Incarnation life;         ///< Of the holder.
   FencingToken fence;       ///< Rises with each new holder.
   std::uint64_t write = 0;  ///< Tells the writes of one holder apart.
-  std::string note;         ///< From a holder that handed back to the next.
+  std::string note;         ///< From this holder to the next.
 
   bool operator==(const LeaseRow&) const = default;
 };
@@ -67,6 +67,9 @@
   /// @param row as read; version 0 if absent; nothing if the read failed
   void OnRead(const std::optional<TableRow>& row, TimePoint now);
   void OnCommitted(const CommitResult& result, TimePoint now);
+  /// What the next holder has to know if this one dies. A holder writes it at
+  /// once; until a holder has set one, its predecessor's note stays.
+  void SetNote(std::string note);
   /// Gives the lease up, or stops trying for it.
   /// @param note what the next holder has to know
   void HandBack(std::string note = {});
@@ -80,7 +83,7 @@
   /// Who held the lease before the term that this process acquired; empty if
   /// nobody did, or if it was handed back.
   const std::string& predecessor() const { return predecessor_; }
-  /// What that holder left when it handed back.
+  /// What that holder, or one before it, left.
   const std::string& predecessor_note() const { return predecessor_note_; }
   /// True while a call's answer is awaited.
   bool busy() const { return busy_; }
@@ -105,7 +108,7 @@
   bool own_row_ = false;  ///< The row as last seen names this process.
   std::string predecessor_;
   std::string predecessor_note_;
-  std::string note_;
+  std::optional<std::string> note_;  ///< To be in the row.
   std::uint64_t writes_ = 0;
   LeaseRow sent_;  ///< Last write.
   TimePoint sent_at_;
--- a/src/gateway/rollout_duty.cc
+++ b/src/gateway/rollout_duty.cc
@@ -125,6 +125,9 @@
                        state_.load, state_.Now())) {
     std::visit([this](const auto& it) { Carry(it); }, action);
   }
+  if (!orders_.Plan(planner_.Loading(), LeaseNow())) return;
+  lease_.SetNote(orders_.Announcement());
+  RunLease();
 }
 
 void RolloutDuty::NoteHolding() {
@@ -142,17 +145,23 @@
   if (!gained) return;
   orders_.Clear();
   order_from_ = now;
-  // Orders of a predecessor that did not hand back may be of any age. The first
-  // holder ever has none, and one of this instance's own past is no other.
-  const bool first = fence.value == 1;
-  const bool own_past = lease_.predecessor() == state_.settings.instance.value;
-  const bool told = lease_.predecessor().empty() &&
-                    orders_.TakeOver(lease_.predecessor_note(), now);
-  if (!first && !own_past && !told) {
+  if (!TakeOverOrders(now)) {
     *order_from_ += state_.settings.bounds.lease_gap + kGapReserve;
   }
 }
 
+bool RolloutDuty::TakeOverOrders(TimePoint now) {
+  const std::string& predecessor = lease_.predecessor();
+  const std::string& note = lease_.predecessor_note();
+  if (held_fence_.value == 1) return true;
+  if (predecessor == state_.settings.instance.value) {
+    orders_.GoOn(note, now);
+    return true;
+  }
+  return predecessor.empty() ? orders_.TakeOver(note, now)
+                             : orders_.TakeOverLapsed(note, now);
+}
+
 void RolloutDuty::Retire() { lease_.HandBack(orders_.Note(LeaseNow())); }
 
 bool RolloutDuty::MayOrder() const {
@@ -183,6 +192,7 @@
 void RolloutDuty::OnRead(const absl::StatusOr<CallAnswer>& answer) {
   lease_.OnRead(LeaseRowOf(answer), LeaseNow());
   NoteHolding();
+  RunLease();
 }
 
 void RolloutDuty::Commit(const TableTransaction& transaction) {
@@ -192,6 +202,7 @@
   write.key = transaction.puts.front().key;
   write.value = transaction.puts.front().value;
   write.expected = transaction.checks.front().version;
+  orders_.OnAnnouncementSent();
   calls_.Call(
       endpoint, platform::EncodeWrite(endpoint, write), kTableTimeout,
       [self = shared_from_this()](const absl::StatusOr<CallAnswer>& answer) {
@@ -202,6 +213,7 @@
 void RolloutDuty::OnCommitted(const absl::StatusOr<CallAnswer>& answer) {
   CommitResult result;
   result.result = WriteResultOf(answer);
+  if (result.result == WriteResult::kApplied) orders_.OnAnnouncementWritten();
   lease_.OnCommitted(result, LeaseNow());
   NoteHolding();
 }
--- a/src/gateway/rollout_duty.h
+++ b/src/gateway/rollout_duty.h
@@ -46,6 +46,8 @@
   void Commit(const TableTransaction& transaction);
   void OnCommitted(const absl::StatusOr<CallAnswer>& answer);
   void NoteHolding();
+  /// @return false if orders of the predecessor may be of any age
+  bool TakeOverOrders(TimePoint now);
   bool MayOrder() const;
   void Carry(const RolloutOrder& order);
   void Carry(const RolloutQuestion& question);
--- a/src/lease.cc
+++ b/src/lease.cc
@@ -50,12 +50,12 @@
   }
   const LeaseRow current = value_.value_or(LeaseRow());
   if (own_row_) {
+    const std::string note = note_.value_or(current.note);
+    if (leaving_)
+      return Write({"", Incarnation(), current.fence, 0, note}, now);
     const bool renewed = MayAct(now) && now < sent_at_ + options_.renew_every;
-    if (renewed && !leaving_) return std::nullopt;
-    if (leaving_) {
-      return Write({"", Incarnation(), current.fence, 0, note_}, now);
-    }
-    return Write({options_.holder, options_.life, current.fence, 0, ""}, now);
+    if (renewed && note == current.note) return std::nullopt;
+    return Write({options_.holder, options_.life, current.fence, 0, note}, now);
   }
   const bool free = row_.version == 0 || current.holder.empty();
   const bool lapsed =
@@ -70,8 +70,10 @@
 LeaseAction Lease::Acquire(const LeaseRow& current, TimePoint now) {
   predecessor_ = current.holder;
   predecessor_note_ = current.note;
-  return Write({options_.holder, options_.life, current.fence.Next(), 0, ""},
-               now);
+  note_.reset();
+  return Write(
+      {options_.holder, options_.life, current.fence.Next(), 0, current.note},
+      now);
 }
 
 LeaseAction Lease::Write(LeaseRow next, TimePoint now) {
@@ -105,6 +107,8 @@
   // A write whose answer was lost took effect: its term began when it was sent.
   const bool settled = own_row_ && value_ == sent_;
   if (settled) valid_until_ = sent_at_ + HolderTerm();
+  const bool note_due = own_row_ && note_ && *note_ != value_->note;
+  if (note_due) next_call_ = now;
 }
 
 void Lease::OnCommitted(const CommitResult& result, TimePoint now) {
@@ -121,6 +125,12 @@
   valid_until_ = sent_at_ + HolderTerm();
 }
 
+void Lease::SetNote(std::string note) {
+  if (leaving_ || note_ == note) return;
+  note_ = std::move(note);
+  next_call_ = TimePoint();
+}
+
 void Lease::HandBack(std::string note) {
   if (!leaving_) note_ = std::move(note);
   leaving_ = true;
--- a/test/lease_test.cc
+++ b/test/lease_test.cc
@@ -180,6 +180,32 @@
   CHECK(two.lease().predecessor_note() == "note for the next");
 }
 
+TEST_CASE("A note is written at once and outlives the holder") {
+  FakeRow table;
+  Process first(table, "a", 1);
+  TimePoint now = kStart;
+  first.Step(Fate::kAnswered, now);
+  first.Step(Fate::kAnswered, now += milliseconds(300));
+  REQUIRE(first.lease().MayAct(now));
+  first.lease().SetNote("orders");
+  first.Step(Fate::kAnswered, now += milliseconds(10));
+  first.Step(Fate::kAnswered, now);
+  CHECK(ParseLease(table.row.value)->note == "orders");
+  // The first dies. Its note stays until the second has one of its own.
+  Process second(table, "b", 2);
+  while (!second.lease().MayAct(now)) {
+    second.Step(Fate::kAnswered, now += milliseconds(100));
+  }
+  CHECK(second.lease().predecessor() == "a");
+  CHECK(second.lease().predecessor_note() == "orders");
+  CHECK(ParseLease(table.row.value)->note == "orders");
+  second.lease().SetNote("other orders");
+  second.Step(Fate::kAnswered, now);
+  second.Step(Fate::kAnswered, now);
+  CHECK(ParseLease(table.row.value)->note == "other orders");
+  CHECK(second.lease().MayAct(now));
+}
+
 TEST_CASE("A restarted process takes its own former lease at once") {
   FakeRow table;
   LeaseOptions options{kKey, "router-1", Incarnation(1)};
--- /dev/null
+++ b/test/shell/test_address.h
@@ -0,0 +1,35 @@
+#ifndef YUCCAPICK_TEST_SHELL_TEST_ADDRESS_H_
+#define YUCCAPICK_TEST_SHELL_TEST_ADDRESS_H_
+
+/// @file
+/// Loopback addresses for programs that have to be told where to listen. A
+/// port that was only found free may be taken before it is used, so each test
+/// process has an address of its own and counts its ports.
+
+#include <fmt/format.h>
+#include <unistd.h>
+
+#include <cstdint>
+#include <string>
+
+namespace yuccapick {
+
+/// Below the range that the kernel hands out.
+constexpr std::uint16_t kFirstTestPort = 20'000;
+
+/// @return an address of this process alone, as process ids have 22 bits
+inline std::string TestHost() {
+  const auto pid = static_cast<std::uint32_t>(::getpid());
+  return fmt::format("127.{}.{}.{}", 64 + ((pid >> 16U) & 0x3FU),
+                     (pid >> 8U) & 0xFFU, pid & 0xFFU);
+}
+
+/// @return a port that this process has not used yet
+inline std::uint16_t NextTestPort() {
+  static std::uint16_t next = kFirstTestPort;
+  return next++;
+}
+
+}  // namespace yuccapick
+
+#endif  // YUCCAPICK_TEST_SHELL_TEST_ADDRESS_H_
