--- a/src/gateway/rollout_duty.cc
+++ b/src/gateway/rollout_duty.cc
@@ -153,7 +153,10 @@
 bool RolloutDuty::TakeOverOrders(TimePoint now) {
   const std::string& predecessor = lease_.predecessor();
   const std::string& note = lease_.predecessor_note();
-  if (held_fence_.value == 1) return true;
+  if (held_fence_.value == 1) {
+    lease_.SetNote(orders_.Announcement());
+    return true;
+  }
   if (predecessor == state_.settings.instance.value) {
     orders_.GoOn(note, now);
     return true;
