Judge a silent upstream by how long answers take at present

With 36 gateways each hears from an engine about every three seconds, so "nobody was answered" says nothing there. Excluded: dead engines (189 refused connections, found at once).

Change: LatencyEstimate keeps mean and deviation of the time to the first event by route (RFC 6298); an attempt is stuck beyond its limit, up to half of the time left, and never before the old bound. An attempt is not given up when the budget allows no other.

--- a/include/yuccapick/retry_budget.h
+++ b/include/yuccapick/retry_budget.h
@@ -31,9 +31,12 @@
     tokens_ = std::min(tokens_, reserve);
   }
 
+  /// True if an extra attempt can be taken.
+  bool MayTake() const { return tokens_ >= 1.0; }
+
   /// Takes one extra attempt; false if the budget is spent.
   bool TryTake() {
-    if (tokens_ < 1.0) return false;
+    if (!MayTake()) return false;
     tokens_ -= 1.0;
     return true;
   }
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -17,6 +17,7 @@
 #include "yuccapick/direct_placement.h"
 #include "yuccapick/gateway_config.h"
 #include "yuccapick/named_weights.h"
+#include "yuccapick/latency_estimate.h"
 #include "yuccapick/part_directory.h"
 #include "yuccapick/peer_report.h"
 #include "yuccapick/request_metrics.h"
@@ -72,6 +73,8 @@
   std::vector<SeenWeights> seen_weights;
 
   std::map<ServiceId, RetryBudget> budgets;
+  /// By route: from sending a request to the first event of its answer.
+  std::map<std::string, LatencyEstimate> first_event_times;
   std::size_t gateway_count;
 };
 
--- a/src/gateway/request_flight.cc
+++ b/src/gateway/request_flight.cc
@@ -246,15 +246,25 @@
   });
 }
 
-std::optional<TimePoint> RequestFlight::StuckAt() const {
-  if (!attempt_ || !admitted_.route->MayRepeat()) return std::nullopt;
-  milliseconds patience =
-      std::max(kMinPatience, admitted_.route->target_latency);
+milliseconds RequestFlight::Patience() const {
   if (attempt_->first_event) {
-    patience = std::max(kMinGapPatience,
-                        std::chrono::duration_cast<milliseconds>(
-                            admitted_.route->target_event_gap * kGapPatience));
+    return std::max(kMinGapPatience,
+                    std::chrono::duration_cast<milliseconds>(
+                        admitted_.route->target_event_gap * kGapPatience));
   }
+  const milliseconds least =
+      std::max(kMinPatience, admitted_.route->target_latency);
+  // Half of the time is left for another upstream.
+  const auto most = std::chrono::duration_cast<milliseconds>(
+      (deadline_ - attempt_->sent_at) / 2);
+  const auto it = state_.first_event_times.find(admitted_.route->name);
+  if (it == state_.first_event_times.end()) return least;
+  return std::max(least, std::min(most, it->second.Limit()));
+}
+
+std::optional<TimePoint> RequestFlight::StuckAt() const {
+  if (!attempt_ || !admitted_.route->MayRepeat()) return std::nullopt;
+  const milliseconds patience = Patience();
   const TimePoint since = attempt_->last_progress;
   const bool silent = state_.health.SilentSince(attempt_->upstream.id, since);
   const TimePoint first = since + patience;
@@ -273,7 +283,8 @@
   const auto stuck_at = StuckAt();
   if (!stuck_at || now < *stuck_at) return ArmTimer();
   // Giving up an answer under way pays only if it can be had elsewhere.
-  if (arrivals_ + 1 >= admitted_.route->max_attempts || !HasUntriedUpstream()) {
+  if (arrivals_ + 1 >= admitted_.route->max_attempts || !HasUntriedUpstream() ||
+      !state_.BudgetOf(service_).MayTake()) {
     attempt_->last_progress = now;
     return ArmTimer();
   }
@@ -283,12 +294,18 @@
   } else {
     state_.health.OnFailure(upstream, now);
   }
+  if (!attempt_->first_event) NoteFirstEventTime(now);
   ++arrivals_;
   may_have_run_ = true;
   ReleaseAttempt();
   Conclude(AttemptEnd::kBroken, "upstream is silent");
 }
 
+void RequestFlight::NoteFirstEventTime(TimePoint now) {
+  state_.first_event_times[admitted_.route->name].OnSample(
+      std::chrono::duration_cast<milliseconds>(now - attempt_->sent_at));
+}
+
 void RequestFlight::ReleaseAttempt() {
   if (!attempt_) return;
   state_.load.End(attempt_->upstream.id, attempt_->amount);
--- a/src/gateway/request_flight.h
+++ b/src/gateway/request_flight.h
@@ -71,7 +71,10 @@
   void ArmTimer();
   void OnTimer();
   /// When the attempt under way counts as stuck, if it may be repeated.
+  /// How long the attempt may send nothing before it counts as stuck.
+  std::chrono::milliseconds Patience() const;
   std::optional<TimePoint> StuckAt() const;
+  void NoteFirstEventTime(TimePoint now);
 
   void OnFirstEvent();
   void NoteCachedParts(TimePoint now);
--- a/src/gateway/request_flight_answers.cc
+++ b/src/gateway/request_flight_answers.cc
@@ -73,6 +73,7 @@
   const TimePoint now = state_.Now();
   attempt_->first_event = true;
   if (first_event_at_ == TimePoint()) first_event_at_ = now;
+  NoteFirstEventTime(now);
   WorkAmount read = attempt_->amount;
   read.requests = 0;
   read.kv_tokens = 0;
