Refuse a share of streams at once while answers begin too late

Change: LoadShedder follows how late answers begin, by route, and refuses a share of up to 0.6 with 503 and a Retry-After that grows with the share. A test plays 1.5 times what engines can do: more than twice as many callers are in time, as many are served; a burst of half a second is not refused.

--- a/include/yuccapick/latency_estimate.h
+++ b/include/yuccapick/latency_estimate.h
@@ -30,6 +30,10 @@
     mean_ += kMeanGain * error;
   }
 
+  /// @return zero if none is known
+  std::chrono::milliseconds mean() const {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(mean_);
+  }
   /// @return time within which nearly all answers begin; zero if none is known
   std::chrono::milliseconds Limit() const {
     return std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -16,8 +16,9 @@
 #include "gateway/log_sink.h"
 #include "yuccapick/direct_placement.h"
 #include "yuccapick/gateway_config.h"
-#include "yuccapick/named_weights.h"
 #include "yuccapick/latency_estimate.h"
+#include "yuccapick/load_shedder.h"
+#include "yuccapick/named_weights.h"
 #include "yuccapick/part_directory.h"
 #include "yuccapick/peer_report.h"
 #include "yuccapick/request_metrics.h"
@@ -73,8 +74,12 @@
   std::vector<SeenWeights> seen_weights;
 
   std::map<ServiceId, RetryBudget> budgets;
-  /// By route: from sending a request to the first event of its answer.
-  std::map<std::string, LatencyEstimate> first_event_times;
+  /// How one route's streams are answered at present.
+  struct StreamLoad {
+    LatencyEstimate first_event;  ///< From sending a request.
+    LoadShedder shedder;
+  };
+  std::map<std::string, StreamLoad> stream_loads;  ///< By route.
   std::size_t gateway_count;
 };
 
--- a/src/gateway/request_flight.cc
+++ b/src/gateway/request_flight.cc
@@ -16,6 +16,9 @@
 
 constexpr std::size_t kMaxEventBytes = 1'048'576;
 
+/// Callers that found no upstream may come back after this.
+constexpr milliseconds kRetryAfter{150};
+
 /// An attempt that may be repeated is given up when its upstream has sent
 /// nothing to anybody for this long, or three times as long otherwise.
 constexpr milliseconds kMinPatience{350};
@@ -71,9 +74,25 @@
       caller.expected_output_tokens.value_or(caller.max_output_tokens);
   query_.body_bytes = admitted_.request.body.size();
   state_.BudgetOf(service_).OnRequest();
+  if (ShedsLoad()) {
+    const auto after =
+        state_.stream_loads[admitted_.route->name].shedder.ReturnAfter();
+    return Refuse("upstreams are overloaded", after);
+  }
   TrySend();
 }
 
+bool RequestFlight::ShedsLoad() {
+  if (admitted_.route->kind != RouteKind::kStreaming) return false;
+  const auto it = state_.stream_loads.find(admitted_.route->name);
+  if (it == state_.stream_loads.end()) return false;
+  LoadShedder& shedder = it->second.shedder;
+  shedder.Update(it->second.first_event.mean(), admitted_.route->target_latency,
+                 state_.Now());
+  const std::string& id = admitted_.caller.attempt_id;
+  return shedder.Refuses(XXH3_64bits(id.data(), id.size()));
+}
+
 ServiceId RequestFlight::PickService() {
   const std::vector<RouteTarget>& targets = admitted_.route->targets;
   if (targets.empty()) return ServiceId();
@@ -98,9 +117,9 @@
 }
 
 milliseconds RequestFlight::WeightsReserve() const {
-  const auto it = state_.first_event_times.find(admitted_.route->name);
-  if (it == state_.first_event_times.end()) return kMostWeightsReserve;
-  return std::clamp(it->second.Limit() * kWeightsReserveFactor,
+  const auto it = state_.stream_loads.find(admitted_.route->name);
+  if (it == state_.stream_loads.end()) return kMostWeightsReserve;
+  return std::clamp(it->second.first_event.Limit() * kWeightsReserveFactor,
                     kLeastWeightsReserve, kMostWeightsReserve);
 }
 
@@ -267,9 +286,9 @@
   // Half of the time is left for another upstream.
   const auto most = std::chrono::duration_cast<milliseconds>(
       (deadline_ - attempt_->sent_at) / 2);
-  const auto it = state_.first_event_times.find(admitted_.route->name);
-  if (it == state_.first_event_times.end()) return least;
-  return std::max(least, std::min(most, it->second.Limit()));
+  const auto it = state_.stream_loads.find(admitted_.route->name);
+  if (it == state_.stream_loads.end()) return least;
+  return std::max(least, std::min(most, it->second.first_event.Limit()));
 }
 
 std::optional<TimePoint> RequestFlight::StuckAt() const {
@@ -312,7 +331,7 @@
 }
 
 void RequestFlight::NoteFirstEventTime(TimePoint now) {
-  state_.first_event_times[admitted_.route->name].OnSample(
+  state_.stream_loads[admitted_.route->name].first_event.OnSample(
       std::chrono::duration_cast<milliseconds>(now - attempt_->sent_at));
 }
 
@@ -371,7 +390,7 @@
       }
       return Deliver();
     case FlightStep::kRefuse:
-      return Refuse(reason);
+      return Refuse(reason, kRetryAfter);
     case FlightStep::kFail:
       session_->Respond(kHttpBadGateway, {}, "upstream failed\n");
       return Finish("upstream_failed", kHttpBadGateway, reason);
--- a/src/gateway/request_flight.h
+++ b/src/gateway/request_flight.h
@@ -71,6 +71,8 @@
   void ArmTimer();
   void OnTimer();
   /// When the attempt under way counts as stuck, if it may be repeated.
+  /// Decides whether the request is one of those refused under overload.
+  bool ShedsLoad();
   /// How long before its weights are due an upstream gets nothing more.
   std::chrono::milliseconds WeightsReserve() const;
   /// How long the attempt may send nothing before it counts as stuck.
@@ -86,11 +88,11 @@
   void Conclude(AttemptEnd end, std::string_view reason);
   FlightStep NextStep(AttemptEnd end);
   void Carry(FlightStep step, std::string_view reason);
-  void Refuse(std::string_view reason);
+  /// @param retry_after when the caller may come back
+  void Refuse(std::string_view reason, std::chrono::milliseconds retry_after);
   void Deliver();
   void Finish(std::string_view outcome, int status, std::string_view reason);
   void RecordMetrics(std::string_view outcome, int status, TimePoint now);
-  std::chrono::milliseconds RetryAfter();
   std::chrono::milliseconds TimeLeft(TimePoint now) const;
 
   GatewayState& state_;
--- a/src/gateway/request_flight_end.cc
+++ b/src/gateway/request_flight_end.cc
@@ -9,7 +9,6 @@
 using std::chrono::milliseconds;
 
 /// Callers come back spread over this time, so that they do not all meet.
-constexpr milliseconds kRetryAfterMin{150};
 constexpr milliseconds kRetryAfterSpread{450};
 
 std::int64_t Count(std::chrono::steady_clock::duration d) {
@@ -28,16 +27,11 @@
 
 }  // namespace
 
-milliseconds RequestFlight::RetryAfter() {
-  const auto spread =
-      absl::Uniform<std::int64_t>(state_.random, 0, kRetryAfterSpread.count());
-  return kRetryAfterMin + milliseconds(spread);
-}
-
-void RequestFlight::Refuse(std::string_view reason) {
-  const milliseconds after = RetryAfter();
-  const std::string seconds =
-      fmt::format("{:.3f}", std::chrono::duration<double>(after).count());
+void RequestFlight::Refuse(std::string_view reason, milliseconds retry_after) {
+  const milliseconds spread(
+      absl::Uniform<std::int64_t>(state_.random, 0, kRetryAfterSpread.count()));
+  const std::chrono::duration<double> after = retry_after + spread;
+  const std::string seconds = fmt::format("{:.3f}", after.count());
   session_->Respond(kHttpUnavailable, {{"Retry-After", seconds}}, "not run\n");
   Finish("refused", kHttpUnavailable, reason);
 }
--- a/src/gateway/table_watch.h
+++ b/src/gateway/table_watch.h
@@ -56,9 +56,7 @@
   /// Asks again now: a peer knows a newer state, or the channel seems silent.
   void Refresh();
   /// Sets for how long changes that follow each other are collected.
-  void SetSettle(std::chrono::milliseconds settle) {
-    options_.settle = settle;
-  }
+  void SetSettle(std::chrono::milliseconds settle) { options_.settle = settle; }
   /// Takes a peer's copy of the table.
   void OnPeerSnapshot(const TableSnapshot& snapshot);
 
