--- a/include/yuccapick/load_shedder.h
+++ b/include/yuccapick/load_shedder.h
@@ -17,7 +17,7 @@
   /// Change of the refused share a second, for each target that answers begin
   /// later or earlier.
   double rise = 0.15;
-  double fall = 0.4;
+  double fall = 0.8;
   /// Enough is always let in to see how long answers take.
   double most = 0.6;
   /// Lateness beyond this many targets changes nothing more.
