Log each refusal under overload with what decided it

A refusal by LoadShedder named neither the time that answers took nor the share; explain could only say that its upstream was silent. Give-up times of plain routes no longer count as streams' times: they would have shed plain requests, which have no events.

--- a/src/gateway/request_flight.cc
+++ b/src/gateway/request_flight.cc
@@ -74,23 +74,26 @@
       caller.expected_output_tokens.value_or(caller.max_output_tokens);
   query_.body_bytes = admitted_.request.body.size();
   state_.BudgetOf(service_).OnRequest();
-  if (ShedsLoad()) {
-    const auto after =
-        state_.stream_loads[admitted_.route->name].shedder.ReturnAfter();
-    return Refuse("upstreams are overloaded", after);
-  }
+  if (ShedLoad()) return;
   TrySend();
 }
 
-bool RequestFlight::ShedsLoad() {
-  if (admitted_.route->kind != RouteKind::kStreaming) return false;
-  const auto it = state_.stream_loads.find(admitted_.route->name);
+bool RequestFlight::ShedLoad() {
+  const GatewayRoute& route = *admitted_.route;
+  const auto it = state_.stream_loads.find(route.name);
   if (it == state_.stream_loads.end()) return false;
+  const milliseconds begins = it->second.first_event.mean();
   LoadShedder& shedder = it->second.shedder;
-  shedder.Update(it->second.first_event.mean(), admitted_.route->target_latency,
-                 state_.Now());
+  shedder.Update(begins, route.target_latency, state_.Now());
   const std::string& id = admitted_.caller.attempt_id;
-  return shedder.Refuses(XXH3_64bits(id.data(), id.size()));
+  if (!shedder.Refuses(XXH3_64bits(id.data(), id.size()))) return false;
+  state_.log.Write(LogKind::kFailure, state_.Now(),
+                   "event=load_shed id={} route={} begins_ms={} target_ms={} "
+                   "share={:.2f}",
+                   id, route.name, begins.count(), route.target_latency.count(),
+                   shedder.share());
+  Refuse("upstreams are overloaded", shedder.ReturnAfter());
+  return true;
 }
 
 ServiceId RequestFlight::PickService() {
@@ -331,6 +334,7 @@
 }
 
 void RequestFlight::NoteFirstEventTime(TimePoint now) {
+  if (admitted_.route->kind != RouteKind::kStreaming) return;
   state_.stream_loads[admitted_.route->name].first_event.OnSample(
       std::chrono::duration_cast<milliseconds>(now - attempt_->sent_at));
 }
--- a/src/gateway/request_flight.h
+++ b/src/gateway/request_flight.h
@@ -71,8 +71,9 @@
   void ArmTimer();
   void OnTimer();
   /// When the attempt under way counts as stuck, if it may be repeated.
-  /// Decides whether the request is one of those refused under overload.
-  bool ShedsLoad();
+  /// Refuses the request if it is one of the share shed under overload.
+  /// @return true if it was refused
+  bool ShedLoad();
   /// How long before its weights are due an upstream gets nothing more.
   std::chrono::milliseconds WeightsReserve() const;
   /// How long the attempt may send nothing before it counts as stuck.
--- a/src/log_story.cc
+++ b/src/log_story.cc
@@ -28,10 +28,18 @@
   return std::string(value);
 }
 
-/// Describes the last failed attempt; empty if there is none.
+/// Describes why it was not sent, or its last failed attempt; empty if neither
+/// is told.
 std::string CauseOf(const std::vector<LogLine>& lines) {
   std::string cause;
   for (const LogLine& line : lines) {
+    if (line.Field("event") == "load_shed") {
+      return fmt::format(
+          "answers of {} took {} ms to begin instead of {}, so a share of {} "
+          "was refused",
+          line.Field("route"), line.Field("begins_ms"), line.Field("target_ms"),
+          line.Field("share"));
+    }
     if (line.Field("event") != "attempt_ended") continue;
     cause = fmt::format("attempt {} at {} ended as {} ({})",
                         line.Field("attempt"), line.Field("upstream"),
--- a/test/log_story_test.cc
+++ b/test/log_story_test.cc
@@ -71,6 +71,18 @@
         "connection; i-1 had sent nothing for 3150 ms.");
 }
 
+TEST_CASE("A refusal under overload tells how late answers began") {
+  const std::string shed =
+      "time=1 event=load_shed id=5 route=r-1 begins_ms=900 target_ms=400 "
+      "share=0.31";
+  const std::string done =
+      "time=1 event=request_done id=5 outcome=refused status=503 total_ms=0 "
+      "reason=\"upstreams are overloaded\"";
+  CHECK(ExplainRequest(Parse({shed, done}), "5").verdict ==
+        "Ended as refused with status 503 after 0 ms: answers of r-1 took 900 "
+        "ms to begin instead of 400, so a share of 0.31 was refused.");
+}
+
 TEST_CASE("A request that went well is said so") {
   const auto lines =
       Parse({"time=3 event=request_done id=4 outcome=complete status=200 "
