--- a/include/yuccapick/log_story.h
+++ b/include/yuccapick/log_story.h
@@ -18,14 +18,18 @@
   std::int64_t time_ms = 0;  ///< Unix time; 0 if the line has none.
   std::vector<std::pair<std::string, std::string>> fields;
   std::string text;
+  std::string source;  ///< Tells processes apart.
 
   /// @return the field's value, or empty
   std::string_view Field(std::string_view name) const;
 };
 
-/// Anything before `time=` is skipped, so lines of a collector can be read.
+/// Before `time=` a collector may put the process's name, which is part of the
+/// line's source.
+/// @param file that the line was read from
 /// @return nothing if the line is no log line of ours
-std::optional<LogLine> ParseLogLine(std::string_view text);
+std::optional<LogLine> ParseLogLine(std::string_view text,
+                                    std::string_view file = {});
 
 /// One request's lines in order of time, with what changed around its
 /// attempts.
--- a/src/log_story.cc
+++ b/src/log_story.cc
@@ -28,6 +28,15 @@
   return std::string(value);
 }
 
+/// The word before the line's own text, where collectors of several logs put
+/// the process.
+std::string_view LastWord(std::string_view prefix) {
+  const std::size_t end = prefix.find_last_not_of(' ');
+  if (end == std::string_view::npos) return {};
+  prefix = prefix.substr(0, end + 1);
+  return prefix.substr(prefix.find_last_of(' ') + 1);
+}
+
 /// Describes why it was not sent, or its last failed attempt; empty if neither
 /// is told.
 std::string CauseOf(const std::vector<LogLine>& lines) {
@@ -108,12 +117,15 @@
   }
   const std::int64_t from = own.front().time_ms - kBeforeMs;
   const std::int64_t to = own.back().time_ms;
+  const std::string& source = own.front().source;
   for (const LogLine& line : lines) {
     if (line.time_ms < from || line.time_ms > to) continue;
     const bool upstream_changed =
         line.Field("event") == "upstream_changed" &&
         upstreams.contains(std::string(line.Field("upstream")));
-    if (upstream_changed || kLifeEvents.contains(line.Field("event"))) {
+    const bool own_process =
+        line.source == source && kLifeEvents.contains(line.Field("event"));
+    if (upstream_changed || own_process) {
       around.push_back(line);
     }
   }
@@ -130,10 +142,12 @@
   return {};
 }
 
-std::optional<LogLine> ParseLogLine(std::string_view text) {
+std::optional<LogLine> ParseLogLine(std::string_view text,
+                                    std::string_view file) {
   const std::size_t start = text.find("time=");
   if (start == std::string_view::npos) return std::nullopt;
   LogLine line;
+  line.source = fmt::format("{}:{}", file, LastWord(text.substr(0, start)));
   line.text = std::string(text.substr(start));
   const std::string_view rest = line.text;
   std::size_t at = 0;
--- a/src/shell/explain_command.cc
+++ b/src/shell/explain_command.cc
@@ -24,16 +24,17 @@
     "              input if none is given\n"
     "  --help      print this text\n";
 
-void ReadLines(std::istream& in, std::vector<LogLine>& lines) {
+void ReadLines(std::istream& in, const std::string& file,
+               std::vector<LogLine>& lines) {
   std::string text;
   while (std::getline(in, text)) {
-    if (auto line = ParseLogLine(text)) lines.push_back(*std::move(line));
+    if (auto line = ParseLogLine(text, file)) lines.push_back(*std::move(line));
   }
 }
 
 bool ReadFiles(const std::vector<std::string>& files,
                std::vector<LogLine>& lines) {
-  if (files.empty()) ReadLines(std::cin, lines);
+  if (files.empty()) ReadLines(std::cin, "", lines);
   for (const std::string& name : files) {
     std::ifstream file(name);
     if (!file) {
@@ -41,7 +42,7 @@
                    name.c_str());
       return false;
     }
-    ReadLines(file, lines);
+    ReadLines(file, name, lines);
   }
   return true;
 }
--- a/test/log_story_test.cc
+++ b/test/log_story_test.cc
@@ -83,6 +83,17 @@
         "ms to begin instead of 400, so a share of 0.31 was refused.");
 }
 
+TEST_CASE("What befell other processes is not told of a request") {
+  const std::string done =
+      "gw-1 time=9 event=request_done id=5 outcome=cancelled status=0 "
+      "upstream=i-1 total_ms=5 silent_ms=5 reason=\"caller left\"";
+  const std::string other = "gw-2 time=8 event=drain_started";
+  const std::string own = "gw-1 time=8 event=drain_started";
+  CHECK(ExplainRequest(Parse({done, other}), "5").verdict.ends_with("5 ms."));
+  CHECK(ExplainRequest(Parse({done, own}), "5")
+            .verdict.ends_with("; its gateway was stopping."));
+}
+
 TEST_CASE("A request that went well is said so") {
   const auto lines =
       Parse({"time=3 event=request_done id=4 outcome=complete status=200 "
