Take a lost rollout duty over sooner, and not wait for its first engines

(1) Observers counted the term from their first read, made when the holder's reports had ended. (2) The successor's planner began with the engines with the least work, which were those that its predecessor had drained and announced: just these had to wait for the gap.

Change: reports carry the holder's last confirmed write, and an observer that reads the same row counts from when it heard of it. Engines whose orders would be too near are held back by the planner.

--- a/include/yuccapick/lease.h
+++ b/include/yuccapick/lease.h
@@ -5,6 +5,7 @@
 /// A lease over one row of the table service, with a fencing token.
 
 #include <chrono>
+#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -27,6 +28,14 @@
   bool operator==(const LeaseRow&) const = default;
 };
 
+/// Names one write of a lease's row.
+struct LeaseWrite {
+  FencingToken fence;
+  std::uint64_t write = 0;
+
+  auto operator<=>(const LeaseWrite&) const = default;
+};
+
 std::string SerialiseLease(const LeaseRow& row);
 /// @return nothing if the bytes are no lease row
 std::optional<LeaseRow> ParseLease(const std::string& bytes);
@@ -67,6 +76,9 @@
   /// @param row as read; version 0 if absent; nothing if the read failed
   void OnRead(const std::optional<TableRow>& row, TimePoint now);
   void OnCommitted(const CommitResult& result, TimePoint now);
+  /// The holder told that `write` is in the row. Its term began before, so an
+  /// observer counts from here if it reads the same row later.
+  void OnHeard(const LeaseWrite& write, TimePoint now);
   /// What the next holder has to know if this one dies. A holder writes it at
   /// once; until a holder has set one, its predecessor's note stays.
   void SetNote(std::string note);
@@ -85,6 +97,9 @@
   const std::string& predecessor() const { return predecessor_; }
   /// What that holder, or one before it, left.
   const std::string& predecessor_note() const { return predecessor_note_; }
+  /// This process's last write that is known to be in the row, for others to
+  /// hear of.
+  const LeaseWrite& confirmed() const { return confirmed_; }
   /// True while a call's answer is awaited.
   bool busy() const { return busy_; }
   /// True once a lease that was handed back cannot be this process's any more.
@@ -110,6 +125,9 @@
   std::string predecessor_note_;
   std::optional<std::string> note_;  ///< To be in the row.
   std::uint64_t writes_ = 0;
+  LeaseWrite heard_;  ///< Newest write of any holder heard of.
+  TimePoint heard_at_;
+  LeaseWrite confirmed_;
   LeaseRow sent_;  ///< Last write.
   TimePoint sent_at_;
   TimePoint valid_until_;
--- a/include/yuccapick/order_history.h
+++ b/include/yuccapick/order_history.h
@@ -50,6 +50,8 @@
   /// False while the upstream is not announced, or an order of the predecessor
   /// may be too near.
   bool MayOrder(const UpstreamId& upstream, TimePoint now) const;
+  /// Upstreams that an order of the predecessor may be too near.
+  std::set<UpstreamId> TooNear(TimePoint now) const;
   /// Note for the case that the holder dies: what it may order.
   std::string Announcement() const;
   /// Note for the next holder: upstreams and the ages of their orders.
--- a/include/yuccapick/peer_report.h
+++ b/include/yuccapick/peer_report.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "yuccapick/ids.h"
+#include "yuccapick/lease.h"
 #include "yuccapick/part_directory.h"
 #include "yuccapick/upstream_load.h"
 #include "yuccapick/upstream_roster.h"
@@ -54,6 +55,7 @@
   /// Tokens that the sender's requests moved over the KV store's link since
   /// its last report.
   std::uint64_t kv_store_tokens = 0;
+  LeaseWrite rollout_lease;  ///< If it holds the rollout duty.
 };
 
 /// Newest report of each peer.
--- a/include/yuccapick/rollout_planner.h
+++ b/include/yuccapick/rollout_planner.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -63,10 +64,10 @@
   std::chrono::milliseconds limit{12'000};
   double limit_use = 0.75;
   /// But not more than this share of the engines: the others carry the load.
-  double max_out_of_service = 0.25;
+  double max_out_of_service = 1.0 / 3.0;
   /// Engines whose requests have not ended may get orders beyond those that
   /// load at once, up to this many times as many in all.
-  double max_ordered = 1.5;
+  double max_ordered = 2.0;
   /// Time that one engine takes, before any was measured.
   std::chrono::milliseconds first_cycle{2'000};
   /// While engines have no more than this to read on average, one more than
@@ -104,6 +105,10 @@
   std::vector<RolloutAction> OnTick(
       const std::map<ModelId, WeightNumber>& named,
       const UpstreamRoster& roster, const UpstreamLoad& load, TimePoint now);
+  /// Begins nothing with these upstreams until they are left out again.
+  void HoldBack(std::set<UpstreamId> upstreams) {
+    held_back_ = std::move(upstreams);
+  }
   void OnOrderAnswer(const UpstreamId& upstream, OrderAnswer answer,
                      TimePoint now);
   /// @param report nothing if the upstream did not answer
@@ -181,6 +186,7 @@
   RolloutOptions options_;
   Tasks tasks_;
   std::uint64_t tasks_begun_ = 0;
+  std::set<UpstreamId> held_back_;
   std::map<UpstreamId, TimePoint> aside_until_;
   std::size_t engines_ = 0;  ///< That do not leave.
   std::size_t at_once_ = 1;
--- a/src/gateway/gateway_process_peers.cc
+++ b/src/gateway/gateway_process_peers.cc
@@ -33,6 +33,7 @@
   if (report.instance == state_.settings.instance) return;
   if (!peers_.OnReport(report, now)) return;
   state_.load.OnPeerReport(report.instance, report.work, now);
+  if (report.holds_rollout) rollout_->OnHolderHeard(report.rollout_lease);
   state_.parts.OnExported(report.exported, now);
   state_.kv_store_link.OnTransfer(report.kv_store_tokens, now);
   for (const PartNews& news : report.parts) {
@@ -98,6 +99,7 @@
   report.operator_rows = operator_watch_->mirror().newest_change();
   report.upstream_rows = upstream_watch_->mirror().newest_change();
   report.holds_rollout = rollout_->holds();
+  if (report.holds_rollout) report.rollout_lease = rollout_->confirmed();
   report.leaving = draining_;
   report.kv_store_lost =
       !state_.kv_store_usable && cache_watch_.watches_kv_store();
--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -51,7 +51,8 @@
           v.instance, v.life, v.sequence, v.endpoint, v.store_in_touch,
           v.config, v.operator_rows, v.upstream_rows, v.holds_rollout,
           v.leaving, v.kv_store_lost, v.work, v.loading, v.weights, v.exported,
-          v.parts, v.kv_store_tokens);
+          v.parts, v.kv_store_tokens, v.rollout_lease.fence,
+          v.rollout_lease.write);
     }
   };
   struct MirrorRowFields {
--- a/src/gateway/rollout_duty.cc
+++ b/src/gateway/rollout_duty.cc
@@ -118,8 +118,13 @@
   RunPlanner();
 }
 
+void RolloutDuty::OnHolderHeard(const LeaseWrite& write) {
+  lease_.OnHeard(write, LeaseNow());
+}
+
 void RolloutDuty::RunPlanner() {
   if (!MayOrder()) return;
+  planner_.HoldBack(orders_.TooNear(LeaseNow()));
   for (const RolloutAction& action :
        planner_.OnTick(state_.named_weights.AllNewest(), state_.roster,
                        state_.load, state_.Now())) {
--- a/src/gateway/rollout_duty.h
+++ b/src/gateway/rollout_duty.h
@@ -27,11 +27,15 @@
   /// Called often; starts the calls that are due.
   /// @param other_holder a peer said lately that it holds the duty
   void OnTick(bool other_holder);
+  /// A peer that holds the duty told of its last write.
+  void OnHolderHeard(const LeaseWrite& write);
   /// Hands the lease back; no order is given any more.
   void Retire();
 
   /// True if this process holds the lease now.
   bool holds() const;
+  /// Last write of the lease's row, for peers.
+  const LeaseWrite& confirmed() const { return lease_.confirmed(); }
   bool retired() const { return lease_.released(); }
   /// True if this process holds the duty and upstreams still lack weights.
   bool HasWork() const { return holds() && !planner_.idle(); }
--- a/src/lease.cc
+++ b/src/lease.cc
@@ -1,5 +1,6 @@
 #include "yuccapick/lease.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -96,6 +97,15 @@
   own_row_ = value_ && value_->holder == options_.holder &&
              value_->life == options_.life;
   if (!own_row_) valid_until_ = TimePoint();
+  const bool heard =
+      value_ && heard_ == LeaseWrite{value_->fence, value_->write};
+  if (heard) observed_since_ = std::min(*observed_since_, heard_at_);
+}
+
+void Lease::OnHeard(const LeaseWrite& write, TimePoint now) {
+  if (write <= heard_) return;
+  heard_ = write;
+  heard_at_ = now;
 }
 
 void Lease::OnRead(const std::optional<TableRow>& row, TimePoint now) {
@@ -106,7 +116,10 @@
   Observe(*row, now);
   // A write whose answer was lost took effect: its term began when it was sent.
   const bool settled = own_row_ && value_ == sent_;
-  if (settled) valid_until_ = sent_at_ + HolderTerm();
+  if (settled) {
+    valid_until_ = sent_at_ + HolderTerm();
+    confirmed_ = {sent_.fence, sent_.write};
+  }
   const bool note_due = own_row_ && note_ && *note_ != value_->note;
   if (note_due) next_call_ = now;
 }
@@ -123,6 +136,7 @@
   }
   own_row_ = true;
   valid_until_ = sent_at_ + HolderTerm();
+  confirmed_ = {sent_.fence, sent_.write};
 }
 
 void Lease::SetNote(std::string note) {
--- a/src/order_history.cc
+++ b/src/order_history.cc
@@ -83,6 +83,14 @@
   return it == predecessor_.end() || now - it->second >= gap_;
 }
 
+std::set<UpstreamId> OrderHistory::TooNear(TimePoint now) const {
+  std::set<UpstreamId> near;
+  for (const auto& [upstream, ordered_at] : predecessor_) {
+    if (now - ordered_at < gap_) near.insert(upstream);
+  }
+  return near;
+}
+
 std::string OrderHistory::Announcement() const {
   Json note = Json::object();
   for (const UpstreamId& upstream : announced_) note[upstream.value] = 0;
--- a/src/rollout_planner.cc
+++ b/src/rollout_planner.cc
@@ -43,6 +43,7 @@
   std::vector<Outdated> outdated;
   for (const UpstreamEntry* upstream : roster.All()) {
     if (upstream->leaving || tasks_.contains(upstream->id)) continue;
+    if (held_back_.contains(upstream->id)) continue;
     const auto aside = aside_until_.find(upstream->id);
     if (aside != aside_until_.end() && now < aside->second) continue;
     auto found = OutdatedModel(*upstream, named);
--- a/test/lease_test.cc
+++ b/test/lease_test.cc
@@ -251,6 +251,13 @@
             fate < 3 ? static_cast<Fate>(fate) : Fate::kAnswered;
         processes[who].Step(now_fate, local(who, elapsed));
       }
+      for (int who = 0; who < 2; ++who) {
+        const Lease& other = processes[1 - who].lease();
+        if (fate == 4 && other.MayAct(local(1 - who, elapsed))) {
+          processes[who].lease().OnHeard(other.confirmed(),
+                                         local(who, elapsed));
+        }
+      }
       const bool first = processes[0].lease().MayAct(local(0, elapsed));
       const bool second = processes[1].lease().MayAct(local(1, elapsed));
       acted[0] += first ? 1 : 0;
@@ -261,6 +268,38 @@
   });
 }
 
+TEST_CASE("An observer that heard of the last renewal takes over sooner") {
+  FakeRow table;
+  Process holder(table, "a", 1);
+  Process observer(table, "b", 2);
+  TimePoint now = Run(holder, kStart, milliseconds(1'000));
+  REQUIRE(holder.lease().MayAct(now));
+  observer.lease().OnHeard(holder.lease().confirmed(), now);
+  // The holder dies; the observer asks the store only a second later.
+  const TimePoint died = now;
+  now += milliseconds(1'000);
+  while (!observer.lease().MayAct(now)) {
+    observer.Step(Fate::kAnswered, now += milliseconds(50));
+  }
+  const LeaseOptions options;
+  CHECK(now - died >= options.term);
+  CHECK(now - died < options.term + milliseconds(600));
+}
+
+TEST_CASE("What was heard of an older renewal is no reason to take over") {
+  FakeRow table;
+  Process holder(table, "a", 1);
+  Process observer(table, "b", 2);
+  TimePoint now = Run(holder, kStart, milliseconds(1'000));
+  observer.lease().OnHeard(holder.lease().confirmed(), now);
+  now = Run(holder, now, milliseconds(2'900));
+  const TimePoint first_read = now;
+  while (!observer.lease().MayAct(now)) {
+    observer.Step(Fate::kAnswered, now += milliseconds(50));
+  }
+  CHECK(now - first_read >= LeaseOptions().term);
+}
+
 TEST_CASE("An observer with a fast clock waits for the whole term") {
   FakeRow table;
   Process holder(table, "router-1", 1);
--- a/test/order_history_test.cc
+++ b/test/order_history_test.cc
@@ -76,6 +76,8 @@
   REQUIRE(second.TakeOverLapsed(first.Announcement(), lapsed));
   Announce(second, {kA, kB}, lapsed);
   CHECK(second.MayOrder(kB, lapsed));
+  CHECK(second.TooNear(lapsed) == std::set<UpstreamId>{kA});
+  CHECK(second.TooNear(lapsed + kGap).empty());
   CHECK_FALSE(second.MayOrder(kA, lapsed + milliseconds(2'999)));
   CHECK(second.MayOrder(kA, lapsed + kGap));
 }
