--- a/src/gateway/ingress_session.cc
+++ b/src/gateway/ingress_session.cc
@@ -207,7 +207,8 @@
 void IngressSession::Flush() {
   if (waiting_to_write_ || closed_) return;
   asio::error_code ec;
-  out_sent_ += stream_->WriteSome(std::string_view(out_).substr(out_sent_), ec);
+  const std::string_view all = out_;
+  out_sent_ += stream_->WriteSome(all.substr(out_sent_), ec);
   if (out_sent_ < out_.size()) {
     if (ec != asio::error::would_block || unsent_bytes() > kMaxUnsentBytes) {
       return Abort();
--- a/src/lease.cc
+++ b/src/lease.cc
@@ -52,8 +52,9 @@
   const LeaseRow current = value_.value_or(LeaseRow());
   if (own_row_) {
     const std::string note = note_.value_or(current.note);
-    if (leaving_)
+    if (leaving_) {
       return Write({"", Incarnation(), current.fence, 0, note}, now);
+    }
     const bool renewed = MayAct(now) && now < sent_at_ + options_.renew_every;
     if (renewed && note == current.note) return std::nullopt;
     return Write({options_.holder, options_.life, current.fence, 0, note}, now);
--- a/src/rollout_planner.cc
+++ b/src/rollout_planner.cc
@@ -65,8 +65,9 @@
   std::size_t ordered = 0;
   std::size_t loading = 0;
   for (const auto& [upstream, task] : tasks_) {
-    if (task.stage != Stage::kOrdered && task.stage != Stage::kLoading)
-      continue;
+    const bool has_order =
+        task.stage == Stage::kOrdered || task.stage == Stage::kLoading;
+    if (!has_order) continue;
     ++ordered;
     // The others end their requests first.
     if (load.Total(upstream, now).requests == 0) ++loading;
--- a/src/shell/caller_duty.cc
+++ b/src/shell/caller_duty.cc
@@ -164,8 +164,8 @@
   }
   auto& request = std::get<CallerRequest>(parsed);
   request.id = id;
-  Submit(id, {exchange, request.streamed, false},
-         RequestArrived{std::move(request)});
+  Pending pending{exchange, request.streamed, false};
+  Submit(id, std::move(pending), RequestArrived{std::move(request)});
 }
 
 void CallerDuty::TakeQuery(const HttpCall& call, const TeamId& team,
