Split what a request does in time from what it sends

Three invented deployments check the settings: one machine without seeds, many zones with broken numbers, no bounds at all.

--- a/src/gateway/request_flight.cc
+++ b/src/gateway/request_flight.cc
@@ -19,24 +19,11 @@
 /// Callers that found no upstream may come back after this.
 constexpr milliseconds kRetryAfter{150};
 
-/// An attempt that may be repeated is given up when its upstream has sent
-/// nothing to anybody for this long, or three times as long otherwise.
-constexpr milliseconds kMinPatience{350};
-constexpr milliseconds kMinGapPatience{700};
-constexpr double kGapPatience = 1.75;
-constexpr int kPatienceIfOthersAreServed = 3;
-
 /// Part of a shared prefix's memory that one request accounts for.
 constexpr double kSharedMemoryPart = 0.5;
 
 constexpr int kLeastUrgent = 9;
 
-/// A request may wait at an upstream before it begins: as long as answers take
-/// at present, between these bounds.
-constexpr milliseconds kLeastWeightsReserve{700};
-constexpr milliseconds kMostWeightsReserve{2'000};
-constexpr int kWeightsReserveFactor = 2;
-
 /// Statuses that promise a caller that its request has not run.
 bool PromisesNotRun(int status) {
   return status == kHttpRequestTimeout || status == kHttpMisdirected ||
@@ -119,13 +106,6 @@
   return it->second;
 }
 
-milliseconds RequestFlight::WeightsReserve() const {
-  const auto it = state_.stream_loads.find(admitted_.route->name);
-  if (it == state_.stream_loads.end()) return kMostWeightsReserve;
-  return std::clamp(it->second.first_event.Limit() * kWeightsReserveFactor,
-                    kLeastWeightsReserve, kMostWeightsReserve);
-}
-
 PlacementFleet RequestFlight::Fleet() const {
   PlacementFleet fleet;
   const GatewayConfig& config = *admitted_.config;
@@ -266,79 +246,6 @@
   ArmTimer();
 }
 
-void RequestFlight::ArmTimer() {
-  if (done_) return;
-  TimePoint when = deadline_;
-  if (const auto stuck_at = StuckAt()) when = std::min(when, *stuck_at);
-  timer_.expires_at(when);
-  std::weak_ptr<RequestFlight> weak = weak_from_this();
-  timer_.async_wait([weak](const asio::error_code& ec) {
-    const auto self = weak.lock();
-    if (!ec && self != nullptr) self->OnTimer();
-  });
-}
-
-milliseconds RequestFlight::Patience() const {
-  if (attempt_->first_event) {
-    return std::max(kMinGapPatience,
-                    std::chrono::duration_cast<milliseconds>(
-                        admitted_.route->target_event_gap * kGapPatience));
-  }
-  const milliseconds least =
-      std::max(kMinPatience, admitted_.route->target_latency);
-  // Half of the time is left for another upstream.
-  const auto most = std::chrono::duration_cast<milliseconds>(
-      (deadline_ - attempt_->sent_at) / 2);
-  const auto it = state_.stream_loads.find(admitted_.route->name);
-  if (it == state_.stream_loads.end()) return least;
-  return std::max(least, std::min(most, it->second.first_event.Limit()));
-}
-
-std::optional<TimePoint> RequestFlight::StuckAt() const {
-  if (!attempt_ || !admitted_.route->MayRepeat()) return std::nullopt;
-  const milliseconds patience = Patience();
-  const TimePoint since = attempt_->last_progress;
-  const bool silent = state_.health.SilentSince(attempt_->upstream.id, since);
-  const TimePoint first = since + patience;
-  if (silent || state_.Now() < first) return first;
-  return since + patience * kPatienceIfOthersAreServed;
-}
-
-void RequestFlight::OnTimer() {
-  if (done_) return;
-  const TimePoint now = state_.Now();
-  if (now >= deadline_) {
-    may_have_run_ = may_have_run_ || attempt_.has_value();
-    ReleaseAttempt();
-    return Conclude(AttemptEnd::kTimedOut, "time limit reached");
-  }
-  const auto stuck_at = StuckAt();
-  if (!stuck_at || now < *stuck_at) return ArmTimer();
-  // Giving up an answer under way pays only if it can be had elsewhere.
-  if (arrivals_ + 1 >= admitted_.route->max_attempts || !HasUntriedUpstream() ||
-      !state_.BudgetOf(service_).MayTake()) {
-    attempt_->last_progress = now;
-    return ArmTimer();
-  }
-  const UpstreamId upstream = attempt_->upstream.id;
-  if (state_.health.SilentSince(upstream, attempt_->last_progress)) {
-    state_.health.OnUnreachable(upstream, now);
-  } else {
-    state_.health.OnFailure(upstream, now);
-  }
-  if (!attempt_->first_event) NoteFirstEventTime(now);
-  ++arrivals_;
-  may_have_run_ = true;
-  ReleaseAttempt();
-  Conclude(AttemptEnd::kBroken, "upstream is silent");
-}
-
-void RequestFlight::NoteFirstEventTime(TimePoint now) {
-  if (admitted_.route->kind != RouteKind::kStreaming) return;
-  state_.stream_loads[admitted_.route->name].first_event.OnSample(
-      std::chrono::duration_cast<milliseconds>(now - attempt_->sent_at));
-}
-
 void RequestFlight::ReleaseAttempt() {
   if (!attempt_) return;
   state_.load.End(attempt_->upstream.id, attempt_->amount);
@@ -410,9 +317,4 @@
   }
 }
 
-milliseconds RequestFlight::TimeLeft(TimePoint now) const {
-  return std::max(milliseconds(0),
-                  std::chrono::duration_cast<milliseconds>(deadline_ - now));
-}
-
 }  // namespace yuccapick
--- a/test/platform/messages_test.cc
+++ b/test/platform/messages_test.cc
@@ -109,6 +109,51 @@
   CHECK_FALSE(platform::LoadSettingsFile("/no/such/file").ok());
 }
 
+/// Settings of an invented deployment.
+std::string ShapeSettings(const std::string& zone, const std::string& seeds,
+                          const std::string& bounds) {
+  return R"({"nodeName":"n","ip":"10.9.0.1","listen":{"front":"10.9.0.1:1",
+      "ready":"10.9.0.1:2"},"internalPorts":[3,4],"zone":")" +
+         zone + R"(","seeds":)" + seeds + R"(,"bounds":)" + bounds +
+         R"(,"platform":{"address":"10.9.9.9:5"}})";
+}
+
+TEST_CASE("A deployment of one zone and one machine needs no seeds") {
+  const auto settings = platform::DecodeSettings(
+      ShapeSettings("only", "[]", R"({"versionMs":1200,"leaseMs":500})"));
+  REQUIRE(settings.ok());
+  CHECK(settings->domain == FailureDomain("only"));
+  CHECK(settings->seed_endpoints.empty());
+  CHECK(settings->control_endpoint.empty());
+  CHECK(settings->bounds.weights_limit == milliseconds(1'200));
+  CHECK(settings->bounds.lease_gap == milliseconds(500));
+}
+
+TEST_CASE("A deployment of many zones may have wide and broken bounds") {
+  const auto settings = platform::DecodeSettings(
+      ShapeSettings("region-4-zone-9", R"(["10.8.0.1:7","10.8.1.1:7"])",
+                    R"({"versionMs":60000.0,"graceS":0.5,"budgetSlack":4000.5,
+                        "retryBudgetRatio":0.05,"budgetWindowS":2.5})"));
+  REQUIRE(settings.ok());
+  CHECK(settings->seed_endpoints.size() == 2);
+  CHECK(settings->bounds.weights_limit == milliseconds(60'000));
+  CHECK(settings->bounds.shutdown_grace == milliseconds(500));
+  CHECK(settings->bounds.retry_reserve == 4'000.5);
+  CHECK(settings->bounds.retry_share == 0.05);
+  CHECK(settings->bounds.retry_window == milliseconds(2'500));
+}
+
+TEST_CASE("A deployment that names no bounds gets the usual ones") {
+  const auto settings =
+      platform::DecodeSettings(ShapeSettings("a", "[]", "{}"));
+  REQUIRE(settings.ok());
+  CHECK(settings->bounds.weights_limit == GatewayBounds().weights_limit);
+  CHECK(settings->bounds.retry_reserve == GatewayBounds().retry_reserve);
+  CHECK_FALSE(
+      platform::DecodeSettings(ShapeSettings("a", "[]", R"({"graceS":"x"})"))
+          .ok());
+}
+
 TEST_CASE("Rows are decoded, removals among them") {
   const auto answer = platform::DecodeRows(
       R"({"rows":[{"table":"op","part":"","key":"a","value":"aGk=",
