Let somebody always write down when weights were named

No gateway had written the naming time of weights 3: each wrote with chance one half, by the highest number of gateways ever seen, while some were restarting.

Change: twelve writers on average, by the gateways alive: the chance that nobody writes is below one in 100,000 for 1 to 660. A refused or lost write is made again, up to 8 times, and a failed reading too; both failures are logged (the reading's was not).

--- a/src/gateway/naming_times.cc
+++ b/src/gateway/naming_times.cc
@@ -2,7 +2,9 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <string>
+#include <utility>
 
 #include "absl/random/random.h"
 #include "absl/strings/numbers.h"
@@ -17,7 +19,9 @@
 constexpr char kTable[] = "yuccapick-weights";
 constexpr milliseconds kTimeout{800};
 /// Gateways that write a time, on average.
-constexpr double kWriters = 4.0;
+constexpr double kWriters = 12.0;
+constexpr milliseconds kRetryPause{400};
+constexpr int kMaxWrites = 8;
 
 /// Splits `MODEL/WEIGHTS`.
 bool ParseKey(const std::string& key, ModelId& model, WeightNumber& weights) {
@@ -29,28 +33,48 @@
 
 }  // namespace
 
+double NamingWriterShare(std::size_t gateways) {
+  return std::min(1.0, kWriters / static_cast<double>(gateways));
+}
+
 void NamingTimes::Save(const ModelId& model, WeightNumber weights,
                        milliseconds store_time) {
+  const double share = NamingWriterShare(state_.live_peers.size() + 1);
+  if (!absl::Bernoulli(state_.random, share)) return;
+  Write({fmt::format("{}/{}", model.value, weights), store_time, 0});
+}
+
+void NamingTimes::Write(Naming naming) {
   const std::string& store = state_.settings.table_endpoint;
   platform::RowWrite write;
   write.table = kTable;
-  write.key = fmt::format("{}/{}", model.value, weights);
-  write.value = fmt::to_string(store_time.count());
+  write.key = naming.key;
+  write.value = fmt::to_string(naming.store_time.count());
+  // The first time stays.
   write.expected = 0;
-  // A few gateways write, so that the store is not asked by all; the condition
-  // keeps the first time.
-  const double share = kWriters / static_cast<double>(state_.gateway_count);
-  if (!absl::Bernoulli(state_.random, std::min(1.0, share))) return;
+  ++naming.tries;
   calls_.Call(store, platform::EncodeWrite(store, write), kTimeout,
               [self = shared_from_this(),
-               key = write.key](const absl::StatusOr<CallAnswer>& answer) {
-                self->state_.log.Write(
-                    LogKind::kBelief, self->state_.Now(),
-                    "event=naming_time_saved key={} status={}", key,
-                    answer.ok() ? answer->status : 0);
+               naming](const absl::StatusOr<CallAnswer>& answer) {
+                self->OnWritten(naming, answer);
               });
 }
 
+void NamingTimes::OnWritten(Naming naming,
+                            const absl::StatusOr<CallAnswer>& answer) {
+  const int status = answer.ok() ? answer->status : 0;
+  state_.log.Write(LogKind::kBelief, state_.Now(),
+                   "event=naming_time_saved key={} status={} tries={}",
+                   naming.key, status, naming.tries);
+  const bool stored = status == kHttpOk || status == kHttpPreconditionFailed;
+  if (stored || naming.tries >= kMaxWrites) return;
+  auto timer = std::make_shared<asio::steady_timer>(state_.loop, kRetryPause);
+  timer->async_wait([self = shared_from_this(), timer,
+                     naming = std::move(naming)](const asio::error_code& ec) {
+    if (!ec) self->Write(naming);
+  });
+}
+
 void NamingTimes::Load() {
   if (loading_) return;
   loading_ = true;
@@ -64,9 +88,20 @@
 
 void NamingTimes::OnLoaded(const absl::StatusOr<CallAnswer>& answer) {
   loading_ = false;
-  if (!answer.ok() || answer->status != kHttpOk) return;
-  const auto rows = platform::DecodeRows(answer->body);
-  if (!rows.ok()) return;
+  const bool answered = answer.ok() && answer->status == kHttpOk;
+  const auto rows = answered ? platform::DecodeRows(answer->body)
+                             : absl::UnavailableError("no answer");
+  if (!rows.ok()) {
+    state_.log.Write(LogKind::kBelief, state_.Now(),
+                     "event=naming_times_unknown reason=\"{}\"",
+                     rows.status().message().data());
+    retry_timer_.expires_after(kRetryPause);
+    retry_timer_.async_wait(
+        [self = shared_from_this()](const asio::error_code& ec) {
+          if (!ec) self->Load();
+        });
+    return;
+  }
   const TimePoint now = state_.Now();
   for (const MirrorRow& row : rows->rows) {
     ModelId model;
--- a/test/gateway/gateway_world.cc
+++ b/test/gateway/gateway_world.cc
@@ -106,6 +106,11 @@
   Notify();
 }
 
+bool FakeStore::Has(const std::string& table, const std::string& key) const {
+  const auto it = tables_.find(table);
+  return it != tables_.end() && it->second.contains(key);
+}
+
 void FakeStore::Remove(const std::string& table, const std::string& key) {
   tables_[table][key] = {"", ++version_, true};
   Notify();
@@ -168,6 +173,10 @@
       Notify();
     } else if (target == "/rows-tx") {
       const Json put = Json::parse(request->body)["put"][0];
+      if (refused_[put["table"]]-- > 0) {
+        Reply(connection, 503, "");
+        continue;
+      }
       std::string value;
       absl::Base64Unescape(put["value"].get<std::string>(), &value);
       Put(put["table"], put["key"], value);
--- a/test/gateway/gateway_world.h
+++ b/test/gateway/gateway_world.h
@@ -64,6 +64,9 @@
   void Put(const std::string& table, const std::string& key,
            const std::string& value);
   void Remove(const std::string& table, const std::string& key);
+  /// Answers the next `n` writes to `table` with 503.
+  void RefuseWrites(const std::string& table, int n) { refused_[table] = n; }
+  bool Has(const std::string& table, const std::string& key) const;
   /// While false, every call is answered 503.
   void set_up(bool up) { up_ = up; }
   std::string endpoint() const;
@@ -88,6 +91,7 @@
   void Notify();
 
   std::map<std::string, std::map<std::string, Row>> tables_;
+  std::map<std::string, int> refused_;  ///< Writes still to refuse.
   std::uint64_t version_ = 0;
   bool up_ = true;
   std::vector<Watcher> watchers_;
--- /dev/null
+++ b/test/gateway/naming_times_test.cc
@@ -0,0 +1,41 @@
+#include "gateway/naming_times.h"
+
+#include <catch2/catch.hpp>
+#include <cmath>
+
+#include "platform/names.h"
+#include "test/gateway/gateway_world.h"
+
+namespace yuccapick {
+namespace {
+
+constexpr char kTable[] = "yuccapick-weights";
+constexpr char kRoutes[] = R"([{"name":"look","host":"h","prefix":"/",
+ "kind":"idempotent","timeoutMs":1000,"service":"app"}])";
+
+TEST_CASE("However many gateways there are, somebody writes a naming time") {
+  for (const std::size_t n : {1U, 2U, 7U, 8U, 13U, 38U, 100U, 660U}) {
+    const double nobody =
+        std::pow(1.0 - NamingWriterShare(n), static_cast<double>(n));
+    CHECK(nobody < 1e-5);
+  }
+  // At many gateways the store is still not asked by all.
+  CHECK(NamingWriterShare(660) * 660 < 20);
+}
+
+TEST_CASE("A naming time that the store refuses is written again") {
+  GatewayWorld world;
+  FakeUpstream upstream(
+      world.loop, "up-1",
+      [](FakeUpstream::Connection&, const ReceivedRequest&) {});
+  world.PutConfig(1, kRoutes);
+  world.Register(upstream, "app");
+  world.Start();
+  world.store.RefuseWrites(kTable, 2);
+  const std::string key = std::string(platform::kVersionKeyPrefix) + "m";
+  world.store.Put("op", key, R"({"model":"m","version":2})");
+  CHECK(world.RunUntilTrue([&] { return world.store.Has(kTable, "m/2"); }));
+}
+
+}  // namespace
+}  // namespace yuccapick
