Keep a lease holder's orders when it regains the same term

Cause, found by reading the whole change once more: when a renewal came late, a holder that went on under the same fence forgot the orders that it had given and announced.

Change: OrderHistory::BeginTerm starts empty for a new fence only; the waiting time of the term stays too. A test gives an order, regains the term and wants the announcement to name it.

--- a/include/yuccapick/order_history.h
+++ b/include/yuccapick/order_history.h
@@ -25,6 +25,10 @@
 
   // Commands.
 
+  /// The duty was gained. A new term starts empty; the same one, regained after
+  /// its renewal was late, goes on with its orders and its announcement.
+  /// @return true if the term is new
+  bool BeginTerm(FencingToken fence);
   void OnOrder(const UpstreamId& upstream, TimePoint now);
   /// Takes over what the predecessor noted when it handed the duty back.
   /// @return false if the note cannot be read
@@ -43,7 +47,6 @@
   void OnAnnouncementSent();
   /// The announcement sent last has been written.
   void OnAnnouncementWritten() { written_ = sent_; }
-  void Clear();
 
   // Queries.
 
@@ -62,6 +65,7 @@
   std::map<UpstreamId, TimePoint> Recent(TimePoint now) const;
 
   std::chrono::milliseconds gap_;
+  FencingToken term_;
   std::map<UpstreamId, TimePoint> own_;          ///< Last order.
   std::map<UpstreamId, TimePoint> predecessor_;  ///< Last order.
   std::set<UpstreamId> announced_;
--- a/src/gateway/rollout_duty.cc
+++ b/src/gateway/rollout_duty.cc
@@ -146,9 +146,7 @@
                    fence.value, held_fence_.value);
   held_fence_ = fence;
   planner_.Reset();
-  order_from_.reset();
-  if (!gained) return;
-  orders_.Clear();
+  if (!gained || !orders_.BeginTerm(fence)) return;
   order_from_ = now;
   if (!TakeOverOrders(now)) {
     *order_from_ += state_.settings.bounds.lease_gap + kGapReserve;
--- a/src/order_history.cc
+++ b/src/order_history.cc
@@ -12,6 +12,13 @@
 
 }  // namespace
 
+bool OrderHistory::BeginTerm(FencingToken fence) {
+  if (fence == term_) return false;
+  *this = OrderHistory(gap_);
+  term_ = fence;
+  return true;
+}
+
 void OrderHistory::OnOrder(const UpstreamId& upstream, TimePoint now) {
   own_[upstream] = now;
 }
@@ -69,14 +76,6 @@
                 [this](const UpstreamId& id) { return !sent_.contains(id); });
 }
 
-void OrderHistory::Clear() {
-  own_.clear();
-  predecessor_.clear();
-  announced_.clear();
-  sent_.clear();
-  written_.clear();
-}
-
 bool OrderHistory::MayOrder(const UpstreamId& upstream, TimePoint now) const {
   if (!written_.contains(upstream)) return false;
   const auto it = predecessor_.find(upstream);
--- a/test/order_history_test.cc
+++ b/test/order_history_test.cc
@@ -22,6 +22,8 @@
 
 TEST_CASE("The next holder keeps apart from the last one's orders") {
   OrderHistory first(kGap);
+  Announce(first, {kA}, kStart);
+  CHECK(first.MayOrder(kA, kStart));
   first.OnOrder(kA, kStart);
   OrderHistory second(kGap);
   const TimePoint later = kStart + milliseconds(1'000);
@@ -100,6 +102,21 @@
   CHECK_FALSE(third.MayOrder(kA, soon));
 }
 
+TEST_CASE("A term that is regained keeps its orders, a new one starts empty") {
+  OrderHistory history(kGap);
+  REQUIRE(history.BeginTerm(FencingToken(4)));
+  Announce(history, {kA}, kStart);
+  history.OnOrder(kA, kStart);
+  // The lease's renewal was late: the same term goes on.
+  CHECK_FALSE(history.BeginTerm(FencingToken(4)));
+  CHECK(history.MayOrder(kA, kStart));
+  REQUIRE(history.Plan({kB}, kStart + milliseconds(500)));
+  CHECK(history.Announcement() == R"({"a":0,"b":0})");
+  CHECK(history.BeginTerm(FencingToken(6)));
+  CHECK_FALSE(history.MayOrder(kA, kStart));
+  CHECK(history.Announcement() == "{}");
+}
+
 TEST_CASE("A restarted holder goes on at once and still announces its past") {
   OrderHistory first(kGap);
   Announce(first, {kA}, kStart);
