Log pauses of the process and the age assumed for replaced weights

The logs did not tell apart three hypotheses about requests that began on weights that had been replaced too long ago: an age counted from when the gateway learned of the target, a clock that stops while the machine is suspended, and the use of overdue weights where no others are left.

process_paused names the length of a pause and the part of it in which the machine was suspended; weights_named tells from which kind of answer, and of which store time, a target came; request_sent has the age that the gateway assumes. Metrics count pauses and attempts on overdue weights. No decision changes.

--- a/include/yuccapick/target_weights.h
+++ b/include/yuccapick/target_weights.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "yuccapick/ids.h"
@@ -34,6 +35,10 @@
   WeightVersionNumber Newest(const ModelId& model) const;
   /// Newest target of every model.
   std::map<ModelId, WeightVersionNumber> NewestOfAllModels() const;
+  /// When the first version newer than `held` was set; nullopt if there is
+  /// none.
+  std::optional<TimePoint> ReplacedAt(const ModelId& model,
+                                      WeightVersionNumber held) const;
   /// True if a version newer than `held` was set at least `limit` ago.
   bool IsOverdue(const ModelId& model, WeightVersionNumber held,
                  std::chrono::milliseconds limit, TimePoint now) const;
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "gateway/boot_clock.h"
 #include "gateway/http_status.h"
 #include "gateway/proxied_request.h"
 #include "platform/header_fields.h"
@@ -19,6 +20,8 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kTickInterval{100};
+/// A tick that is later than this is logged as a pause of the process.
+constexpr milliseconds kMinPause{600};
 constexpr std::uint64_t kTicksBetweenSweeps = 10;
 constexpr std::uint64_t kTicksBetweenFlushes = 2;
 /// A configuration that neither the store nor a peer has confirmed for this
@@ -93,6 +96,7 @@
                                                    incarnation)),
       target_set_times_(std::make_shared<TargetSetTimes>(state_, table_calls_)),
       cache_watch_(state_, table_calls_),
+      pause_detector_(kMinPause),
       tick_timer_(loop) {
   TableWatchHandler& watch_handler = *this;
   IngressHandler& ingress_handler = *this;
@@ -154,6 +158,9 @@
   gauge("yuccapick_known_prompt_parts", state_.parts.size());
   gauge("yuccapick_caller_connections", ingress_server_->session_count());
   gauge("yuccapick_requests_under_way", ingress_server_->busy_count());
+  AppendMetric(out, "counter", "yuccapick_process_pauses", pauses_);
+  AppendMetric(out, "counter", "yuccapick_attempts_on_overdue_weights",
+               state_.attempts_on_overdue_weights);
   AppendMetric(out, "counter", "yuccapick_log_lines_dropped",
                state_.log.dropped());
   AppendMetric(out, "counter", "yuccapick_log_bytes",
@@ -233,8 +240,18 @@
   return state_.config == nullptr ? CallerLimits() : state_.config->limits();
 }
 
+void GatewayProcess::CheckPause(TimePoint now) {
+  const auto pause = pause_detector_.OnTick(now, BootTimeNow());
+  if (!pause) return;
+  ++pauses_;
+  state_.log.Write(LogKind::kLifecycle, now,
+                   "event=process_paused duration_ms={} suspended_ms={}",
+                   pause->duration.count(), pause->suspended.count());
+}
+
 void GatewayProcess::Tick() {
   const TimePoint now = state_.Now();
+  CheckPause(now);
   for (const RosterChange& change : state_.roster.OnTick(now)) {
     ApplyRosterChange(change);
   }
--- a/src/gateway/gateway_process.h
+++ b/src/gateway/gateway_process.h
@@ -22,6 +22,7 @@
 #include "gateway/rollout_controller.h"
 #include "gateway/table_watch.h"
 #include "gateway/target_set_times.h"
+#include "yuccapick/pause_detector.h"
 
 namespace yuccapick {
 
@@ -72,6 +73,7 @@
   bool Ready() const;
   bool ConfigConfirmed(TimePoint now) const;
   void Tick();
+  void CheckPause(TimePoint now);
   void CheckDrained(TimePoint now);
 
   asio::io_context& loop_;
@@ -94,6 +96,8 @@
   bool operator_rows_read_ = false;
   std::unique_ptr<StatusPages> status_pages_;
   std::unique_ptr<IngressServer> ingress_server_;
+  PauseDetector pause_detector_;
+  std::uint64_t pauses_ = 0;
   asio::steady_timer tick_timer_;
   std::uint64_t ticks_ = 0;
   std::uint64_t not_admitted_ = 0;
--- a/src/gateway/gateway_process_tables.cc
+++ b/src/gateway/gateway_process_tables.cc
@@ -55,8 +55,11 @@
     target_set_times_->Load();
   }
   state_.log.Write(LogKind::kStateChange, state_.Now(),
-                   "event=weights_named model={} weights={} row_version={}",
-                   set->model.value, set->weights, row.version);
+                   "event=weights_named model={} weights={} row_version={} "
+                   "first_read={} store_reachable={} store_time_ms={}",
+                   set->model.value, set->weights, row.version,
+                   !operator_rows_read_, operator_watch_->reachable(),
+                   operator_watch_->store_time().count());
 }
 
 void GatewayProcess::ApplyConfig(const MirrorRow& row) {
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -58,6 +58,8 @@
   PartDirectory parts;
   std::set<UpstreamId> loading;  ///< Upstreams that load new weights.
   TargetWeightsHistory target_weights;
+  /// Attempts sent although the upstream's weights were too old.
+  std::uint64_t attempts_on_overdue_weights = 0;
   /// False while the KV store doesn't answer.
   bool kv_store_usable = true;
   /// A peer that watches the KV store reports that it doesn't answer.
--- a/src/gateway/proxied_request.cc
+++ b/src/gateway/proxied_request.cc
@@ -107,6 +107,16 @@
   return it->second;
 }
 
+milliseconds ProxiedRequest::WeightsReplacedFor(const UpstreamEntry& upstream,
+                                                TimePoint now) const {
+  const std::optional<WeightVersionNumber> weights = WeightsAt(upstream);
+  if (!weights) return milliseconds(0);
+  const std::optional<TimePoint> replaced_at =
+      state_.target_weights.ReplacedAt(admitted_.caller.model, *weights);
+  if (!replaced_at) return milliseconds(0);
+  return std::chrono::duration_cast<milliseconds>(now - *replaced_at);
+}
+
 PlacementFleet ProxiedRequest::Fleet() const {
   PlacementFleet fleet;
   const GatewayConfig& config = *admitted_.config;
@@ -223,6 +233,10 @@
     state_.kv_store_link.OnTransfer(choice.store_tokens, now);
     state_.unreported_kv_store_tokens += choice.store_tokens;
   }
+  const milliseconds replaced_for = WeightsReplacedFor(upstream, now);
+  if (replaced_for >= state_.settings.bounds.stale_weights_limit) {
+    ++state_.attempts_on_overdue_weights;
+  }
   ++attempts_sent_;
   expected_cached_tokens_ = choice.expected_cached_tokens;
   query_.tried.push_back(upstream.id);
@@ -233,13 +247,13 @@
       LogKind::kRequest, now,
       "event=request_sent id={} attempt={} route={} upstream={} cost_ms={:.1f} "
       "prefix={:x} hit_tokens={} missing_tokens={} import_from={} export={} "
-      "weights={} left_ms={} config={}",
+      "weights={} replaced_ms={} left_ms={} config={}",
       admitted_.caller.attempt_id, attempts_sent_, admitted_.route->name,
       upstream.id.value, choice.cost.count(),
       chain.empty() ? 0 : chain.back().hash, choice.expected_cached_tokens,
       choice.missing_tokens,
       choice.import_from.empty() ? "-" : choice.import_from,
-      !choice.export_to.empty(), head.weights.value_or(0),
+      !choice.export_to.empty(), head.weights.value_or(0), replaced_for.count(),
       head.time_left.count(), admitted_.config->version().value);
   const auto self = shared_from_this();
   const auto connection = state_.upstream_connections.Start(
--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -69,6 +69,9 @@
                                     const UpstreamEntry& upstream) const;
   std::optional<WeightVersionNumber> WeightsAt(
       const UpstreamEntry& upstream) const;
+  /// How long ago the upstream's weights were replaced; 0 if they were not.
+  std::chrono::milliseconds WeightsReplacedFor(const UpstreamEntry& upstream,
+                                               TimePoint now) const;
   int Urgency() const;
 
   void ArmTimer();
--- a/src/gateway/rollout_controller.cc
+++ b/src/gateway/rollout_controller.cc
@@ -1,8 +1,8 @@
 #include "gateway/rollout_controller.h"
 
-#include <ctime>
 #include <utility>
 
+#include "gateway/boot_clock.h"
 #include "gateway/http_status.h"
 #include "platform/engine_calls.h"
 #include "platform/table_calls.h"
@@ -92,13 +92,6 @@
 
 }  // namespace
 
-TimePoint LeaseClockNow() {
-  timespec time{};
-  ::clock_gettime(CLOCK_BOOTTIME, &time);
-  return TimePoint(std::chrono::seconds(time.tv_sec) +
-                   std::chrono::nanoseconds(time.tv_nsec));
-}
-
 RolloutController::RolloutController(GatewayState& state, CallClient& calls,
                                      Incarnation incarnation)
     : state_(state),
@@ -107,7 +100,7 @@
       planner_(MakeRolloutOptions(state)),
       orders_(state.settings.bounds.lease_handover_gap + kLeaseGapMargin) {}
 
-bool RolloutController::holds() const { return lease_.IsHeld(LeaseClockNow()); }
+bool RolloutController::holds() const { return lease_.IsHeld(BootTimeNow()); }
 
 std::set<UpstreamId> RolloutController::Loading() const {
   return holds() ? planner_.Loading() : std::set<UpstreamId>();
@@ -121,24 +114,24 @@
 }
 
 void RolloutController::OnPeerLease(const LeaseWrite& write) {
-  lease_.OnWriteReported(write, LeaseClockNow());
+  lease_.OnWriteReported(write, BootTimeNow());
 }
 
 void RolloutController::RunPlanner() {
   if (!MayOrder()) return;
-  planner_.SetExcludedUpstreams(orders_.BlockedByPredecessor(LeaseClockNow()));
+  planner_.SetExcludedUpstreams(orders_.BlockedByPredecessor(BootTimeNow()));
   for (const RolloutAction& action :
        planner_.OnTick(state_.target_weights.NewestOfAllModels(), state_.roster,
                        state_.load, state_.Now())) {
     std::visit([this](const auto& it) { Execute(it); }, action);
   }
-  if (!orders_.AnnounceOrders(planner_.Loading(), LeaseClockNow())) return;
+  if (!orders_.AnnounceOrders(planner_.Loading(), BootTimeNow())) return;
   lease_.SetNote(orders_.Announcement());
   RunLease();
 }
 
 void RolloutController::UpdateHeldFence() {
-  const TimePoint now = LeaseClockNow();
+  const TimePoint now = BootTimeNow();
   const FencingToken fence = lease_.fence(now);
   if (fence == held_fence_) return;
   const bool gained = fence.value != 0;
@@ -172,17 +165,17 @@
 }
 
 void RolloutController::ReleaseLease() {
-  lease_.Release(orders_.HandoverNote(LeaseClockNow()));
+  lease_.Release(orders_.HandoverNote(BootTimeNow()));
 }
 
 bool RolloutController::MayOrder() const {
-  const TimePoint now = LeaseClockNow();
+  const TimePoint now = BootTimeNow();
   return lease_.IsHeld(now) && orders_allowed_from_ &&
          now >= *orders_allowed_from_ && lease_.fence(now) == held_fence_;
 }
 
 void RolloutController::RunLease() {
-  const std::optional<LeaseAction> action = lease_.OnTick(LeaseClockNow());
+  const std::optional<LeaseAction> action = lease_.OnTick(BootTimeNow());
   if (!action) return;
   if (const auto* commit = std::get_if<LeaseCommit>(&*action)) {
     return Commit(commit->transaction);
@@ -201,7 +194,7 @@
 }
 
 void RolloutController::OnRead(const absl::StatusOr<CallAnswer>& answer) {
-  lease_.OnRead(ParseLeaseRow(answer), LeaseClockNow());
+  lease_.OnRead(ParseLeaseRow(answer), BootTimeNow());
   UpdateHeldFence();
   RunLease();
 }
@@ -225,13 +218,13 @@
   CommitResult result;
   result.result = ToWriteResult(answer);
   if (result.result == WriteResult::kApplied) orders_.OnAnnouncementWritten();
-  lease_.OnCommitted(result, LeaseClockNow());
+  lease_.OnCommitted(result, BootTimeNow());
   UpdateHeldFence();
 }
 
 void RolloutController::Execute(const RolloutOrder& order) {
   const UpstreamEntry* upstream = state_.roster.FindUsable(order.upstream);
-  const TimePoint now = LeaseClockNow();
+  const TimePoint now = BootTimeNow();
   if (upstream == nullptr || !MayOrder() ||
       !orders_.MayOrder(order.upstream, now)) {
     return planner_.OnRolloutOrderResult(
--- a/src/gateway/rollout_controller.h
+++ b/src/gateway/rollout_controller.h
@@ -74,10 +74,6 @@
   OrderHistory orders_;
 };
 
-/// Time of the clock for leases, which includes the time that the machine is
-/// suspended.
-TimePoint LeaseClockNow();
-
 }  // namespace yuccapick
 
 #endif  // YUCCAPICK_GATEWAY_ROLLOUT_CONTROLLER_H_
--- a/src/target_weights.cc
+++ b/src/target_weights.cc
@@ -50,17 +50,24 @@
   return newest;
 }
 
-bool TargetWeightsHistory::IsOverdue(const ModelId& model,
-                                     WeightVersionNumber held,
-                                     std::chrono::milliseconds limit,
-                                     TimePoint now) const {
+std::optional<TimePoint> TargetWeightsHistory::ReplacedAt(
+    const ModelId& model, WeightVersionNumber held) const {
   const auto it = targets_.find(model);
-  if (it == targets_.end()) return false;
+  if (it == targets_.end()) return std::nullopt;
+  std::optional<TimePoint> replaced_at;
   for (const TargetVersion& target : it->second) {
     if (target.weights <= held) continue;
-    if (now - target.set_at >= limit) return true;
+    replaced_at = std::min(replaced_at.value_or(target.set_at), target.set_at);
   }
-  return false;
+  return replaced_at;
+}
+
+bool TargetWeightsHistory::IsOverdue(const ModelId& model,
+                                     WeightVersionNumber held,
+                                     std::chrono::milliseconds limit,
+                                     TimePoint now) const {
+  const std::optional<TimePoint> replaced_at = ReplacedAt(model, held);
+  return replaced_at && now - *replaced_at >= limit;
 }
 
 }  // namespace yuccapick
