Cause the late learning of target weights in a test

The test fails on this code: a gateway that reads the change of the target weights 8 s after the store made it still takes the target for new, and sends a request to the engine that lacks it.

--- a/test/gateway/gateway_fixture.cc
+++ b/test/gateway/gateway_fixture.cc
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "absl/strings/escaping.h"
+#include "platform/names.h"
 #include "test/shell/test_address.h"
 
 namespace yuccapick {
@@ -32,6 +33,13 @@
   return request;
 }
 
+Json UpstreamRow(const FakeUpstream& upstream, const std::string& service) {
+  return Json{{"service", service}, {"address", upstream.endpoint()},
+              {"zone", "here"},     {"slots", 4},
+              {"state", "ready"},   {"models", Json::array()},
+              {"sequence", 0},      {"born", 1}};
+}
+
 std::string Parameter(const std::string& target, const std::string& name) {
   const std::size_t at = target.find(name + "=");
   if (at == std::string::npos) return {};
@@ -134,8 +142,9 @@
     }
   }
   if (rows.empty() && with_removed) return {};
-  return Json{
-      {"rows", std::move(rows)}, {"rowVersion", version_}, {"nowMs", 1'000}}
+  return Json{{"rows", std::move(rows)},
+              {"rowVersion", version_},
+              {"nowMs", time_.count()}}
       .dump();
 }
 
@@ -231,19 +240,31 @@
 void GatewayFixture::Register(const FakeUpstream& upstream,
                               const std::string& service,
                               const std::string& state) {
-  const Json entry{{"service", service}, {"address", upstream.endpoint()},
-                   {"zone", "here"},     {"slots", 4},
-                   {"state", state},     {"models", Json::array()},
-                   {"sequence", 0},      {"born", 1}};
+  Json entry = UpstreamRow(upstream, service);
+  entry["state"] = state;
   store.Put("servers", upstream.id(), entry.dump());
 }
 
+void GatewayFixture::RegisterEngine(const FakeUpstream& upstream, int weights) {
+  Json entry = UpstreamRow(upstream, "engines");
+  entry["models"] = Json::array({Json{{"name", "m"}, {"version", weights}}});
+  store.Put("servers", upstream.id(), entry.dump());
+}
+
+void GatewayFixture::PutTargetWeights(int weights) {
+  const std::string key = std::string(platform::kVersionKeyPrefix) + "m";
+  store.Put("op", key, Json{{"model", "m"}, {"version", weights}}.dump());
+}
+
 void GatewayFixture::PutConfig(std::uint64_t version,
                                const std::string& routes) {
   const Json config{
       {"version", version},
       {"routes", Json::parse(routes)},
-      {"services", Json::array({Json{{"name", "app"}, {"maxConns", 100}}})},
+      {"services", Json::array({Json{{"name", "app"}, {"maxConns", 100}},
+                                Json{{"name", "engines"},
+                                     {"maxConns", 100},
+                                     {"engine", Json{{"slots", 4}}}}})},
       {"tenants",
        Json::array({Json{{"name", "moor"}, {"apiKeys", {"key-moor"}}}})}};
   store.Put("op", "config", config.dump());
--- a/test/gateway/gateway_fixture.h
+++ b/test/gateway/gateway_fixture.h
@@ -5,6 +5,7 @@
 /// Runs a gateway on loopback with a scripted store and scripted upstreams.
 
 #include <asio.hpp>
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
@@ -67,6 +68,8 @@
   /// Answers the next `n` writes to `table` with 503.
   void RefuseWrites(const std::string& table, int n) { refused_[table] = n; }
   bool Has(const std::string& table, const std::string& key) const;
+  /// Sets the store's steady clock, which stands still otherwise.
+  void set_time(std::chrono::milliseconds time) { time_ = time; }
   /// While false, every call is answered 503.
   void set_up(bool up) { up_ = up; }
   std::string endpoint() const;
@@ -93,6 +96,7 @@
   std::map<std::string, std::map<std::string, Row>> tables_;
   std::map<std::string, int> refused_;  ///< Writes to refuse, by table.
   std::uint64_t version_ = 0;
+  std::chrono::milliseconds time_{1'000};
   bool up_ = true;
   std::vector<Watcher> watchers_;
   ScriptedServer server_;
@@ -136,7 +140,11 @@
   /// Puts an upstream's row into the store.
   void Register(const FakeUpstream& upstream, const std::string& service,
                 const std::string& state = "ready");
+  /// Puts the row of an engine that has loaded `weights` of the model "m".
+  void RegisterEngine(const FakeUpstream& upstream, int weights);
   void PutConfig(std::uint64_t version, const std::string& routes);
+  /// Sets the target weights of the model "m".
+  void PutTargetWeights(int weights);
   void Start();
   /// Sends a request on a new connection.
   /// @return the bytes received until the answer ends or the connection closes
--- /dev/null
+++ b/test/gateway/stale_weights_test.cc
@@ -0,0 +1,82 @@
+#include <catch2/catch.hpp>
+
+#include "test/gateway/gateway_fixture.h"
+
+namespace yuccapick {
+namespace {
+
+using std::chrono::milliseconds;
+using Connection = FakeUpstream::Connection;
+
+constexpr char kRoutes[] = R"([
+ {"name":"look","host":"crew.example","prefix":"/look/","kind":"idempotent",
+  "timeoutMs":3000,"targetLatencyMs":300,"service":"app","maxAttempts":2},
+ {"name":"tell","host":"crew.example","prefix":"/tell/","kind":"streaming",
+  "timeoutMs":3000,"targetLatencyMs":300,"gapTargetMs":300,
+  "service":"engines","maxAttempts":2,"resumable":true}])";
+
+constexpr milliseconds kStaleWeightsLimit{8'000};
+
+/// A gateway with one engine that has the weights 1 and one with the weights 2,
+/// which is full.
+struct OldAndFullEngine {
+  OldAndFullEngine()
+      : old(fixture.loop, "old",
+            [this](Connection& c, const ReceivedRequest& r) {
+              old.Answer(c, r, 200, "", "Content-Type: text/event-stream\r\n");
+            }),
+        full(fixture.loop, "full",
+             [this](Connection& c, const ReceivedRequest& r) {
+               full.Answer(c, r, 503, "", "X-Not-Executed: full\r\n");
+             }) {
+    fixture.settings.bounds.stale_weights_limit = kStaleWeightsLimit;
+    fixture.PutConfig(1, kRoutes);
+    fixture.RegisterEngine(old, 1);
+    fixture.RegisterEngine(full, 2);
+    fixture.Start();
+  }
+
+  /// Waits until the gateway has a newer configuration, from a later answer of
+  /// the store.
+  void AwaitNewConfig() {
+    fixture.PutConfig(2, std::string(R"([{"name":"new","host":"crew.example",
+      "prefix":"/new/","kind":"idempotent","timeoutMs":3000,"service":"app"},)") +
+                             (kRoutes + 1));
+    REQUIRE(fixture.RunUntilTrue([this] {
+      return !fixture.Ask(CallerRequest("GET", "/new/"))
+                  .starts_with("HTTP/1.1 404");
+    }));
+  }
+
+  std::string AskForStream() {
+    return fixture.Ask(CallerRequest("POST", "/tell/",
+                                     "X-Model: m\r\nX-Token-Count: 10,10\r\n"));
+  }
+
+  GatewayFixture fixture;
+  FakeUpstream old;
+  FakeUpstream full;
+};
+
+TEST_CASE(
+    "Engines get requests until their weights were replaced too long ago") {
+  OldAndFullEngine engines;
+  engines.fixture.PutTargetWeights(2);
+  engines.AwaitNewConfig();
+  CHECK(engines.AskForStream().starts_with("HTTP/1.1 200"));
+  CHECK(engines.old.received().size() == 1);
+}
+
+TEST_CASE("A gateway that learns late of target weights knows their age") {
+  OldAndFullEngine engines;
+  engines.fixture.PutTargetWeights(2);
+  engines.fixture.store.set_time(milliseconds(1'000) + kStaleWeightsLimit);
+  engines.AwaitNewConfig();
+  const std::string answer = engines.AskForStream();
+  CHECK(answer.starts_with("HTTP/1.1 503"));
+  CHECK(answer.find("Retry-After: ") != std::string::npos);
+  CHECK(engines.old.received().empty());
+}
+
+}  // namespace
+}  // namespace yuccapick
