Count the age of target weights by the store's clock

Callers' requests began on weights that had been replaced 8.6 s before, where 8 s is the limit.

Cause: a gateway took the time at which it read a change for the time at which the change was made. A gateway that stood still while the operator set new weights read the change 3.6 to 4.7 s late, and held the weights for that much younger. It also measured the age by a clock that stops while the machine is suspended, and after an outage it saved the time of its first read as the store's.

Suspension was not seen; this covers it as well.

Set times are now times of the store, from the answer that brought a change: the store's time of that answer if the long poll was held, else that of the last answer without the change; after an outage likewise, until the saved time is read; from a peer with its copy of the rows. The store's present time is estimated from the answer with the shortest delay and a clock that counts suspension, so that an answer that lay unread can't set it back.

--- a/include/yuccapick/target_weights.h
+++ b/include/yuccapick/target_weights.h
@@ -10,24 +10,34 @@
 #include <vector>
 
 #include "yuccapick/ids.h"
+#include "yuccapick/store_clock.h"
 #include "yuccapick/upstream_roster.h"
 
 namespace yuccapick {
 
+/// When a weight version was set as a model's target.
+struct TargetSetTime {
+  ModelId model;
+  WeightVersionNumber weights = 0;
+  StoreTime set_at;
+
+  bool operator==(const TargetSetTime&) const = default;
+};
+
 /// Records when each weight version became a model's target, so that requests
 /// stop going in time to upstreams that still lack it.
 class TargetWeightsHistory {
  public:
   // Commands.
 
-  /// @param known_at when this process learned of it
+  /// @param set_at as far as known; not after the true time
   /// @return true if `weights` is newer than every version before
   bool OnTargetSet(const ModelId& model, WeightVersionNumber weights,
-                   TimePoint known_at);
-  /// A version was set before this process learned of it, or was replaced
-  /// before that.
-  void OnTargetSetEarlier(const ModelId& model, WeightVersionNumber weights,
-                          TimePoint set_at);
+                   StoreTime set_at);
+  /// Corrects when a version was set, or adds one that was replaced before this
+  /// process learned of it.
+  void OnSetTimeKnown(const ModelId& model, WeightVersionNumber weights,
+                      StoreTime set_at);
 
   // Queries.
 
@@ -37,16 +47,18 @@
   std::map<ModelId, WeightVersionNumber> NewestOfAllModels() const;
   /// When the first version newer than `held` was set; nullopt if there is
   /// none.
-  std::optional<TimePoint> ReplacedAt(const ModelId& model,
+  std::optional<StoreTime> ReplacedAt(const ModelId& model,
                                       WeightVersionNumber held) const;
   /// True if a version newer than `held` was set at least `limit` ago.
   bool IsOverdue(const ModelId& model, WeightVersionNumber held,
-                 std::chrono::milliseconds limit, TimePoint now) const;
+                 std::chrono::milliseconds limit, StoreTime now) const;
+  /// All recorded versions, for a peer.
+  std::vector<TargetSetTime> SetTimes() const;
 
  private:
   struct TargetVersion {
     WeightVersionNumber weights = 0;
-    TimePoint set_at;
+    StoreTime set_at;
   };
 
   std::map<ModelId, std::vector<TargetVersion>> targets_;  ///< Ascending.
--- a/src/gateway/gateway_process.h
+++ b/src/gateway/gateway_process.h
@@ -52,7 +52,8 @@
   CallerLimits limits() const override;
 
   void OnTableRows(const std::string& table,
-                   const std::vector<MirrorRow>& changes) override;
+                   const std::vector<MirrorRow>& changes,
+                   const RowsOrigin& origin) override;
   void OnTableUnavailable(const std::string& table,
                           std::string_view reason) override;
   void OnTableAnswered(const std::string& table) override;
@@ -65,7 +66,8 @@
   void FetchPeerList();
   PeerReport MakeReport();
   void ExchangeWithPeers(TimePoint now);
-  void ApplyOperatorRow(const MirrorRow& row);
+  void ApplyOperatorRow(const MirrorRow& row, const RowsOrigin& origin);
+  void ApplyTargetWeights(const MirrorRow& row, const RowsOrigin& origin);
   void ApplyUpstreamRow(const MirrorRow& row);
   void ApplyConfig(const MirrorRow& row);
   void ApplyRosterChange(const RosterChange& change);
@@ -93,7 +95,6 @@
   TimePoint next_peer_list_;
   std::optional<TimePoint> behind_since_;  ///< Since when a peer is newer.
   bool registered_ = false;
-  bool operator_rows_read_ = false;
   std::unique_ptr<StatusPages> status_pages_;
   std::unique_ptr<IngressServer> ingress_server_;
   PauseDetector pause_detector_;
--- a/src/gateway/gateway_process_peers.cc
+++ b/src/gateway/gateway_process_peers.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "gateway/boot_clock.h"
 #include "gateway/gateway_process.h"
 #include "gateway/http_status.h"
 
@@ -53,13 +54,23 @@
   state_.log.Write(LogKind::kStateChange, state_.Now(),
                    "event=tables_from_peer operator_as_of={} upstream_as_of={}",
                    tables.operator_rows.as_of, tables.upstream_rows.as_of);
+  if (tables.store_time) {
+    state_.store_clock.OnAnswer(*tables.store_time, BootTimeNow());
+  }
+  auto known = state_.target_weights.NewestOfAllModels();
   operator_watch_->OnPeerSnapshot(tables.operator_rows);
+  for (const TargetSetTime& target : tables.target_set_times) {
+    if (target.weights <= known[target.model]) continue;
+    state_.target_weights.OnSetTimeKnown(target.model, target.weights,
+                                         target.set_at);
+  }
   upstream_watch_->OnPeerSnapshot(tables.upstream_rows);
 }
 
 PeerTables GatewayProcess::TablesForPeers() const {
   return {operator_watch_->mirror().Snapshot(),
-          upstream_watch_->mirror().Snapshot()};
+          upstream_watch_->mirror().Snapshot(),
+          state_.target_weights.SetTimes(), state_.StoreNow()};
 }
 
 void GatewayProcess::RegisterEndpoint() {
--- a/src/gateway/gateway_process_tables.cc
+++ b/src/gateway/gateway_process_tables.cc
@@ -5,20 +5,35 @@
 namespace yuccapick {
 namespace {
 
-using std::chrono::milliseconds;
+std::string_view RowsSourceName(RowsOrigin::Source source) {
+  switch (source) {
+    case RowsOrigin::Source::kRead:
+      return "read";
+    case RowsOrigin::Source::kWatch:
+      return "watch";
+    case RowsOrigin::Source::kPeer:
+      return "peer";
+  }
+  return "unknown";
+}
+
+/// Milliseconds since the clock's epoch, or -1.
+std::int64_t Count(const std::optional<StoreTime>& time) {
+  return time ? time->time_since_epoch().count() : -1;
+}
 
 }  // namespace
 
 void GatewayProcess::OnTableRows(const std::string& table,
-                                 const std::vector<MirrorRow>& changes) {
+                                 const std::vector<MirrorRow>& changes,
+                                 const RowsOrigin& origin) {
   for (const MirrorRow& row : changes) {
     if (table == platform::kOperator) {
-      ApplyOperatorRow(row);
+      ApplyOperatorRow(row, origin);
     } else {
       ApplyUpstreamRow(row);
     }
   }
-  if (table == platform::kOperator) operator_rows_read_ = true;
 }
 
 void GatewayProcess::OnTableUnavailable(const std::string& table,
@@ -38,28 +53,38 @@
   state_.log.Write(LogKind::kLifecycle, state_.Now(), "event=store_regained");
 }
 
-void GatewayProcess::ApplyOperatorRow(const MirrorRow& row) {
+void GatewayProcess::ApplyOperatorRow(const MirrorRow& row,
+                                      const RowsOrigin& origin) {
   if (row.removed) return;
   if (row.key == platform::kConfigKey) return ApplyConfig(row);
-  if (!row.key.starts_with(platform::kVersionKeyPrefix)) return;
+  if (row.key.starts_with(platform::kVersionKeyPrefix)) {
+    ApplyTargetWeights(row, origin);
+  }
+}
+
+void GatewayProcess::ApplyTargetWeights(const MirrorRow& row,
+                                        const RowsOrigin& origin) {
   const auto set = platform::DecodeTargetWeights(row.value);
   if (!set) return;
-  const TimePoint now = state_.Now();
-  if (!state_.target_weights.OnTargetSet(set->model, set->weights, now)) return;
-  // The first read may return a target that was set long ago: its time comes
-  // from the store. Later changes are recent.
-  if (operator_rows_read_ && operator_watch_->reachable()) {
-    target_set_times_->Save(set->model, set->weights,
-                            operator_watch_->store_time());
-  } else {
-    target_set_times_->Load();
+  const std::optional<StoreTime> now = state_.StoreNow();
+  const StoreTime set_at =
+      origin.changed_after.value_or(now.value_or(StoreTime()));
+  if (!state_.target_weights.OnTargetSet(set->model, set->weights, set_at)) {
+    return;
   }
   state_.log.Write(LogKind::kStateChange, state_.Now(),
                    "event=weights_named model={} weights={} row_version={} "
-                   "first_read={} store_reachable={} store_time_ms={}",
+                   "source={} set_after_ms={} store_time_ms={}",
                    set->model.value, set->weights, row.version,
-                   !operator_rows_read_, operator_watch_->reachable(),
-                   operator_watch_->store_time().count());
+                   RowsSourceName(origin.source), Count(origin.changed_after),
+                   Count(now));
+  const TargetSetTime target{set->model, set->weights, set_at};
+  if (origin.source == RowsOrigin::Source::kWatch) {
+    return target_set_times_->Save(target);
+  }
+  // Another gateway may know better. What this one knows is saved if none does.
+  if (origin.changed_after) target_set_times_->SaveIfMissing(target);
+  target_set_times_->Load();
 }
 
 void GatewayProcess::ApplyConfig(const MirrorRow& row) {
--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "gateway/boot_clock.h"
+
 namespace yuccapick {
 namespace {
 
@@ -27,6 +29,10 @@
       placement(settings.domain, {}),
       gateway_count(kInitialGatewayCount) {}
 
+std::optional<StoreTime> GatewayState::StoreNow() const {
+  return store_clock.Now(BootTimeNow());
+}
+
 RetryBudget& GatewayState::RetryBudgetOf(const ServiceId& service) {
   const auto it = budgets.find(service);
   if (it != budgets.end()) return it->second;
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -6,6 +6,7 @@
 
 #include <asio.hpp>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -22,6 +23,7 @@
 #include "yuccapick/peer_report.h"
 #include "yuccapick/request_metrics.h"
 #include "yuccapick/retry_budget.h"
+#include "yuccapick/store_clock.h"
 #include "yuccapick/target_weights.h"
 #include "yuccapick/upstream_health.h"
 #include "yuccapick/upstream_load.h"
@@ -42,6 +44,8 @@
   void RecordObservedWeights(const UpstreamId& upstream, const ModelId& model,
                              WeightVersionNumber weights);
   TimePoint Now() const { return std::chrono::steady_clock::now(); }
+  /// @return nullopt before the store's time is known
+  std::optional<StoreTime> StoreNow() const;
 
   asio::io_context& loop;
   GatewaySettings settings;
@@ -57,6 +61,7 @@
   DirectPlacement placement;
   PartDirectory parts;
   std::set<UpstreamId> loading;  ///< Upstreams that load new weights.
+  StoreClockEstimate store_clock;
   TargetWeightsHistory target_weights;
   /// Attempts sent although the upstream's weights were too old.
   std::uint64_t attempts_on_overdue_weights = 0;
--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -66,9 +66,15 @@
       return msgpack::type::make_define_array(v.rows, v.as_of);
     }
   };
+  struct TargetSetTimeFields {
+    auto operator()(yuccapick::TargetSetTime& v) const {
+      return msgpack::type::make_define_array(v.model, v.weights, v.set_at);
+    }
+  };
   struct PeerTablesFields {
     auto operator()(yuccapick::PeerTables& v) const {
-      return msgpack::type::make_define_array(v.operator_rows, v.upstream_rows);
+      return msgpack::type::make_define_array(v.operator_rows, v.upstream_rows,
+                                              v.target_set_times, v.store_time);
     }
   };
 
@@ -115,6 +121,28 @@
   struct pack<yuccapick::TableSnapshot>
       : PackAsArray<yuccapick::TableSnapshot, TableSnapshotFields> {};
   template <>
+  struct convert<yuccapick::StoreTime> {
+    const msgpack::object& operator()(const msgpack::object& o,
+                                      yuccapick::StoreTime& v) const {
+      v = yuccapick::StoreTime(o.as<std::chrono::milliseconds>());
+      return o;
+    }
+  };
+  template <>
+  struct pack<yuccapick::StoreTime> {
+    template <typename Stream>
+    packer<Stream>& operator()(packer<Stream>& o,
+                               const yuccapick::StoreTime& v) const {
+      return o.pack(v.time_since_epoch());
+    }
+  };
+  template <>
+  struct convert<yuccapick::TargetSetTime>
+      : PackAsArray<yuccapick::TargetSetTime, TargetSetTimeFields> {};
+  template <>
+  struct pack<yuccapick::TargetSetTime>
+      : PackAsArray<yuccapick::TargetSetTime, TargetSetTimeFields> {};
+  template <>
   struct convert<yuccapick::PeerTables>
       : PackAsArray<yuccapick::PeerTables, PeerTablesFields> {};
   template <>
--- a/src/gateway/peer_codec.h
+++ b/src/gateway/peer_codec.h
@@ -7,9 +7,12 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "yuccapick/peer_report.h"
+#include "yuccapick/store_clock.h"
 #include "yuccapick/table_mirror.h"
+#include "yuccapick/target_weights.h"
 
 namespace yuccapick {
 
@@ -17,6 +20,10 @@
 struct PeerTables {
   TableSnapshot operator_rows;
   TableSnapshot upstream_rows;
+  /// Empty if the sender runs an older version.
+  std::vector<TargetSetTime> target_set_times;
+  /// The store's time when this was sent, as far as the sender knows it.
+  std::optional<StoreTime> store_time;
 };
 
 std::string EncodePeerReport(const PeerReport& report);
--- a/src/gateway/proxied_request.cc
+++ b/src/gateway/proxied_request.cc
@@ -107,14 +107,15 @@
   return it->second;
 }
 
-milliseconds ProxiedRequest::WeightsReplacedFor(const UpstreamEntry& upstream,
-                                                TimePoint now) const {
+milliseconds ProxiedRequest::WeightsReplacedFor(
+    const UpstreamEntry& upstream) const {
   const std::optional<WeightVersionNumber> weights = WeightsAt(upstream);
   if (!weights) return milliseconds(0);
-  const std::optional<TimePoint> replaced_at =
+  const std::optional<StoreTime> replaced_at =
       state_.target_weights.ReplacedAt(admitted_.caller.model, *weights);
-  if (!replaced_at) return milliseconds(0);
-  return std::chrono::duration_cast<milliseconds>(now - *replaced_at);
+  const std::optional<StoreTime> now = state_.StoreNow();
+  if (!replaced_at || !now) return milliseconds(0);
+  return *now - *replaced_at;
 }
 
 PlacementFleet ProxiedRequest::Fleet() const {
@@ -133,7 +134,7 @@
   const ModelId& model = admitted_.caller.model;
   const milliseconds limit =
       state_.settings.bounds.stale_weights_limit - StaleWeightsMargin();
-  const TimePoint now = state_.Now();
+  const std::optional<StoreTime> now = state_.StoreNow();
   std::vector<PlacementCandidate> overdue;
   for (const UpstreamEntry* upstream : state_.roster.Usable(service_)) {
     PlacementCandidate candidate;
@@ -144,7 +145,8 @@
       if (!weights) continue;
       candidate.cache_scope = config.CacheScopeOf(admitted_.team, *weights);
       candidate.old_weights = *weights < state_.target_weights.Newest(model);
-      if (state_.target_weights.IsOverdue(model, *weights, limit, now)) {
+      if (now &&
+          state_.target_weights.IsOverdue(model, *weights, limit, *now)) {
         overdue.push_back(std::move(candidate));
         continue;
       }
@@ -233,7 +235,7 @@
     state_.kv_store_link.OnTransfer(choice.store_tokens, now);
     state_.unreported_kv_store_tokens += choice.store_tokens;
   }
-  const milliseconds replaced_for = WeightsReplacedFor(upstream, now);
+  const milliseconds replaced_for = WeightsReplacedFor(upstream);
   if (replaced_for >= state_.settings.bounds.stale_weights_limit) {
     ++state_.attempts_on_overdue_weights;
   }
--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -70,8 +70,8 @@
   std::optional<WeightVersionNumber> WeightsAt(
       const UpstreamEntry& upstream) const;
   /// How long ago the upstream's weights were replaced; 0 if they were not.
-  std::chrono::milliseconds WeightsReplacedFor(const UpstreamEntry& upstream,
-                                               TimePoint now) const;
+  std::chrono::milliseconds WeightsReplacedFor(
+      const UpstreamEntry& upstream) const;
   int Urgency() const;
 
   void ArmTimer();
--- a/src/gateway/table_watch.h
+++ b/src/gateway/table_watch.h
@@ -7,12 +7,14 @@
 #include <asio.hpp>
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "gateway/call_client.h"
 #include "platform/table_calls.h"
 #include "yuccapick/ids.h"
+#include "yuccapick/store_clock.h"
 #include "yuccapick/table_mirror.h"
 
 namespace yuccapick {
@@ -32,13 +34,23 @@
   std::chrono::milliseconds batch_window{40};
 };
 
+/// Where changes of rows were learned from.
+struct RowsOrigin {
+  enum class Source : std::uint8_t { kRead, kWatch, kPeer };
+  Source source = Source::kRead;
+  /// The store didn't have the changes before, as far as known; nullopt if they
+  /// may be of any age.
+  std::optional<StoreTime> changed_after;
+};
+
 /// Callbacks of `TableWatch`.
 class TableWatchHandler {
  public:
   virtual ~TableWatchHandler() = default;
   /// Rows that changed, including removed ones; may be empty.
   virtual void OnTableRows(const std::string& table,
-                           const std::vector<MirrorRow>& changes) = 0;
+                           const std::vector<MirrorRow>& changes,
+                           const RowsOrigin& origin) = 0;
   /// A call failed; called for each failure.
   virtual void OnTableUnavailable(const std::string& table,
                                   std::string_view reason) = 0;
@@ -49,8 +61,10 @@
 /// Used on one event loop. Calls in flight keep it alive.
 class TableWatch : public std::enable_shared_from_this<TableWatch> {
  public:
+  /// @param store_clock learns from the answers
   TableWatch(asio::io_context& loop, CallClient& client,
-             TableWatchOptions options, TableWatchHandler& handler);
+             StoreClockEstimate& store_clock, TableWatchOptions options,
+             TableWatchHandler& handler);
 
   void Start();
   void Stop();
@@ -68,8 +82,8 @@
   /// True while the last call was answered.
   bool reachable() const { return reachable_; }
   TimePoint answered_at() const { return answered_at_; }
-  /// Time of the store's steady clock in its last answer.
-  std::chrono::milliseconds store_time() const { return store_time_; }
+  /// Time of the last answer with which the copy became complete.
+  std::optional<StoreTime> complete_at() const { return complete_at_; }
 
  private:
   void StartNextCall();
@@ -87,6 +101,7 @@
 
   asio::io_context& loop_;
   CallClient& client_;
+  StoreClockEstimate& store_clock_;
   TableWatchOptions options_;
   TableWatchHandler& handler_;
   asio::steady_timer timer_;
@@ -98,7 +113,9 @@
   bool stopped_ = false;
   std::chrono::milliseconds backoff_;
   TimePoint answered_at_;
-  std::chrono::milliseconds store_time_{0};
+  std::optional<StoreTime> complete_at_;
+  std::optional<StoreTime> read_began_at_;   ///< Of the read in progress.
+  std::optional<StoreTime> watch_began_at_;  ///< Of the long poll in progress.
 };
 
 }  // namespace yuccapick
--- a/src/gateway/target_set_times.cc
+++ b/src/gateway/target_set_times.cc
@@ -3,11 +3,13 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <optional>
 #include <string>
 #include <utility>
 
 #include "absl/random/random.h"
 #include "absl/strings/numbers.h"
+#include "gateway/boot_clock.h"
 #include "gateway/http_status.h"
 #include "platform/table_calls.h"
 
@@ -23,13 +25,27 @@
 constexpr milliseconds kRetryDelay{400};
 constexpr int kMaxWriteAttempts = 8;
 
-/// Parses a key of the form `MODEL/WEIGHTS`.
-bool ParseKey(const std::string& key, ModelId& model,
-              WeightVersionNumber& weights) {
-  const std::size_t slash = key.rfind('/');
-  if (slash == std::string::npos) return false;
-  model = ModelId(key.substr(0, slash));
-  return absl::SimpleAtoi(key.substr(slash + 1), &weights);
+std::string FormatKey(const TargetSetTime& target) {
+  return fmt::format("{}/{}", target.model.value, target.weights);
+}
+
+/// Parses a row with a key of the form `MODEL/WEIGHTS`.
+std::optional<TargetSetTime> ParseRow(const MirrorRow& row) {
+  const std::size_t slash = row.key.rfind('/');
+  if (slash == std::string::npos) return std::nullopt;
+  TargetSetTime target;
+  target.model = ModelId(row.key.substr(0, slash));
+  std::int64_t set_at_ms = 0;
+  if (!absl::SimpleAtoi(row.key.substr(slash + 1), &target.weights) ||
+      !absl::SimpleAtoi(row.value, &set_at_ms)) {
+    return std::nullopt;
+  }
+  target.set_at = StoreTime(milliseconds(set_at_ms));
+  return target;
+}
+
+bool IsSameVersion(const TargetSetTime& a, const TargetSetTime& b) {
+  return a.model == b.model && a.weights == b.weights;
 }
 
 }  // namespace
@@ -38,19 +54,23 @@
   return std::min(1.0, kExpectedWriters / static_cast<double>(gateways));
 }
 
-void TargetSetTimes::Save(const ModelId& model, WeightVersionNumber weights,
-                          milliseconds store_time) {
+void TargetSetTimes::Save(const TargetSetTime& target) {
   const double share = TargetTimeWriterShare(state_.live_peers.size() + 1);
   if (!absl::Bernoulli(state_.random, share)) return;
-  Write({fmt::format("{}/{}", model.value, weights), store_time, 0});
+  Write({target, 0});
+}
+
+void TargetSetTimes::SaveIfMissing(const TargetSetTime& target) {
+  unsaved_.push_back(target);
 }
 
 void TargetSetTimes::Write(PendingWrite pending) {
   const std::string& store = state_.settings.table_endpoint;
   platform::RowWrite write;
   write.table = kTable;
-  write.key = pending.key;
-  write.value = fmt::to_string(pending.store_time.count());
+  write.key = FormatKey(pending.target);
+  write.value =
+      fmt::to_string(pending.target.set_at.time_since_epoch().count());
   // An existing time is never overwritten.
   write.expected = 0;
   ++pending.attempts;
@@ -66,7 +86,7 @@
   const int status = answer.ok() ? answer->status : 0;
   state_.log.Write(LogKind::kStateChange, state_.Now(),
                    "event=naming_time_saved key={} status={} attempts={}",
-                   pending.key, status, pending.attempts);
+                   FormatKey(pending.target), status, pending.attempts);
   const bool stored = status == kHttpOk || status == kHttpPreconditionFailed;
   if (stored || pending.attempts >= kMaxWriteAttempts) return;
   auto timer = std::make_shared<asio::steady_timer>(state_.loop, kRetryDelay);
@@ -103,17 +123,17 @@
         });
     return;
   }
-  const TimePoint now = state_.Now();
+  state_.store_clock.OnAnswer(rows->store_time, BootTimeNow());
   for (const MirrorRow& row : rows->rows) {
-    ModelId model;
-    WeightVersionNumber weights = 0;
-    std::int64_t set_at_ms = 0;
-    if (!ParseKey(row.key, model, weights)) continue;
-    if (!absl::SimpleAtoi(row.value, &set_at_ms)) continue;
-    const milliseconds age = rows->store_time - milliseconds(set_at_ms);
-    if (age < milliseconds(0)) continue;
-    state_.target_weights.OnTargetSetEarlier(model, weights, now - age);
+    const std::optional<TargetSetTime> target = ParseRow(row);
+    if (!target || target->set_at > rows->store_time) continue;
+    state_.target_weights.OnSetTimeKnown(target->model, target->weights,
+                                         target->set_at);
+    std::erase_if(unsaved_, [&](const TargetSetTime& unsaved) {
+      return IsSameVersion(unsaved, *target);
+    });
   }
+  for (const TargetSetTime& target : std::exchange(unsaved_, {})) Save(target);
 }
 
 }  // namespace yuccapick
--- a/src/gateway/target_set_times.h
+++ b/src/gateway/target_set_times.h
@@ -9,9 +9,11 @@
 #include <chrono>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "gateway/call_client.h"
 #include "gateway/gateway_state.h"
+#include "yuccapick/target_weights.h"
 
 namespace yuccapick {
 
@@ -20,7 +22,6 @@
 /// @param gateways number of live gateways, including this one
 double TargetTimeWriterShare(std::size_t gateways);
 
-/// Times are those of the store's steady clock.
 class TargetSetTimes : public std::enable_shared_from_this<TargetSetTimes> {
  public:
   TargetSetTimes(GatewayState& state, CallClient& calls)
@@ -28,8 +29,9 @@
 
   /// Writes a time, with the probability `TargetTimeWriterShare`, unless
   /// another gateway did. A failed write is retried a few times.
-  void Save(const ModelId& model, WeightVersionNumber weights,
-            std::chrono::milliseconds store_time);
+  void Save(const TargetSetTime& target);
+  /// Saves a time after the next `Load`, unless the store has one.
+  void SaveIfMissing(const TargetSetTime& target);
   /// Reads all times and corrects `GatewayState::target_weights`. Retries while
   /// the store doesn't answer.
   void Load();
@@ -37,8 +39,7 @@
  private:
   /// A time that is to be written.
   struct PendingWrite {
-    std::string key;
-    std::chrono::milliseconds store_time{0};
+    TargetSetTime target;
     int attempts = 0;
   };
 
@@ -51,6 +52,7 @@
   CallClient& calls_;
   asio::steady_timer retry_timer_;  ///< For `Load`.
   bool loading_ = false;
+  std::vector<TargetSetTime> unsaved_;  ///< Saved if the store has no time.
 };
 
 }  // namespace yuccapick
--- a/src/target_weights.cc
+++ b/src/target_weights.cc
@@ -12,17 +12,17 @@
 
 bool TargetWeightsHistory::OnTargetSet(const ModelId& model,
                                        WeightVersionNumber weights,
-                                       TimePoint known_at) {
+                                       StoreTime set_at) {
   std::vector<TargetVersion>& versions = targets_[model];
   if (!versions.empty() && weights <= versions.back().weights) return false;
-  versions.push_back({weights, known_at});
+  versions.push_back({weights, set_at});
   if (versions.size() > kMaxVersionsPerModel) versions.erase(versions.begin());
   return true;
 }
 
-void TargetWeightsHistory::OnTargetSetEarlier(const ModelId& model,
-                                              WeightVersionNumber weights,
-                                              TimePoint set_at) {
+void TargetWeightsHistory::OnSetTimeKnown(const ModelId& model,
+                                          WeightVersionNumber weights,
+                                          StoreTime set_at) {
   std::vector<TargetVersion>& versions = targets_[model];
   const auto it =
       std::lower_bound(versions.begin(), versions.end(), weights,
@@ -30,7 +30,7 @@
                          return target.weights < w;
                        });
   if (it != versions.end() && it->weights == weights) {
-    it->set_at = std::min(it->set_at, set_at);
+    it->set_at = set_at;
     return;
   }
   versions.insert(it, {weights, set_at});
@@ -50,11 +50,21 @@
   return newest;
 }
 
-std::optional<TimePoint> TargetWeightsHistory::ReplacedAt(
+std::vector<TargetSetTime> TargetWeightsHistory::SetTimes() const {
+  std::vector<TargetSetTime> times;
+  for (const auto& [model, versions] : targets_) {
+    for (const TargetVersion& target : versions) {
+      times.push_back({model, target.weights, target.set_at});
+    }
+  }
+  return times;
+}
+
+std::optional<StoreTime> TargetWeightsHistory::ReplacedAt(
     const ModelId& model, WeightVersionNumber held) const {
   const auto it = targets_.find(model);
   if (it == targets_.end()) return std::nullopt;
-  std::optional<TimePoint> replaced_at;
+  std::optional<StoreTime> replaced_at;
   for (const TargetVersion& target : it->second) {
     if (target.weights <= held) continue;
     replaced_at = std::min(replaced_at.value_or(target.set_at), target.set_at);
@@ -65,8 +75,8 @@
 bool TargetWeightsHistory::IsOverdue(const ModelId& model,
                                      WeightVersionNumber held,
                                      std::chrono::milliseconds limit,
-                                     TimePoint now) const {
-  const std::optional<TimePoint> replaced_at = ReplacedAt(model, held);
+                                     StoreTime now) const {
+  const std::optional<StoreTime> replaced_at = ReplacedAt(model, held);
   return replaced_at && now - *replaced_at >= limit;
 }
 
