Drop a member of the store's clock that the linter rejects

Nothing reads is_steady; std::chrono::time_point doesn't need it. The linter found it on the files changed so far; it names nothing else there.

--- a/include/yuccapick/store_clock.h
+++ b/include/yuccapick/store_clock.h
@@ -18,7 +18,6 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<StoreClock>;
-  static constexpr bool is_steady = true;
 };
 
 using StoreTime = StoreClock::time_point;
