--- a/test/gateway/stale_weights_test.cc
+++ b/test/gateway/stale_weights_test.cc
@@ -36,34 +36,51 @@
     fixture.Start();
   }
 
-  /// Waits until the gateway has a newer configuration, from a later answer of
-  /// the store.
-  void AwaitNewConfig() {
-    fixture.PutConfig(2, std::string(R"([{"name":"new","host":"crew.example",
-      "prefix":"/new/","kind":"idempotent","timeoutMs":3000,"service":"app"},)") +
-                             (kRoutes + 1));
-    REQUIRE(fixture.RunUntilTrue([this] {
-      return !fixture.Ask(CallerRequest("GET", "/new/"))
-                  .starts_with("HTTP/1.1 404");
-    }));
-  }
+  GatewayFixture fixture;
+  FakeUpstream old;
+  FakeUpstream full;
+};
 
-  std::string AskForStream() {
-    return fixture.Ask(CallerRequest("POST", "/tell/",
-                                     "X-Model: m\r\nX-Token-Count: 10,10\r\n"));
+/// A gateway whose only engine has the weights 1.
+struct OldEngine {
+  OldEngine()
+      : old(fixture.loop, "old",
+            [this](Connection& c, const ReceivedRequest& r) {
+              old.Answer(c, r, 200, "", "Content-Type: text/event-stream\r\n");
+            }) {
+    fixture.settings.bounds.stale_weights_limit = kStaleWeightsLimit;
+    fixture.PutConfig(1, kRoutes);
+    fixture.RegisterEngine(old, 1);
+    fixture.Start();
   }
 
   GatewayFixture fixture;
   FakeUpstream old;
-  FakeUpstream full;
 };
 
+/// Waits until the gateway has a newer configuration, from a later answer of
+/// the store.
+void AwaitNewConfig(GatewayFixture& fixture) {
+  fixture.PutConfig(2, std::string(R"([{"name":"new","host":"crew.example",
+      "prefix":"/new/","kind":"idempotent","timeoutMs":3000,"service":"app"},)") +
+                           (kRoutes + 1));
+  REQUIRE(fixture.RunUntilTrue([&fixture] {
+    return !fixture.Ask(CallerRequest("GET", "/new/"))
+                .starts_with("HTTP/1.1 404");
+  }));
+}
+
+std::string AskForStream(GatewayFixture& fixture) {
+  return fixture.Ask(CallerRequest("POST", "/tell/",
+                                   "X-Model: m\r\nX-Token-Count: 10,10\r\n"));
+}
+
 TEST_CASE(
     "Engines get requests until their weights were replaced too long ago") {
   OldAndFullEngine engines;
   engines.fixture.PutTargetWeights(2);
-  engines.AwaitNewConfig();
-  CHECK(engines.AskForStream().starts_with("HTTP/1.1 200"));
+  AwaitNewConfig(engines.fixture);
+  CHECK(AskForStream(engines.fixture).starts_with("HTTP/1.1 200"));
   CHECK(engines.old.received().size() == 1);
 }
 
@@ -71,12 +88,34 @@
   OldAndFullEngine engines;
   engines.fixture.PutTargetWeights(2);
   engines.fixture.store.set_time(milliseconds(1'000) + kStaleWeightsLimit);
-  engines.AwaitNewConfig();
-  const std::string answer = engines.AskForStream();
+  AwaitNewConfig(engines.fixture);
+  const std::string answer = AskForStream(engines.fixture);
   CHECK(answer.starts_with("HTTP/1.1 503"));
   CHECK(answer.find("Retry-After: ") != std::string::npos);
   CHECK(engines.old.received().empty());
 }
 
+TEST_CASE("A gateway whose first answers waited to be read knows the age") {
+  OldAndFullEngine engines;
+  // The answer with this row ends the poll, so the next one brings the target.
+  engines.fixture.PutConfig(1, kRoutes);
+  engines.fixture.PutTargetWeights(2);
+  engines.fixture.store.set_time(milliseconds(1'000) + kStaleWeightsLimit);
+  AwaitNewConfig(engines.fixture);
+  CHECK(AskForStream(engines.fixture).starts_with("HTTP/1.1 503"));
+  CHECK(engines.old.received().empty());
+}
+
+TEST_CASE("No engine gets requests if all weights were replaced too long ago") {
+  OldEngine engine;
+  engine.fixture.PutTargetWeights(2);
+  engine.fixture.store.set_time(milliseconds(1'000) + kStaleWeightsLimit);
+  AwaitNewConfig(engine.fixture);
+  const std::string answer = AskForStream(engine.fixture);
+  CHECK(answer.starts_with("HTTP/1.1 503"));
+  CHECK(answer.find("Retry-After: ") != std::string::npos);
+  CHECK(engine.old.received().empty());
+}
+
 }  // namespace
 }  // namespace yuccapick
