Tell the age of target weights from the versions of rows

Two more holes, found by reading: a gateway that woke kept a much too early time though the store had a better one, and a starting gateway's guess went to its peers and replaced their sound bound.

Every answer of the store names its newest row version and its time, so a row with a higher version was written after it, whenever either is read. All known bounds are sound, so the latest counts; a guess is not passed on. A gateway whose bound is a second old or more also reads the saved times.

--- a/include/yuccapick/store_clock.h
+++ b/include/yuccapick/store_clock.h
@@ -5,7 +5,6 @@
 /// The store's clock, and its estimate from the store's answers.
 
 #include <chrono>
-#include <cstdint>
 #include <optional>
 
 #include "yuccapick/ids.h"
--- a/include/yuccapick/target_weights.h
+++ b/include/yuccapick/target_weights.h
@@ -15,11 +15,11 @@
 
 namespace yuccapick {
 
-/// When a weight version was set as a model's target.
+/// A weight version that was set as a model's target after a time.
 struct TargetSetTime {
   ModelId model;
   WeightVersionNumber weights = 0;
-  StoreTime set_at;
+  StoreTime set_after;
 
   bool operator==(const TargetSetTime&) const = default;
 };
@@ -30,14 +30,17 @@
  public:
   // Commands.
 
-  /// @param set_at as far as known; not after the true time
+  /// @param set_after not after the time at which it was set; nullopt if no
+  /// such
+  ///   time is known
+  /// @param learned_at counts until one is known
   /// @return true if `weights` is newer than every version before
   bool OnTargetSet(const ModelId& model, WeightVersionNumber weights,
-                   StoreTime set_at);
-  /// Corrects when a version was set, or adds one that was replaced before this
-  /// process learned of it.
-  void OnSetTimeKnown(const ModelId& model, WeightVersionNumber weights,
-                      StoreTime set_at);
+                   std::optional<StoreTime> set_after, StoreTime learned_at);
+  /// Another time before a version was set; the latest one counts. The version
+  /// may have been replaced before this process learned of it.
+  void OnSetAfterKnown(const ModelId& model, WeightVersionNumber weights,
+                       StoreTime set_after);
 
   // Queries.
 
@@ -52,13 +55,17 @@
   /// True if a version newer than `held` was set at least `limit` ago.
   bool IsOverdue(const ModelId& model, WeightVersionNumber held,
                  std::chrono::milliseconds limit, StoreTime now) const;
-  /// All recorded versions, for a peer.
+  /// The versions with a known time, for a peer.
   std::vector<TargetSetTime> SetTimes() const;
 
  private:
   struct TargetVersion {
+    /// Not after the time at which the version was set, unless it is unknown.
+    StoreTime SetAt() const { return set_after.value_or(learned_at); }
+
     WeightVersionNumber weights = 0;
-    StoreTime set_at;
+    std::optional<StoreTime> set_after;
+    StoreTime learned_at;
   };
 
   std::map<ModelId, std::vector<TargetVersion>> targets_;  ///< Ascending.
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -104,10 +104,10 @@
   options.endpoint = state_.settings.table_endpoint;
   options.table = platform::kOperator;
   operator_watch_ = std::make_shared<TableWatch>(
-      loop, table_calls_, state_.store_clock, options, watch_handler);
+      loop, table_calls_, state_.store_times, options, watch_handler);
   options.table = platform::kServers;
   upstream_watch_ = std::make_shared<TableWatch>(
-      loop, table_calls_, state_.store_clock, options, watch_handler);
+      loop, table_calls_, state_.store_times, options, watch_handler);
   status_pages_ = std::make_unique<StatusPages>(loop, *this);
   ingress_server_ = std::make_unique<IngressServer>(loop, ingress_handler);
 }
--- a/src/gateway/gateway_process.h
+++ b/src/gateway/gateway_process.h
@@ -52,8 +52,7 @@
   CallerLimits limits() const override;
 
   void OnTableRows(const std::string& table,
-                   const std::vector<MirrorRow>& changes,
-                   const RowsOrigin& origin) override;
+                   const std::vector<MirrorRow>& changes) override;
   void OnTableUnavailable(const std::string& table,
                           std::string_view reason) override;
   void OnTableAnswered(const std::string& table) override;
@@ -66,8 +65,8 @@
   void FetchPeerList();
   PeerReport MakeReport();
   void ExchangeWithPeers(TimePoint now);
-  void ApplyOperatorRow(const MirrorRow& row, const RowsOrigin& origin);
-  void ApplyTargetWeights(const MirrorRow& row, const RowsOrigin& origin);
+  void ApplyOperatorRow(const MirrorRow& row);
+  void ApplyTargetWeights(const MirrorRow& row);
   void ApplyUpstreamRow(const MirrorRow& row);
   void ApplyConfig(const MirrorRow& row);
   void ApplyRosterChange(const RosterChange& change);
--- a/src/gateway/gateway_process_peers.cc
+++ b/src/gateway/gateway_process_peers.cc
@@ -55,14 +55,12 @@
                    "event=tables_from_peer operator_as_of={} upstream_as_of={}",
                    tables.operator_rows.as_of, tables.upstream_rows.as_of);
   if (tables.store_time) {
-    state_.store_clock.OnAnswer(*tables.store_time, BootTimeNow());
+    state_.store_times.clock.OnAnswer(*tables.store_time, BootTimeNow());
   }
-  auto known = state_.target_weights.NewestOfAllModels();
   operator_watch_->OnPeerSnapshot(tables.operator_rows);
   for (const TargetSetTime& target : tables.target_set_times) {
-    if (target.weights <= known[target.model]) continue;
-    state_.target_weights.OnSetTimeKnown(target.model, target.weights,
-                                         target.set_at);
+    state_.target_weights.OnSetAfterKnown(target.model, target.weights,
+                                          target.set_after);
   }
   upstream_watch_->OnPeerSnapshot(tables.upstream_rows);
 }
--- a/src/gateway/gateway_process_tables.cc
+++ b/src/gateway/gateway_process_tables.cc
@@ -5,31 +5,19 @@
 namespace yuccapick {
 namespace {
 
-std::string_view RowsSourceName(RowsOrigin::Source source) {
-  switch (source) {
-    case RowsOrigin::Source::kRead:
-      return "read";
-    case RowsOrigin::Source::kWatch:
-      return "watch";
-    case RowsOrigin::Source::kPeer:
-      return "peer";
-  }
-  return "unknown";
-}
+/// A target that is known to be set within this time needs no correction by the
+/// time that other gateways saved.
+constexpr std::chrono::milliseconds kExactSetTime{1'000};
 
-/// Milliseconds since the clock's epoch, or -1.
-std::int64_t Count(const std::optional<StoreTime>& time) {
-  return time ? time->time_since_epoch().count() : -1;
-}
+std::int64_t Count(StoreTime time) { return time.time_since_epoch().count(); }
 
 }  // namespace
 
 void GatewayProcess::OnTableRows(const std::string& table,
-                                 const std::vector<MirrorRow>& changes,
-                                 const RowsOrigin& origin) {
+                                 const std::vector<MirrorRow>& changes) {
   for (const MirrorRow& row : changes) {
     if (table == platform::kOperator) {
-      ApplyOperatorRow(row, origin);
+      ApplyOperatorRow(row);
     } else {
       ApplyUpstreamRow(row);
     }
@@ -39,6 +27,7 @@
 void GatewayProcess::OnTableUnavailable(const std::string& table,
                                         std::string_view reason) {
   state_.roster.OnListUnavailable(state_.Now());
+  state_.store_in_touch_since.reset();
   if (store_lost_) return;
   store_lost_ = true;
   state_.log.Write(LogKind::kLifecycle, state_.Now(),
@@ -47,43 +36,42 @@
 
 void GatewayProcess::OnTableAnswered(const std::string& table) {
   if (table == platform::kServers) state_.roster.OnListAvailable(state_.Now());
-  if (!store_lost_) return;
   if (!operator_watch_->reachable() || !upstream_watch_->reachable()) return;
+  if (!state_.store_in_touch_since) {
+    state_.store_in_touch_since = state_.StoreNow();
+  }
+  if (!store_lost_) return;
   store_lost_ = false;
   state_.log.Write(LogKind::kLifecycle, state_.Now(), "event=store_regained");
 }
 
-void GatewayProcess::ApplyOperatorRow(const MirrorRow& row,
-                                      const RowsOrigin& origin) {
+void GatewayProcess::ApplyOperatorRow(const MirrorRow& row) {
   if (row.removed) return;
   if (row.key == platform::kConfigKey) return ApplyConfig(row);
   if (row.key.starts_with(platform::kVersionKeyPrefix)) {
-    ApplyTargetWeights(row, origin);
+    ApplyTargetWeights(row);
   }
 }
 
-void GatewayProcess::ApplyTargetWeights(const MirrorRow& row,
-                                        const RowsOrigin& origin) {
+void GatewayProcess::ApplyTargetWeights(const MirrorRow& row) {
   const auto set = platform::DecodeTargetWeights(row.value);
   if (!set) return;
-  const std::optional<StoreTime> now = state_.StoreNow();
-  const StoreTime set_at =
-      origin.changed_after.value_or(now.value_or(StoreTime()));
-  if (!state_.target_weights.OnTargetSet(set->model, set->weights, set_at)) {
+  const StoreTime now = state_.StoreNow().value_or(StoreTime());
+  const std::optional<StoreTime> set_after =
+      state_.store_times.rows.WrittenAfter(row.version);
+  if (!state_.target_weights.OnTargetSet(set->model, set->weights, set_after,
+                                         now)) {
     return;
   }
   state_.log.Write(LogKind::kStateChange, state_.Now(),
                    "event=weights_named model={} weights={} row_version={} "
-                   "source={} set_after_ms={} store_time_ms={}",
+                   "set_after_ms={} store_time_ms={}",
                    set->model.value, set->weights, row.version,
-                   RowsSourceName(origin.source), Count(origin.changed_after),
-                   Count(now));
-  const TargetSetTime target{set->model, set->weights, set_at};
-  if (origin.source == RowsOrigin::Source::kWatch) {
-    return target_set_times_->Save(target);
-  }
-  // Another gateway may know better. What this one knows is saved if none does.
-  if (origin.changed_after) target_set_times_->SaveIfMissing(target);
+                   set_after ? Count(*set_after) : -1, Count(now));
+  if (!set_after) return target_set_times_->Load();
+  const TargetSetTime target{set->model, set->weights, *set_after};
+  if (now - *set_after < kExactSetTime) return target_set_times_->Save(target);
+  target_set_times_->SaveIfMissing(target);
   target_set_times_->Load();
 }
 
--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -30,7 +30,7 @@
       gateway_count(kInitialGatewayCount) {}
 
 std::optional<StoreTime> GatewayState::StoreNow() const {
-  return store_clock.Now(BootTimeNow());
+  return store_times.clock.Now(BootTimeNow());
 }
 
 RetryBudget& GatewayState::RetryBudgetOf(const ServiceId& service) {
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -15,6 +15,7 @@
 #include "gateway/gateway_settings.h"
 #include "gateway/http_connection.h"
 #include "gateway/log_sink.h"
+#include "gateway/store_times.h"
 #include "yuccapick/direct_placement.h"
 #include "yuccapick/gateway_config.h"
 #include "yuccapick/latency_estimate.h"
@@ -23,7 +24,6 @@
 #include "yuccapick/peer_report.h"
 #include "yuccapick/request_metrics.h"
 #include "yuccapick/retry_budget.h"
-#include "yuccapick/store_clock.h"
 #include "yuccapick/target_weights.h"
 #include "yuccapick/upstream_health.h"
 #include "yuccapick/upstream_load.h"
@@ -61,7 +61,9 @@
   DirectPlacement placement;
   PartDirectory parts;
   std::set<UpstreamId> loading;  ///< Upstreams that load new weights.
-  StoreClockEstimate store_clock;
+  StoreTimes store_times;
+  /// Since when the store has answered without a failure.
+  std::optional<StoreTime> store_in_touch_since;
   TargetWeightsHistory target_weights;
   /// Attempts sent although the upstream's weights were too old.
   std::uint64_t attempts_on_overdue_weights = 0;
--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -68,7 +68,7 @@
   };
   struct TargetSetTimeFields {
     auto operator()(yuccapick::TargetSetTime& v) const {
-      return msgpack::type::make_define_array(v.model, v.weights, v.set_at);
+      return msgpack::type::make_define_array(v.model, v.weights, v.set_after);
     }
   };
   struct PeerTablesFields {
--- a/src/gateway/table_watch.cc
+++ b/src/gateway/table_watch.cc
@@ -7,16 +7,15 @@
 
 #include "gateway/boot_clock.h"
 #include "gateway/http_status.h"
-#include "yuccapick/long_poll_times.h"
 
 namespace yuccapick {
 
 TableWatch::TableWatch(asio::io_context& loop, CallClient& client,
-                       StoreClockEstimate& store_clock,
-                       TableWatchOptions options, TableWatchHandler& handler)
+                       StoreTimes& store_times, TableWatchOptions options,
+                       TableWatchHandler& handler)
     : loop_(loop),
       client_(client),
-      store_clock_(store_clock),
+      store_times_(store_times),
       options_(std::move(options)),
       handler_(handler),
       timer_(loop),
@@ -39,15 +38,13 @@
 }
 
 void TableWatch::OnPeerSnapshot(const TableSnapshot& snapshot) {
-  handler_.OnTableRows(options_.table, mirror_.OnSnapshot(snapshot),
-                       {RowsOrigin::Source::kPeer, complete_at_});
+  handler_.OnTableRows(options_.table, mirror_.OnSnapshot(snapshot));
 }
 
 void TableWatch::StartNextCall() {
   if (stopped_) return;
   if (!read_due_) return Watch();
   partial_snapshot_ = TableSnapshot();
-  read_began_at_.reset();
   ReadAll("");
 }
 
@@ -86,7 +83,7 @@
     HandleFailure(rows.status().message().data());
     return std::nullopt;
   }
-  store_clock_.OnAnswer(rows->store_time, BootTimeNow());
+  store_times_.OnAnswer(*rows, BootTimeNow());
   return *std::move(rows);
 }
 
@@ -96,23 +93,18 @@
   // Later pages may be newer than the first one. The watch starts from the
   // first page's version, so that no change in between is missed.
   if (partial_snapshot_.rows.empty()) partial_snapshot_.as_of = rows->as_of;
-  if (!read_began_at_) read_began_at_ = rows->store_time;
   for (const MirrorRow& row : rows->rows) partial_snapshot_.rows.push_back(row);
   if (rows->has_more && !rows->rows.empty()) {
     return ReadAll(rows->rows.back().key + '\0');
   }
   read_due_ = false;
   HandleAnswered();
-  const RowsOrigin origin{RowsOrigin::Source::kRead,
-                          std::exchange(complete_at_, read_began_at_)};
-  handler_.OnTableRows(options_.table, mirror_.OnSnapshot(partial_snapshot_),
-                       origin);
+  handler_.OnTableRows(options_.table, mirror_.OnSnapshot(partial_snapshot_));
   StartNextCall();
 }
 
 void TableWatch::Watch() {
   const std::uint64_t generation = ++generation_;
-  watch_began_at_ = store_clock_.Now(BootTimeNow());
   auto self = shared_from_this();
   client_.Call(options_.endpoint,
                platform::EncodeWatchRows(options_.endpoint, options_.table,
@@ -128,13 +120,8 @@
   const std::optional<platform::RowsAnswer> rows = ParseRows(answer);
   if (!rows) return;
   HandleAnswered();
-  const LongPollTimes times{complete_at_.value_or(StoreTime()),
-                            watch_began_at_.value_or(StoreTime()),
-                            rows->store_time};
-  const RowsOrigin origin{RowsOrigin::Source::kWatch, times.ChangedAfter()};
-  complete_at_ = rows->store_time;
   handler_.OnTableRows(options_.table,
-                       mirror_.OnChanges(rows->rows, rows->as_of), origin);
+                       mirror_.OnChanges(rows->rows, rows->as_of));
   ScheduleNextCall(rows->rows.empty() ? std::chrono::milliseconds(0)
                                       : options_.batch_window);
 }
--- a/src/gateway/table_watch.h
+++ b/src/gateway/table_watch.h
@@ -7,14 +7,13 @@
 #include <asio.hpp>
 #include <chrono>
 #include <memory>
-#include <optional>
 #include <string>
 #include <vector>
 
 #include "gateway/call_client.h"
+#include "gateway/store_times.h"
 #include "platform/table_calls.h"
 #include "yuccapick/ids.h"
-#include "yuccapick/store_clock.h"
 #include "yuccapick/table_mirror.h"
 
 namespace yuccapick {
@@ -34,23 +33,13 @@
   std::chrono::milliseconds batch_window{40};
 };
 
-/// Where changes of rows were learned from.
-struct RowsOrigin {
-  enum class Source : std::uint8_t { kRead, kWatch, kPeer };
-  Source source = Source::kRead;
-  /// The store didn't have the changes before, as far as known; nullopt if they
-  /// may be of any age.
-  std::optional<StoreTime> changed_after;
-};
-
 /// Callbacks of `TableWatch`.
 class TableWatchHandler {
  public:
   virtual ~TableWatchHandler() = default;
   /// Rows that changed, including removed ones; may be empty.
   virtual void OnTableRows(const std::string& table,
-                           const std::vector<MirrorRow>& changes,
-                           const RowsOrigin& origin) = 0;
+                           const std::vector<MirrorRow>& changes) = 0;
   /// A call failed; called for each failure.
   virtual void OnTableUnavailable(const std::string& table,
                                   std::string_view reason) = 0;
@@ -61,9 +50,9 @@
 /// Used on one event loop. Calls in flight keep it alive.
 class TableWatch : public std::enable_shared_from_this<TableWatch> {
  public:
-  /// @param store_clock learns from the answers
+  /// @param store_times learns from the answers
   TableWatch(asio::io_context& loop, CallClient& client,
-             StoreClockEstimate& store_clock, TableWatchOptions options,
+             StoreTimes& store_times, TableWatchOptions options,
              TableWatchHandler& handler);
 
   void Start();
@@ -82,8 +71,6 @@
   /// True while the last call was answered.
   bool reachable() const { return reachable_; }
   TimePoint answered_at() const { return answered_at_; }
-  /// Time of the last answer with which the copy became complete.
-  std::optional<StoreTime> complete_at() const { return complete_at_; }
 
  private:
   void StartNextCall();
@@ -101,7 +88,7 @@
 
   asio::io_context& loop_;
   CallClient& client_;
-  StoreClockEstimate& store_clock_;
+  StoreTimes& store_times_;
   TableWatchOptions options_;
   TableWatchHandler& handler_;
   asio::steady_timer timer_;
@@ -113,9 +100,6 @@
   bool stopped_ = false;
   std::chrono::milliseconds backoff_;
   TimePoint answered_at_;
-  std::optional<StoreTime> complete_at_;
-  std::optional<StoreTime> read_began_at_;   ///< Of the read in progress.
-  std::optional<StoreTime> watch_began_at_;  ///< Of the long poll in progress.
 };
 
 }  // namespace yuccapick
--- a/src/gateway/target_set_times.cc
+++ b/src/gateway/target_set_times.cc
@@ -40,7 +40,7 @@
       !absl::SimpleAtoi(row.value, &set_at_ms)) {
     return std::nullopt;
   }
-  target.set_at = StoreTime(milliseconds(set_at_ms));
+  target.set_after = StoreTime(milliseconds(set_at_ms));
   return target;
 }
 
@@ -70,7 +70,7 @@
   write.table = kTable;
   write.key = FormatKey(pending.target);
   write.value =
-      fmt::to_string(pending.target.set_at.time_since_epoch().count());
+      fmt::to_string(pending.target.set_after.time_since_epoch().count());
   // An existing time is never overwritten.
   write.expected = 0;
   ++pending.attempts;
@@ -123,12 +123,12 @@
         });
     return;
   }
-  state_.store_clock.OnAnswer(rows->store_time, BootTimeNow());
+  state_.store_times.OnAnswer(*rows, BootTimeNow());
   for (const MirrorRow& row : rows->rows) {
     const std::optional<TargetSetTime> target = ParseRow(row);
-    if (!target || target->set_at > rows->store_time) continue;
-    state_.target_weights.OnSetTimeKnown(target->model, target->weights,
-                                         target->set_at);
+    if (!target || target->set_after > rows->store_time) continue;
+    state_.target_weights.OnSetAfterKnown(target->model, target->weights,
+                                          target->set_after);
     std::erase_if(unsaved_, [&](const TargetSetTime& unsaved) {
       return IsSameVersion(unsaved, *target);
     });
--- a/src/target_weights.cc
+++ b/src/target_weights.cc
@@ -12,17 +12,18 @@
 
 bool TargetWeightsHistory::OnTargetSet(const ModelId& model,
                                        WeightVersionNumber weights,
-                                       StoreTime set_at) {
+                                       std::optional<StoreTime> set_after,
+                                       StoreTime learned_at) {
   std::vector<TargetVersion>& versions = targets_[model];
   if (!versions.empty() && weights <= versions.back().weights) return false;
-  versions.push_back({weights, set_at});
+  versions.push_back({weights, set_after, learned_at});
   if (versions.size() > kMaxVersionsPerModel) versions.erase(versions.begin());
   return true;
 }
 
-void TargetWeightsHistory::OnSetTimeKnown(const ModelId& model,
-                                          WeightVersionNumber weights,
-                                          StoreTime set_at) {
+void TargetWeightsHistory::OnSetAfterKnown(const ModelId& model,
+                                           WeightVersionNumber weights,
+                                           StoreTime set_after) {
   std::vector<TargetVersion>& versions = targets_[model];
   const auto it =
       std::lower_bound(versions.begin(), versions.end(), weights,
@@ -30,10 +31,10 @@
                          return target.weights < w;
                        });
   if (it != versions.end() && it->weights == weights) {
-    it->set_at = set_at;
+    it->set_after = std::max(it->set_after.value_or(set_after), set_after);
     return;
   }
-  versions.insert(it, {weights, set_at});
+  versions.insert(it, {weights, set_after, set_after});
 }
 
 WeightVersionNumber TargetWeightsHistory::Newest(const ModelId& model) const {
@@ -54,7 +55,8 @@
   std::vector<TargetSetTime> times;
   for (const auto& [model, versions] : targets_) {
     for (const TargetVersion& target : versions) {
-      times.push_back({model, target.weights, target.set_at});
+      if (!target.set_after) continue;
+      times.push_back({model, target.weights, *target.set_after});
     }
   }
   return times;
@@ -67,7 +69,8 @@
   std::optional<StoreTime> replaced_at;
   for (const TargetVersion& target : it->second) {
     if (target.weights <= held) continue;
-    replaced_at = std::min(replaced_at.value_or(target.set_at), target.set_at);
+    replaced_at =
+        std::min(replaced_at.value_or(target.SetAt()), target.SetAt());
   }
   return replaced_at;
 }
--- /dev/null
+++ b/test/row_version_times_test.cc
@@ -0,0 +1,63 @@
+#include "yuccapick/row_version_times.h"
+
+#include <rapidcheck/catch.h>
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <vector>
+
+namespace yuccapick {
+namespace {
+
+using std::chrono::milliseconds;
+
+const StoreTime kStart{std::chrono::seconds(60)};
+
+TEST_CASE("A row was written after the last answer without its version") {
+  RowVersionTimes times;
+  times.OnAnswer(7, kStart);
+  times.OnAnswer(7, kStart + milliseconds(300));
+  times.OnAnswer(9, kStart + milliseconds(500));
+  CHECK(times.WrittenAfter(8) == kStart + milliseconds(300));
+  CHECK(times.WrittenAfter(9) == kStart + milliseconds(300));
+  CHECK(times.WrittenAfter(10) == kStart + milliseconds(500));
+}
+
+TEST_CASE("Nothing is known of rows older than the first answer") {
+  RowVersionTimes times;
+  CHECK_FALSE(times.WrittenAfter(7));
+  times.OnAnswer(7, kStart);
+  CHECK_FALSE(times.WrittenAfter(7));
+}
+
+TEST_CASE("Answers in any order and read late never make a row look younger") {
+  rc::prop("random writes, answers and orders of reading", [] {
+    std::map<std::uint64_t, StoreTime> written;
+    std::vector<std::pair<std::uint64_t, StoreTime>> answers;
+    StoreTime now = kStart;
+    std::uint64_t version = 1;
+    const int steps = *rc::gen::inRange(1, 100);
+    for (int i = 0; i < steps; ++i) {
+      now += milliseconds(*rc::gen::inRange(1, 2'000));
+      if (*rc::gen::arbitrary<bool>()) {
+        written[++version] = now;
+      } else {
+        answers.emplace_back(version, now);
+      }
+    }
+    RowVersionTimes times;
+    while (!answers.empty()) {
+      const auto i = *rc::gen::inRange<std::size_t>(0, answers.size());
+      times.OnAnswer(answers[i].first, answers[i].second);
+      answers.erase(answers.begin() + static_cast<std::ptrdiff_t>(i));
+    }
+    for (const auto& [row, written_at] : written) {
+      const auto after = times.WrittenAfter(row);
+      RC_ASSERT(!after || *after <= written_at);
+    }
+  });
+}
+
+}  // namespace
+}  // namespace yuccapick
