--- a/src/gateway/proxied_request.cc
+++ b/src/gateway/proxied_request.cc
@@ -147,14 +147,14 @@
       candidate.old_weights = *weights < state_.target_weights.Newest(model);
       if (now &&
           state_.target_weights.IsOverdue(model, *weights, limit, *now)) {
-        overdue.push_back(std::move(candidate));
+        if (MayUseIfNoneElse(*weights, *now)) {
+          overdue.push_back(std::move(candidate));
+        }
         continue;
       }
     }
     fleet.candidates.push_back(std::move(candidate));
   }
-  // If the weights of all upstreams are too old, an answer from them is still
-  // better than none.
   if (fleet.candidates.empty()) fleet.candidates = std::move(overdue);
   return fleet;
 }
--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -82,6 +82,9 @@
   bool ShedLoad();
   /// How long before its weights become too old an upstream gets no requests.
   std::chrono::milliseconds StaleWeightsMargin() const;
+  /// True if an upstream with these weights may get the request if no other is
+  /// left.
+  bool MayUseIfNoneElse(WeightVersionNumber weights, StoreTime now) const;
   /// How long the upstream may send nothing before the attempt is given up.
   std::chrono::milliseconds SilenceTimeout() const;
   /// When the current attempt is given up; nullopt if it may not be retried.
--- a/src/gateway/proxied_request_timing.cc
+++ b/src/gateway/proxied_request_timing.cc
@@ -35,6 +35,18 @@
   return std::min(margin, longest);
 }
 
+bool ProxiedRequest::MayUseIfNoneElse(WeightVersionNumber weights,
+                                      StoreTime now) const {
+  const milliseconds limit = state_.settings.bounds.stale_weights_limit;
+  // Without the store nobody can roll out newer weights: an answer on old ones
+  // is better than none.
+  const bool rollout_possible = state_.store_in_touch_since &&
+                                now - *state_.store_in_touch_since >= limit;
+  if (!rollout_possible) return true;
+  return !state_.target_weights.IsOverdue(admitted_.caller.model, weights,
+                                          limit - kMinStaleWeightsMargin, now);
+}
+
 milliseconds ProxiedRequest::SilenceTimeout() const {
   if (attempt_->has_first_event) {
     return std::max(kMinEventGapTimeout,
