Explain pauses of the gateway and the age of replaced weights

Cause: a request that ran on weights replaced too long ago was explained as complete and nothing more; neither the age in its request_sent nor a pause of its gateway was shown.

Change: explain counts process_paused of the request's process among the related events if the pause, which is logged at its end, overlaps the time shown. The summary names the sum of these pauses, and the age of replaced weights at the last attempt, for complete and unfinished requests too.

--- a/src/request_explanation.cc
+++ b/src/request_explanation.cc
@@ -37,6 +37,23 @@
   return prefix.substr(prefix.find_last_of(' ') + 1);
 }
 
+/// Returns 0 if the field is missing or not a number.
+std::int64_t IntegerField(const LogLine& line, std::string_view name) {
+  const std::string_view text = line.Field(name);
+  std::int64_t value = 0;
+  if (!absl::SimpleAtoi(absl::string_view(text.data(), text.size()), &value)) {
+    return 0;
+  }
+  return value;
+}
+
+/// Returns the time at which the line's event began. A pause is logged after
+/// its end.
+std::int64_t BeginMs(const LogLine& line) {
+  if (line.Field("event") != "process_paused") return line.time_ms;
+  return line.time_ms - IntegerField(line, "duration_ms");
+}
+
 /// Describes why the request was rejected, or else its last attempt that
 /// failed. Returns an empty string if the lines contain neither.
 std::string FailureCause(const std::vector<LogLine>& lines) {
@@ -72,17 +89,42 @@
   return {};
 }
 
-std::string Summarize(const std::vector<LogLine>& request_lines,
-                      const std::vector<LogLine>& related) {
-  if (request_lines.empty()) return "No log line mentions this request.";
+/// Describes the age of the weights at the last attempt. Returns an empty
+/// string if they had not been replaced.
+std::string WeightsAge(const std::vector<LogLine>& request_lines) {
+  std::int64_t replaced_ms = 0;
+  for (const LogLine& line : request_lines) {
+    if (line.Field("event") == "request_sent") {
+      replaced_ms = IntegerField(line, "replaced_ms");
+    }
+  }
+  if (replaced_ms <= 0) return {};
+  return fmt::format("; sent on weights replaced {} ms before", replaced_ms);
+}
+
+/// Describes how long the process was paused in total.
+std::string Pauses(const std::vector<LogLine>& related) {
+  std::int64_t duration_ms = 0;
+  for (const LogLine& line : related) {
+    if (line.Field("event") == "process_paused") {
+      duration_ms += IntegerField(line, "duration_ms");
+    }
+  }
+  if (duration_ms <= 0) return {};
+  return fmt::format("; its gateway did not run for {} ms", duration_ms);
+}
+
+/// Describes how the request ended, without a full stop.
+std::string Outcome(const std::vector<LogLine>& request_lines,
+                    const std::vector<LogLine>& related) {
   const LogLine& last = request_lines.back();
   if (last.Field("event") == "request_not_admitted") {
-    return fmt::format("Not admitted with status {} under configuration {}.",
+    return fmt::format("Not admitted with status {} under configuration {}",
                        last.Field("status"), last.Field("config"));
   }
   if (last.Field("event") != "request_done") {
     return "The logs contain no end of this request: the process may have been "
-           "killed.";
+           "killed";
   }
   const std::string cause = FailureCause(request_lines);
   const std::string outcome = fmt::format(
@@ -90,12 +132,19 @@
       last.Field("status"), last.Field("total_ms"));
   if (cause.empty()) {
     const std::string_view reason = last.Field("reason");
-    if (reason.empty()) return outcome + ".";
-    return fmt::format("{}: {}; {} had sent nothing for {} ms{}.", outcome,
+    if (reason.empty()) return outcome;
+    return fmt::format("{}: {}; {} had sent nothing for {} ms{}", outcome,
                        reason, last.Field("upstream"), last.Field("silent_ms"),
                        RelatedChange(related));
   }
-  return fmt::format("{}: {}{}.", outcome, cause, RelatedChange(related));
+  return fmt::format("{}: {}{}", outcome, cause, RelatedChange(related));
+}
+
+std::string Summarize(const std::vector<LogLine>& request_lines,
+                      const std::vector<LogLine>& related) {
+  if (request_lines.empty()) return "No log line mentions this request.";
+  return fmt::format("{}{}{}.", Outcome(request_lines, related),
+                     WeightsAge(request_lines), Pauses(related));
 }
 
 void SortByTime(std::vector<LogLine>& lines) {
@@ -109,7 +158,8 @@
 std::vector<LogLine> RelatedLines(const std::vector<LogLine>& lines,
                                   const std::vector<LogLine>& request_lines) {
   static const std::set<std::string_view> kProcessEvents{
-      "store_lost", "store_regained", "drain_started", "stopped"};
+      "store_lost", "store_regained", "drain_started", "stopped",
+      "process_paused"};
   std::vector<LogLine> related;
   if (request_lines.empty()) return related;
   std::set<std::string> upstreams;
@@ -120,7 +170,7 @@
   const std::int64_t to = request_lines.back().time_ms;
   const std::string& source = request_lines.front().source;
   for (const LogLine& line : lines) {
-    if (line.time_ms < from || line.time_ms > to) continue;
+    if (line.time_ms < from || BeginMs(line) > to) continue;
     const bool upstream_changed =
         line.Field("event") == "upstream_changed" &&
         upstreams.contains(std::string(line.Field("upstream")));
--- a/test/request_explanation_test.cc
+++ b/test/request_explanation_test.cc
@@ -107,5 +107,56 @@
         "Ended as complete with status 200 after 41 ms.");
 }
 
+TEST_CASE("A pause of the request's process is named in the summary") {
+  const std::string done =
+      "gw-1 time=9000 event=request_done id=5 outcome=complete status=200 "
+      "total_ms=41 reason=\"\"";
+  const auto explain = [&done](const std::string& pause) {
+    return ExplainRequest(Parse({done, pause}), "5");
+  };
+  const std::string complete = "Ended as complete with status 200 after 41 ms";
+  const std::string paused =
+      complete + "; its gateway did not run for 4700 ms.";
+  const std::string event = " event=process_paused duration_ms=4700 ";
+  CHECK(explain("gw-1 time=6000" + event).summary == paused);
+  CHECK(explain("gw-1 time=13700" + event).summary == paused);
+  CHECK(explain("gw-1 time=13700" + event).lines.size() == 2);
+  CHECK(explain("gw-1 time=5999" + event).summary == complete + ".");
+  CHECK(explain("gw-1 time=13701" + event).summary == complete + ".");
+  CHECK(explain("gw-2 time=8000" + event).lines.size() == 1);
+}
+
+TEST_CASE("A pause is named besides the cause and the upstream's removal") {
+  const std::string ended =
+      "time=1990 event=attempt_ended id=9 attempt=1 upstream=i-1 end=broken "
+      "reason=\"End of file\"";
+  const std::string done =
+      "time=2000 event=request_done id=9 outcome=upstream_failed status=502 "
+      "total_ms=900 reason=\"End of file\"";
+  const auto lines = Parse(
+      {ended, "time=1991 event=upstream_changed upstream=i-1 change=removed",
+       "time=1000 event=process_paused duration_ms=300 suspended_ms=0",
+       "time=1992 event=process_paused duration_ms=200 suspended_ms=0", done});
+  CHECK(ExplainRequest(lines, "9").summary ==
+        "Ended as upstream_failed with status 502 after 900 ms: attempt 1 at "
+        "i-1 ended as broken (End of file); i-1 was removed; its gateway did "
+        "not run for 500 ms.");
+}
+
+TEST_CASE("The age of replaced weights at the last attempt is named") {
+  const std::string old =
+      "time=1 event=request_sent id=4 attempt=1 upstream=i-1 replaced_ms=8600";
+  const std::string current =
+      "time=2 event=request_sent id=4 attempt=2 upstream=i-2 replaced_ms=0";
+  const std::string done =
+      "time=3 event=request_done id=4 outcome=complete status=200 total_ms=41 "
+      "reason=\"\"";
+  CHECK(ExplainRequest(Parse({old, done}), "4").summary ==
+        "Ended as complete with status 200 after 41 ms; sent on weights "
+        "replaced 8600 ms before.");
+  CHECK(ExplainRequest(Parse({old, current, done}), "4").summary ==
+        "Ended as complete with status 200 after 41 ms.");
+}
+
 }  // namespace
 }  // namespace yuccapick
