Log which software version a stream is sent to, and what it resumes

The logs did not tell at which software version of a service a stream began and went on, within one answer or over a caller's attempts: request_sent named the upstream only, and nothing named its software. The entry of an upstream now has its software version; upstream_changed and request_sent log it, and request_sent logs the attempt that a caller says it resumes. No decision changes.

--- a/include/yuccapick/ids.h
+++ b/include/yuccapick/ids.h
@@ -57,6 +57,8 @@
 using ModelId = StringId<struct ModelIdTag>;
 using AdapterId = StringId<struct AdapterIdTag>;
 using WeightVersion = StringId<struct WeightVersionTag>;
+/// Version of an upstream's program, not of its weights.
+using SoftwareVersion = StringId<struct SoftwareVersionTag>;
 using UpstreamId = StringId<struct UpstreamIdTag>;
 using InstanceId = StringId<struct InstanceIdTag>;
 using FailureDomain = StringId<struct FailureDomainTag>;
--- a/include/yuccapick/upstream_roster.h
+++ b/include/yuccapick/upstream_roster.h
@@ -25,6 +25,7 @@
   ServiceId service;
   std::string endpoint;  ///< `IP:PORT`.
   FailureDomain domain;
+  SoftwareVersion software;
   std::uint32_t slots = 1;  ///< Requests that it processes at once.
   bool leaving = false;
   std::map<ModelId, WeightVersionNumber> weights;  ///< Loaded, by model.
--- a/src/gateway/gateway_process_tables.cc
+++ b/src/gateway/gateway_process_tables.cc
@@ -117,9 +117,10 @@
   const UpstreamEntry* entry = state_.roster.Find(change.id);
   state_.log.Write(LogKind::kStateChange, state_.Now(),
                    "event=upstream_changed upstream={} change={} endpoint={} "
-                   "leaving={}",
+                   "software={} leaving={}",
                    change.id.value, RosterChangeName(change.kind),
                    entry == nullptr ? "-" : entry->endpoint,
+                   entry == nullptr ? "-" : entry->software.value,
                    entry != nullptr && entry->leaving);
   if (change.kind == Kind::kRestarted || change.kind == Kind::kRemoved) {
     state_.health.Forget(change.id);
--- a/src/gateway/proxied_request.cc
+++ b/src/gateway/proxied_request.cc
@@ -247,13 +247,15 @@
   attempt_ = std::move(attempt);
   state_.log.Write(
       LogKind::kRequest, now,
-      "event=request_sent id={} attempt={} route={} upstream={} cost_ms={:.1f} "
+      "event=request_sent id={} attempt={} route={} upstream={} software={} "
+      "resumes={} cost_ms={:.1f} "
       "prefix={:x} hit_tokens={} missing_tokens={} import_from={} export={} "
       "weights={} replaced_ms={} left_ms={} config={}",
       admitted_.caller.attempt_id, attempts_sent_, admitted_.route->name,
-      upstream.id.value, choice.cost.count(),
-      chain.empty() ? 0 : chain.back().hash, choice.expected_cached_tokens,
-      choice.missing_tokens,
+      upstream.id.value, upstream.software.value,
+      admitted_.caller.resumes.empty() ? "-" : admitted_.caller.resumes,
+      choice.cost.count(), chain.empty() ? 0 : chain.back().hash,
+      choice.expected_cached_tokens, choice.missing_tokens,
       choice.import_from.empty() ? "-" : choice.import_from,
       !choice.export_to.empty(), head.weights.value_or(0), replaced_for.count(),
       head.time_left.count(), admitted_.config->version().value);
--- a/src/gateway/upstream_messages.h
+++ b/src/gateway/upstream_messages.h
@@ -29,6 +29,9 @@
   std::optional<std::uint32_t> expected_output_tokens;
   std::vector<PromptPart> parts;
   std::optional<std::uint64_t> last_event_id;  ///< The stream resumes after it.
+  /// Attempt id under which the caller got the stream's first event, if it
+  /// resumes one.
+  std::string resumes;
 };
 
 /// Fields that the gateway adds to the caller's when it calls an upstream.
