Cause streams that go on at other software versions in tests

Cause: a gateway takes no account of the software version of a service's upstreams when it continues a broken stream, or when a caller resumes one, so it sends the stream to upstreams whose events don't fit together with those that were sent before.

Change: tests only. The gateway fixture lists upstreams with a software version and failure domain (v1 by default), waits until the gateways list them, and can start a second gateway that the first one knows. stream_software_test.cc covers a broken stream with and without another upstream of its version, resumption at the same and at a second gateway, resumption of an unknown stream, and that 12 of 12 streams are resumed. Where a gateway may not know a stream yet, it may refuse with 503 and Retry-After; the test then asks again. No existing test is changed.

--- a/test/gateway/gateway_fixture.cc
+++ b/test/gateway/gateway_fixture.cc
@@ -14,6 +14,8 @@
 
 using Json = nlohmann::json;
 
+constexpr char kGatewayTable[] = "yuccapick-gateways";
+
 std::string LoopbackEndpoint(std::uint16_t port) {
   return fmt::format("127.0.0.1:{}", port);
 }
@@ -34,10 +36,22 @@
 }
 
 Json UpstreamRow(const FakeUpstream& upstream, const std::string& service) {
-  return Json{{"service", service}, {"address", upstream.endpoint()},
-              {"zone", "here"},     {"slots", 4},
-              {"state", "ready"},   {"models", Json::array()},
-              {"sequence", 0},      {"born", 1}};
+  return Json{{"service", service},
+              {"address", upstream.endpoint()},
+              {"zone", "here"},
+              {"version", "v1"},
+              {"slots", 4},
+              {"state", "ready"},
+              {"models", Json::array()},
+              {"sequence", 0},
+              {"born", 1}};
+}
+
+void AssignPorts(GatewaySettings& settings) {
+  settings.caller_endpoint = fmt::format("{}:{}", TestHost(), NextTestPort());
+  settings.ready_endpoint = fmt::format("{}:{}", TestHost(), NextTestPort());
+  settings.peer_port = NextTestPort();
+  settings.metrics_port = NextTestPort();
 }
 
 std::string Parameter(const std::string& target, const std::string& name) {
@@ -227,10 +241,7 @@
   settings.instance = InstanceId("gateway-1");
   settings.domain = FailureDomain("here");
   settings.ip = TestHost();
-  settings.caller_endpoint = fmt::format("{}:{}", TestHost(), NextTestPort());
-  settings.ready_endpoint = fmt::format("{}:{}", TestHost(), NextTestPort());
-  settings.peer_port = NextTestPort();
-  settings.metrics_port = NextTestPort();
+  AssignPorts(settings);
   settings.table_endpoint = store.endpoint();
   settings.listen_after_drain = std::chrono::milliseconds(100);
 }
@@ -245,6 +256,16 @@
   store.Put("servers", upstream.id(), entry.dump());
 }
 
+void GatewayFixture::RegisterSoftware(const FakeUpstream& upstream,
+                                      const std::string& service,
+                                      const std::string& software,
+                                      const std::string& domain) {
+  Json entry = UpstreamRow(upstream, service);
+  entry["version"] = software;
+  entry["zone"] = domain;
+  store.Put("servers", upstream.id(), entry.dump());
+}
+
 void GatewayFixture::RegisterEngine(const FakeUpstream& upstream, int weights) {
   Json entry = UpstreamRow(upstream, "engines");
   entry["models"] = Json::array({Json{{"name", "m"}, {"version", weights}}});
@@ -276,15 +297,55 @@
   REQUIRE(RunUntil(loop, [this] { return IsReady(); }));
 }
 
-bool GatewayFixture::IsReady() {
-  FakeCaller caller(loop, settings.ready_endpoint);
+void GatewayFixture::StartPeer() {
+  REQUIRE(RunUntilTrue(
+      [this] { return store.Has(kGatewayTable, settings.instance.value); }));
+  peer_settings = settings;
+  peer_settings.instance = InstanceId("gateway-2");
+  AssignPorts(peer_settings);
+  peer = std::make_unique<GatewayProcess>(loop, peer_settings, Incarnation(1));
+  REQUIRE(peer->Start().ok());
+  REQUIRE(RunUntilTrue([this] {
+    return IsReady(peer_settings) &&
+           HasMetric(settings, "yuccapick_peers_live 1") &&
+           HasMetric(peer_settings, "yuccapick_peers_live 1");
+  }));
+}
+
+bool GatewayFixture::IsReady(const GatewaySettings& of) {
+  FakeCaller caller(loop, of.ready_endpoint);
   caller.Send("GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
   RunUntil(loop, [&caller] { return caller.closed(); });
   return caller.input().starts_with("HTTP/1.1 200");
 }
 
+bool GatewayFixture::HasMetric(const GatewaySettings& of,
+                               const std::string& line) {
+  FakeCaller caller(loop, fmt::format("{}:{}", of.ip, of.metrics_port));
+  caller.Send("GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+  RunUntil(loop, [&caller] { return caller.closed(); });
+  return caller.input().find("\n" + line + "\n") != std::string::npos;
+}
+
+bool GatewayFixture::AwaitListed(std::size_t n) {
+  const std::string line = fmt::format("yuccapick_upstreams_listed {}", n);
+  return RunUntilTrue([&] {
+    return HasMetric(settings, line) &&
+           (peer == nullptr || HasMetric(peer_settings, line));
+  });
+}
+
 std::string GatewayFixture::Ask(const std::string& request) {
-  FakeCaller caller(loop, settings.caller_endpoint);
+  return AskAt(settings.caller_endpoint, request);
+}
+
+std::string GatewayFixture::AskPeer(const std::string& request) {
+  return AskAt(peer_settings.caller_endpoint, request);
+}
+
+std::string GatewayFixture::AskAt(const std::string& endpoint,
+                                  const std::string& request) {
+  FakeCaller caller(loop, endpoint);
   caller.Send(request);
   const bool ended = RunUntil(loop, [&caller] {
     if (caller.closed()) return true;
@@ -303,15 +364,16 @@
 
 std::string CallerRequest(const std::string& method, const std::string& path,
                           const std::string& more_fields,
-                          const std::string& body) {
+                          const std::string& body,
+                          const std::string& attempt_id) {
   std::string length;
   if (!body.empty()) {
     length = fmt::format("Content-Length: {}\r\n", body.size());
   }
   return fmt::format(
-      "{} {} HTTP/1.1\r\nHost: crew.example\r\nX-Attempt-Id: id-1\r\n"
+      "{} {} HTTP/1.1\r\nHost: crew.example\r\nX-Attempt-Id: {}\r\n"
       "X-Key: key-moor\r\n{}{}\r\n{}",
-      method, path, more_fields, length, body);
+      method, path, attempt_id, more_fields, length, body);
 }
 
 }  // namespace yuccapick
--- a/test/gateway/gateway_fixture.h
+++ b/test/gateway/gateway_fixture.h
@@ -140,30 +140,48 @@
   /// Puts an upstream's row into the store.
   void Register(const FakeUpstream& upstream, const std::string& service,
                 const std::string& state = "ready");
+  /// Puts the row of an upstream that runs a software version.
+  void RegisterSoftware(const FakeUpstream& upstream,
+                        const std::string& service, const std::string& software,
+                        const std::string& domain = "here");
   /// Puts the row of an engine that has loaded `weights` of the model "m".
   void RegisterEngine(const FakeUpstream& upstream, int weights);
   void PutConfig(std::uint64_t version, const std::string& routes);
   /// Sets the target weights of the model "m".
   void PutTargetWeights(int weights);
   void Start();
-  /// Sends a request on a new connection.
+  /// Starts a second gateway and waits until the two know each other.
+  void StartPeer();
+  /// Sends a request to the first gateway on a new connection.
   /// @return the bytes received until the answer ends or the connection closes
   std::string Ask(const std::string& request);
+  std::string AskPeer(const std::string& request);
   bool RunUntilTrue(const std::function<bool()>& done) {
     return RunUntil(loop, done);
   }
-  bool IsReady();
+  bool IsReady() { return IsReady(settings); }
+  /// Waits until every gateway lists `n` upstreams.
+  /// @return false if they did not within `kTestTimeout`
+  bool AwaitListed(std::size_t n);
 
   asio::io_context loop;
   FakeStore store;
   GatewaySettings settings;
+  GatewaySettings peer_settings;  ///< Set by `StartPeer`.
   std::unique_ptr<GatewayProcess> gateway;
+  std::unique_ptr<GatewayProcess> peer;  ///< Null without a second gateway.
+
+ private:
+  bool IsReady(const GatewaySettings& of);
+  bool HasMetric(const GatewaySettings& of, const std::string& line);
+  std::string AskAt(const std::string& endpoint, const std::string& request);
 };
 
 /// @return a request for `path` with an attempt id and an API key
 std::string CallerRequest(const std::string& method, const std::string& path,
                           const std::string& more_fields = "",
-                          const std::string& body = "");
+                          const std::string& body = "",
+                          const std::string& attempt_id = "id-1");
 
 }  // namespace yuccapick
 
--- /dev/null
+++ b/test/gateway/stream_software_test.cc
@@ -0,0 +1,294 @@
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+#include "test/gateway/gateway_fixture.h"
+
+namespace yuccapick {
+namespace {
+
+using Connection = FakeUpstream::Connection;
+
+constexpr char kRoutes[] = R"([
+ {"name":"tell","host":"crew.example","prefix":"/tell/","kind":"streaming",
+  "timeoutMs":20000,"targetLatencyMs":8000,"gapTargetMs":8000,"service":"app",
+  "maxAttempts":2,"resumable":true}])";
+
+constexpr char kOwnDomain[] = "here";
+constexpr char kOtherDomain[] = "elsewhere";
+constexpr char kEndOfStream[] = "\r\n0\r\n\r\n";
+
+bool Contains(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
+std::string Chunk(const std::string& bytes) {
+  return fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes);
+}
+
+std::string Event(int id) { return fmt::format("id: {}\ndata: x\n\n", id); }
+
+std::string NewStream(const std::string& attempt_id) {
+  return CallerRequest("POST", "/tell/1", "", "", attempt_id);
+}
+
+/// @return a request to continue, after event 2, the stream that
+/// `first_attempt`
+///   began
+std::string ResumedStream(const std::string& attempt_id,
+                          const std::string& first_attempt) {
+  return CallerRequest(
+      "POST", "/tell/1",
+      fmt::format("Resumes: {}\r\nLast-Event-Id: 2\r\n", first_attempt), "",
+      attempt_id);
+}
+
+bool IsRefusal(const std::string& answer) {
+  return answer.starts_with("HTTP/1.1 503") &&
+         Contains(answer, "Retry-After: ");
+}
+
+/// Four events are a complete stream.
+bool HasRestOfStream(const std::string& answer) {
+  return Contains(answer, Event(3)) && Contains(answer, Event(4)) &&
+         answer.ends_with(kEndOfStream);
+}
+
+bool HasReceived(const FakeUpstream& upstream, const std::string& attempt_id,
+                 const std::string& last_event_id) {
+  const std::vector<ReceivedRequest>& received = upstream.received();
+  return std::any_of(received.begin(), received.end(),
+                     [&](const ReceivedRequest& request) {
+                       return request.Field("X-Attempt-Id") == attempt_id &&
+                              request.Field("Last-Event-Id") == last_event_id;
+                     });
+}
+
+/// An upstream that sends the first two events of a new stream and then waits.
+/// It sends the rest of a resumed stream at once.
+struct StreamUpstream {
+  StreamUpstream(asio::io_context& loop, const std::string& id)
+      : fake(loop, id, [this](Connection& c, const ReceivedRequest& r) {
+          fake.BeginStream(c, r);
+          if (r.Field("Last-Event-Id").empty()) {
+            c.Write(Chunk(Event(1) + Event(2)));
+          } else {
+            c.Write(Chunk(Event(3)) + Chunk(Event(4)) + "0\r\n\r\n");
+          }
+        }) {}
+
+  bool HasBegun(const std::string& attempt_id) const {
+    return HasReceived(fake, attempt_id, "");
+  }
+  bool HasResumed(const std::string& attempt_id) const {
+    return HasReceived(fake, attempt_id, "2");
+  }
+  void CloseConnections() {
+    for (const auto& c : fake.server().connections) c->Close();
+  }
+  std::size_t ConnectionsClosedByGateway() {
+    const auto& connections = fake.server().connections;
+    return static_cast<std::size_t>(
+        std::count_if(connections.begin(), connections.end(),
+                      [](const auto& c) { return c->closed_by_peer; }));
+  }
+
+  FakeUpstream fake;
+};
+
+/// The upstreams of one software version.
+struct UpstreamPair {
+  UpstreamPair(asio::io_context& loop, const std::string& version)
+      : software(version),
+        first(loop, version + "-first"),
+        second(loop, version + "-second") {}
+
+  std::size_t ReceivedCount() const {
+    return first.fake.received().size() + second.fake.received().size();
+  }
+  bool HasBegun(const std::string& attempt_id) const {
+    return first.HasBegun(attempt_id) || second.HasBegun(attempt_id);
+  }
+  bool HasResumed(const std::string& attempt_id) const {
+    return first.HasResumed(attempt_id) || second.HasResumed(attempt_id);
+  }
+  std::size_t ConnectionsClosedByGateway() {
+    return first.ConnectionsClosedByGateway() +
+           second.ConnectionsClosedByGateway();
+  }
+
+  std::string software;
+  StreamUpstream first;
+  StreamUpstream second;
+};
+
+/// A gateway that first lists one upstream of software v1. Further upstreams
+/// can be listed. Those of v2 are in the gateway's own failure domain, so that
+/// placement prefers them.
+struct TwoSoftwareVersions {
+  TwoSoftwareVersions() : v1(fixture.loop, "v1"), v2(fixture.loop, "v2") {
+    fixture.PutConfig(1, kRoutes);
+    Register(v1.first, v1.software, kOtherDomain);
+    fixture.Start();
+  }
+
+  void Register(const StreamUpstream& upstream, const std::string& software,
+                const std::string& domain) {
+    fixture.RegisterSoftware(upstream.fake, "app", software, domain);
+  }
+
+  void ListSecondOfV1() {
+    Register(v1.second, v1.software, kOtherDomain);
+    REQUIRE(fixture.AwaitListed(++listed));
+  }
+
+  void ListV2() {
+    Register(v2.first, v2.software, kOwnDomain);
+    Register(v2.second, v2.software, kOwnDomain);
+    listed += 2;
+    REQUIRE(fixture.AwaitListed(listed));
+  }
+
+  std::unique_ptr<FakeCaller> BeginStream(const std::string& attempt_id) {
+    auto caller = std::make_unique<FakeCaller>(
+        fixture.loop, fixture.settings.caller_endpoint);
+    caller->Send(NewStream(attempt_id));
+    REQUIRE(fixture.RunUntilTrue(
+        [&caller] { return Contains(caller->input(), Event(2)); }));
+    return caller;
+  }
+
+  /// Waits until the gateway has closed the upstream connections of `n` streams
+  /// whose callers disconnected.
+  void AwaitCancelled(std::size_t n) {
+    REQUIRE(fixture.RunUntilTrue([this, n] {
+      return v1.ConnectionsClosedByGateway() +
+                 v2.ConnectionsClosedByGateway() >=
+             n;
+    }));
+  }
+
+  void AwaitEnd(const FakeCaller& caller) {
+    REQUIRE(fixture.RunUntilTrue([&caller] {
+      return caller.closed() || caller.input().ends_with(kEndOfStream);
+    }));
+  }
+
+  GatewayFixture fixture;
+  UpstreamPair v1;
+  UpstreamPair v2;
+  std::size_t listed = 1;
+};
+
+TEST_CASE("A broken stream continues at the software version that began it") {
+  TwoSoftwareVersions versions;
+  const auto caller = versions.BeginStream("id-1");
+  versions.ListSecondOfV1();
+  versions.ListV2();
+  versions.v1.first.CloseConnections();
+  versions.AwaitEnd(*caller);
+  CHECK(HasRestOfStream(caller->input()));
+  CHECK(versions.v1.second.HasResumed("id-1"));
+  CHECK(versions.v2.ReceivedCount() == 0);
+}
+
+TEST_CASE("A broken stream ends if only other software versions are left") {
+  TwoSoftwareVersions versions;
+  const auto caller = versions.BeginStream("id-1");
+  versions.ListV2();
+  const std::string received = caller->input();
+  versions.v1.first.CloseConnections();
+  versions.AwaitEnd(*caller);
+  CHECK(caller->closed());
+  CHECK(caller->input() == received);
+  CHECK(versions.v2.ReceivedCount() == 0);
+}
+
+TEST_CASE("A caller resumes a stream at the software version that began it") {
+  TwoSoftwareVersions versions;
+  versions.BeginStream("id-1")->Close();
+  versions.AwaitCancelled(1);
+  versions.ListSecondOfV1();
+  versions.ListV2();
+  for (const char* attempt_id : {"id-2", "id-3"}) {
+    const std::string answer =
+        versions.fixture.Ask(ResumedStream(attempt_id, "id-1"));
+    CHECK(answer.starts_with("HTTP/1.1 200"));
+    CHECK(HasRestOfStream(answer));
+    CHECK(versions.v1.HasResumed(attempt_id));
+  }
+  CHECK(versions.v2.ReceivedCount() == 0);
+}
+
+TEST_CASE("A second gateway resumes a stream at the software that began it") {
+  TwoSoftwareVersions versions;
+  versions.fixture.StartPeer();
+  versions.BeginStream("id-1")->Close();
+  versions.AwaitCancelled(1);
+  versions.ListSecondOfV1();
+  versions.ListV2();
+  std::string attempt_id;
+  std::string answer;
+  int attempts = 1;
+  // The second gateway may refuse until the first has told it of the stream.
+  REQUIRE(versions.fixture.RunUntilTrue([&] {
+    attempt_id = fmt::format("id-{}", ++attempts);
+    answer = versions.fixture.AskPeer(ResumedStream(attempt_id, "id-1"));
+    return !IsRefusal(answer);
+  }));
+  CHECK(answer.starts_with("HTTP/1.1 200"));
+  CHECK(HasRestOfStream(answer));
+  CHECK(versions.v1.HasResumed(attempt_id));
+  CHECK(versions.v2.ReceivedCount() == 0);
+}
+
+TEST_CASE("With two versions listed an unknown stream is not resumed") {
+  TwoSoftwareVersions versions;
+  versions.ListSecondOfV1();
+  versions.ListV2();
+  CHECK(IsRefusal(versions.fixture.Ask(ResumedStream("id-2", "id-1"))));
+  CHECK(versions.v1.ReceivedCount() == 0);
+  CHECK(versions.v2.ReceivedCount() == 0);
+}
+
+TEST_CASE("With one software version listed an unknown stream is resumed") {
+  TwoSoftwareVersions versions;
+  versions.ListSecondOfV1();
+  const std::string answer =
+      versions.fixture.Ask(ResumedStream("id-2", "id-1"));
+  CHECK(answer.starts_with("HTTP/1.1 200"));
+  CHECK(HasRestOfStream(answer));
+  CHECK(versions.v1.HasResumed("id-2"));
+}
+
+TEST_CASE("Every stream is resumed while upstreams of its software serve") {
+  constexpr std::size_t kStreams = 12;
+  TwoSoftwareVersions versions;
+  versions.Register(versions.v1.first, "v1", kOwnDomain);
+  versions.ListSecondOfV1();
+  versions.Register(versions.v1.second, "v1", kOwnDomain);
+  versions.ListV2();
+  std::vector<std::unique_ptr<FakeCaller>> callers;
+  for (std::size_t i = 0; i < kStreams; ++i) {
+    callers.push_back(versions.BeginStream(fmt::format("first-{}", i)));
+  }
+  callers.clear();
+  versions.AwaitCancelled(kStreams);
+  std::size_t begun_at_v1 = 0;
+  for (std::size_t i = 0; i < kStreams; ++i) {
+    const std::string first_attempt = fmt::format("first-{}", i);
+    const std::string attempt_id = fmt::format("again-{}", i);
+    const bool at_v1 = versions.v1.HasBegun(first_attempt);
+    if (at_v1) ++begun_at_v1;
+    CHECK(HasRestOfStream(
+        versions.fixture.Ask(ResumedStream(attempt_id, first_attempt))));
+    CHECK(versions.v1.HasResumed(attempt_id) == at_v1);
+    CHECK(versions.v2.HasResumed(attempt_id) != at_v1);
+  }
+  CHECK(begun_at_v1 > 0);
+  CHECK(begun_at_v1 < kStreams);
+}
+
+}  // namespace
+}  // namespace yuccapick
