Explain the attempts at one stream and their software versions

Cause: the attempts of a caller that resumes a stream have different ids, so explain showed one of them only, and nothing told that a stream had been sent to upstreams with different software.

Change: explain ID prints the lines of all attempts that are joined with ID by resumes, and its summary names the software versions that these were sent to if there is more than one. An attempt without lines of its own that others resume is explained as such.

--- a/include/yuccapick/request_explanation.h
+++ b/include/yuccapick/request_explanation.h
@@ -31,11 +31,13 @@
 std::optional<LogLine> ParseLogLine(std::string_view text,
                                     std::string_view file = {});
 
-/// Log lines of one request and of related upstream and process events, sorted
-/// by time.
+/// Log lines of one request, of the same caller's other attempts at its stream,
+/// and of related upstream and process events, sorted by time.
 struct RequestExplanation {
   std::vector<LogLine> lines;
-  std::string summary;  ///< One sentence with the cause, if known.
+  /// The outcome and its cause, if known, and the software versions that a
+  /// stream was sent to, if there is more than one.
+  std::string summary;
 };
 
 /// @param lines of all processes, in any order
--- a/src/request_explanation.cc
+++ b/src/request_explanation.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <functional>
 #include <set>
 
 #include "absl/strings/numbers.h"
@@ -141,8 +142,13 @@
 }
 
 std::string Summarize(const std::vector<LogLine>& request_lines,
+                      const std::vector<LogLine>& stream_lines,
                       const std::vector<LogLine>& related) {
-  if (request_lines.empty()) return "No log line mentions this request.";
+  if (request_lines.empty()) {
+    return stream_lines.empty()
+               ? "No log line mentions this request."
+               : "The logs contain only attempts that resume this one.";
+  }
   return fmt::format("{}{}{}.", Outcome(request_lines, related),
                      WeightsAge(request_lines), Pauses(related));
 }
@@ -184,6 +190,73 @@
   return related;
 }
 
+/// Returns the earlier attempt whose stream the line's attempt resumes, or an
+/// empty string.
+std::string_view ResumedAttempt(const LogLine& line) {
+  const std::string_view attempt = line.Field("resumes");
+  return attempt == "-" ? std::string_view() : attempt;
+}
+
+/// Adds the attempts that the given ones resume, and those that resume them.
+void AddJoinedAttempts(const std::vector<LogLine>& lines,
+                       std::set<std::string, std::less<>>& attempts) {
+  for (const LogLine& line : lines) {
+    const std::string_view resumed = ResumedAttempt(line);
+    if (resumed.empty()) continue;
+    const std::string_view id = line.Field("id");
+    if (attempts.contains(id)) attempts.emplace(resumed);
+    if (attempts.contains(resumed)) attempts.emplace(id);
+  }
+}
+
+/// Returns the ids of all attempts of a caller at one stream.
+std::set<std::string, std::less<>> StreamAttempts(
+    const std::vector<LogLine>& lines, std::string_view id) {
+  std::set<std::string, std::less<>> attempts{std::string(id)};
+  std::size_t known = 0;
+  while (known != attempts.size()) {
+    known = attempts.size();
+    AddJoinedAttempts(lines, attempts);
+  }
+  return attempts;
+}
+
+/// Returns the lines of all attempts of a caller at one stream, sorted by time.
+std::vector<LogLine> StreamLines(const std::vector<LogLine>& lines,
+                                 std::string_view id) {
+  const auto attempts = StreamAttempts(lines, id);
+  std::vector<LogLine> stream_lines;
+  for (const LogLine& line : lines) {
+    if (attempts.contains(line.Field("id"))) stream_lines.push_back(line);
+  }
+  SortByTime(stream_lines);
+  return stream_lines;
+}
+
+/// Returns the software versions that the lines were sent to, in order of time.
+std::vector<std::string_view> SoftwareVersions(
+    const std::vector<LogLine>& stream_lines) {
+  std::vector<std::string_view> versions;
+  for (const LogLine& line : stream_lines) {
+    if (line.Field("event") != "request_sent") continue;
+    const std::string_view version = line.Field("software");
+    const auto known = std::find(versions.begin(), versions.end(), version);
+    if (!version.empty() && known == versions.end()) {
+      versions.push_back(version);
+    }
+  }
+  return versions;
+}
+
+/// Returns a sentence if the stream was sent to more than one software version,
+/// else an empty string.
+std::string MixedSoftware(const std::vector<LogLine>& stream_lines) {
+  const std::vector<std::string_view> versions = SoftwareVersions(stream_lines);
+  if (versions.size() < 2) return {};
+  return fmt::format(" The stream was sent to software versions {}.",
+                     fmt::join(versions, ", "));
+}
+
 }  // namespace
 
 std::string_view LogLine::Field(std::string_view name) const {
@@ -221,15 +294,16 @@
 
 RequestExplanation ExplainRequest(const std::vector<LogLine>& lines,
                                   std::string_view id) {
+  const std::vector<LogLine> stream_lines = StreamLines(lines, id);
   std::vector<LogLine> request_lines;
-  for (const LogLine& line : lines) {
+  for (const LogLine& line : stream_lines) {
     if (line.Field("id") == id) request_lines.push_back(line);
   }
-  SortByTime(request_lines);
   const std::vector<LogLine> related = RelatedLines(lines, request_lines);
   RequestExplanation explanation;
-  explanation.summary = Summarize(request_lines, related);
-  explanation.lines = request_lines;
+  explanation.summary = Summarize(request_lines, stream_lines, related) +
+                        MixedSoftware(stream_lines);
+  explanation.lines = stream_lines;
   explanation.lines.insert(explanation.lines.end(), related.begin(),
                            related.end());
   SortByTime(explanation.lines);
--- a/test/request_explanation_test.cc
+++ b/test/request_explanation_test.cc
@@ -158,5 +158,53 @@
         "Ended as complete with status 200 after 41 ms.");
 }
 
+TEST_CASE("All attempts at one stream are shown with any of them") {
+  const std::string done =
+      "gw-2 time=21 event=request_done id=b outcome=complete status=200 "
+      "total_ms=1 reason=\"\"";
+  const auto lines = Parse(
+      {"gw-3 time=30 event=request_sent id=c software=v1 resumes=a",
+       "gw-1 time=10 event=request_sent id=a software=v1 resumes=-",
+       "gw-2 time=20 event=request_sent id=b software=v1.2 resumes=a", done,
+       "gw-2 time=22 event=request_sent id=d software=v2 resumes=-"});
+  for (const char* id : {"a", "b", "c"}) {
+    const RequestExplanation explanation = ExplainRequest(lines, id);
+    REQUIRE(explanation.lines.size() == 4);
+    CHECK(explanation.lines.front().Field("id") == "a");
+    CHECK(explanation.lines.back().Field("id") == "c");
+    CHECK(explanation.summary.ends_with(
+        " The stream was sent to software versions v1, v1.2."));
+  }
+  CHECK(ExplainRequest(lines, "b").summary ==
+        "Ended as complete with status 200 after 1 ms. The stream was sent to "
+        "software versions v1, v1.2.");
+  CHECK(ExplainRequest(lines, "d").lines.size() == 1);
+}
+
+TEST_CASE("An attempt that is only resumed in the logs is explained as such") {
+  const auto lines =
+      Parse({"time=1 event=request_sent id=b software=v1 resumes=a"});
+  const RequestExplanation explanation = ExplainRequest(lines, "a");
+  CHECK(explanation.lines.size() == 1);
+  CHECK(explanation.summary ==
+        "The logs contain only attempts that resume this one.");
+}
+
+TEST_CASE("Software versions are named only if there is more than one") {
+  const std::string first =
+      "time=1 event=request_sent id=4 attempt=1 software=v1 resumes=-";
+  const std::string same =
+      "time=2 event=request_sent id=4 attempt=2 software=v1 resumes=-";
+  const std::string newer =
+      "time=2 event=request_sent id=4 attempt=2 software=v1.1 resumes=-";
+  const std::string done =
+      "time=3 event=request_done id=4 outcome=complete status=200 total_ms=41 "
+      "reason=\"\"";
+  const std::string complete = "Ended as complete with status 200 after 41 ms.";
+  CHECK(ExplainRequest(Parse({first, same, done}), "4").summary == complete);
+  CHECK(ExplainRequest(Parse({first, newer, done}), "4").summary ==
+        complete + " The stream was sent to software versions v1, v1.1.");
+}
+
 }  // namespace
 }  // namespace yuccapick
