Continue a stream only at the software version that began it

Cause: nothing in the gateway knew of software versions. A broken stream went on at any upstream that had not been tried, within one answer, and a stream that a caller resumed went anywhere, since the field that names its first attempt wasn't read. Excluded: a list of upstreams that was out of date, as the two engines had been listed with their versions for seconds.

Now the software version of the upstream that brought a stream's first event binds it. While a service has, or had within 30 s, several versions, gateways tell each other which version began each resumable stream: 20 ms after its first event and again at the next tick, as datagrams may be lost. A stream that nobody has told of is resumed if its service had one version only, and refused with Retry-After otherwise. A resumed stream stays with its first service, as far as its route allows it.

--- /dev/null
+++ b/include/yuccapick/stream_origins.h
@@ -0,0 +1,102 @@
+#ifndef YUCCAPICK_STREAM_ORIGINS_H_
+#define YUCCAPICK_STREAM_ORIGINS_H_
+
+/// @file
+/// Which software version began each stream.
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "yuccapick/ids.h"
+
+namespace yuccapick {
+
+/// Identifies a stream by the caller's attempt that got its first event.
+using StreamId = NumericId<struct StreamIdTag>;
+
+/// @param attempt_id the attempt's id as the caller sent it
+StreamId StreamIdOf(std::string_view attempt_id);
+
+/// A service's upstreams of one software version.
+struct SoftwareGroup {
+  ServiceId service;
+  SoftwareVersion software;
+
+  auto operator<=>(const SoftwareGroup&) const = default;
+};
+
+/// Streams that were begun by one software version.
+struct StreamOriginReport {
+  SoftwareGroup group;
+  std::vector<StreamId> streams;
+
+  bool operator==(const StreamOriginReport&) const = default;
+};
+
+/// What software versions of one service write doesn't fit together, so a
+/// stream may continue only at the version that began it. While a service has
+/// several versions, gateways tell each other where their streams began.
+class StreamOrigins {
+ public:
+  struct Options {
+    /// Streams are forgotten after this time to twice this time.
+    std::chrono::milliseconds lifetime{30'000};
+  };
+
+  StreamOrigins() = default;
+  explicit StreamOrigins(Options options) : options_(options) {}
+
+  // Commands.
+
+  /// An upstream of this group is listed.
+  void OnListed(const SoftwareGroup& group, TimePoint now);
+  /// This process passed on the first event of a stream.
+  void OnBegan(StreamId stream, const SoftwareGroup& group, TimePoint now);
+  void OnPeerReport(const StreamOriginReport& report, TimePoint now);
+  /// Returns origins that peers need and have not been told.
+  /// @param limit the most streams to return; later calls return the others
+  std::vector<StreamOriginReport> TakeUnreported(std::size_t limit,
+                                                 TimePoint now);
+
+  // Queries.
+
+  /// True if the service had several software versions of late.
+  bool IsMixed(const ServiceId& service, TimePoint now) const;
+  /// @return nullopt if it is not known
+  std::optional<SoftwareGroup> Find(StreamId stream) const;
+  /// @return the only software version that the service had of late, if there
+  ///   is only one
+  std::optional<SoftwareGroup> OnlyGroup(const ServiceId& service,
+                                         TimePoint now) const;
+  std::size_t size() const { return current_.size() + previous_.size(); }
+
+ private:
+  using GroupIndex = std::uint32_t;
+  using Streams = absl::flat_hash_map<std::uint64_t, GroupIndex>;
+  struct Unreported {
+    StreamId stream;
+    GroupIndex group;
+    TimePoint began_at;
+  };
+
+  GroupIndex IndexOf(const SoftwareGroup& group);
+  void Add(StreamId stream, GroupIndex group, TimePoint now);
+  void Expire(TimePoint now);
+
+  Options options_;
+  std::vector<SoftwareGroup> groups_;
+  std::map<SoftwareGroup, TimePoint> listed_at_;
+  TimePoint current_since_;
+  Streams current_;
+  Streams previous_;
+  std::vector<Unreported> unreported_;
+};
+
+}  // namespace yuccapick
+
+#endif  // YUCCAPICK_STREAM_ORIGINS_H_
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -96,12 +96,14 @@
                                                    incarnation)),
       target_set_times_(std::make_shared<TargetSetTimes>(state_, table_calls_)),
       cache_watch_(state_, table_calls_),
+      stream_origins_timer_(loop),
       pause_detector_(kMinPause),
       tick_timer_(loop) {
   TableWatchHandler& watch_handler = *this;
   IngressHandler& ingress_handler = *this;
   TableWatchOptions options;
   options.endpoint = state_.settings.table_endpoint;
+  state_.on_stream_began = [this] { ScheduleStreamOrigins(); };
   options.table = platform::kOperator;
   operator_watch_ = std::make_shared<TableWatch>(
       loop, table_calls_, state_.store_times, options, watch_handler);
@@ -159,6 +161,9 @@
   gauge("yuccapick_caller_connections", ingress_server_->session_count());
   gauge("yuccapick_requests_under_way", ingress_server_->busy_count());
   AppendMetric(out, "counter", "yuccapick_process_pauses", pauses_);
+  gauge("yuccapick_known_stream_origins", state_.stream_origins.size());
+  AppendMetric(out, "counter", "yuccapick_unknown_stream_origins",
+               state_.unknown_stream_origins);
   AppendMetric(out, "counter", "yuccapick_attempts_on_overdue_weights",
                state_.attempts_on_overdue_weights);
   AppendMetric(out, "counter", "yuccapick_log_lines_dropped",
@@ -255,6 +260,7 @@
   for (const RosterChange& change : state_.roster.OnTick(now)) {
     ApplyRosterChange(change);
   }
+  RepeatStreamOrigins(now);
   ExchangeWithPeers(now);
   state_.loading = peers_.Loading(now);
   const std::set<UpstreamId> own_loading = rollout_->Loading();
@@ -268,6 +274,7 @@
   if (++ticks_ % kTicksBetweenSweeps == 0) {
     state_.upstream_connections.DropExpired(now);
     table_calls_.DropExpired(now);
+    RecordListedSoftware(now);
     status_pages_->CheckTimeouts(now);
   }
   if (draining_) CheckDrained(now);
--- a/src/gateway/gateway_process.h
+++ b/src/gateway/gateway_process.h
@@ -58,6 +58,7 @@
   void OnTableAnswered(const std::string& table) override;
 
   void OnPeerReport(const PeerReport& report) override;
+  void OnStreamOrigins(const std::vector<StreamOriginReport>& origins) override;
   void OnPeerTables(const PeerTables& tables) override;
   PeerTables TablesForPeers() const override;
 
@@ -65,6 +66,12 @@
   void FetchPeerList();
   PeerReport MakeReport();
   void ExchangeWithPeers(TimePoint now);
+  /// Tells peers of the streams that began lately, shortly after the first.
+  void ScheduleStreamOrigins();
+  void SendStreamOrigins();
+  /// Tells again what was sent since the previous tick: datagrams may be lost.
+  void RepeatStreamOrigins(TimePoint now);
+  void RecordListedSoftware(TimePoint now);
   void ApplyOperatorRow(const MirrorRow& row);
   void ApplyTargetWeights(const MirrorRow& row);
   void ApplyUpstreamRow(const MirrorRow& row);
@@ -89,6 +96,9 @@
   std::shared_ptr<TargetSetTimes> target_set_times_;
   CacheWatch cache_watch_;
   std::uint64_t reports_sent_ = 0;
+  asio::steady_timer stream_origins_timer_;
+  bool stream_origins_scheduled_ = false;
+  std::vector<StreamOriginReport> repeated_origins_;
   TimePoint next_report_;
   std::set<UpstreamId> reported_loading_;
   TimePoint next_peer_list_;
--- a/src/gateway/gateway_process_peers.cc
+++ b/src/gateway/gateway_process_peers.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "gateway/boot_clock.h"
@@ -23,6 +24,10 @@
 /// Rows that a peer has, and that the store hasn't delivered for this long, are
 /// fetched from the peer.
 constexpr milliseconds kPeerTableFetchDelay{250};
+/// Limits the streams in one datagram.
+constexpr std::size_t kMaxStreamsPerDatagram = 256;
+/// Streams that begin within this time are reported together.
+constexpr milliseconds kStreamOriginsDelay{20};
 constexpr char kGatewayTable[] = "yuccapick-gateways";
 /// Limits the exported parts in one report, so that it fits a datagram together
 /// with the work reports.
@@ -50,6 +55,49 @@
   }
 }
 
+void GatewayProcess::OnStreamOrigins(
+    const std::vector<StreamOriginReport>& origins) {
+  const TimePoint now = state_.Now();
+  for (const StreamOriginReport& report : origins) {
+    state_.stream_origins.OnPeerReport(report, now);
+  }
+}
+
+void GatewayProcess::ScheduleStreamOrigins() {
+  if (stream_origins_scheduled_) return;
+  stream_origins_scheduled_ = true;
+  stream_origins_timer_.expires_after(kStreamOriginsDelay);
+  stream_origins_timer_.async_wait([this](const asio::error_code& ec) {
+    stream_origins_scheduled_ = false;
+    if (!ec) SendStreamOrigins();
+  });
+}
+
+void GatewayProcess::SendStreamOrigins() {
+  const TimePoint now = state_.Now();
+  std::vector<StreamOriginReport> origins =
+      state_.stream_origins.TakeUnreported(kMaxStreamsPerDatagram, now);
+  if (origins.empty()) return;
+  exchange_.Send(origins, peers_.Targets(now));
+  repeated_origins_.insert(repeated_origins_.end(),
+                           std::make_move_iterator(origins.begin()),
+                           std::make_move_iterator(origins.end()));
+}
+
+void GatewayProcess::RepeatStreamOrigins(TimePoint now) {
+  if (!repeated_origins_.empty()) {
+    exchange_.Send(std::exchange(repeated_origins_, {}), peers_.Targets(now));
+  }
+  // Streams that began before the service had several versions.
+  SendStreamOrigins();
+}
+
+void GatewayProcess::RecordListedSoftware(TimePoint now) {
+  for (const UpstreamEntry* entry : state_.roster.All()) {
+    state_.stream_origins.OnListed({entry->service, entry->software}, now);
+  }
+}
+
 void GatewayProcess::OnPeerTables(const PeerTables& tables) {
   state_.log.Write(LogKind::kStateChange, state_.Now(),
                    "event=tables_from_peer operator_as_of={} upstream_as_of={}",
--- a/src/gateway/gateway_process_tables.cc
+++ b/src/gateway/gateway_process_tables.cc
@@ -109,6 +109,9 @@
   const std::optional<RosterChange> change =
       entry ? state_.roster.OnEntry(*entry, now)
             : state_.roster.OnRemoved(id, now);
+  if (entry) {
+    state_.stream_origins.OnListed({entry->service, entry->software}, now);
+  }
   if (change) ApplyRosterChange(*change);
 }
 
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -5,6 +5,7 @@
 /// State that all requests of a gateway share.
 
 #include <asio.hpp>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -24,6 +25,7 @@
 #include "yuccapick/peer_report.h"
 #include "yuccapick/request_metrics.h"
 #include "yuccapick/retry_budget.h"
+#include "yuccapick/stream_origins.h"
 #include "yuccapick/target_weights.h"
 #include "yuccapick/upstream_health.h"
 #include "yuccapick/upstream_load.h"
@@ -61,6 +63,11 @@
   DirectPlacement placement;
   PartDirectory parts;
   std::set<UpstreamId> loading;  ///< Upstreams that load new weights.
+  StreamOrigins stream_origins;
+  /// Streams refused since it isn't known which software version began them.
+  std::uint64_t unknown_stream_origins = 0;
+  /// Called when peers should be told where a stream began.
+  std::function<void()> on_stream_began = [] {};
   StoreTimes store_times;
   /// Since when the store has answered without a failure.
   std::optional<StoreTime> store_in_touch_since;
--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -66,6 +66,12 @@
       return msgpack::type::make_define_array(v.rows, v.as_of);
     }
   };
+  struct StreamOriginReportFields {
+    auto operator()(yuccapick::StreamOriginReport& v) const {
+      return msgpack::type::make_define_array(v.group.service, v.group.software,
+                                              v.streams);
+    }
+  };
   struct TargetSetTimeFields {
     auto operator()(yuccapick::TargetSetTime& v) const {
       return msgpack::type::make_define_array(v.model, v.weights, v.set_after);
@@ -137,6 +143,12 @@
     }
   };
   template <>
+  struct convert<yuccapick::StreamOriginReport>
+      : PackAsArray<yuccapick::StreamOriginReport, StreamOriginReportFields> {};
+  template <>
+  struct pack<yuccapick::StreamOriginReport>
+      : PackAsArray<yuccapick::StreamOriginReport, StreamOriginReportFields> {};
+  template <>
   struct convert<yuccapick::TargetSetTime>
       : PackAsArray<yuccapick::TargetSetTime, TargetSetTimeFields> {};
   template <>
@@ -156,6 +168,9 @@
 namespace yuccapick {
 namespace {
 
+/// A MessagePack number, which no report begins with.
+constexpr char kStreamOriginsTag = 1;
+
 template <typename T>
 std::string Encode(const T& message) {
   msgpack::sbuffer buf;
@@ -187,6 +202,17 @@
   return Decode<PeerReport>(bytes);
 }
 
+std::string EncodeStreamOrigins(
+    const std::vector<StreamOriginReport>& origins) {
+  return kStreamOriginsTag + Encode(origins);
+}
+
+std::optional<std::vector<StreamOriginReport>> DecodeStreamOrigins(
+    std::string_view bytes) {
+  if (!bytes.starts_with(kStreamOriginsTag)) return std::nullopt;
+  return Decode<std::vector<StreamOriginReport>>(bytes.substr(1));
+}
+
 std::string EncodePeerTables(const PeerTables& tables) {
   return Encode(tables);
 }
--- a/src/gateway/peer_codec.h
+++ b/src/gateway/peer_codec.h
@@ -11,6 +11,7 @@
 
 #include "yuccapick/peer_report.h"
 #include "yuccapick/store_clock.h"
+#include "yuccapick/stream_origins.h"
 #include "yuccapick/table_mirror.h"
 #include "yuccapick/target_weights.h"
 
@@ -30,6 +31,12 @@
 /// @return nullopt if the bytes are malformed
 std::optional<PeerReport> DecodePeerReport(std::string_view bytes);
 
+/// The encoding differs from any report's in its first byte.
+std::string EncodeStreamOrigins(const std::vector<StreamOriginReport>& origins);
+/// @return nullopt if the bytes are malformed or hold another message
+std::optional<std::vector<StreamOriginReport>> DecodeStreamOrigins(
+    std::string_view bytes);
+
 std::string EncodePeerTables(const PeerTables& tables);
 /// @return nullopt if the bytes are malformed
 std::optional<PeerTables> DecodePeerTables(std::string_view bytes);
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -51,18 +51,31 @@
       asio::buffer(buf_), sender_,
       [this](const asio::error_code& ec, std::size_t n) {
         if (!socket_.is_open() || ec == asio::error::operation_aborted) return;
-        if (!ec) {
-          const auto report = DecodePeerReport({buf_.data(), n});
-          if (report) handler_.OnPeerReport(*report);
-        }
+        if (!ec) OnDatagram({buf_.data(), n});
         Receive();
       });
 }
 
+void PeerExchange::OnDatagram(std::string_view bytes) {
+  if (const auto origins = DecodeStreamOrigins(bytes)) {
+    return handler_.OnStreamOrigins(*origins);
+  }
+  const auto report = DecodePeerReport(bytes);
+  if (report) handler_.OnPeerReport(*report);
+}
+
 void PeerExchange::Send(const PeerReport& report,
                         const std::vector<std::string>& targets) {
-  if (targets.empty()) return;
-  const std::string bytes = EncodePeerReport(report);
+  if (!targets.empty()) SendDatagram(EncodePeerReport(report), targets);
+}
+
+void PeerExchange::Send(const std::vector<StreamOriginReport>& origins,
+                        const std::vector<std::string>& targets) {
+  if (!targets.empty()) SendDatagram(EncodeStreamOrigins(origins), targets);
+}
+
+void PeerExchange::SendDatagram(const std::string& bytes,
+                                const std::vector<std::string>& targets) {
   for (const std::string& target : targets) {
     if (target == endpoint_) continue;
     const asio::ip::tcp::endpoint address = ParseEndpoint(target);
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -10,6 +10,8 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "absl/status/status.h"
 #include "gateway/call_client.h"
@@ -24,6 +26,8 @@
  public:
   virtual ~PeerExchangeHandler() = default;
   virtual void OnPeerReport(const PeerReport& report) = 0;
+  virtual void OnStreamOrigins(
+      const std::vector<StreamOriginReport>& origins) = 0;
   /// A peer's copy of the tables was fetched.
   virtual void OnPeerTables(const PeerTables& tables) = 0;
   virtual PeerTables TablesForPeers() const = 0;
@@ -41,6 +45,9 @@
   void Close();
   /// Sends a report to every target; datagrams may be lost.
   void Send(const PeerReport& report, const std::vector<std::string>& targets);
+  /// Tells every target where streams began; datagrams may be lost.
+  void Send(const std::vector<StreamOriginReport>& origins,
+            const std::vector<std::string>& targets);
   /// Fetches the tables of a peer, unless another fetch is in progress.
   void FetchTables(const std::string& peer_endpoint);
   void CheckTimeouts(TimePoint now) { server_.CheckTimeouts(now); }
@@ -56,6 +63,9 @@
   CallerLimits limits() const override { return {}; }
 
   void Receive();
+  void OnDatagram(std::string_view bytes);
+  void SendDatagram(const std::string& bytes,
+                    const std::vector<std::string>& targets);
 
   asio::io_context& loop_;
   CallClient& calls_;
--- a/src/gateway/proxied_request.cc
+++ b/src/gateway/proxied_request.cc
@@ -19,6 +19,9 @@
 /// Shortest delay after which a caller that found no upstream should retry.
 constexpr milliseconds kRetryAfter{150};
 
+/// After this time the gateway that began a stream has told its peers.
+constexpr milliseconds kOriginRetryAfter{200};
+
 /// Share of a shared prefix's tokens that is charged to one request.
 constexpr double kSharedMemoryShare = 0.5;
 
@@ -30,6 +33,12 @@
          status == kHttpTooManyRequests || status == kHttpUnavailable;
 }
 
+bool IsTarget(const GatewayRoute& route, const ServiceId& service) {
+  return std::any_of(
+      route.targets.begin(), route.targets.end(),
+      [&](const RouteTarget& target) { return target.service == service; });
+}
+
 std::uint32_t SharedTokens(const std::vector<PromptPart>& parts) {
   std::uint32_t tokens = 0;
   for (std::size_t i = 0; i + 1 < parts.size(); ++i) tokens += parts[i].tokens;
@@ -61,7 +70,9 @@
   query_.output_tokens =
       caller.expected_output_tokens.value_or(caller.max_output_tokens);
   query_.body_bytes = admitted_.request.body.size();
+  const bool origin_found = FindStreamOrigin();
   state_.RetryBudgetOf(service_).OnRequest();
+  if (!origin_found) return RefuseUnknownStream();
   if (ShedLoad()) return;
   TrySend();
 }
@@ -84,6 +95,32 @@
   return true;
 }
 
+bool ProxiedRequest::FindStreamOrigin() {
+  const CallerHeaders& caller = admitted_.caller;
+  if (admitted_.route->kind != RouteKind::kStreaming) return true;
+  if (caller.resumes.empty() && !caller.last_event_id) return true;
+  auto origin = state_.stream_origins.Find(StreamIdOf(caller.resumes));
+  if (!origin) {
+    origin = state_.stream_origins.OnlyGroup(service_, state_.Now());
+  }
+  if (!origin || !IsTarget(*admitted_.route, origin->service)) return false;
+  service_ = origin->service;
+  stream_software_ = origin->software;
+  return true;
+}
+
+void ProxiedRequest::RefuseUnknownStream() {
+  ++state_.unknown_stream_origins;
+  const CallerHeaders& caller = admitted_.caller;
+  state_.log.Write(LogKind::kFailure, state_.Now(),
+                   "event=stream_origin_unknown id={} resumes={} route={} "
+                   "known_streams={}",
+                   caller.attempt_id,
+                   caller.resumes.empty() ? "-" : caller.resumes,
+                   admitted_.route->name, state_.stream_origins.size());
+  Refuse("software version of the stream is unknown", kOriginRetryAfter);
+}
+
 ServiceId ProxiedRequest::PickService() {
   const std::vector<RouteTarget>& targets = admitted_.route->targets;
   if (targets.empty()) return ServiceId();
@@ -137,6 +174,7 @@
   const std::optional<StoreTime> now = state_.StoreNow();
   std::vector<PlacementCandidate> overdue;
   for (const UpstreamEntry* upstream : state_.roster.Usable(service_)) {
+    if (stream_software_ && upstream->software != *stream_software_) continue;
     PlacementCandidate candidate;
     candidate.upstream = upstream;
     candidate.loading = state_.loading.contains(upstream->id);
--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -60,6 +60,10 @@
   };
 
   ServiceId PickService();
+  /// Finds out which upstreams can continue the stream that the caller resumes.
+  /// @return false if that is not known
+  bool FindStreamOrigin();
+  void RefuseUnknownStream();
   PlacementFleet Fleet() const;
   bool HasUntriedUpstream() const;
   void TrySend();
@@ -92,6 +96,7 @@
   void RecordFirstEventTime(TimePoint now);
 
   void HandleFirstEvent();
+  void RecordStreamOrigin(TimePoint now);
   void RecordCachedParts(TimePoint now);
   void BeginAnswer();
   void HandleAnswerEnd();
@@ -111,6 +116,8 @@
   AdmittedProxyRequest admitted_;
   std::shared_ptr<IngressSession> session_;
   ServiceId service_;
+  /// The stream may continue only at upstreams of this software version.
+  std::optional<SoftwareVersion> stream_software_;
   TimePoint deadline_;
   asio::steady_timer timer_;
   PlacementQuery query_;
--- a/src/gateway/proxied_request_answers.cc
+++ b/src/gateway/proxied_request_answers.cc
@@ -76,6 +76,7 @@
   attempt_->has_first_event = true;
   if (first_event_at_ == TimePoint()) first_event_at_ = now;
   RecordFirstEventTime(now);
+  RecordStreamOrigin(now);
   WorkAmount prefill = attempt_->amount;
   prefill.requests = 0;
   prefill.kv_tokens = 0;
@@ -84,6 +85,15 @@
   RecordCachedParts(now);
 }
 
+void ProxiedRequest::RecordStreamOrigin(TimePoint now) {
+  if (stream_software_) return;
+  stream_software_ = attempt_->upstream.software;
+  if (!admitted_.route->resumable) return;
+  state_.stream_origins.OnBegan(StreamIdOf(admitted_.caller.attempt_id),
+                                {service_, *stream_software_}, now);
+  if (state_.stream_origins.IsMixed(service_, now)) state_.on_stream_began();
+}
+
 void ProxiedRequest::RecordCachedParts(TimePoint now) {
   const DirectPlacementDecision& choice = attempt_->choice;
   if (choice.cache_scope.empty()) return;
--- /dev/null
+++ b/src/stream_origins.cc
@@ -0,0 +1,107 @@
+#include "yuccapick/stream_origins.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace yuccapick {
+
+StreamId StreamIdOf(std::string_view attempt_id) {
+  return StreamId(XXH3_64bits(attempt_id.data(), attempt_id.size()));
+}
+
+StreamOrigins::GroupIndex StreamOrigins::IndexOf(const SoftwareGroup& group) {
+  const auto it = std::find(groups_.begin(), groups_.end(), group);
+  const auto index = static_cast<GroupIndex>(it - groups_.begin());
+  if (it == groups_.end()) groups_.push_back(group);
+  return index;
+}
+
+void StreamOrigins::Expire(TimePoint now) {
+  if (now - current_since_ < options_.lifetime) return;
+  current_since_ = now;
+  previous_ = std::exchange(current_, Streams());
+  std::erase_if(unreported_, [&](const Unreported& it) {
+    return now - it.began_at >= options_.lifetime;
+  });
+  std::erase_if(listed_at_, [&](const auto& it) {
+    return now - it.second >= options_.lifetime * 2;
+  });
+}
+
+void StreamOrigins::Add(StreamId stream, GroupIndex group, TimePoint now) {
+  Expire(now);
+  current_.try_emplace(stream.value, group);
+}
+
+void StreamOrigins::OnListed(const SoftwareGroup& group, TimePoint now) {
+  listed_at_[group] = now;
+}
+
+void StreamOrigins::OnBegan(StreamId stream, const SoftwareGroup& group,
+                            TimePoint now) {
+  const GroupIndex index = IndexOf(group);
+  Add(stream, index, now);
+  unreported_.push_back({stream, index, now});
+}
+
+void StreamOrigins::OnPeerReport(const StreamOriginReport& report,
+                                 TimePoint now) {
+  // A peer may know of a version before this process does.
+  OnListed(report.group, now);
+  const GroupIndex index = IndexOf(report.group);
+  for (const StreamId stream : report.streams) Add(stream, index, now);
+}
+
+std::vector<StreamOriginReport> StreamOrigins::TakeUnreported(std::size_t limit,
+                                                              TimePoint now) {
+  std::vector<bool> mixed;
+  for (const SoftwareGroup& group : groups_) {
+    mixed.push_back(IsMixed(group.service, now));
+  }
+  std::map<GroupIndex, std::vector<StreamId>> taken;
+  std::size_t n = 0;
+  std::erase_if(unreported_, [&](const Unreported& it) {
+    if (n == limit || !mixed[it.group]) return false;
+    taken[it.group].push_back(it.stream);
+    ++n;
+    return true;
+  });
+  std::vector<StreamOriginReport> reports;
+  for (auto& [index, streams] : taken) {
+    reports.push_back({groups_[index], std::move(streams)});
+  }
+  return reports;
+}
+
+bool StreamOrigins::IsMixed(const ServiceId& service, TimePoint now) const {
+  int versions = 0;
+  for (const auto& [group, listed_at] : listed_at_) {
+    if (group.service != service) continue;
+    if (now - listed_at < options_.lifetime) ++versions;
+  }
+  return versions > 1;
+}
+
+std::optional<SoftwareGroup> StreamOrigins::Find(StreamId stream) const {
+  for (const Streams* streams : {&current_, &previous_}) {
+    const auto it = streams->find(stream.value);
+    if (it != streams->end()) return groups_[it->second];
+  }
+  return std::nullopt;
+}
+
+std::optional<SoftwareGroup> StreamOrigins::OnlyGroup(const ServiceId& service,
+                                                      TimePoint now) const {
+  std::optional<SoftwareGroup> only;
+  for (const auto& [group, listed_at] : listed_at_) {
+    if (group.service != service) continue;
+    if (now - listed_at >= options_.lifetime) continue;
+    if (only) return std::nullopt;
+    only = group;
+  }
+  return only;
+}
+
+}  // namespace yuccapick
--- /dev/null
+++ b/test/stream_origins_test.cc
@@ -0,0 +1,110 @@
+#include "yuccapick/stream_origins.h"
+
+#include <rapidcheck/catch.h>
+
+#include <catch2/catch.hpp>
+#include <map>
+
+namespace yuccapick {
+namespace {
+
+using std::chrono::milliseconds;
+
+const TimePoint kStart{std::chrono::seconds(100)};
+const ServiceId kService("moor");
+const SoftwareGroup kOld{kService, SoftwareVersion("v1")};
+const SoftwareGroup kNew{kService, SoftwareVersion("v1.1")};
+constexpr StreamOrigins::Options kOptions{milliseconds(30'000)};
+constexpr std::size_t kNoLimit = 1'000;
+
+TEST_CASE("A stream's software version is known to the gateway that began it") {
+  StreamOrigins origins(kOptions);
+  origins.OnBegan(StreamIdOf("a"), kOld, kStart);
+  CHECK(origins.Find(StreamIdOf("a")) == kOld);
+  CHECK_FALSE(origins.Find(StreamIdOf("b")));
+}
+
+TEST_CASE("Of an unknown stream the only software version of late is assumed") {
+  StreamOrigins origins(kOptions);
+  CHECK_FALSE(origins.OnlyGroup(kService, kStart));
+  origins.OnListed(kOld, kStart);
+  origins.OnListed({ServiceId("other"), SoftwareVersion("v7")}, kStart);
+  CHECK(origins.OnlyGroup(kService, kStart) == kOld);
+  origins.OnListed(kNew, kStart + milliseconds(10));
+  CHECK_FALSE(origins.OnlyGroup(kService, kStart + milliseconds(10)));
+  // The old version was listed last at the start.
+  CHECK(origins.OnlyGroup(kService, kStart + kOptions.lifetime) == kNew);
+}
+
+TEST_CASE("Peers are told of streams while there are several versions") {
+  StreamOrigins origins(kOptions);
+  origins.OnListed(kOld, kStart);
+  origins.OnBegan(StreamIdOf("a"), kOld, kStart);
+  CHECK(origins.TakeUnreported(kNoLimit, kStart).empty());
+  origins.OnListed(kNew, kStart);
+  const auto reports = origins.TakeUnreported(kNoLimit, kStart);
+  CHECK(reports == std::vector{StreamOriginReport{kOld, {StreamIdOf("a")}}});
+  CHECK(origins.TakeUnreported(kNoLimit, kStart).empty());
+}
+
+TEST_CASE("Streams beyond the limit are told later") {
+  StreamOrigins origins(kOptions);
+  origins.OnListed(kOld, kStart);
+  origins.OnListed(kNew, kStart);
+  origins.OnBegan(StreamIdOf("a"), kOld, kStart);
+  origins.OnBegan(StreamIdOf("b"), kNew, kStart);
+  CHECK(origins.TakeUnreported(1, kStart).size() == 1);
+  CHECK(origins.TakeUnreported(1, kStart) ==
+        std::vector{StreamOriginReport{kNew, {StreamIdOf("b")}}});
+}
+
+TEST_CASE("A peer's report tells of a version that this process doesn't list") {
+  StreamOrigins origins(kOptions);
+  origins.OnListed(kOld, kStart);
+  origins.OnPeerReport({kNew, {StreamIdOf("a")}}, kStart);
+  CHECK(origins.Find(StreamIdOf("a")) == kNew);
+  CHECK(origins.IsMixed(kService, kStart));
+}
+
+TEST_CASE("Streams are forgotten") {
+  StreamOrigins origins(kOptions);
+  origins.OnBegan(StreamIdOf("a"), kOld, kStart);
+  origins.OnBegan(StreamIdOf("b"), kOld, kStart + kOptions.lifetime);
+  CHECK(origins.Find(StreamIdOf("a")));
+  origins.OnBegan(StreamIdOf("c"), kOld, kStart + kOptions.lifetime * 2);
+  CHECK_FALSE(origins.Find(StreamIdOf("a")));
+  CHECK(origins.size() == 2);
+}
+
+TEST_CASE("Lost and repeated reports never name another version") {
+  rc::prop("two gateways, lossy reports", [] {
+    StreamOrigins sender(kOptions);
+    StreamOrigins receiver(kOptions);
+    for (StreamOrigins* it : {&sender, &receiver}) {
+      it->OnListed(kOld, kStart);
+      it->OnListed(kNew, kStart);
+    }
+    std::map<StreamId, SoftwareGroup> began;
+    TimePoint now = kStart;
+    const int steps = *rc::gen::inRange(1, 200);
+    for (int i = 0; i < steps; ++i) {
+      now += milliseconds(*rc::gen::inRange(0, 300));
+      const StreamId stream(static_cast<std::uint64_t>(i));
+      const SoftwareGroup& group = *rc::gen::element(kOld, kNew);
+      sender.OnBegan(stream, group, now);
+      began[stream] = group;
+      for (const auto& report : sender.TakeUnreported(kNoLimit, now)) {
+        const int copies = *rc::gen::inRange(0, 3);
+        for (int n = 0; n < copies; ++n) receiver.OnPeerReport(report, now);
+      }
+    }
+    for (const auto& [stream, group] : began) {
+      const auto found = receiver.Find(stream);
+      RC_ASSERT(!found || *found == group);
+    }
+    RC_ASSERT(!receiver.OnlyGroup(kService, kStart));
+  });
+}
+
+}  // namespace
+}  // namespace yuccapick
