--- a/src/gateway/gateway_process_tables.cc
+++ b/src/gateway/gateway_process_tables.cc
@@ -27,7 +27,7 @@
 void GatewayProcess::OnTableUnavailable(const std::string& table,
                                         std::string_view reason) {
   state_.roster.OnListUnavailable(state_.Now());
-  state_.store_in_touch_since.reset();
+  if (const auto now = state_.StoreNow()) state_.store_contact.OnFailure(*now);
   if (store_lost_) return;
   store_lost_ = true;
   state_.log.Write(LogKind::kLifecycle, state_.Now(),
@@ -37,9 +37,7 @@
 void GatewayProcess::OnTableAnswered(const std::string& table) {
   if (table == platform::kServers) state_.roster.OnListAvailable(state_.Now());
   if (!operator_watch_->reachable() || !upstream_watch_->reachable()) return;
-  if (!state_.store_in_touch_since) {
-    state_.store_in_touch_since = state_.StoreNow();
-  }
+  if (const auto now = state_.StoreNow()) state_.store_contact.OnAnswer(*now);
   if (!store_lost_) return;
   store_lost_ = false;
   state_.log.Write(LogKind::kLifecycle, state_.Now(), "event=store_regained");
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -25,6 +25,7 @@
 #include "yuccapick/peer_report.h"
 #include "yuccapick/request_metrics.h"
 #include "yuccapick/retry_budget.h"
+#include "yuccapick/store_contact.h"
 #include "yuccapick/stream_origins.h"
 #include "yuccapick/target_weights.h"
 #include "yuccapick/upstream_health.h"
@@ -69,8 +70,7 @@
   /// Called when peers should be told where a stream began.
   std::function<void()> on_stream_began = [] {};
   StoreTimes store_times;
-  /// Since when the store has answered without a failure.
-  std::optional<StoreTime> store_in_touch_since;
+  StoreContact store_contact;
   TargetWeightsHistory target_weights;
   /// Attempts sent although the upstream's weights were too old.
   std::uint64_t attempts_on_overdue_weights = 0;
--- a/src/gateway/proxied_request_timing.cc
+++ b/src/gateway/proxied_request_timing.cc
@@ -40,9 +40,7 @@
   const milliseconds limit = state_.settings.bounds.stale_weights_limit;
   // Without the store nobody can roll out newer weights: an answer on old ones
   // is better than none.
-  const bool rollout_possible = state_.store_in_touch_since &&
-                                now - *state_.store_in_touch_since >= limit;
-  if (!rollout_possible) return true;
+  if (!state_.store_contact.InTouchFor(limit, now)) return true;
   return !state_.target_weights.IsOverdue(admitted_.caller.model, weights,
                                           limit - kMinStaleWeightsMargin, now);
 }
--- a/src/gateway/target_set_times.cc
+++ b/src/gateway/target_set_times.cc
@@ -97,7 +97,10 @@
 }
 
 void TargetSetTimes::Load() {
-  if (loading_) return;
+  if (loading_) {
+    load_again_ = true;
+    return;
+  }
   loading_ = true;
   const std::string& store = state_.settings.table_endpoint;
   calls_.Call(
@@ -134,6 +137,7 @@
     });
   }
   for (const TargetSetTime& target : std::exchange(unsaved_, {})) Save(target);
+  if (std::exchange(load_again_, false)) Load();
 }
 
 }  // namespace yuccapick
--- a/src/gateway/target_set_times.h
+++ b/src/gateway/target_set_times.h
@@ -52,6 +52,7 @@
   CallClient& calls_;
   asio::steady_timer retry_timer_;  ///< For `Load`.
   bool loading_ = false;
+  bool load_again_ = false;  ///< A target is newer than the read under way.
   std::vector<TargetSetTime> unsaved_;  ///< Saved if the store has no time.
 };
 
