--- a/include/yuccapick/stream_origins.h
+++ b/include/yuccapick/stream_origins.h
@@ -68,12 +68,12 @@
 
   // Queries.
 
-  /// True if the service had several software versions of late.
+  /// True if the service had several software versions within `lifetime`.
   bool IsMixed(const ServiceId& service, TimePoint now) const;
   /// @return nullopt if it is not known
   std::optional<SoftwareGroup> Find(StreamId stream) const;
-  /// @return the only software version that the service had of late, if there
-  ///   is only one
+  /// @return the only software version that the service had within `lifetime`;
+  ///   nullopt if there are several
   std::optional<SoftwareGroup> OnlyGroup(const ServiceId& service,
                                          TimePoint now) const;
   std::size_t size() const { return current_.size() + previous_.size(); }
--- a/include/yuccapick/target_weights.h
+++ b/include/yuccapick/target_weights.h
@@ -30,9 +30,8 @@
  public:
   // Commands.
 
-  /// @param set_after not after the time at which it was set; nullopt if no
-  /// such
-  ///   time is known
+  /// @param set_after a time at which it was not set yet; nullopt if none is
+  ///   known
   /// @param learned_at counts until one is known
   /// @return true if `weights` is newer than every version before
   bool OnTargetSet(const ModelId& model, WeightVersionNumber weights,
--- a/src/gateway/proxied_request.cc
+++ b/src/gateway/proxied_request.cc
@@ -19,7 +19,7 @@
 /// Shortest delay after which a caller that found no upstream should retry.
 constexpr milliseconds kRetryAfter{150};
 
-/// After this time the gateway that began a stream has told its peers.
+/// After this time the gateway that began a stream has usually told its peers.
 constexpr milliseconds kOriginRetryAfter{200};
 
 /// Share of a shared prefix's tokens that is charged to one request.
@@ -186,7 +186,7 @@
       candidate.old_weights = *weights < state_.target_weights.Newest(model);
       if (now &&
           state_.target_weights.IsOverdue(model, *weights, limit, *now)) {
-        if (MayUseIfNoneElse(*weights, *now)) {
+        if (MayUseOverdueWeights(*weights, *now)) {
           overdue.push_back(std::move(candidate));
         }
         continue;
--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -60,8 +60,9 @@
   };
 
   ServiceId PickService();
-  /// Finds out which upstreams can continue the stream that the caller resumes.
-  /// @return false if that is not known
+  /// Binds a stream that the caller resumes to the service and the software
+  /// version that began it.
+  /// @return false if they are unknown, or not on the route any more
   bool FindStreamOrigin();
   void RefuseUnknownStream();
   PlacementFleet Fleet() const;
@@ -88,7 +89,7 @@
   std::chrono::milliseconds StaleWeightsMargin() const;
   /// True if an upstream with these weights may get the request if no other is
   /// left.
-  bool MayUseIfNoneElse(WeightVersionNumber weights, StoreTime now) const;
+  bool MayUseOverdueWeights(WeightVersionNumber weights, StoreTime now) const;
   /// How long the upstream may send nothing before the attempt is given up.
   std::chrono::milliseconds SilenceTimeout() const;
   /// When the current attempt is given up; nullopt if it may not be retried.
--- a/src/gateway/proxied_request_timing.cc
+++ b/src/gateway/proxied_request_timing.cc
@@ -35,8 +35,8 @@
   return std::min(margin, longest);
 }
 
-bool ProxiedRequest::MayUseIfNoneElse(WeightVersionNumber weights,
-                                      StoreTime now) const {
+bool ProxiedRequest::MayUseOverdueWeights(WeightVersionNumber weights,
+                                          StoreTime now) const {
   const milliseconds limit = state_.settings.bounds.stale_weights_limit;
   // Without the store nobody can roll out newer weights: an answer on old ones
   // is better than none.
--- a/test/gateway/stream_software_test.cc
+++ b/test/gateway/stream_software_test.cc
@@ -33,9 +33,7 @@
   return CallerRequest("POST", "/tell/1", "", "", attempt_id);
 }
 
-/// @return a request to continue, after event 2, the stream that
-/// `first_attempt`
-///   began
+/// @return a request to continue the stream of `first_attempt` after event 2
 std::string ResumedStream(const std::string& attempt_id,
                           const std::string& first_attempt) {
   return CallerRequest(
