--- a/include/yuccapick/part_directory.h
+++ b/include/yuccapick/part_directory.h
@@ -22,6 +22,13 @@
   std::uint32_t tokens = 0;
 };
 
+/// Hash of a part's id, the same in all cache scopes.
+using PartId = NumericId<struct PartIdTag>;
+
+PartId PartIdOf(std::string_view id);
+/// Returns the ids of all parts but the last one, in order.
+std::vector<PartId> SharedPartIds(const std::vector<PromptPart>& parts);
+
 /// A part within a cache scope. Parts are shared within one scope only.
 struct PartKey {
   std::uint64_t hash = 0;
--- a/src/gateway/proxied_request.cc
+++ b/src/gateway/proxied_request.cc
@@ -39,6 +39,20 @@
       [&](const RouteTarget& target) { return target.service == service; });
 }
 
+std::int64_t Milliseconds(std::chrono::steady_clock::duration d) {
+  return std::chrono::duration_cast<milliseconds>(d).count();
+}
+
+/// The hashes of the parts as in the log and in the store, or "-".
+std::string FormatParts(const std::vector<PartId>& parts) {
+  std::string text;
+  for (const PartId part : parts) {
+    if (!text.empty()) text += ',';
+    text += fmt::format("{:016x}", part.value);
+  }
+  return text.empty() ? "-" : text;
+}
+
 std::uint32_t SharedTokens(const std::vector<PromptPart>& parts) {
   std::uint32_t tokens = 0;
   for (std::size_t i = 0; i + 1 < parts.size(); ++i) tokens += parts[i].tokens;
@@ -66,6 +80,7 @@
   splitter_.set_last_id(caller.last_event_id);
   service_ = PickService();
   query_.parts = caller.parts;
+  shared_parts_ = SharedPartIds(caller.parts);
   query_.prompt_tokens = caller.prompt_tokens;
   query_.output_tokens =
       caller.expected_output_tokens.value_or(caller.max_output_tokens);
@@ -283,6 +298,7 @@
   query_.tried.push_back(upstream.id);
   splitter_.DiscardPartialEvent();
   body_.clear();
+  answer_began_at_.reset();
   attempt_ = std::move(attempt);
   state_.log.Write(
       LogKind::kRequest, now,
@@ -337,15 +353,19 @@
 void ProxiedRequest::OnEnd(AttemptEnd end, std::string_view reason) {
   if (done_) return;
   const RetryDecision decision = NextDecision(end);
+  const TimePoint now = state_.Now();
   state_.log.Write(
-      LogKind::kFailure, state_.Now(),
+      LogKind::kFailure, now,
       "event=attempt_ended id={} attempt={} upstream={} end={} reason=\"{}\" "
-      "step={} delivered_attempts={} max_attempts={} left_ms={}",
+      "step={} delivered_attempts={} max_attempts={} left_ms={} begun_ms={} "
+      "parts={}",
       admitted_.caller.attempt_id, attempts_sent_,
       query_.tried.empty() ? "-" : query_.tried.back().value,
       AttemptEndName(end), reason, RetryDecisionName(decision),
       delivered_attempts_, admitted_.route->max_attempts,
-      TimeLeft(state_.Now()).count());
+      TimeLeft(now).count(),
+      answer_began_at_ ? Milliseconds(now - *answer_began_at_) : -1,
+      FormatParts(shared_parts_));
   Execute(decision, reason);
 }
 
--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -122,8 +122,11 @@
   TimePoint deadline_;
   asio::steady_timer timer_;
   PlacementQuery query_;
+  std::vector<PartId> shared_parts_;
 
   std::optional<Attempt> attempt_;
+  /// First event of the last attempt's answer.
+  std::optional<TimePoint> answer_began_at_;
   std::uint32_t attempts_sent_ = 0;
   std::uint32_t delivered_attempts_ = 0;
   std::uint32_t expected_cached_tokens_ = 0;
--- a/src/gateway/proxied_request_answers.cc
+++ b/src/gateway/proxied_request_answers.cc
@@ -74,6 +74,7 @@
 void ProxiedRequest::HandleFirstEvent() {
   const TimePoint now = state_.Now();
   attempt_->has_first_event = true;
+  answer_began_at_ = now;
   if (first_event_at_ == TimePoint()) first_event_at_ = now;
   RecordFirstEventTime(now);
   RecordStreamOrigin(now);
--- a/src/part_directory.cc
+++ b/src/part_directory.cc
@@ -21,6 +21,16 @@
                               XXH3_64bits(scope.data(), scope.size()));
 }
 
+PartId PartIdOf(std::string_view id) { return PartId(PartHash("", id)); }
+
+std::vector<PartId> SharedPartIds(const std::vector<PromptPart>& parts) {
+  std::vector<PartId> ids;
+  for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
+    ids.push_back(PartIdOf(parts[i].id));
+  }
+  return ids;
+}
+
 PartChain SharedChain(std::string_view scope,
                       const std::vector<PromptPart>& parts) {
   PartChain chain;
