Cause the crash of one engine after the other by a part of a prompt

Two gateways before six small engines; an engine crashes as soon as it begins an answer to a request with one part and restarts under a new incarnation. Sound requests share the first part.

--- /dev/null
+++ b/test/gateway/crashing_part_test.cc
@@ -0,0 +1,156 @@
+#include <fmt/format.h>
+
+#include <catch2/catch.hpp>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "test/gateway/gateway_fixture.h"
+
+namespace yuccapick {
+namespace {
+
+using Connection = FakeUpstream::Connection;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr char kRoutes[] = R"([
+ {"name":"tell","host":"crew.example","prefix":"/tell/","kind":"streaming",
+  "timeoutMs":8000,"targetLatencyMs":2000,"gapTargetMs":2000,
+  "service":"engines","maxAttempts":2,"resumable":true,"sticky":true}])";
+
+constexpr char kCrashingPart[] = "bad0";
+/// Crashes after which gateways must know the part, within `kTimeToLearn`.
+constexpr std::size_t kCrashesToLearn = 5;
+constexpr milliseconds kTimeToLearn{3'000};
+/// Requests with the part that may reach engines after that.
+constexpr std::size_t kTolerated = 3;
+/// Pause between the requests of a test, at least.
+constexpr milliseconds kPause{10};
+
+bool HasCrashingPart(const ReceivedRequest& request) {
+  return request.Field("X-Prompt-Prefix").find(kCrashingPart) !=
+         std::string::npos;
+}
+
+/// An engine that crashes as soon as it has begun an answer to a request with
+/// `kCrashingPart`, and restarts at once. It answers all other requests.
+class CrashingEngine {
+ public:
+  CrashingEngine(GatewayFixture& fixture, const std::string& id)
+      : fixture_(fixture),
+        fake_(fixture.loop, id,
+              [this](Connection& c, const ReceivedRequest& r) {
+                OnRequest(c, r);
+              }) {
+    fixture_.RegisterEngine(fake_, 1, born_);
+  }
+
+  std::size_t crashes() const { return crashes_; }
+
+ private:
+  void OnRequest(Connection& connection, const ReceivedRequest& request) {
+    fake_.BeginStream(connection, request);
+    if (!HasCrashingPart(request)) {
+      connection.Write("11\r\nid: 1\ndata: yes\n\n\r\n0\r\n\r\n");
+      return;
+    }
+    ++crashes_;
+    for (const auto& c : fake_.server().connections) c->Close();
+    fixture_.RegisterEngine(fake_, 1, ++born_);
+  }
+
+  GatewayFixture& fixture_;
+  int born_ = 1;
+  std::size_t crashes_ = 0;
+  FakeUpstream fake_;
+};
+
+/// Two gateways before six engines.
+class Deployment {
+ public:
+  Deployment() {
+    fixture.PutConfig(1, kRoutes);
+    for (int i = 1; i <= 6; ++i) {
+      engines_.push_back(
+          std::make_unique<CrashingEngine>(fixture, fmt::format("e{}", i)));
+    }
+    fixture.Start();
+    fixture.StartPeer();
+    REQUIRE(fixture.AwaitListed(engines_.size()));
+  }
+
+  std::size_t Crashes() const {
+    std::size_t n = 0;
+    for (const auto& engine : engines_) n += engine->crashes();
+    return n;
+  }
+
+  /// @return the answer to a new request with `kCrashingPart`
+  std::string AskCrashing(bool at_peer) {
+    return Ask(fmt::format("a0:100,{}:20,c{}:10", kCrashingPart, ++requests_),
+               at_peer);
+  }
+  /// @return true if a request that shares the first part is answered
+  bool IsSoundServed(bool at_peer) {
+    return Ask(fmt::format("a0:100,b0:20,c{}:10", ++requests_), at_peer)
+        .ends_with("data: yes\n\n\r\n0\r\n\r\n");
+  }
+
+  /// Sends requests of both kinds to both gateways until `kTimeToLearn` after
+  /// `kCrashesToLearn` crashes.
+  /// @return true if all sound requests were answered
+  bool RunWhileGatewaysLearn() {
+    bool sound = true;
+    std::optional<steady_clock::time_point> end;
+    while (!end || steady_clock::now() < *end) {
+      AskCrashing(false);
+      AskCrashing(true);
+      sound = IsSoundServed(false) && IsSoundServed(true) && sound;
+      if (!end && Crashes() >= kCrashesToLearn) {
+        end = steady_clock::now() + kTimeToLearn;
+      }
+      const auto next = steady_clock::now() + kPause;
+      fixture.RunUntilTrue([next] { return steady_clock::now() >= next; });
+    }
+    return sound;
+  }
+
+  static bool IsRefusal(const std::string& answer) {
+    return answer.starts_with("HTTP/1.1 503") &&
+           answer.find("Retry-After: ") != std::string::npos;
+  }
+
+  GatewayFixture fixture;
+
+ private:
+  std::string Ask(const std::string& parts, bool at_peer) {
+    const std::string request =
+        CallerRequest("POST", "/tell/1",
+                      fmt::format("X-Model: m\r\nX-Token-Count: 130,10\r\n"
+                                  "X-Prompt-Prefix: {}\r\n",
+                                  parts),
+                      "", fmt::format("id-{}", requests_));
+    return at_peer ? fixture.AskPeer(request) : fixture.Ask(request);
+  }
+
+  std::vector<std::unique_ptr<CrashingEngine>> engines_;
+  int requests_ = 0;
+};
+
+}  // namespace
+
+TEST_CASE(
+    "Requests with a part under which five engines crashed reach no more "
+    "engines") {
+  Deployment deployment;
+  CHECK(deployment.RunWhileGatewaysLearn());
+  const std::size_t crashes = deployment.Crashes();
+  for (int i = 0; i < 20; ++i) {
+    CHECK(Deployment::IsRefusal(deployment.AskCrashing(i % 2 == 1)));
+    CHECK(deployment.IsSoundServed(i % 2 == 1));
+  }
+  CHECK(deployment.Crashes() <= crashes + kTolerated);
+}
+
+}  // namespace yuccapick
--- a/test/gateway/gateway_fixture.cc
+++ b/test/gateway/gateway_fixture.cc
@@ -266,8 +266,10 @@
   store.Put("servers", upstream.id(), entry.dump());
 }
 
-void GatewayFixture::RegisterEngine(const FakeUpstream& upstream, int weights) {
+void GatewayFixture::RegisterEngine(const FakeUpstream& upstream, int weights,
+                                    int born) {
   Json entry = UpstreamRow(upstream, "engines");
+  entry["born"] = born;
   entry["models"] = Json::array({Json{{"name", "m"}, {"version", weights}}});
   store.Put("servers", upstream.id(), entry.dump());
 }
--- a/test/gateway/gateway_fixture.h
+++ b/test/gateway/gateway_fixture.h
@@ -145,7 +145,8 @@
                         const std::string& service, const std::string& software,
                         const std::string& domain = "here");
   /// Puts the row of an engine that has loaded `weights` of the model "m".
-  void RegisterEngine(const FakeUpstream& upstream, int weights);
+  /// @param born start of the engine's incarnation
+  void RegisterEngine(const FakeUpstream& upstream, int weights, int born = 1);
   void PutConfig(std::uint64_t version, const std::string& routes);
   /// Sets the target weights of the model "m".
   void PutTargetWeights(int weights);
