Read peers' copies of the tables once the store's time is known

A gateway that the store refuses takes the tables from a peer. Since the copies carry times of the store, none of them could be decoded: the library converts elements of lists and optional values by its own rule for times and expects another encoding. So such a gateway kept old rows until the store answered. Found by a test of other messages with such times.

The test of the tables' codec now has a set time and the store's time; before, its copy was empty ("REQUIRE( copy.has_value() )" failed), now it passes. No check is dropped.

--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -134,6 +134,13 @@
       return o;
     }
   };
+  // The library prefers its own `as` for all times to the `convert` above.
+  template <>
+  struct as<yuccapick::StoreTime> {
+    yuccapick::StoreTime operator()(const msgpack::object& o) const {
+      return yuccapick::StoreTime(o.as<std::chrono::milliseconds>());
+    }
+  };
   template <>
   struct pack<yuccapick::StoreTime> {
     template <typename Stream>
--- a/test/peer_report_test.cc
+++ b/test/peer_report_test.cc
@@ -99,11 +99,17 @@
   CHECK(decoded->parts[0].tokens == 640);
   CHECK(decoded->kv_store_tokens == 9'200);
 
-  const PeerTables tables{{{{"k", "v", 3, false}}, 9}, {{}, 2}};
+  const StoreTime now(milliseconds(5'000));
+  const PeerTables tables{{{{"k", "v", 3, false}}, 9},
+                          {{}, 2},
+                          {{ModelId("m"), 2, now - milliseconds(700)}},
+                          now};
   const auto copy = DecodePeerTables(EncodePeerTables(tables));
   REQUIRE(copy.has_value());
   CHECK(copy->operator_rows.rows == tables.operator_rows.rows);
   CHECK(copy->operator_rows.as_of == 9);
+  CHECK(copy->target_set_times == tables.target_set_times);
+  CHECK(copy->store_time == now);
 }
 
 TEST_CASE("Bytes that are not a report are rejected") {
