--- a/include/yuccapick/peer_report.h
+++ b/include/yuccapick/peer_report.h
@@ -85,6 +85,8 @@
   /// Endpoints to send reports to. Silent peers and unconfirmed endpoints are
   /// included only now and then.
   std::vector<std::string> Targets(TimePoint now) const;
+  /// @return where the peer receives reports; empty if it is not live
+  std::string EndpointOf(const InstanceId& peer, TimePoint now) const;
   std::size_t LiveCount(TimePoint now) const;
   std::vector<InstanceId> LiveInstances(TimePoint now) const;
   bool AnyPeerHoldsRolloutLease(TimePoint now) const;
--- a/src/gateway/call_client.cc
+++ b/src/gateway/call_client.cc
@@ -40,6 +40,7 @@
       case ExchangeEnd::kNotSent:
         return End(absl::UnavailableError(text));
       case ExchangeEnd::kBroken:
+      case ExchangeEnd::kInvalid:
         return End(absl::UnknownError(text));
     }
   }
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -92,6 +92,8 @@
           loop, table_calls_,
           fmt::format("{}:{}", state_.settings.ip, state_.settings.peer_port),
           *this),
+      quarantine_sync_(std::make_shared<QuarantineSync>(state_, table_calls_,
+                                                        exchange_, peers_)),
       rollout_(std::make_shared<RolloutController>(state_, table_calls_,
                                                    incarnation)),
       target_set_times_(std::make_shared<TargetSetTimes>(state_, table_calls_)),
@@ -104,6 +106,7 @@
   TableWatchOptions options;
   options.endpoint = state_.settings.table_endpoint;
   state_.on_stream_began = [this] { ScheduleStreamOrigins(); };
+  state_.on_part_observed = [this] { quarantine_sync_->Schedule(); };
   options.table = platform::kOperator;
   operator_watch_ = std::make_shared<TableWatch>(
       loop, table_calls_, state_.store_times, options, watch_handler);
@@ -117,6 +120,7 @@
 GatewayProcess::~GatewayProcess() {
   operator_watch_->Stop();
   upstream_watch_->Stop();
+  quarantine_sync_->Stop();
 }
 
 absl::Status GatewayProcess::Start() {
@@ -132,6 +136,7 @@
                    state_.settings.table_endpoint);
   operator_watch_->Start();
   upstream_watch_->Start();
+  quarantine_sync_->Start();
   for (const std::string& seed : state_.settings.seed_endpoints) {
     const std::string ip = seed.substr(0, seed.rfind(':'));
     peers_.OnEndpoint(fmt::format("{}:{}", ip, state_.settings.peer_port),
@@ -164,6 +169,10 @@
   gauge("yuccapick_known_stream_origins", state_.stream_origins.size());
   AppendMetric(out, "counter", "yuccapick_unknown_stream_origins",
                state_.unknown_stream_origins);
+  gauge("yuccapick_blocked_parts", state_.quarantine.blocked_count());
+  gauge("yuccapick_suspect_parts", state_.quarantine.suspect_count());
+  AppendMetric(out, "counter", "yuccapick_requests_with_blocked_part",
+               state_.requests_with_blocked_part);
   AppendMetric(out, "counter", "yuccapick_attempts_on_overdue_weights",
                state_.attempts_on_overdue_weights);
   AppendMetric(out, "counter", "yuccapick_log_lines_dropped",
@@ -262,6 +271,7 @@
   }
   RepeatStreamOrigins(now);
   ExchangeWithPeers(now);
+  quarantine_sync_->OnTick(now);
   state_.loading = peers_.Loading(now);
   const std::set<UpstreamId> own_loading = rollout_->Loading();
   state_.loading.insert(own_loading.begin(), own_loading.end());
--- a/src/gateway/gateway_process.h
+++ b/src/gateway/gateway_process.h
@@ -19,6 +19,7 @@
 #include "gateway/gateway_state.h"
 #include "gateway/ingress_session.h"
 #include "gateway/peer_exchange.h"
+#include "gateway/quarantine_sync.h"
 #include "gateway/rollout_controller.h"
 #include "gateway/table_watch.h"
 #include "gateway/target_set_times.h"
@@ -59,6 +60,12 @@
 
   void OnPeerReport(const PeerReport& report) override;
   void OnStreamOrigins(const std::vector<StreamOriginReport>& origins) override;
+  void OnPartReport(const PartReport& report) override {
+    quarantine_sync_->OnReport(report);
+  }
+  void OnPartDecisions(const std::vector<PartDecision>& decisions) override {
+    quarantine_sync_->OnDecisions(decisions);
+  }
   void OnPeerTables(const PeerTables& tables) override;
   PeerTables TablesForPeers() const override;
 
@@ -92,6 +99,7 @@
   Incarnation incarnation_;
   PeerRegistry peers_;
   PeerExchange exchange_;
+  std::shared_ptr<QuarantineSync> quarantine_sync_;
   std::shared_ptr<RolloutController> rollout_;
   std::shared_ptr<TargetSetTimes> target_set_times_;
   CacheWatch cache_watch_;
--- a/src/gateway/gateway_process_peers.cc
+++ b/src/gateway/gateway_process_peers.cc
@@ -112,12 +112,14 @@
                                           target.set_after);
   }
   upstream_watch_->OnPeerSnapshot(tables.upstream_rows);
+  quarantine_sync_->OnDecisions(tables.part_decisions);
 }
 
 PeerTables GatewayProcess::TablesForPeers() const {
   return {operator_watch_->mirror().Snapshot(),
           upstream_watch_->mirror().Snapshot(),
-          state_.target_weights.SetTimes(), state_.StoreNow()};
+          state_.target_weights.SetTimes(), state_.StoreNow(),
+          state_.quarantine.Decisions()};
 }
 
 void GatewayProcess::RegisterEndpoint() {
--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -27,6 +27,7 @@
       upstream_connections(io, UpstreamConnectionOptions()),
       load(kPeerReportMaxAge),
       placement(settings.domain, {}),
+      quarantine(settings.instance),
       gateway_count(kInitialGatewayCount) {}
 
 std::optional<StoreTime> GatewayState::StoreNow() const {
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -22,6 +22,7 @@
 #include "yuccapick/latency_estimate.h"
 #include "yuccapick/load_shedder.h"
 #include "yuccapick/part_directory.h"
+#include "yuccapick/part_quarantine.h"
 #include "yuccapick/peer_report.h"
 #include "yuccapick/request_metrics.h"
 #include "yuccapick/retry_budget.h"
@@ -69,6 +70,11 @@
   std::uint64_t unknown_stream_origins = 0;
   /// Called when peers should be told where a stream began.
   std::function<void()> on_stream_began = [] {};
+  PartQuarantine quarantine;
+  /// Called when `quarantine` may have something to tell peers.
+  std::function<void()> on_part_observed = [] {};
+  /// Requests refused, or not retried, because of a blocked part.
+  std::uint64_t requests_with_blocked_part = 0;
   StoreTimes store_times;
   StoreContact store_contact;
   TargetWeightsHistory target_weights;
--- a/src/gateway/http_connection.cc
+++ b/src/gateway/http_connection.cc
@@ -145,8 +145,10 @@
     std::size_t consumed = 0;
     const absl::Status status = reader_.Feed(bytes, consumed);
     if (closed_) return;
-    if (!status.ok()) return Fail(status.message().data());
-    if (rejected_) return Fail("answer rejected");
+    if (!status.ok()) {
+      return Fail(status.message().data(), ExchangeEnd::kInvalid);
+    }
+    if (rejected_) return Fail("answer rejected", ExchangeEnd::kInvalid);
     bytes.remove_prefix(std::min(consumed, bytes.size()));
     if (!reader_.complete()) continue;
     if (skipping_) {
@@ -215,12 +217,11 @@
   handler->OnExchangeEnd(ExchangeEnd::kComplete, "");
 }
 
-void HttpConnection::Fail(std::string_view reason) {
+void HttpConnection::Fail(std::string_view reason, ExchangeEnd end) {
   if (closed_) return;
   const auto self = shared_from_this();
   const std::string text(reason);
-  const ExchangeEnd end =
-      sent_ == 0 ? ExchangeEnd::kNotSent : ExchangeEnd::kBroken;
+  if (sent_ == 0) end = ExchangeEnd::kNotSent;
   Close();
   const auto handler = std::exchange(handler_, nullptr);
   on_idle_ = nullptr;
--- a/src/gateway/http_connection.h
+++ b/src/gateway/http_connection.h
@@ -23,7 +23,8 @@
 enum class ExchangeEnd : std::uint8_t {
   kComplete,
   kNotSent,  ///< No byte of the request was written to the socket.
-  kBroken,   ///< Sent at least in part, without a complete answer.
+  kBroken,   ///< Sent at least in part; the connection ended too soon.
+  kInvalid,  ///< Sent at least in part; the answer is malformed or rejected.
 };
 
 /// How to proceed after the head of an answer.
@@ -88,7 +89,8 @@
   void Consume(std::string_view bytes);
   void OnPeerClosed(const asio::error_code& ec);
   void FinishAnswer();
-  void Fail(std::string_view reason);
+  /// Closes the connection and reports `end`, or that nothing was sent.
+  void Fail(std::string_view reason, ExchangeEnd end = ExchangeEnd::kBroken);
   void Close();
 
   asio::io_context& loop_;
--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -80,7 +80,29 @@
   struct PeerTablesFields {
     auto operator()(yuccapick::PeerTables& v) const {
       return msgpack::type::make_define_array(v.operator_rows, v.upstream_rows,
-                                              v.target_set_times, v.store_time);
+                                              v.target_set_times, v.store_time,
+                                              v.part_decisions);
+    }
+  };
+  struct PartCrashFields {
+    auto operator()(yuccapick::PartCrash& v) const {
+      return msgpack::type::make_define_array(v.part, v.upstream, v.at);
+    }
+  };
+  struct PartSurvivalFields {
+    auto operator()(yuccapick::PartSurvival& v) const {
+      return msgpack::type::make_define_array(v.part, v.began_at);
+    }
+  };
+  struct PartReportFields {
+    auto operator()(yuccapick::PartReport& v) const {
+      return msgpack::type::make_define_array(v.crashes, v.survivals);
+    }
+  };
+  struct PartDecisionFields {
+    auto operator()(yuccapick::PartDecision& v) const {
+      return msgpack::type::make_define_array(v.part, v.blocked, v.decided_at,
+                                              v.until, v.blocks);
     }
   };
 
@@ -162,6 +184,30 @@
   struct pack<yuccapick::TargetSetTime>
       : PackAsArray<yuccapick::TargetSetTime, TargetSetTimeFields> {};
   template <>
+  struct convert<yuccapick::PartCrash>
+      : PackAsArray<yuccapick::PartCrash, PartCrashFields> {};
+  template <>
+  struct pack<yuccapick::PartCrash>
+      : PackAsArray<yuccapick::PartCrash, PartCrashFields> {};
+  template <>
+  struct convert<yuccapick::PartSurvival>
+      : PackAsArray<yuccapick::PartSurvival, PartSurvivalFields> {};
+  template <>
+  struct pack<yuccapick::PartSurvival>
+      : PackAsArray<yuccapick::PartSurvival, PartSurvivalFields> {};
+  template <>
+  struct convert<yuccapick::PartReport>
+      : PackAsArray<yuccapick::PartReport, PartReportFields> {};
+  template <>
+  struct pack<yuccapick::PartReport>
+      : PackAsArray<yuccapick::PartReport, PartReportFields> {};
+  template <>
+  struct convert<yuccapick::PartDecision>
+      : PackAsArray<yuccapick::PartDecision, PartDecisionFields> {};
+  template <>
+  struct pack<yuccapick::PartDecision>
+      : PackAsArray<yuccapick::PartDecision, PartDecisionFields> {};
+  template <>
   struct convert<yuccapick::PeerTables>
       : PackAsArray<yuccapick::PeerTables, PeerTablesFields> {};
   template <>
@@ -175,8 +221,10 @@
 namespace yuccapick {
 namespace {
 
-/// A MessagePack number, which no report begins with.
+// First bytes of datagrams: MessagePack numbers, which no report begins with.
 constexpr char kStreamOriginsTag = 1;
+constexpr char kPartReportTag = 2;
+constexpr char kPartDecisionsTag = 3;
 
 template <typename T>
 std::string Encode(const T& message) {
@@ -199,6 +247,12 @@
   }
 }
 
+template <typename T>
+std::optional<T> DecodeTagged(std::string_view bytes, char tag) {
+  if (!bytes.starts_with(tag)) return std::nullopt;
+  return Decode<T>(bytes.substr(1));
+}
+
 }  // namespace
 
 std::string EncodePeerReport(const PeerReport& report) {
@@ -216,8 +270,25 @@
 
 std::optional<std::vector<StreamOriginReport>> DecodeStreamOrigins(
     std::string_view bytes) {
-  if (!bytes.starts_with(kStreamOriginsTag)) return std::nullopt;
-  return Decode<std::vector<StreamOriginReport>>(bytes.substr(1));
+  return DecodeTagged<std::vector<StreamOriginReport>>(bytes,
+                                                       kStreamOriginsTag);
+}
+
+std::string EncodePartReport(const PartReport& report) {
+  return kPartReportTag + Encode(report);
+}
+
+std::optional<PartReport> DecodePartReport(std::string_view bytes) {
+  return DecodeTagged<PartReport>(bytes, kPartReportTag);
+}
+
+std::string EncodePartDecisions(const std::vector<PartDecision>& decisions) {
+  return kPartDecisionsTag + Encode(decisions);
+}
+
+std::optional<std::vector<PartDecision>> DecodePartDecisions(
+    std::string_view bytes) {
+  return DecodeTagged<std::vector<PartDecision>>(bytes, kPartDecisionsTag);
 }
 
 std::string EncodePeerTables(const PeerTables& tables) {
--- a/src/gateway/peer_codec.h
+++ b/src/gateway/peer_codec.h
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <vector>
 
+#include "yuccapick/part_quarantine.h"
 #include "yuccapick/peer_report.h"
 #include "yuccapick/store_clock.h"
 #include "yuccapick/stream_origins.h"
@@ -25,18 +26,30 @@
   std::vector<TargetSetTime> target_set_times;
   /// The store's time when this was sent, as far as the sender knows it.
   std::optional<StoreTime> store_time;
+  std::vector<PartDecision> part_decisions;
 };
 
 std::string EncodePeerReport(const PeerReport& report);
 /// @return nullopt if the bytes are malformed
 std::optional<PeerReport> DecodePeerReport(std::string_view bytes);
 
-/// The encoding differs from any report's in its first byte.
+// The following datagrams differ from each other, and from a `PeerReport`, in
+// their first byte.
+
 std::string EncodeStreamOrigins(const std::vector<StreamOriginReport>& origins);
 /// @return nullopt if the bytes are malformed or hold another message
 std::optional<std::vector<StreamOriginReport>> DecodeStreamOrigins(
     std::string_view bytes);
 
+std::string EncodePartReport(const PartReport& report);
+/// @return nullopt if the bytes are malformed or hold another message
+std::optional<PartReport> DecodePartReport(std::string_view bytes);
+
+std::string EncodePartDecisions(const std::vector<PartDecision>& decisions);
+/// @return nullopt if the bytes are malformed or hold another message
+std::optional<std::vector<PartDecision>> DecodePartDecisions(
+    std::string_view bytes);
+
 std::string EncodePeerTables(const PeerTables& tables);
 /// @return nullopt if the bytes are malformed
 std::optional<PeerTables> DecodePeerTables(std::string_view bytes);
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -60,6 +60,12 @@
   if (const auto origins = DecodeStreamOrigins(bytes)) {
     return handler_.OnStreamOrigins(*origins);
   }
+  if (const auto report = DecodePartReport(bytes)) {
+    return handler_.OnPartReport(*report);
+  }
+  if (const auto decisions = DecodePartDecisions(bytes)) {
+    return handler_.OnPartDecisions(*decisions);
+  }
   const auto report = DecodePeerReport(bytes);
   if (report) handler_.OnPeerReport(*report);
 }
@@ -74,6 +80,16 @@
   if (!targets.empty()) SendDatagram(EncodeStreamOrigins(origins), targets);
 }
 
+void PeerExchange::Send(const PartReport& report,
+                        const std::vector<std::string>& targets) {
+  if (!targets.empty()) SendDatagram(EncodePartReport(report), targets);
+}
+
+void PeerExchange::Send(const std::vector<PartDecision>& decisions,
+                        const std::vector<std::string>& targets) {
+  if (!targets.empty()) SendDatagram(EncodePartDecisions(decisions), targets);
+}
+
 void PeerExchange::SendDatagram(const std::string& bytes,
                                 const std::vector<std::string>& targets) {
   for (const std::string& target : targets) {
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -28,6 +28,8 @@
   virtual void OnPeerReport(const PeerReport& report) = 0;
   virtual void OnStreamOrigins(
       const std::vector<StreamOriginReport>& origins) = 0;
+  virtual void OnPartReport(const PartReport& report) = 0;
+  virtual void OnPartDecisions(const std::vector<PartDecision>& decisions) = 0;
   /// A peer's copy of the tables was fetched.
   virtual void OnPeerTables(const PeerTables& tables) = 0;
   virtual PeerTables TablesForPeers() const = 0;
@@ -48,6 +50,11 @@
   /// Tells every target where streams began; datagrams may be lost.
   void Send(const std::vector<StreamOriginReport>& origins,
             const std::vector<std::string>& targets);
+  /// Tells every target what was observed of prompt parts.
+  void Send(const PartReport& report, const std::vector<std::string>& targets);
+  /// Tells every target which prompt parts are blocked.
+  void Send(const std::vector<PartDecision>& decisions,
+            const std::vector<std::string>& targets);
   /// Fetches the tables of a peer, unless another fetch is in progress.
   void FetchTables(const std::string& peer_endpoint);
   void CheckTimeouts(TimePoint now) { server_.CheckTimeouts(now); }
--- a/src/gateway/proxied_request.cc
+++ b/src/gateway/proxied_request.cc
@@ -227,6 +227,7 @@
 void ProxiedRequest::TrySend() {
   const TimePoint now = state_.Now();
   if (now >= deadline_) return OnEnd(AttemptEnd::kTimedOut, "no time left");
+  if (StopAtBlockedPart(now)) return;
   const std::optional<DirectPlacementDecision> choice = state_.placement.Choose(
       query_, Fleet(), state_.parts, state_.load, state_.health, now);
   if (!choice) return OnEnd(AttemptEnd::kNotSent, "no usable upstream");
@@ -299,6 +300,7 @@
   splitter_.DiscardPartialEvent();
   body_.clear();
   answer_began_at_.reset();
+  survival_recorded_ = false;
   attempt_ = std::move(attempt);
   state_.log.Write(
       LogKind::kRequest, now,
@@ -335,7 +337,7 @@
   context.answer_started = answer_started_;
   context.may_have_run = may_have_run_;
   context.time_left = state_.Now() < deadline_;
-  context.has_upstream = HasUntriedUpstream();
+  context.has_upstream = !blocked_for_ && HasUntriedUpstream();
   context.delivered_attempts = delivered_attempts_;
   context.max_attempts = admitted_.route->max_attempts;
   // Only an event stream can be continued at another upstream.
@@ -362,8 +364,7 @@
       admitted_.caller.attempt_id, attempts_sent_,
       query_.tried.empty() ? "-" : query_.tried.back().value,
       AttemptEndName(end), reason, RetryDecisionName(decision),
-      delivered_attempts_, admitted_.route->max_attempts,
-      TimeLeft(now).count(),
+      delivered_attempts_, admitted_.route->max_attempts, TimeLeft(now).count(),
       answer_began_at_ ? Milliseconds(now - *answer_began_at_) : -1,
       FormatParts(shared_parts_));
   Execute(decision, reason);
@@ -382,7 +383,7 @@
       }
       return DeliverAnswer();
     case RetryDecision::kRefuse:
-      return Refuse(reason, kRetryAfter);
+      return Refuse(reason, blocked_for_.value_or(kRetryAfter));
     case RetryDecision::kFail:
       session_->Respond(kHttpBadGateway, {}, "upstream failed\n");
       return Finish("upstream_failed", kHttpBadGateway, reason);
--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -98,6 +98,14 @@
 
   void HandleFirstEvent();
   void RecordStreamOrigin(TimePoint now);
+  /// Refuses the request, or doesn't retry it, if a part of its prompt is
+  /// blocked.
+  /// @return true if one is
+  bool StopAtBlockedPart(TimePoint now);
+  /// The upstream may have crashed on a part of the prompt.
+  void RecordCrash(TimePoint now);
+  /// The upstream did not crash on the prompt.
+  void RecordSurvival(TimePoint now);
   void RecordCachedParts(TimePoint now);
   void BeginAnswer();
   void HandleAnswerEnd();
@@ -123,10 +131,13 @@
   asio::steady_timer timer_;
   PlacementQuery query_;
   std::vector<PartId> shared_parts_;
+  /// How long a part of the prompt is still blocked.
+  std::optional<std::chrono::milliseconds> blocked_for_;
 
   std::optional<Attempt> attempt_;
   /// First event of the last attempt's answer.
   std::optional<TimePoint> answer_began_at_;
+  bool survival_recorded_ = false;  ///< Of the last attempt.
   std::uint32_t attempts_sent_ = 0;
   std::uint32_t delivered_attempts_ = 0;
   std::uint32_t expected_cached_tokens_ = 0;
--- a/src/gateway/proxied_request_answers.cc
+++ b/src/gateway/proxied_request_answers.cc
@@ -12,6 +12,10 @@
 /// Answers up to this size are buffered and sent when they are complete.
 constexpr std::size_t kMaxBufferedAnswerBytes = 262'144;
 
+/// An upstream that crashes on a part of a prompt does so within this time
+/// after it has begun the answer.
+constexpr milliseconds kCrashWindow{500};
+
 }  // namespace
 
 HeadDecision ProxiedRequest::OnAnswerHead(const HttpHead& head) {
@@ -62,11 +66,12 @@
   const absl::StatusOr<std::string> events = splitter_.Feed(bytes);
   if (!events.ok()) {
     attempt_->connection->Abandon();
-    return OnExchangeEnd(ExchangeEnd::kBroken,
+    return OnExchangeEnd(ExchangeEnd::kInvalid,
                          events.status().message().data());
   }
   if (events->empty()) return;
   if (!attempt_->has_first_event) HandleFirstEvent();
+  if (now - *answer_began_at_ >= kCrashWindow) RecordSurvival(now);
   if (!answer_started_) BeginAnswer();
   session_->StreamBody(*events);
 }
@@ -86,6 +91,27 @@
   RecordCachedParts(now);
 }
 
+void ProxiedRequest::RecordCrash(TimePoint now) {
+  const std::optional<StoreTime> store_now = state_.StoreNow();
+  if (shared_parts_.empty() || !store_now) return;
+  if (answer_began_at_ && now - *answer_began_at_ >= kCrashWindow) return;
+  const UpstreamEntry& upstream = attempt_->upstream;
+  state_.quarantine.OnCrash(shared_parts_,
+                            UpstreamRunIdOf(upstream.id, upstream.incarnation),
+                            *store_now);
+  if (state_.quarantine.HasNews()) state_.on_part_observed();
+}
+
+void ProxiedRequest::RecordSurvival(TimePoint now) {
+  const std::optional<StoreTime> store_now = state_.StoreNow();
+  if (survival_recorded_ || shared_parts_.empty() || !store_now) return;
+  survival_recorded_ = true;
+  const milliseconds age = std::chrono::duration_cast<milliseconds>(
+      now - answer_began_at_.value_or(now));
+  state_.quarantine.OnSurvived(shared_parts_, *store_now - age, *store_now);
+  if (state_.quarantine.HasNews()) state_.on_part_observed();
+}
+
 void ProxiedRequest::RecordStreamOrigin(TimePoint now) {
   if (stream_software_) return;
   stream_software_ = attempt_->upstream.software;
@@ -129,7 +155,8 @@
     return OnEnd(AttemptEnd::kNotSent, reason);
   }
   ++delivered_attempts_;
-  if (end == ExchangeEnd::kBroken) {
+  if (end != ExchangeEnd::kComplete) {
+    if (end == ExchangeEnd::kBroken) RecordCrash(now);
     state_.health.OnFailure(upstream, now);
     may_have_run_ = true;
     attempt_.reset();
@@ -153,6 +180,7 @@
   may_have_run_ = true;
   const int status = attempt_->head->status;
   if (streaming_ && !splitter_.AtEventBoundary()) {
+    RecordCrash(now);
     state_.health.OnFailure(upstream, now);
     attempt_.reset();
     return OnEnd(AttemptEnd::kBroken, "stream ended within an event");
@@ -167,6 +195,8 @@
     return OnEnd(AttemptEnd::kBroken, "resumed stream got another answer");
   }
   state_.health.OnSuccess(upstream, now);
+  // Without a length or chunks, a crash may look like the end of the answer.
+  if (attempt_->head->has_body) RecordSurvival(now);
   DeliverAnswer();
 }
 
--- a/src/gateway/proxied_request_end.cc
+++ b/src/gateway/proxied_request_end.cc
@@ -36,6 +36,24 @@
   Finish("refused", kHttpUnavailable, reason);
 }
 
+bool ProxiedRequest::StopAtBlockedPart(TimePoint now) {
+  const std::optional<StoreTime> store_now = state_.StoreNow();
+  if (!store_now) return false;
+  const std::optional<PartRefusal> refusal =
+      state_.quarantine.Admit(shared_parts_, *store_now);
+  if (!refusal) return false;
+  blocked_for_ = refusal->retry_after;
+  ++state_.requests_with_blocked_part;
+  state_.log.Write(LogKind::kFailure, now,
+                   "event=part_refused id={} route={} part={:016x} "
+                   "retry_after_ms={} blocked_parts={}",
+                   admitted_.caller.attempt_id, admitted_.route->name,
+                   refusal->part.value, refusal->retry_after.count(),
+                   state_.quarantine.blocked_count());
+  OnEnd(AttemptEnd::kNotSent, "upstreams crash on a part of the prompt");
+  return true;
+}
+
 void ProxiedRequest::Finish(std::string_view outcome, int status,
                             std::string_view reason) {
   if (done_) return;
--- /dev/null
+++ b/src/gateway/quarantine_sync.cc
@@ -0,0 +1,220 @@
+#include "gateway/quarantine_sync.h"
+
+#include <fmt/format.h>
+
+#include <optional>
+#include <utility>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_split.h"
+#include "gateway/http_status.h"
+#include "platform/table_calls.h"
+
+namespace yuccapick {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr char kTable[] = "yuccapick-blocked-parts";
+/// The attempts that one crash breaks are reported together.
+constexpr milliseconds kSendDelay{20};
+constexpr int kDecisionCopies = 3;
+constexpr milliseconds kSaveTimeout{800};
+constexpr milliseconds kSaveRetryDelay{400};
+
+std::string FormatKey(PartId part) {
+  return fmt::format("{:016x}", part.value);
+}
+
+std::int64_t Count(StoreTime time) { return time.time_since_epoch().count(); }
+
+std::string FormatValue(const PartDecision& decision) {
+  return fmt::format("{} {} {}", Count(decision.decided_at),
+                     Count(decision.until), decision.blocks);
+}
+
+/// Parses a row that `FormatKey` and `FormatValue` have written.
+std::optional<PartDecision> ParseRow(const MirrorRow& row) {
+  PartDecision decision;
+  if (!absl::SimpleHexAtoi(row.key, &decision.part.value)) return std::nullopt;
+  if (row.removed) return decision;
+  const std::vector<std::string> words = absl::StrSplit(row.value, ' ');
+  std::int64_t decided_ms = 0;
+  std::int64_t until_ms = 0;
+  if (words.size() != 3 || !absl::SimpleAtoi(words[0], &decided_ms) ||
+      !absl::SimpleAtoi(words[1], &until_ms) ||
+      !absl::SimpleAtoi(words[2], &decision.blocks)) {
+    return std::nullopt;
+  }
+  decision.blocked = true;
+  decision.decided_at = StoreTime(milliseconds(decided_ms));
+  decision.until = StoreTime(milliseconds(until_ms));
+  return decision;
+}
+
+}  // namespace
+
+QuarantineSync::QuarantineSync(GatewayState& state, CallClient& calls,
+                               PeerExchange& exchange,
+                               const PeerRegistry& peers)
+    : state_(state),
+      calls_(calls),
+      exchange_(exchange),
+      peers_(peers),
+      send_timer_(state.loop) {
+  TableWatchOptions options;
+  options.endpoint = state_.settings.table_endpoint;
+  options.table = kTable;
+  TableWatchHandler& handler = *this;
+  watch_ = std::make_shared<TableWatch>(state_.loop, calls_, state_.store_times,
+                                        options, handler);
+}
+
+void QuarantineSync::Start() { watch_->Start(); }
+
+void QuarantineSync::Stop() {
+  watch_->Stop();
+  send_timer_.cancel();
+}
+
+void QuarantineSync::Schedule() {
+  if (scheduled_) return;
+  scheduled_ = true;
+  send_timer_.expires_after(kSendDelay);
+  send_timer_.async_wait([weak = weak_from_this()](const asio::error_code& ec) {
+    const auto self = weak.lock();
+    if (ec || self == nullptr) return;
+    self->scheduled_ = false;
+    self->Send(self->state_.Now());
+  });
+}
+
+void QuarantineSync::OnTick(TimePoint now) {
+  state_.quarantine.SetPeers(state_.live_peers);
+  if (const auto store_now = state_.StoreNow()) {
+    state_.quarantine.OnTick(*store_now);
+  }
+  Repeat(now);
+  Send(now);
+  SaveNext(now);
+}
+
+void QuarantineSync::Send(TimePoint now) {
+  std::vector<AddressedPartReport> reports = state_.quarantine.TakeReports();
+  SendReports(reports);
+  repeated_reports_.insert(repeated_reports_.end(),
+                           std::make_move_iterator(reports.begin()),
+                           std::make_move_iterator(reports.end()));
+  std::vector<PartDecision> decisions = state_.quarantine.TakeDecisions();
+  if (decisions.empty()) return;
+  for (const PartDecision& decision : decisions) {
+    Log(decision, "own");
+    unsaved_[decision.part] = decision;
+  }
+  exchange_.Send(decisions, peers_.Targets(now));
+  repeated_decisions_.push_back({std::move(decisions), kDecisionCopies - 1});
+}
+
+void QuarantineSync::SendReports(
+    const std::vector<AddressedPartReport>& reports) {
+  for (const AddressedPartReport& it : reports) {
+    const std::string endpoint = peers_.EndpointOf(it.to, state_.Now());
+    if (!endpoint.empty()) exchange_.Send(it.report, {endpoint});
+  }
+}
+
+void QuarantineSync::Repeat(TimePoint now) {
+  SendReports(std::exchange(repeated_reports_, {}));
+  for (RepeatedDecisions& it : repeated_decisions_) {
+    exchange_.Send(it.decisions, peers_.Targets(now));
+    --it.copies_left;
+  }
+  std::erase_if(repeated_decisions_, [](const RepeatedDecisions& it) {
+    return it.copies_left == 0;
+  });
+}
+
+void QuarantineSync::OnReport(const PartReport& report) {
+  const auto now = state_.StoreNow();
+  if (!now) return;
+  state_.quarantine.OnReport(report, *now);
+  if (state_.quarantine.HasNews()) Schedule();
+}
+
+void QuarantineSync::OnDecisions(const std::vector<PartDecision>& decisions) {
+  for (const PartDecision& decision : decisions) Apply(decision, "peer");
+}
+
+void QuarantineSync::OnTableRows(const std::string& /*table*/,
+                                 const std::vector<MirrorRow>& changes) {
+  for (const MirrorRow& row : changes) ApplyRow(row);
+}
+
+void QuarantineSync::ApplyRow(const MirrorRow& row) {
+  std::optional<PartDecision> decision = ParseRow(row);
+  if (!decision) {
+    state_.log.Write(LogKind::kStateChange, state_.Now(),
+                     "event=blocked_part_ignored key={} row_version={}",
+                     row.key, row.version);
+    return;
+  }
+  if (row.removed) {
+    const auto now = state_.StoreNow();
+    if (!now || !state_.quarantine.IsBlocked(decision->part)) return;
+    decision->decided_at = *now;
+    decision->until = *now;
+  }
+  Apply(*decision, "store");
+}
+
+void QuarantineSync::Apply(const PartDecision& decision,
+                           std::string_view source) {
+  if (state_.quarantine.OnDecision(decision)) Log(decision, source);
+}
+
+void QuarantineSync::Log(const PartDecision& decision,
+                         std::string_view source) {
+  state_.log.Write(LogKind::kStateChange, state_.Now(),
+                   "event={} part={} source={} decided_ms={} until_ms={} "
+                   "blocks={} store_time_ms={}",
+                   decision.blocked ? "part_blocked" : "part_cleared",
+                   FormatKey(decision.part), source, Count(decision.decided_at),
+                   Count(decision.until), decision.blocks,
+                   Count(state_.StoreNow().value_or(StoreTime())));
+}
+
+void QuarantineSync::SaveNext(TimePoint now) {
+  if (unsaved_.empty() || saving_ || now < next_save_) return;
+  const PartDecision decision = unsaved_.begin()->second;
+  saving_ = true;
+  next_save_ = now + kSaveRetryDelay;
+  const std::string& store = state_.settings.table_endpoint;
+  platform::RowWrite write;
+  write.table = kTable;
+  write.key = FormatKey(decision.part);
+  if (decision.blocked) write.value = FormatValue(decision);
+  calls_.Call(store, platform::EncodeWrite(store, write), kSaveTimeout,
+              [self = shared_from_this(),
+               decision](const absl::StatusOr<CallAnswer>& answer) {
+                self->OnSaved(decision, answer);
+              });
+}
+
+void QuarantineSync::OnSaved(const PartDecision& decision,
+                             const absl::StatusOr<CallAnswer>& answer) {
+  saving_ = false;
+  const int status = answer.ok() ? answer->status : 0;
+  state_.log.Write(LogKind::kStateChange, state_.Now(),
+                   "event=blocked_part_saved part={} blocked={} status={}",
+                   FormatKey(decision.part), decision.blocked, status);
+  const bool refused = status >= kHttpBadRequest &&
+                       status < kHttpFirstServerError &&
+                       status != kHttpTooManyRequests;
+  // A row that the store doesn't accept would be refused again.
+  if (status != kHttpOk && !refused) return;
+  next_save_ = TimePoint();
+  const auto it = unsaved_.find(decision.part);
+  if (it != unsaved_.end() && it->second == decision) unsaved_.erase(it);
+}
+
+}  // namespace yuccapick
--- /dev/null
+++ b/src/gateway/quarantine_sync.h
@@ -0,0 +1,80 @@
+#ifndef YUCCAPICK_GATEWAY_QUARANTINE_SYNC_H_
+#define YUCCAPICK_GATEWAY_QUARANTINE_SYNC_H_
+
+/// @file
+/// Exchanges what gateways know of prompt parts that crash upstreams, and keeps
+/// the decisions in the store.
+
+#include <asio.hpp>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "gateway/call_client.h"
+#include "gateway/gateway_state.h"
+#include "gateway/peer_exchange.h"
+#include "gateway/table_watch.h"
+#include "yuccapick/part_quarantine.h"
+
+namespace yuccapick {
+
+/// Carries the messages of `GatewayState::quarantine`. Used on one event loop;
+/// calls in flight keep it alive.
+class QuarantineSync : private TableWatchHandler,
+                       public std::enable_shared_from_this<QuarantineSync> {
+ public:
+  /// @param peers must outlive this object, like the other arguments
+  QuarantineSync(GatewayState& state, CallClient& calls, PeerExchange& exchange,
+                 const PeerRegistry& peers);
+
+  void Start();
+  void Stop();
+  /// Sends what the quarantine has to tell, shortly after the first call.
+  void Schedule();
+  void OnTick(TimePoint now);
+  void OnReport(const PartReport& report);
+  void OnDecisions(const std::vector<PartDecision>& decisions);
+
+ private:
+  /// Decisions that are sent several times, since datagrams may be lost.
+  struct RepeatedDecisions {
+    std::vector<PartDecision> decisions;
+    int copies_left = 0;
+  };
+
+  void OnTableRows(const std::string& table,
+                   const std::vector<MirrorRow>& changes) override;
+  void OnTableUnavailable(const std::string& /*table*/,
+                          std::string_view /*reason*/) override {}
+  void OnTableAnswered(const std::string& /*table*/) override {}
+
+  void Send(TimePoint now);
+  void SendReports(const std::vector<AddressedPartReport>& reports);
+  void Repeat(TimePoint now);
+  void ApplyRow(const MirrorRow& row);
+  void Apply(const PartDecision& decision, std::string_view source);
+  void Log(const PartDecision& decision, std::string_view source);
+  /// Writes one unsaved decision, unless a write is under way.
+  void SaveNext(TimePoint now);
+  void OnSaved(const PartDecision& decision,
+               const absl::StatusOr<CallAnswer>& answer);
+
+  GatewayState& state_;
+  CallClient& calls_;
+  PeerExchange& exchange_;
+  const PeerRegistry& peers_;
+  std::shared_ptr<TableWatch> watch_;
+  asio::steady_timer send_timer_;
+  bool scheduled_ = false;
+  std::vector<AddressedPartReport> repeated_reports_;
+  std::vector<RepeatedDecisions> repeated_decisions_;
+  std::map<PartId, PartDecision> unsaved_;
+  bool saving_ = false;
+  TimePoint next_save_;
+};
+
+}  // namespace yuccapick
+
+#endif  // YUCCAPICK_GATEWAY_QUARANTINE_SYNC_H_
--- a/src/peer_report.cc
+++ b/src/peer_report.cc
@@ -59,6 +59,13 @@
   return targets;
 }
 
+std::string PeerRegistry::EndpointOf(const InstanceId& peer,
+                                     TimePoint now) const {
+  const auto it = peers_.find(peer);
+  if (it == peers_.end() || !Live(it->second, now)) return {};
+  return it->second.report.endpoint;
+}
+
 std::size_t PeerRegistry::LiveCount(TimePoint now) const {
   std::size_t n = 0;
   for (const auto& [instance, peer] : peers_) {
--- a/src/request_explanation.cc
+++ b/src/request_explanation.cc
@@ -67,6 +67,12 @@
           line.Field("route"), line.Field("begins_ms"), line.Field("target_ms"),
           line.Field("share"));
     }
+    if (line.Field("event") == "part_refused") {
+      return fmt::format(
+          "upstreams crash on part {} of its prompt, which is blocked for {} "
+          "ms",
+          line.Field("part"), line.Field("retry_after_ms"));
+    }
     if (line.Field("event") != "attempt_ended") continue;
     cause = fmt::format("attempt {} at {} ended as {} ({})",
                         line.Field("attempt"), line.Field("upstream"),
--- a/test/gateway/crashing_part_test.cc
+++ b/test/gateway/crashing_part_test.cc
@@ -20,6 +20,7 @@
   "service":"engines","maxAttempts":2,"resumable":true,"sticky":true}])";
 
 constexpr char kCrashingPart[] = "bad0";
+constexpr char kBlockedPartsTable[] = "yuccapick-blocked-parts";
 /// Crashes after which gateways must know the part, within `kTimeToLearn`.
 constexpr std::size_t kCrashesToLearn = 5;
 constexpr milliseconds kTimeToLearn{3'000};
@@ -86,15 +87,17 @@
     return n;
   }
 
-  /// @return the answer to a new request with `kCrashingPart`
+  /// @return a new request with `kCrashingPart`
+  std::string CrashingRequest() { return Request(kCrashingPart); }
   std::string AskCrashing(bool at_peer) {
-    return Ask(fmt::format("a0:100,{}:20,c{}:10", kCrashingPart, ++requests_),
-               at_peer);
+    const std::string request = CrashingRequest();
+    return at_peer ? fixture.AskPeer(request) : fixture.Ask(request);
   }
   /// @return true if a request that shares the first part is answered
   bool IsSoundServed(bool at_peer) {
-    return Ask(fmt::format("a0:100,b0:20,c{}:10", ++requests_), at_peer)
-        .ends_with("data: yes\n\n\r\n0\r\n\r\n");
+    const std::string request = Request("b0");
+    return IsComplete(at_peer ? fixture.AskPeer(request)
+                              : fixture.Ask(request));
   }
 
   /// Sends requests of both kinds to both gateways until `kTimeToLearn` after
@@ -116,6 +119,9 @@
     return sound;
   }
 
+  static bool IsComplete(const std::string& answer) {
+    return answer.ends_with("data: yes\n\n\r\n0\r\n\r\n");
+  }
   static bool IsRefusal(const std::string& answer) {
     return answer.starts_with("HTTP/1.1 503") &&
            answer.find("Retry-After: ") != std::string::npos;
@@ -124,14 +130,14 @@
   GatewayFixture fixture;
 
  private:
-  std::string Ask(const std::string& parts, bool at_peer) {
-    const std::string request =
-        CallerRequest("POST", "/tell/1",
-                      fmt::format("X-Model: m\r\nX-Token-Count: 130,10\r\n"
-                                  "X-Prompt-Prefix: {}\r\n",
-                                  parts),
-                      "", fmt::format("id-{}", requests_));
-    return at_peer ? fixture.AskPeer(request) : fixture.Ask(request);
+  /// @return a request with the shared parts "a0" and `part`
+  std::string Request(const std::string& part) {
+    ++requests_;
+    return CallerRequest("POST", "/tell/1",
+                         fmt::format("X-Model: m\r\nX-Token-Count: 130,10\r\n"
+                                     "X-Prompt-Prefix: a0:100,{}:20,c{}:10\r\n",
+                                     part, requests_),
+                         "", fmt::format("id-{}", requests_));
   }
 
   std::vector<std::unique_ptr<CrashingEngine>> engines_;
@@ -153,4 +159,65 @@
   CHECK(deployment.Crashes() <= crashes + kTolerated);
 }
 
+TEST_CASE("A gateway that starts later refuses a blocked part at once") {
+  Deployment deployment;
+  REQUIRE(deployment.RunWhileGatewaysLearn());
+  const std::size_t crashes = deployment.Crashes();
+  deployment.fixture.StartLate();
+  REQUIRE(deployment.fixture.AwaitListed(6));
+  CHECK(Deployment::IsRefusal(
+      deployment.fixture.AskLate(deployment.CrashingRequest())));
+  CHECK(deployment.Crashes() == crashes);
+}
+
+TEST_CASE("Gateways block a crashing part while the store is away") {
+  Deployment deployment;
+  deployment.fixture.store.set_up(false);
+  REQUIRE(deployment.RunWhileGatewaysLearn());
+  CHECK(Deployment::IsRefusal(deployment.AskCrashing(false)));
+  CHECK(Deployment::IsRefusal(deployment.AskCrashing(true)));
+}
+
+TEST_CASE("A block ends when its row is removed") {
+  Deployment deployment;
+  REQUIRE(deployment.RunWhileGatewaysLearn());
+  const std::size_t crashes = deployment.Crashes();
+  const std::string key = fmt::format("{:016x}", PartIdOf(kCrashingPart).value);
+  REQUIRE(deployment.fixture.store.Has(kBlockedPartsTable, key));
+  deployment.fixture.store.Remove(kBlockedPartsTable, key);
+  CHECK(deployment.fixture.RunUntilTrue([&] {
+    deployment.AskCrashing(false);
+    return deployment.Crashes() > crashes;
+  }));
+}
+
+TEST_CASE("An engine that sends invalid answers does not count as crashed") {
+  GatewayFixture fixture;
+  std::vector<std::unique_ptr<FakeUpstream>> engines;
+  std::size_t received = 0;
+  fixture.PutConfig(1, kRoutes);
+  for (int i = 1; i <= 4; ++i) {
+    engines.push_back(std::make_unique<FakeUpstream>(
+        fixture.loop, fmt::format("e{}", i),
+        [&received](Connection& c, const ReceivedRequest&) {
+          ++received;
+          c.Write("no answer\r\n\r\n");
+        }));
+    fixture.RegisterEngine(*engines.back(), 1);
+  }
+  fixture.Start();
+  REQUIRE(fixture.AwaitListed(engines.size()));
+  const auto end = steady_clock::now() + kTimeToLearn;
+  std::size_t sent = 0;
+  while (steady_clock::now() < end) {
+    fixture.Ask(CallerRequest("POST", "/tell/1",
+                              "X-Model: m\r\nX-Token-Count: 130,10\r\n"
+                              "X-Prompt-Prefix: a0:100,c0:10\r\n",
+                              "", fmt::format("id-{}", ++sent)));
+    const auto next = steady_clock::now() + kPause;
+    fixture.RunUntilTrue([next] { return steady_clock::now() >= next; });
+  }
+  CHECK(received >= sent);
+}
+
 }  // namespace yuccapick
--- a/test/gateway/gateway_fixture.cc
+++ b/test/gateway/gateway_fixture.cc
@@ -196,7 +196,15 @@
                            std::stoull(Parameter(target, "after"))});
       Notify();
     } else if (target == "/rows-tx") {
-      const Json put = Json::parse(request->body)["put"][0];
+      const Json transaction = Json::parse(request->body);
+      for (const Json& row : transaction["remove"]) {
+        Remove(row["table"], row["key"]);
+      }
+      if (transaction["put"].empty()) {
+        Reply(connection, 200, Json{{"rowVersion", version_}}.dump());
+        continue;
+      }
+      const Json put = transaction["put"][0];
       if (refused_[put["table"]]-- > 0) {
         Reply(connection, 503, "");
         continue;
@@ -314,6 +322,15 @@
   }));
 }
 
+void GatewayFixture::StartLate() {
+  late_settings = settings;
+  late_settings.instance = InstanceId("gateway-3");
+  AssignPorts(late_settings);
+  late = std::make_unique<GatewayProcess>(loop, late_settings, Incarnation(1));
+  REQUIRE(late->Start().ok());
+  REQUIRE(RunUntilTrue([this] { return IsReady(late_settings); }));
+}
+
 bool GatewayFixture::IsReady(const GatewaySettings& of) {
   FakeCaller caller(loop, of.ready_endpoint);
   caller.Send("GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
@@ -345,6 +362,10 @@
   return AskAt(peer_settings.caller_endpoint, request);
 }
 
+std::string GatewayFixture::AskLate(const std::string& request) {
+  return AskAt(late_settings.caller_endpoint, request);
+}
+
 std::string GatewayFixture::AskAt(const std::string& endpoint,
                                   const std::string& request) {
   FakeCaller caller(loop, endpoint);
--- a/test/gateway/gateway_fixture.h
+++ b/test/gateway/gateway_fixture.h
@@ -153,10 +153,13 @@
   void Start();
   /// Starts a second gateway and waits until the two know each other.
   void StartPeer();
+  /// Starts a third gateway.
+  void StartLate();
   /// Sends a request to the first gateway on a new connection.
   /// @return the bytes received until the answer ends or the connection closes
   std::string Ask(const std::string& request);
   std::string AskPeer(const std::string& request);
+  std::string AskLate(const std::string& request);
   bool RunUntilTrue(const std::function<bool()>& done) {
     return RunUntil(loop, done);
   }
@@ -169,8 +172,10 @@
   FakeStore store;
   GatewaySettings settings;
   GatewaySettings peer_settings;  ///< Set by `StartPeer`.
+  GatewaySettings late_settings;  ///< Set by `StartLate`.
   std::unique_ptr<GatewayProcess> gateway;
   std::unique_ptr<GatewayProcess> peer;  ///< Null without a second gateway.
+  std::unique_ptr<GatewayProcess> late;  ///< Null without a third gateway.
 
  private:
   bool IsReady(const GatewaySettings& of);
--- /dev/null
+++ b/test/part_quarantine_test.cc
@@ -0,0 +1,294 @@
+#include "yuccapick/part_quarantine.h"
+
+#include <fmt/format.h>
+#include <rapidcheck.h>
+#include <rapidcheck/catch.h>
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <random>
+#include <set>
+
+namespace yuccapick {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kTick{100};
+/// Time within which all gateways must act on the fifth crash.
+constexpr milliseconds kLimit{3'000};
+
+StoreTime At(std::int64_t ms) { return StoreTime(milliseconds(ms)); }
+
+InstanceId GatewayName(std::size_t n) {
+  return InstanceId(fmt::format("gateway-{}", n));
+}
+
+UpstreamRunId Run(std::uint64_t n) { return UpstreamRunId(n); }
+
+const PartId kBad = PartIdOf("bad0");
+const PartId kShared = PartIdOf("a0");
+const PartId kRare = PartIdOf("c0");
+
+/// Gateways that exchange datagrams, of which a share is lost.
+class GatewayGroup {
+ public:
+  GatewayGroup(std::size_t n, double loss, std::uint64_t seed)
+      : loss_(loss), random_(seed) {
+    for (std::size_t i = 0; i < n; ++i) AddGateway(GatewayName(i));
+    SetPeers();
+  }
+
+  PartQuarantine& operator[](std::size_t n) { return gateways_[n]; }
+  std::size_t size() const { return gateways_.size(); }
+  StoreTime now() const { return now_; }
+  const std::vector<PartDecision>& saved() const { return saved_; }
+  std::size_t datagrams() const { return datagrams_; }
+
+  /// A crash breaks requests with `parts` at the first `reporters` gateways,
+  /// counted from `from`.
+  void Crash(UpstreamRunId upstream, const std::vector<PartId>& parts,
+             std::size_t from, std::size_t reporters) {
+    for (std::size_t i = 0; i < reporters; ++i) {
+      gateways_[(from + i) % size()].OnCrash(parts, upstream, now_);
+    }
+    Exchange();
+  }
+
+  void Survive(std::size_t gateway, const std::vector<PartId>& parts) {
+    gateways_[gateway].OnSurvived(parts, now_, now_);
+    Exchange();
+  }
+
+  void Pass(milliseconds time) {
+    for (milliseconds passed{0}; passed < time; passed += kTick) {
+      now_ += kTick;
+      for (PartQuarantine& gateway : gateways_) gateway.OnTick(now_);
+      Exchange();
+    }
+  }
+
+  /// Replaces a gateway by one that knows only what was saved.
+  void Restart(std::size_t n) {
+    gateways_[n] = PartQuarantine(GatewayName(n));
+    for (const PartDecision& it : saved_) gateways_[n].OnDecision(it);
+    SetPeers();
+  }
+
+  std::size_t RefusingCount(PartId part) {
+    std::size_t n = 0;
+    for (PartQuarantine& gateway : gateways_) {
+      if (gateway.Admit({part}, now_)) ++n;
+    }
+    return n;
+  }
+
+ private:
+  void AddGateway(const InstanceId& name) { gateways_.emplace_back(name); }
+
+  void SetPeers() {
+    for (std::size_t i = 0; i < size(); ++i) {
+      std::vector<InstanceId> peers;
+      for (std::size_t k = 0; k < size(); ++k) {
+        if (k != i) peers.push_back(GatewayName(k));
+      }
+      gateways_[i].SetPeers(peers);
+    }
+  }
+
+  bool Lost() { return std::bernoulli_distribution(loss_)(random_); }
+
+  std::size_t IndexOf(const InstanceId& name) const {
+    return std::stoul(name.value.substr(name.value.find('-') + 1));
+  }
+
+  /// Delivers reports twice and decisions three times, unless lost.
+  void Exchange() {
+    for (std::size_t i = 0; i < size(); ++i) {
+      for (const AddressedPartReport& it : gateways_[i].TakeReports()) {
+        for (int copy = 0; copy < 2; ++copy) {
+          ++datagrams_;
+          if (!Lost()) gateways_[IndexOf(it.to)].OnReport(it.report, now_);
+        }
+      }
+    }
+    for (std::size_t i = 0; i < size(); ++i) {
+      for (const PartDecision& decision : gateways_[i].TakeDecisions()) {
+        saved_.push_back(decision);
+        Publish(i, decision);
+      }
+    }
+  }
+
+  void Publish(std::size_t from, const PartDecision& decision) {
+    for (std::size_t i = 0; i < size(); ++i) {
+      if (i == from) continue;
+      for (int copy = 0; copy < 3; ++copy) {
+        ++datagrams_;
+        if (!Lost()) gateways_[i].OnDecision(decision);
+      }
+    }
+  }
+
+  double loss_;
+  std::mt19937_64 random_;
+  std::vector<PartQuarantine> gateways_;
+  StoreTime now_ = At(1'000'000);
+  std::vector<PartDecision> saved_;
+  std::size_t datagrams_ = 0;
+};
+
+}  // namespace
+
+TEST_CASE("A part under which upstreams crash is blocked at 660 gateways") {
+  GatewayGroup group(660, 0.0, 1);
+  for (std::uint64_t n = 1; n <= 5; ++n) {
+    // 32 requests run at each engine; one of them has the part.
+    group.Crash(Run(n), {kShared, kBad}, n * 100, 1);
+    group.Crash(Run(n), {kShared}, n * 37, 31);
+    group.Pass(milliseconds(100));
+    for (std::size_t i = 0; i < 31; ++i) {
+      group.Survive((n * 37 + i) % 660, {kShared});
+    }
+  }
+  group.Pass(kLimit);
+  CHECK(group.RefusingCount(kBad) == 660);
+  CHECK(group.RefusingCount(kShared) == 0);
+  // Two coordinators tell each of the others three times; all else is small.
+  CHECK(group.datagrams() < 2 * 3 * 660 + 5 * 32 * 2 * 2 * 2 * 2);
+}
+
+TEST_CASE("Lost reports do not keep a crashing part from being blocked") {
+  rc::prop("blocked everywhere, or by the saved decision", [] {
+    const auto n = *rc::gen::inRange<std::size_t>(2, 30);
+    const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+    GatewayGroup group(n, 0.05, seed);
+    for (std::uint64_t crash = 1; crash <= 5; ++crash) {
+      group.Crash(Run(crash), {kShared, kBad}, (seed + crash * 7) % n, 1);
+      group.Pass(milliseconds(100));
+      group.Survive((seed + crash * 7) % n, {kShared});
+    }
+    group.Pass(milliseconds(2'000));
+    RC_ASSERT(!group.saved().empty());
+    for (std::size_t i = 0; i < n; ++i) {
+      for (const PartDecision& it : group.saved()) group[i].OnDecision(it);
+    }
+    RC_ASSERT(group.RefusingCount(kBad) == n);
+    RC_ASSERT(group.RefusingCount(kShared) == 0U);
+  });
+}
+
+TEST_CASE("Parts that are answered between crashes are never blocked") {
+  rc::prop("sound parts stay usable", [] {
+    const auto n = *rc::gen::inRange<std::size_t>(1, 12);
+    const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+    const auto gaps =
+        *rc::gen::container<std::vector<int>>(20, rc::gen::inRange(0, 10));
+    GatewayGroup group(n, 0.0, seed);
+    std::uint64_t run = 0;
+    for (const int gap : gaps) {
+      group.Crash(Run(++run), {kShared, kBad}, (seed + run) % n, n);
+      group.Pass(kTick * (1 + gap));
+      // Retried at another upstream, which answers.
+      for (std::size_t i = 0; i < n; ++i) group.Survive(i, {kShared});
+    }
+    group.Pass(kLimit);
+    RC_ASSERT(group.RefusingCount(kShared) == 0U);
+    RC_ASSERT(group.RefusingCount(kBad) == n);
+  });
+}
+
+TEST_CASE("A rare part in two crashes is not blocked") {
+  GatewayGroup group(8, 0.0, 3);
+  group.Crash(Run(1), {kRare}, 0, 1);
+  group.Crash(Run(2), {kRare}, 0, 1);
+  // The same crash again, as another gateway saw it.
+  group.Crash(Run(2), {kRare}, 4, 3);
+  group.Pass(kLimit);
+  CHECK(group.RefusingCount(kRare) == 0);
+}
+
+TEST_CASE("An answer shortly after the last crash keeps a part usable") {
+  GatewayGroup group(8, 0.0, 4);
+  for (std::uint64_t n = 1; n <= 3; ++n) group.Crash(Run(n), {kRare}, n, 1);
+  group.Pass(milliseconds(800));
+  group.Survive(2, {kRare});
+  group.Pass(kLimit);
+  CHECK(group.RefusingCount(kRare) == 0);
+}
+
+TEST_CASE("An answer that began after a wrong decision lifts the block") {
+  GatewayGroup group(8, 0.0, 5);
+  for (std::uint64_t n = 1; n <= 3; ++n) group.Crash(Run(n), {kRare}, n, 1);
+  group.Pass(kLimit);
+  REQUIRE(group.RefusingCount(kRare) == 8);
+  group.Survive(6, {kRare});
+  CHECK(group.RefusingCount(kRare) == 0);
+  CHECK_FALSE(group.saved().back().blocked);
+}
+
+TEST_CASE("A restarted gateway knows blocked parts from the store") {
+  GatewayGroup group(8, 0.0, 6);
+  for (std::uint64_t n = 1; n <= 3; ++n) group.Crash(Run(n), {kBad}, n, 1);
+  group.Pass(kLimit);
+  for (std::size_t i = 0; i < 8; ++i) group.Restart(i);
+  CHECK(group.RefusingCount(kBad) == 8);
+}
+
+TEST_CASE("After a block one gateway tries one request with the part") {
+  GatewayGroup group(8, 0.0, 7);
+  for (std::uint64_t n = 1; n <= 3; ++n) group.Crash(Run(n), {kBad}, n, 1);
+  group.Pass(kLimit);
+  group.Pass(PartQuarantine::Options().first_block);
+  REQUIRE(group.RefusingCount(kBad) == 7);
+  CHECK(group.RefusingCount(kBad) == 8);
+
+  SECTION("a crash blocks it again, for twice as long") {
+    group.Crash(Run(4), {kBad}, 0, 8);
+    const PartDecision& again = group.saved().back();
+    CHECK(again.blocked);
+    CHECK(again.until - again.decided_at ==
+          PartQuarantine::Options().first_block * 2);
+    CHECK(group.RefusingCount(kBad) == 8);
+  }
+  SECTION("an answer clears it") {
+    for (std::size_t i = 0; i < 8; ++i) group.Survive(i, {kBad});
+    CHECK(group.RefusingCount(kBad) == 0);
+  }
+}
+
+TEST_CASE("A late copy of a block does not undo its end") {
+  PartQuarantine quarantine(GatewayName(0));
+  const PartDecision block{kBad, true, At(10), At(9'000), 1};
+  REQUIRE(quarantine.OnDecision(block));
+  REQUIRE(quarantine.OnDecision({kBad, false, At(20), At(20), 0}));
+  CHECK_FALSE(quarantine.OnDecision(block));
+  CHECK_FALSE(quarantine.Admit({kBad}, At(30)));
+}
+
+TEST_CASE("Evidence and blocks are bounded and end") {
+  PartQuarantine::Options options;
+  options.max_parts = 50;
+  PartQuarantine quarantine(GatewayName(0), options);
+  for (std::uint64_t part = 1; part <= 500; ++part) {
+    quarantine.OnCrash({PartId(part)}, Run(part),
+                       At(static_cast<std::int64_t>(part)));
+    quarantine.OnDecision({PartId(1'000 + part), true, At(1),
+                           At(static_cast<std::int64_t>(1'000 + part)), 1});
+  }
+  CHECK(quarantine.suspect_count() == 50);
+  CHECK(quarantine.blocked_count() == 50);
+  quarantine.OnTick(At(0) + options.evidence_lifetime + milliseconds(1'000));
+  CHECK(quarantine.suspect_count() == 0);
+  quarantine.OnTick(At(10'000) + options.longest_block);
+  CHECK(quarantine.blocked_count() == 0);
+}
+
+TEST_CASE("The last part of a prompt is never judged") {
+  CHECK(SharedPartIds({{"a0", 1}, {"bad0", 2}, {"own", 3}}) ==
+        std::vector<PartId>{kShared, kBad});
+  CHECK(SharedPartIds({{"own", 3}}).empty());
+  CHECK(SharedPartIds({}).empty());
+}
+
+}  // namespace yuccapick
--- a/test/peer_report_test.cc
+++ b/test/peer_report_test.cc
@@ -112,6 +112,37 @@
   CHECK(copy->store_time == now);
 }
 
+TEST_CASE("Decoding returns the encoded observations and decisions of parts") {
+  const PartReport report{
+      {{PartId(1), UpstreamRunId(2), StoreTime(milliseconds(3))}},
+      {{PartId(4), StoreTime(milliseconds(5))}}};
+  const auto decoded = DecodePartReport(EncodePartReport(report));
+  REQUIRE(decoded.has_value());
+  CHECK(decoded->crashes == report.crashes);
+  CHECK(decoded->survivals == report.survivals);
+
+  const std::vector<PartDecision> decisions{{PartId(7), true,
+                                             StoreTime(milliseconds(8)),
+                                             StoreTime(milliseconds(9)), 2}};
+  CHECK(DecodePartDecisions(EncodePartDecisions(decisions)) == decisions);
+
+  CHECK_FALSE(DecodePartReport(EncodePartDecisions(decisions)).has_value());
+  CHECK_FALSE(DecodePartDecisions(EncodePartReport(report)).has_value());
+  CHECK_FALSE(DecodePeerReport(EncodePartReport(report)).has_value());
+  CHECK_FALSE(DecodePartReport("").has_value());
+  CHECK_FALSE(DecodePartReport("\x02garbage").has_value());
+}
+
+TEST_CASE("A peer's endpoint is known while it is live") {
+  PeerRegistry peers;
+  const PeerReport report = Report("one", 1);
+  peers.OnReport(report, kStart);
+  CHECK(peers.EndpointOf(report.instance, kStart) == report.endpoint);
+  CHECK(peers.EndpointOf(InstanceId("two"), kStart).empty());
+  const TimePoint later = kStart + milliseconds(1'600);
+  CHECK(peers.EndpointOf(report.instance, later).empty());
+}
+
 TEST_CASE("Bytes that are not a report are rejected") {
   CHECK_FALSE(DecodePeerReport("").has_value());
   CHECK_FALSE(DecodePeerReport("\xc1garbage").has_value());
--- a/test/platform/messages_test.cc
+++ b/test/platform/messages_test.cc
@@ -178,6 +178,10 @@
   const std::string any =
       platform::EncodeWrite("s:1", {"t", "k", "hi", std::nullopt});
   CHECK(any.find("\"expected\":[]") != std::string::npos);
+  const std::string removal =
+      platform::EncodeWrite("s:1", {"t", "k", std::nullopt, std::nullopt});
+  CHECK(removal.find("\"put\":[]") != std::string::npos);
+  CHECK(removal.find("\"remove\":[{\"key\":\"k\"") != std::string::npos);
 }
 
 TEST_CASE("Cache events and reports are decoded") {
