Count peers as live for some report intervals, however many there are

With 660 gateways each reports every 4 s, but a peer counted as live for 1.5 s only, so the gateways would have taken each other for lost most of the time, and with it the holders of the rollout lease and the coordinators of parts. Silent and unconfirmed peers got reports in every fourth tick of 250 ms, which a report every 16 ticks hits always or never.

Both follow the report interval now, as does the time for which a peer's work in flight counts; up to 40 gateways nothing changes. Found by reading for the plan at 660 gateways; the new tests name functions that are new, so they could not run before. At 660 peers and an interval of 4 s: all live after one more interval, none after three.

--- a/include/yuccapick/peer_report.h
+++ b/include/yuccapick/peer_report.h
@@ -59,11 +59,16 @@
   LeaseWrite rollout_lease;  ///< If it holds the rollout lease.
 };
 
+/// Returns the interval of a gateway's reports. Beyond 40 peers it grows with
+/// their number, so that a gateway's traffic doesn't.
+std::chrono::milliseconds PeerReportInterval(std::size_t peers);
+
 /// Keeps the newest report of each peer.
 class PeerRegistry {
  public:
   struct Options {
-    /// A peer that is silent for this long is not live any more.
+    /// A peer that is silent for this long, and for some report intervals, is
+    /// not live any more.
     std::chrono::milliseconds live_timeout{1'500};
     /// A peer that is silent for this long is removed.
     std::chrono::milliseconds forget_after{20'000};
@@ -82,6 +87,8 @@
 
   // Queries.
 
+  /// How long a report counts.
+  std::chrono::milliseconds LiveTimeout() const;
   /// Endpoints to send reports to. Silent peers and unconfirmed endpoints are
   /// included only now and then.
   std::vector<std::string> Targets(TimePoint now) const;
--- a/include/yuccapick/upstream_load.h
+++ b/include/yuccapick/upstream_load.h
@@ -42,6 +42,9 @@
 
   // Commands.
 
+  void SetReportLifetime(std::chrono::milliseconds report_lifetime) {
+    report_lifetime_ = report_lifetime;
+  }
   /// This process sent a request that puts `amount` on the upstream.
   void Begin(const UpstreamId& upstream, const WorkAmount& amount);
   /// Such a request ended.
--- a/src/gateway/gateway_process_peers.cc
+++ b/src/gateway/gateway_process_peers.cc
@@ -11,14 +11,10 @@
 
 using std::chrono::milliseconds;
 
-/// Interval of reports to up to `kPeersAtFullRate` peers. Beyond, it grows with
-/// their number, so that a gateway's traffic doesn't.
-constexpr milliseconds kReportInterval{250};
 /// Every gateway reads each change of the upstream table, so the window in
 /// which one call collects changes grows with their number.
 constexpr milliseconds kBatchWindowPerGateway{15};
 constexpr milliseconds kMaxBatchWindow{750};
-constexpr std::size_t kPeersAtFullRate = 40;
 constexpr milliseconds kPeerListInterval{15'000};
 constexpr milliseconds kPeerListRetryDelay{1'000};
 /// Rows that a peer has, and that the store hasn't delivered for this long, are
@@ -198,8 +194,8 @@
       kMaxBatchWindow, kBatchWindowPerGateway * static_cast<int>(live + 1));
   upstream_watch_->SetBatchWindow(batch_window);
   state_.live_peers = peers_.LiveInstances(now);
-  next_report_ =
-      now + kReportInterval * std::max<std::size_t>(1, live / kPeersAtFullRate);
+  state_.load.SetReportLifetime(peers_.LiveTimeout());
+  next_report_ = now + PeerReportInterval(live);
   exchange_.Send(MakeReport(), peers_.Targets(now));
   const PeerReport* newer =
       peers_.FindPeerNewerThan(operator_watch_->mirror().newest_change(),
--- a/src/peer_report.cc
+++ b/src/peer_report.cc
@@ -1,15 +1,33 @@
 #include "yuccapick/peer_report.h"
 
+#include <algorithm>
+
 namespace yuccapick {
 namespace {
 
-/// Silent peers get reports only in one of this many ticks of 250 ms.
-constexpr std::uint64_t kSilentPeerReportInterval = 4;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kReportInterval{250};
+constexpr std::size_t kPeersAtFullRate = 40;
+/// Report intervals without a report after which a peer is not live.
+constexpr double kLiveIntervals = 2.5;
+/// Silent peers get only one report in this many.
+constexpr std::int64_t kSilentPeerReportInterval = 4;
 
 }  // namespace
 
+milliseconds PeerReportInterval(std::size_t peers) {
+  return kReportInterval * std::max<std::size_t>(1, peers / kPeersAtFullRate);
+}
+
+milliseconds PeerRegistry::LiveTimeout() const {
+  const auto some_intervals = std::chrono::duration_cast<milliseconds>(
+      PeerReportInterval(peers_.size()) * kLiveIntervals);
+  return std::max(options_.live_timeout, some_intervals);
+}
+
 bool PeerRegistry::Live(const Peer& peer, TimePoint now) const {
-  return now - peer.last_report_at < options_.live_timeout;
+  return now - peer.last_report_at < LiveTimeout();
 }
 
 bool PeerRegistry::OnReport(const PeerReport& report, TimePoint now) {
@@ -44,17 +62,15 @@
 
 std::vector<std::string> PeerRegistry::Targets(TimePoint now) const {
   std::vector<std::string> targets;
-  const auto tick = static_cast<std::uint64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(
-          now.time_since_epoch())
-          .count() /
-      250);
+  const std::int64_t report =
+      now.time_since_epoch() / PeerReportInterval(peers_.size());
+  const bool include_silent = report % kSilentPeerReportInterval == 0;
   for (const auto& [instance, peer] : peers_) {
-    if (!Live(peer, now) && tick % kSilentPeerReportInterval != 0) continue;
+    if (!Live(peer, now) && !include_silent) continue;
     targets.push_back(peer.report.endpoint);
   }
   for (const auto& [endpoint, since] : candidates_) {
-    if (tick % kSilentPeerReportInterval == 0) targets.push_back(endpoint);
+    if (include_silent) targets.push_back(endpoint);
   }
   return targets;
 }
--- a/test/peer_report_test.cc
+++ b/test/peer_report_test.cc
@@ -54,6 +54,37 @@
   CHECK(peers.LiveCount(later) == 0);
 }
 
+TEST_CASE("660 peers that report at their interval stay live") {
+  PeerRegistry peers;
+  const milliseconds interval = PeerReportInterval(660);
+  CHECK(interval == milliseconds(4'000));
+  for (std::uint64_t sequence = 1; sequence <= 3; ++sequence) {
+    for (int n = 0; n < 660; ++n) {
+      peers.OnReport(Report(std::to_string(n), sequence),
+                     kStart + interval * static_cast<int>(sequence));
+    }
+  }
+  const TimePoint last = kStart + interval * 3;
+  CHECK(peers.LiveCount(last + interval) == 660);
+  CHECK(peers.LiveCount(last + interval * 3) == 0);
+}
+
+TEST_CASE("Silent peers are reached at any report interval") {
+  PeerRegistry peers;
+  for (int n = 0; n < 660; ++n) {
+    peers.OnReport(Report(std::to_string(n), 1), kStart);
+  }
+  peers.OnEndpoint("10.9.9.9:1", kStart);
+  const milliseconds interval = PeerReportInterval(660);
+  std::size_t reached = 0;
+  for (int report = 0; report < 8; ++report) {
+    const auto targets = peers.Targets(kStart + interval * report);
+    reached += static_cast<std::size_t>(
+        std::count(targets.begin(), targets.end(), "10.9.9.9:1"));
+  }
+  CHECK(reached == 2);
+}
+
 TEST_CASE("The peer with the newest rows is found if they are newer") {
   PeerRegistry peers;
   PeerReport one = Report("one", 1);
