Read the limit that a server names, and log it with each request

The logs of the incident with exceeded server limits name no limit, so nobody can see which gateway knew it when. request_done has it now. A value that is malformed, negative or not finite counts as unreadable, not as the end of a limit. Nothing is decided differently. The new test of the field could not run before.

--- a/src/gateway/proxied_request.cc
+++ b/src/gateway/proxied_request.cc
@@ -301,6 +301,7 @@
   body_.clear();
   answer_began_at_.reset();
   survival_recorded_ = false;
+  named_limit_.reset();
   attempt_ = std::move(attempt);
   state_.log.Write(
       LogKind::kRequest, now,
--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -138,6 +138,8 @@
   /// First event of the last attempt's answer.
   std::optional<TimePoint> answer_began_at_;
   bool survival_recorded_ = false;  ///< Of the last attempt.
+  /// The limit that the last answer named, in requests a second.
+  std::optional<double> named_limit_;
   std::uint32_t attempts_sent_ = 0;
   std::uint32_t delivered_attempts_ = 0;
   std::uint32_t expected_cached_tokens_ = 0;
--- a/src/gateway/proxied_request_answers.cc
+++ b/src/gateway/proxied_request_answers.cc
@@ -29,6 +29,7 @@
                      id, info.attempt_id, attempt_->upstream.id.value);
     return HeadDecision::kSkip;
   }
+  named_limit_ = info.requests_per_second;
   const bool success =
       head.status >= kHttpOk && head.status < kHttpFirstRedirect;
   if (success && (!info.authenticated || info.content_encoded ||
--- a/src/gateway/proxied_request_end.cc
+++ b/src/gateway/proxied_request_end.cc
@@ -11,6 +11,9 @@
 /// Range of the random delay that spreads the callers' retries.
 constexpr milliseconds kRetryAfterJitter{450};
 
+/// Stands in the log for an answer that named no limit.
+constexpr double kNoLimit = -1.0;
+
 std::int64_t Count(std::chrono::steady_clock::duration d) {
   return std::chrono::duration_cast<milliseconds>(d).count();
 }
@@ -66,13 +69,13 @@
       complete ? LogKind::kRequest : LogKind::kFailure, now,
       "event=request_done id={} outcome={} status={} route={} team={} "
       "attempts={} upstream={} first_ms={} total_ms={} silent_ms={} events={} "
-      "reason=\"{}\"",
+      "limit={:.2f} reason=\"{}\"",
       admitted_.caller.attempt_id, outcome, status, admitted_.route->name,
       admitted_.team == nullptr ? "-" : admitted_.team->id.value,
       attempts_sent_, query_.tried.empty() ? "-" : query_.tried.back().value,
       first_event_at_ == TimePoint() ? -1 : Count(first_event_at_ - arrived_at),
       Count(now - arrived_at), Count(now - last_progress_), splitter_.events(),
-      reason);
+      named_limit_.value_or(kNoLimit), reason);
   RecordMetrics(outcome, status, now);
   attempt_.reset();
   session_.reset();
--- a/src/gateway/upstream_messages.h
+++ b/src/gateway/upstream_messages.h
@@ -57,6 +57,10 @@
   bool content_encoded = false;  ///< The body has a content coding.
   bool event_stream = false;
   std::optional<WeightVersionNumber> weights;
+  /// Requests a second that the upstream takes from all gateways together.
+  std::optional<double> requests_per_second;
+  /// It names such a limit, but the value is malformed or negative.
+  bool limit_unreadable = false;
 };
 
 /// Order to an upstream to load weights.
--- a/test/platform/header_fields_test.cc
+++ b/test/platform/header_fields_test.cc
@@ -128,6 +128,22 @@
   CHECK(info.attempt_id == "9c41");
 }
 
+TEST_CASE("An answer's limit is a number of requests a second") {
+  HttpHead head;
+  head.status = 200;
+  CHECK_FALSE(platform::DecodeAnswer(head).requests_per_second);
+  CHECK_FALSE(platform::DecodeAnswer(head).limit_unreadable);
+  head.fields = {{"Server-Limit", "1.5"}};
+  CHECK(platform::DecodeAnswer(head).requests_per_second == 1.5);
+  head.fields = {{"Server-Limit", "0"}};
+  CHECK(platform::DecodeAnswer(head).requests_per_second == 0.0);
+  for (const char* text : {"", "many", "-1", "nan", "inf", "1.5 a second"}) {
+    head.fields = {{"Server-Limit", text}};
+    CHECK_FALSE(platform::DecodeAnswer(head).requests_per_second);
+    CHECK(platform::DecodeAnswer(head).limit_unreadable);
+  }
+}
+
 TEST_CASE("An answer's hop-by-hop fields are not forwarded to the caller") {
   HttpHead head;
   head.fields = {{"X-Server-Seal", "3e1b"},
