Give the choice of responsible gateways a class of its own

The blocking of parts picks two coordinators among the live gateways; what comes next needs the same. The peers' names are hashed only when the list changes.

--- a/include/yuccapick/part_quarantine.h
+++ b/include/yuccapick/part_quarantine.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <vector>
 
+#include "yuccapick/gateway_ring.h"
 #include "yuccapick/ids.h"
 #include "yuccapick/part_directory.h"
 #include "yuccapick/store_clock.h"
@@ -104,7 +105,9 @@
   // Commands.
 
   /// @param peers live gateways other than this one
-  void SetPeers(const std::vector<InstanceId>& peers);
+  void SetPeers(const std::vector<InstanceId>& peers) {
+    gateways_.SetPeers(peers);
+  }
   /// An own attempt ended as described for `PartCrash`.
   void OnCrash(const std::vector<PartId>& parts, UpstreamRunId upstream,
                StoreTime now);
@@ -152,14 +155,11 @@
     StoreTime trial_until;
   };
 
-  /// Positions in `gateways_` of the part's coordinators, the first one first.
-  std::vector<std::uint32_t> Coordinators(PartId part) const;
   bool IsFirstCoordinator(PartId part) const;
   /// True if this coordinator counts a crash for the part before `time`.
   bool HasCrashBefore(PartId part, StoreTime time) const;
   void Report(const PartCrash& crash, StoreTime now);
   void Report(const PartSurvival& survival, StoreTime now);
-  PartReport& ReportTo(const InstanceId& gateway);
   void AddCrash(const PartCrash& crash, StoreTime now);
   void AddSurvival(const PartSurvival& survival, StoreTime now);
   Suspect& FindOrAddSuspect(PartId part, StoreTime now);
@@ -171,8 +171,7 @@
   void DropExpired(StoreTime now);
 
   Options options_;
-  std::vector<InstanceId> gateways_;  ///< This one first.
-  std::vector<std::uint64_t> gateway_hashes_;
+  GatewayRing gateways_;
   std::map<PartId, Suspect> suspects_;
   std::map<PartId, Block> blocks_;  ///< Cleared ones too, for a while.
   /// Parts of own broken attempts, and when they broke. The next answer to a
--- a/src/part_quarantine.cc
+++ b/src/part_quarantine.cc
@@ -5,8 +5,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "yuccapick/rendezvous.h"
-
 namespace yuccapick {
 namespace {
 
@@ -55,29 +53,10 @@
 }
 
 PartQuarantine::PartQuarantine(InstanceId own, Options options)
-    : options_(options), gateways_{std::move(own)} {
-  SetPeers({});
-}
-
-void PartQuarantine::SetPeers(const std::vector<InstanceId>& peers) {
-  gateways_.resize(1);
-  gateways_.insert(gateways_.end(), peers.begin(), peers.end());
-  gateway_hashes_.clear();
-  for (const InstanceId& gateway : gateways_) {
-    gateway_hashes_.push_back(RendezvousNodeHash(gateway.value));
-  }
-}
-
-std::vector<std::uint32_t> PartQuarantine::Coordinators(PartId part) const {
-  return RendezvousHomes(part.value, gateway_hashes_, kCoordinatorsPerPart);
-}
+    : options_(options), gateways_(std::move(own)) {}
 
 bool PartQuarantine::IsFirstCoordinator(PartId part) const {
-  return Coordinators(part).front() == 0;
-}
-
-PartReport& PartQuarantine::ReportTo(const InstanceId& gateway) {
-  return reports_[gateway];
+  return gateways_.IsOwnPicked(part.value, 1);
 }
 
 void PartQuarantine::OnCrash(const std::vector<PartId>& parts,
@@ -91,11 +70,12 @@
 }
 
 void PartQuarantine::Report(const PartCrash& crash, StoreTime now) {
-  for (const std::uint32_t n : Coordinators(crash.part)) {
-    if (n == 0) {
+  for (const InstanceId& to :
+       gateways_.Pick(crash.part.value, kCoordinatorsPerPart)) {
+    if (to == gateways_.own()) {
       AddCrash(crash, now);
     } else {
-      AppendNew(ReportTo(gateways_[n]).crashes, crash);
+      AppendNew(reports_[to].crashes, crash);
     }
   }
 }
@@ -121,11 +101,12 @@
 }
 
 void PartQuarantine::Report(const PartSurvival& survival, StoreTime now) {
-  for (const std::uint32_t n : Coordinators(survival.part)) {
-    if (n == 0) {
+  for (const InstanceId& to :
+       gateways_.Pick(survival.part.value, kCoordinatorsPerPart)) {
+    if (to == gateways_.own()) {
       AddSurvival(survival, now);
     } else {
-      AppendNew(ReportTo(gateways_[n]).survivals, survival);
+      AppendNew(reports_[to].survivals, survival);
     }
   }
 }
