Keep the requests of all gateways together within the limit that a server names

Cause: nobody read the field; and if each gateway kept it alone, eight of them would send eight times as much. Evidence: the rate at both servers is the same before and after they name a limit, from all eight gateways, and no source named the field.

Requests go to other upstreams; if all are at their limits, they are refused at once. A limit ends with the first answer without one to a request that was sent after it was known, or with the upstream's incarnation.

--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -94,6 +94,7 @@
           *this),
       quarantine_sync_(std::make_shared<QuarantineSync>(state_, table_calls_,
                                                         exchange_, peers_)),
+      limit_sync_(std::make_shared<LimitSync>(state_, exchange_, peers_)),
       rollout_(std::make_shared<RolloutController>(state_, table_calls_,
                                                    incarnation)),
       target_set_times_(std::make_shared<TargetSetTimes>(state_, table_calls_)),
@@ -106,6 +107,7 @@
   TableWatchOptions options;
   options.endpoint = state_.settings.table_endpoint;
   state_.on_stream_began = [this] { ScheduleStreamOrigins(); };
+  state_.on_limit_changed = [this] { limit_sync_->Schedule(); };
   state_.on_part_observed = [this] { quarantine_sync_->Schedule(); };
   options.table = platform::kOperator;
   operator_watch_ = std::make_shared<TableWatch>(
@@ -121,6 +123,7 @@
   operator_watch_->Stop();
   upstream_watch_->Stop();
   quarantine_sync_->Stop();
+  limit_sync_->Stop();
 }
 
 absl::Status GatewayProcess::Start() {
@@ -169,6 +172,9 @@
   gauge("yuccapick_known_stream_origins", state_.stream_origins.size());
   AppendMetric(out, "counter", "yuccapick_unknown_stream_origins",
                state_.unknown_stream_origins);
+  gauge("yuccapick_limited_upstreams", state_.limits.limited_count());
+  AppendMetric(out, "counter", "yuccapick_requests_over_limits",
+               state_.requests_over_limits);
   gauge("yuccapick_blocked_parts", state_.quarantine.blocked_count());
   gauge("yuccapick_suspect_parts", state_.quarantine.suspect_count());
   AppendMetric(out, "counter", "yuccapick_requests_with_blocked_part",
@@ -272,6 +278,7 @@
   RepeatStreamOrigins(now);
   ExchangeWithPeers(now);
   quarantine_sync_->OnTick(now);
+  limit_sync_->OnTick(now);
   state_.loading = peers_.Loading(now);
   const std::set<UpstreamId> own_loading = rollout_->Loading();
   state_.loading.insert(own_loading.begin(), own_loading.end());
--- a/src/gateway/gateway_process.h
+++ b/src/gateway/gateway_process.h
@@ -18,6 +18,7 @@
 #include "gateway/gateway_settings.h"
 #include "gateway/gateway_state.h"
 #include "gateway/ingress_session.h"
+#include "gateway/limit_sync.h"
 #include "gateway/peer_exchange.h"
 #include "gateway/quarantine_sync.h"
 #include "gateway/rollout_controller.h"
@@ -66,6 +67,9 @@
   void OnPartDecisions(const std::vector<PartDecision>& decisions) override {
     quarantine_sync_->OnDecisions(decisions);
   }
+  void OnNamedLimits(const std::vector<NamedLimit>& limits) override {
+    limit_sync_->OnLimits(limits);
+  }
   void OnPeerTables(const PeerTables& tables) override;
   PeerTables TablesForPeers() const override;
 
@@ -100,6 +104,7 @@
   PeerRegistry peers_;
   PeerExchange exchange_;
   std::shared_ptr<QuarantineSync> quarantine_sync_;
+  std::shared_ptr<LimitSync> limit_sync_;
   std::shared_ptr<RolloutController> rollout_;
   std::shared_ptr<TargetSetTimes> target_set_times_;
   CacheWatch cache_watch_;
--- a/src/gateway/gateway_process_peers.cc
+++ b/src/gateway/gateway_process_peers.cc
@@ -109,13 +109,16 @@
   }
   upstream_watch_->OnPeerSnapshot(tables.upstream_rows);
   quarantine_sync_->OnDecisions(tables.part_decisions);
+  limit_sync_->OnLimits(tables.named_limits);
 }
 
 PeerTables GatewayProcess::TablesForPeers() const {
   return {operator_watch_->mirror().Snapshot(),
           upstream_watch_->mirror().Snapshot(),
-          state_.target_weights.SetTimes(), state_.StoreNow(),
-          state_.quarantine.Decisions()};
+          state_.target_weights.SetTimes(),
+          state_.StoreNow(),
+          state_.quarantine.Decisions(),
+          state_.limits.Limits()};
 }
 
 void GatewayProcess::RegisterEndpoint() {
--- a/src/gateway/gateway_process_tables.cc
+++ b/src/gateway/gateway_process_tables.cc
@@ -128,6 +128,7 @@
     state_.load.ForgetUpstream(change.id);
     state_.parts.OnEngineLost(change.id);
     state_.loading.erase(change.id);
+    state_.limits.Forget(change.id);
   }
 }
 
--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -28,6 +28,7 @@
       load(kPeerReportMaxAge),
       placement(settings.domain, {}),
       quarantine(settings.instance),
+      limits(settings.instance),
       gateway_count(kInitialGatewayCount) {}
 
 std::optional<StoreTime> GatewayState::StoreNow() const {
@@ -54,6 +55,16 @@
   }
 }
 
+void GatewayState::LogLimit(const UpstreamId& upstream,
+                            std::optional<double> per_second,
+                            std::string_view source) {
+  log.Write(LogKind::kStateChange, Now(),
+            "event={} upstream={} per_second={:.2f} source={} gateways={}",
+            per_second ? "upstream_limited" : "upstream_limit_ended",
+            upstream.value, per_second.value_or(0), source,
+            live_peers.size() + 1);
+}
+
 void GatewayState::RecordObservedWeights(const UpstreamId& upstream,
                                          const ModelId& model,
                                          WeightVersionNumber weights) {
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "absl/random/random.h"
@@ -30,6 +31,7 @@
 #include "yuccapick/stream_origins.h"
 #include "yuccapick/target_weights.h"
 #include "yuccapick/upstream_health.h"
+#include "yuccapick/upstream_limits.h"
 #include "yuccapick/upstream_load.h"
 #include "yuccapick/upstream_roster.h"
 
@@ -47,6 +49,10 @@
   /// Records the weights that an upstream has, for the next report to peers.
   void RecordObservedWeights(const UpstreamId& upstream, const ModelId& model,
                              WeightVersionNumber weights);
+  /// Logs that the limit of an upstream began, changed or ended.
+  /// @param source `answer` or `peer`
+  void LogLimit(const UpstreamId& upstream, std::optional<double> per_second,
+                std::string_view source);
   TimePoint Now() const { return std::chrono::steady_clock::now(); }
   /// @return nullopt before the store's time is known
   std::optional<StoreTime> StoreNow() const;
@@ -75,6 +81,11 @@
   std::function<void()> on_part_observed = [] {};
   /// Requests refused, or not retried, because of a blocked part.
   std::uint64_t requests_with_blocked_part = 0;
+  UpstreamLimits limits;
+  /// Called when `limits` may have something to tell peers.
+  std::function<void()> on_limit_changed = [] {};
+  /// Requests refused since all upstreams were at the limits that they name.
+  std::uint64_t requests_over_limits = 0;
   StoreTimes store_times;
   StoreContact store_contact;
   TargetWeightsHistory target_weights;
--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -81,7 +81,7 @@
     auto operator()(yuccapick::PeerTables& v) const {
       return msgpack::type::make_define_array(v.operator_rows, v.upstream_rows,
                                               v.target_set_times, v.store_time,
-                                              v.part_decisions);
+                                              v.part_decisions, v.named_limits);
     }
   };
   struct PartCrashFields {
@@ -99,6 +99,12 @@
       return msgpack::type::make_define_array(v.crashes, v.survivals);
     }
   };
+  struct NamedLimitFields {
+    auto operator()(yuccapick::NamedLimit& v) const {
+      return msgpack::type::make_define_array(v.upstream, v.incarnation,
+                                              v.per_second, v.seen_at);
+    }
+  };
   struct PartDecisionFields {
     auto operator()(yuccapick::PartDecision& v) const {
       return msgpack::type::make_define_array(v.part, v.blocked, v.decided_at,
@@ -208,6 +214,12 @@
   struct pack<yuccapick::PartDecision>
       : PackAsArray<yuccapick::PartDecision, PartDecisionFields> {};
   template <>
+  struct convert<yuccapick::NamedLimit>
+      : PackAsArray<yuccapick::NamedLimit, NamedLimitFields> {};
+  template <>
+  struct pack<yuccapick::NamedLimit>
+      : PackAsArray<yuccapick::NamedLimit, NamedLimitFields> {};
+  template <>
   struct convert<yuccapick::PeerTables>
       : PackAsArray<yuccapick::PeerTables, PeerTablesFields> {};
   template <>
@@ -225,6 +237,7 @@
 constexpr char kStreamOriginsTag = 1;
 constexpr char kPartReportTag = 2;
 constexpr char kPartDecisionsTag = 3;
+constexpr char kNamedLimitsTag = 4;
 
 template <typename T>
 std::string Encode(const T& message) {
@@ -291,6 +304,15 @@
   return DecodeTagged<std::vector<PartDecision>>(bytes, kPartDecisionsTag);
 }
 
+std::string EncodeNamedLimits(const std::vector<NamedLimit>& limits) {
+  return kNamedLimitsTag + Encode(limits);
+}
+
+std::optional<std::vector<NamedLimit>> DecodeNamedLimits(
+    std::string_view bytes) {
+  return DecodeTagged<std::vector<NamedLimit>>(bytes, kNamedLimitsTag);
+}
+
 std::string EncodePeerTables(const PeerTables& tables) {
   return Encode(tables);
 }
--- a/src/gateway/peer_codec.h
+++ b/src/gateway/peer_codec.h
@@ -15,6 +15,7 @@
 #include "yuccapick/stream_origins.h"
 #include "yuccapick/table_mirror.h"
 #include "yuccapick/target_weights.h"
+#include "yuccapick/upstream_limits.h"
 
 namespace yuccapick {
 
@@ -27,6 +28,7 @@
   /// The store's time when this was sent, as far as the sender knows it.
   std::optional<StoreTime> store_time;
   std::vector<PartDecision> part_decisions;
+  std::vector<NamedLimit> named_limits;
 };
 
 std::string EncodePeerReport(const PeerReport& report);
@@ -50,6 +52,11 @@
 std::optional<std::vector<PartDecision>> DecodePartDecisions(
     std::string_view bytes);
 
+std::string EncodeNamedLimits(const std::vector<NamedLimit>& limits);
+/// @return nullopt if the bytes are malformed or hold another message
+std::optional<std::vector<NamedLimit>> DecodeNamedLimits(
+    std::string_view bytes);
+
 std::string EncodePeerTables(const PeerTables& tables);
 /// @return nullopt if the bytes are malformed
 std::optional<PeerTables> DecodePeerTables(std::string_view bytes);
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -66,6 +66,9 @@
   if (const auto decisions = DecodePartDecisions(bytes)) {
     return handler_.OnPartDecisions(*decisions);
   }
+  if (const auto limits = DecodeNamedLimits(bytes)) {
+    return handler_.OnNamedLimits(*limits);
+  }
   const auto report = DecodePeerReport(bytes);
   if (report) handler_.OnPeerReport(*report);
 }
@@ -90,6 +93,12 @@
   if (!targets.empty()) SendDatagram(EncodePartDecisions(decisions), targets);
 }
 
+void PeerExchange::Send(const std::vector<NamedLimit>& limits,
+                        const std::vector<std::string>& targets) {
+  if (limits.empty() || targets.empty()) return;
+  SendDatagram(EncodeNamedLimits(limits), targets);
+}
+
 void PeerExchange::SendDatagram(const std::string& bytes,
                                 const std::vector<std::string>& targets) {
   for (const std::string& target : targets) {
--- a/src/gateway/proxied_request.cc
+++ b/src/gateway/proxied_request.cc
@@ -153,84 +153,13 @@
   return targets.back().service;
 }
 
-std::optional<WeightVersionNumber> ProxiedRequest::WeightsAt(
-    const UpstreamEntry& upstream) const {
-  const auto it = upstream.weights.find(admitted_.caller.model);
-  if (it == upstream.weights.end()) return std::nullopt;
-  return it->second;
-}
-
-milliseconds ProxiedRequest::WeightsReplacedFor(
-    const UpstreamEntry& upstream) const {
-  const std::optional<WeightVersionNumber> weights = WeightsAt(upstream);
-  if (!weights) return milliseconds(0);
-  const std::optional<StoreTime> replaced_at =
-      state_.target_weights.ReplacedAt(admitted_.caller.model, *weights);
-  const std::optional<StoreTime> now = state_.StoreNow();
-  if (!replaced_at || !now) return milliseconds(0);
-  return *now - *replaced_at;
-}
-
-PlacementFleet ProxiedRequest::Fleet() const {
-  PlacementFleet fleet;
-  const GatewayConfig& config = *admitted_.config;
-  const GatewayService* service = config.FindService(service_);
-  const bool engines = service != nullptr && service->engine.has_value();
-  if (engines) {
-    fleet.kv_capacity_tokens = service->engine->kv_capacity_tokens;
-    const GatewayService* store = config.FindKvStore();
-    if (store != nullptr && state_.kv_store_usable) {
-      fleet.kv_store_endpoint = store->kv_store_endpoint;
-      fleet.kv_store_link = &state_.kv_store_link;
-    }
-  }
-  const ModelId& model = admitted_.caller.model;
-  const milliseconds limit =
-      state_.settings.bounds.stale_weights_limit - StaleWeightsMargin();
-  const std::optional<StoreTime> now = state_.StoreNow();
-  std::vector<PlacementCandidate> overdue;
-  for (const UpstreamEntry* upstream : state_.roster.Usable(service_)) {
-    if (stream_software_ && upstream->software != *stream_software_) continue;
-    PlacementCandidate candidate;
-    candidate.upstream = upstream;
-    candidate.loading = state_.loading.contains(upstream->id);
-    if (engines) {
-      const std::optional<WeightVersionNumber> weights = WeightsAt(*upstream);
-      if (!weights) continue;
-      candidate.cache_scope = config.CacheScopeOf(admitted_.team, *weights);
-      candidate.old_weights = *weights < state_.target_weights.Newest(model);
-      if (now &&
-          state_.target_weights.IsOverdue(model, *weights, limit, *now)) {
-        if (MayUseOverdueWeights(*weights, *now)) {
-          overdue.push_back(std::move(candidate));
-        }
-        continue;
-      }
-    }
-    fleet.candidates.push_back(std::move(candidate));
-  }
-  if (fleet.candidates.empty()) fleet.candidates = std::move(overdue);
-  return fleet;
-}
-
-bool ProxiedRequest::HasUntriedUpstream() const {
-  for (const PlacementCandidate& candidate : Fleet().candidates) {
-    const auto& tried = query_.tried;
-    if (std::find(tried.begin(), tried.end(), candidate.upstream->id) ==
-        tried.end()) {
-      return true;
-    }
-  }
-  return false;
-}
-
 void ProxiedRequest::TrySend() {
   const TimePoint now = state_.Now();
   if (now >= deadline_) return OnEnd(AttemptEnd::kTimedOut, "no time left");
   if (StopAtBlockedPart(now)) return;
   const std::optional<DirectPlacementDecision> choice = state_.placement.Choose(
       query_, Fleet(), state_.parts, state_.load, state_.health, now);
-  if (!choice) return OnEnd(AttemptEnd::kNotSent, "no usable upstream");
+  if (!choice) return OnNoUpstream(now);
   Send(*choice, *state_.roster.FindUsable(choice->upstream));
 }
 
@@ -270,6 +199,9 @@
   Attempt attempt;
   attempt.upstream = upstream;
   attempt.sent_at = now;
+  if (const auto store_now = state_.StoreNow()) {
+    state_.limits.OnSent(upstream.id, upstream.incarnation, *store_now);
+  }
   attempt.last_progress = now;
   last_progress_ = now;
   attempt.choice = choice;
@@ -338,7 +270,7 @@
   context.answer_started = answer_started_;
   context.may_have_run = may_have_run_;
   context.time_left = state_.Now() < deadline_;
-  context.has_upstream = !blocked_for_ && HasUntriedUpstream();
+  context.has_upstream = !retry_after_ && HasUntriedUpstream();
   context.delivered_attempts = delivered_attempts_;
   context.max_attempts = admitted_.route->max_attempts;
   // Only an event stream can be continued at another upstream.
@@ -384,7 +316,7 @@
       }
       return DeliverAnswer();
     case RetryDecision::kRefuse:
-      return Refuse(reason, blocked_for_.value_or(kRetryAfter));
+      return Refuse(reason, retry_after_.value_or(kRetryAfter));
     case RetryDecision::kFail:
       session_->Respond(kHttpBadGateway, {}, "upstream failed\n");
       return Finish("upstream_failed", kHttpBadGateway, reason);
--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -66,6 +66,17 @@
   bool FindStreamOrigin();
   void RefuseUnknownStream();
   PlacementFleet Fleet() const;
+  /// True if the limit that the upstream names keeps this gateway from sending
+  /// it a request now.
+  bool IsAtLimit(const UpstreamEntry& upstream) const;
+  bool AnyAtLimit() const;
+  /// Sum of the limits of the service's upstreams that are at theirs, in
+  /// requests a second.
+  double RateAtLimit() const;
+  /// Ends the request if no upstream may get it.
+  void OnNoUpstream(TimePoint now);
+  /// Learns whether the upstream names a limit.
+  void RecordLimit(const AnswerInfo& info);
   bool HasUntriedUpstream() const;
   void TrySend();
   void Send(const DirectPlacementDecision& choice,
@@ -131,8 +142,9 @@
   asio::steady_timer timer_;
   PlacementQuery query_;
   std::vector<PartId> shared_parts_;
-  /// How long a part of the prompt is still blocked.
-  std::optional<std::chrono::milliseconds> blocked_for_;
+  /// No attempt may be made before this time has passed: a part of the prompt
+  /// is blocked, or the upstreams are at the limits that they name.
+  std::optional<std::chrono::milliseconds> retry_after_;
 
   std::optional<Attempt> attempt_;
   /// First event of the last attempt's answer.
--- a/src/gateway/proxied_request_answers.cc
+++ b/src/gateway/proxied_request_answers.cc
@@ -29,7 +29,7 @@
                      id, info.attempt_id, attempt_->upstream.id.value);
     return HeadDecision::kSkip;
   }
-  named_limit_ = info.requests_per_second;
+  RecordLimit(info);
   const bool success =
       head.status >= kHttpOk && head.status < kHttpFirstRedirect;
   if (success && (!info.authenticated || info.content_encoded ||
@@ -48,6 +48,28 @@
   return HeadDecision::kAccept;
 }
 
+void ProxiedRequest::RecordLimit(const AnswerInfo& info) {
+  named_limit_ = info.requests_per_second;
+  const std::optional<StoreTime> now = state_.StoreNow();
+  if (!now || info.wrong_upstream) return;
+  const UpstreamEntry& upstream = attempt_->upstream;
+  if (info.limit_unreadable) {
+    state_.log.Write(LogKind::kFailure, state_.Now(),
+                     "event=limit_ignored id={} upstream={} reason=\"not a "
+                     "number of requests a second\"",
+                     admitted_.caller.attempt_id, upstream.id.value);
+    return;
+  }
+  const milliseconds age = std::chrono::duration_cast<milliseconds>(
+      state_.Now() - attempt_->sent_at);
+  if (!state_.limits.OnAnswer(upstream.id, upstream.incarnation, named_limit_,
+                              *now - age, *now)) {
+    return;
+  }
+  state_.LogLimit(upstream.id, named_limit_, "answer");
+  state_.on_limit_changed();
+}
+
 void ProxiedRequest::OnAnswerBody(std::string_view bytes) {
   if (!attempt_ || !attempt_->head) return;
   const TimePoint now = state_.Now();
--- a/src/gateway/proxied_request_end.cc
+++ b/src/gateway/proxied_request_end.cc
@@ -45,7 +45,7 @@
   const std::optional<PartRefusal> refusal =
       state_.quarantine.Admit(shared_parts_, *store_now);
   if (!refusal) return false;
-  blocked_for_ = refusal->retry_after;
+  retry_after_ = refusal->retry_after;
   ++state_.requests_with_blocked_part;
   state_.log.Write(LogKind::kFailure, now,
                    "event=part_refused id={} route={} part={:016x} "
--- /dev/null
+++ b/src/gateway/proxied_request_fleet.cc
@@ -0,0 +1,129 @@
+#include <algorithm>
+#include <utility>
+
+#include "gateway/proxied_request.h"
+
+namespace yuccapick {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Shortest delay after which a caller should retry if all upstreams are at
+/// their limits.
+constexpr milliseconds kMinLimitRetryAfter{150};
+
+}  // namespace
+
+std::optional<WeightVersionNumber> ProxiedRequest::WeightsAt(
+    const UpstreamEntry& upstream) const {
+  const auto it = upstream.weights.find(admitted_.caller.model);
+  if (it == upstream.weights.end()) return std::nullopt;
+  return it->second;
+}
+
+milliseconds ProxiedRequest::WeightsReplacedFor(
+    const UpstreamEntry& upstream) const {
+  const std::optional<WeightVersionNumber> weights = WeightsAt(upstream);
+  if (!weights) return milliseconds(0);
+  const std::optional<StoreTime> replaced_at =
+      state_.target_weights.ReplacedAt(admitted_.caller.model, *weights);
+  const std::optional<StoreTime> now = state_.StoreNow();
+  if (!replaced_at || !now) return milliseconds(0);
+  return *now - *replaced_at;
+}
+
+PlacementFleet ProxiedRequest::Fleet() const {
+  PlacementFleet fleet;
+  const GatewayConfig& config = *admitted_.config;
+  const GatewayService* service = config.FindService(service_);
+  const bool engines = service != nullptr && service->engine.has_value();
+  if (engines) {
+    fleet.kv_capacity_tokens = service->engine->kv_capacity_tokens;
+    const GatewayService* store = config.FindKvStore();
+    if (store != nullptr && state_.kv_store_usable) {
+      fleet.kv_store_endpoint = store->kv_store_endpoint;
+      fleet.kv_store_link = &state_.kv_store_link;
+    }
+  }
+  const ModelId& model = admitted_.caller.model;
+  const milliseconds limit =
+      state_.settings.bounds.stale_weights_limit - StaleWeightsMargin();
+  const std::optional<StoreTime> now = state_.StoreNow();
+  std::vector<PlacementCandidate> overdue;
+  for (const UpstreamEntry* upstream : state_.roster.Usable(service_)) {
+    if (stream_software_ && upstream->software != *stream_software_) continue;
+    if (IsAtLimit(*upstream)) continue;
+    PlacementCandidate candidate;
+    candidate.upstream = upstream;
+    candidate.loading = state_.loading.contains(upstream->id);
+    if (engines) {
+      const std::optional<WeightVersionNumber> weights = WeightsAt(*upstream);
+      if (!weights) continue;
+      candidate.cache_scope = config.CacheScopeOf(admitted_.team, *weights);
+      candidate.old_weights = *weights < state_.target_weights.Newest(model);
+      if (now &&
+          state_.target_weights.IsOverdue(model, *weights, limit, *now)) {
+        if (MayUseOverdueWeights(*weights, *now)) {
+          overdue.push_back(std::move(candidate));
+        }
+        continue;
+      }
+    }
+    fleet.candidates.push_back(std::move(candidate));
+  }
+  if (fleet.candidates.empty()) fleet.candidates = std::move(overdue);
+  return fleet;
+}
+
+bool ProxiedRequest::HasUntriedUpstream() const {
+  for (const PlacementCandidate& candidate : Fleet().candidates) {
+    const auto& tried = query_.tried;
+    if (std::find(tried.begin(), tried.end(), candidate.upstream->id) ==
+        tried.end()) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool ProxiedRequest::IsAtLimit(const UpstreamEntry& upstream) const {
+  const std::optional<StoreTime> now = state_.StoreNow();
+  if (!now) return false;
+  return state_.limits.WaitFor(upstream.id, upstream.incarnation, *now) >
+         milliseconds(0);
+}
+
+double ProxiedRequest::RateAtLimit() const {
+  double rate = 0;
+  for (const UpstreamEntry* upstream : state_.roster.Usable(service_)) {
+    if (!IsAtLimit(*upstream)) continue;
+    rate += state_.limits.LimitOf(upstream->id).value_or(0);
+  }
+  return rate;
+}
+
+bool ProxiedRequest::AnyAtLimit() const {
+  const auto usable = state_.roster.Usable(service_);
+  return std::any_of(usable.begin(), usable.end(),
+                     [this](const auto* it) { return IsAtLimit(*it); });
+}
+
+void ProxiedRequest::OnNoUpstream(TimePoint now) {
+  if (!AnyAtLimit()) {
+    return OnEnd(AttemptEnd::kNotSent, "no usable upstream");
+  }
+  // All gateways together get one request through in this time.
+  const std::chrono::duration<double> interval(
+      1.0 / std::max(RateAtLimit(), state_.limits.lowest_rate()));
+  retry_after_ =
+      std::max(kMinLimitRetryAfter, std::chrono::ceil<milliseconds>(interval));
+  ++state_.requests_over_limits;
+  state_.log.Write(LogKind::kFailure, now,
+                   "event=over_limits id={} route={} service={} "
+                   "limit={:.2f} retry_after_ms={}",
+                   admitted_.caller.attempt_id, admitted_.route->name,
+                   service_.value, RateAtLimit(), retry_after_->count());
+  OnEnd(AttemptEnd::kNotSent, "upstreams are at the limits that they name");
+}
+
+}  // namespace yuccapick
--- a/src/request_explanation.cc
+++ b/src/request_explanation.cc
@@ -73,6 +73,12 @@
           "ms",
           line.Field("part"), line.Field("retry_after_ms"));
     }
+    if (line.Field("event") == "over_limits") {
+      return fmt::format(
+          "the upstreams of {} are at the limits that they name, together {} "
+          "requests a second",
+          line.Field("service"), line.Field("limit"));
+    }
     if (line.Field("event") != "attempt_ended") continue;
     cause = fmt::format("attempt {} at {} ended as {} ({})",
                         line.Field("attempt"), line.Field("upstream"),
--- a/test/gateway/limited_upstream_test.cc
+++ b/test/gateway/limited_upstream_test.cc
@@ -125,4 +125,33 @@
   CHECK(deployment.upstream(0).ArrivedSince(in_force) >= 2);
 }
 
+TEST_CASE("Requests are refused at once if all upstreams are at their limits") {
+  Deployment deployment;
+  for (std::size_t n = 0; n < 3; ++n) deployment.upstream(n).set_limit(1.0);
+  deployment.Run(milliseconds(500));
+  const auto from = steady_clock::now();
+  CHECK(deployment.Run(milliseconds(2'000)) > 0);
+  for (std::size_t n = 0; n < 3; ++n) {
+    CHECK(deployment.upstream(n).ArrivedSince(from) <= 4);
+  }
+  std::string answer;
+  CHECK(deployment.fixture.RunUntilTrue([&] {
+    answer = deployment.fixture.Ask(deployment.Request());
+    return !Deployment::IsServed(answer);
+  }));
+  CHECK(answer.starts_with("HTTP/1.1 503"));
+  CHECK(answer.find("Retry-After: ") != std::string::npos);
+}
+
+TEST_CASE("An upstream that names its limit no more gets requests as before") {
+  Deployment deployment;
+  deployment.upstream(0).set_limit(kLimit);
+  deployment.Run(milliseconds(1'000));
+  deployment.upstream(0).set_limit(std::nullopt);
+  deployment.Run(milliseconds(2'000));
+  const auto from = steady_clock::now();
+  CHECK(deployment.Run(milliseconds(1'000)) == 0);
+  CHECK(deployment.upstream(0).ArrivedSince(from) > 5);
+}
+
 }  // namespace yuccapick
--- a/test/peer_report_test.cc
+++ b/test/peer_report_test.cc
@@ -164,6 +164,16 @@
   CHECK_FALSE(DecodePartReport("\x02garbage").has_value());
 }
 
+TEST_CASE("Decoding returns the encoded limits") {
+  const std::vector<NamedLimit> limits{
+      {UpstreamId("a"), Incarnation(1), 1.5, StoreTime(milliseconds(3))},
+      {UpstreamId("b"), Incarnation(2), std::nullopt,
+       StoreTime(milliseconds(4))}};
+  CHECK(DecodeNamedLimits(EncodeNamedLimits(limits)) == limits);
+  CHECK_FALSE(DecodePartDecisions(EncodeNamedLimits(limits)).has_value());
+  CHECK_FALSE(DecodeNamedLimits("\x04garbage").has_value());
+}
+
 TEST_CASE("A peer's endpoint is known while it is live") {
   PeerRegistry peers;
   const PeerReport report = Report("one", 1);
--- a/test/request_explanation_test.cc
+++ b/test/request_explanation_test.cc
@@ -88,6 +88,18 @@
         "00ff of its prompt, which is blocked for 9000 ms.");
 }
 
+TEST_CASE("A refused request's explanation names the upstreams' limits") {
+  const auto lines =
+      Parse({"time=3 event=over_limits id=4 service=app limit=4.50",
+             "time=3 event=attempt_ended id=4 attempt=0 upstream=- "
+             "end=not_sent reason=\"limits\" step=refuse",
+             "time=3 event=request_done id=4 outcome=refused status=503 "
+             "total_ms=1 reason=\"limits\""});
+  CHECK(ExplainRequest(lines, "4").summary ==
+        "Ended as refused with status 503 after 1 ms: the upstreams of app are "
+        "at the limits that they name, together 4.50 requests a second.");
+}
+
 TEST_CASE("A request rejected under overload is explained by the slow route") {
   const std::string shed =
       "time=1 event=load_shed id=5 route=r-1 begins_ms=900 target_ms=400 "
