Keep weights barred that are too old after a gateway restarts

A gateway whose store had an outage within the weights' time limit may use engines with overdue weights, since nobody could roll out newer ones. A gateway that had just started counted as without contact before its first answer, so for the whole limit after a restart it used them, too, with a store that had answered all along.

A new process now assumes no outage unless its own first calls fail for a second. If it does start right after an outage and all engines are overdue, its requests are refused until one has loaded. The time in touch is boot time, so failures before the first answer count, which were dropped until now.

"A gateway that starts later knows that weights are too old" failed before (the engine got the request), passes now. The check that the time in touch begins with the first answer stated the fault; it is replaced by two: in touch with the first answer if none failed for long before, else from that answer on, by the same duration.

--- a/include/yuccapick/store_contact.h
+++ b/include/yuccapick/store_contact.h
@@ -7,11 +7,13 @@
 #include <chrono>
 #include <optional>
 
-#include "yuccapick/store_clock.h"
+#include "yuccapick/ids.h"
 
 namespace yuccapick {
 
-/// Short failures, such as a single call without an answer, are no outage.
+/// Short failures, such as a single call without an answer, are no outage. A
+/// process that starts knows of no earlier outage, so it assumes none. All
+/// times are boot times, which go on while the machine is suspended.
 class StoreContact {
  public:
   struct Options {
@@ -23,20 +25,22 @@
 
   // Commands.
 
-  void OnAnswer(StoreTime now);
-  void OnFailure(StoreTime now);
+  void OnAnswer(TimePoint now);
+  void OnFailure(TimePoint now);
 
   // Queries.
 
-  /// True if the store has had no outage for `duration`.
-  bool InTouchFor(std::chrono::milliseconds duration, StoreTime now) const;
+  /// True if the store answers and is known to have had no outage for
+  /// `duration`.
+  bool InTouchFor(std::chrono::milliseconds duration, TimePoint now) const;
 
  private:
-  bool InOutage(StoreTime now) const;
+  bool InOutage(TimePoint now) const;
 
   Options options_;
-  std::optional<StoreTime> in_touch_since_;
-  std::optional<StoreTime> failing_since_;
+  bool answered_ = false;  ///< At least once.
+  std::optional<TimePoint> outage_ended_at_;
+  std::optional<TimePoint> failing_since_;
 };
 
 }  // namespace yuccapick
--- a/src/gateway/gateway_process_tables.cc
+++ b/src/gateway/gateway_process_tables.cc
@@ -1,3 +1,4 @@
+#include "gateway/boot_clock.h"
 #include "gateway/gateway_process.h"
 #include "platform/names.h"
 #include "platform/operator_rows.h"
@@ -27,7 +28,7 @@
 void GatewayProcess::OnTableUnavailable(const std::string& table,
                                         std::string_view reason) {
   state_.roster.OnListUnavailable(state_.Now());
-  if (const auto now = state_.StoreNow()) state_.store_contact.OnFailure(*now);
+  state_.store_contact.OnFailure(BootTimeNow());
   if (store_lost_) return;
   store_lost_ = true;
   state_.log.Write(LogKind::kLifecycle, state_.Now(),
@@ -37,7 +38,7 @@
 void GatewayProcess::OnTableAnswered(const std::string& table) {
   if (table == platform::kServers) state_.roster.OnListAvailable(state_.Now());
   if (!operator_watch_->reachable() || !upstream_watch_->reachable()) return;
-  if (const auto now = state_.StoreNow()) state_.store_contact.OnAnswer(*now);
+  state_.store_contact.OnAnswer(BootTimeNow());
   if (!store_lost_) return;
   store_lost_ = false;
   state_.log.Write(LogKind::kLifecycle, state_.Now(), "event=store_regained");
--- a/src/gateway/proxied_request_timing.cc
+++ b/src/gateway/proxied_request_timing.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "gateway/boot_clock.h"
 #include "gateway/proxied_request.h"
 
 namespace yuccapick {
@@ -40,7 +41,7 @@
   const milliseconds limit = state_.settings.bounds.stale_weights_limit;
   // Without the store nobody can roll out newer weights: an answer on old ones
   // is better than none.
-  if (!state_.store_contact.InTouchFor(limit, now)) return true;
+  if (!state_.store_contact.InTouchFor(limit, BootTimeNow())) return true;
   return !state_.target_weights.IsOverdue(admitted_.caller.model, weights,
                                           limit - kMinStaleWeightsMargin, now);
 }
--- a/src/store_contact.cc
+++ b/src/store_contact.cc
@@ -2,23 +2,24 @@
 
 namespace yuccapick {
 
-bool StoreContact::InOutage(StoreTime now) const {
+bool StoreContact::InOutage(TimePoint now) const {
   return failing_since_ && now - *failing_since_ >= options_.min_outage;
 }
 
-void StoreContact::OnAnswer(StoreTime now) {
-  if (!in_touch_since_ || InOutage(now)) in_touch_since_ = now;
+void StoreContact::OnAnswer(TimePoint now) {
+  if (InOutage(now)) outage_ended_at_ = now;
+  answered_ = true;
   failing_since_.reset();
 }
 
-void StoreContact::OnFailure(StoreTime now) {
+void StoreContact::OnFailure(TimePoint now) {
   if (!failing_since_) failing_since_ = now;
 }
 
 bool StoreContact::InTouchFor(std::chrono::milliseconds duration,
-                              StoreTime now) const {
-  if (!in_touch_since_ || InOutage(now)) return false;
-  return now - *in_touch_since_ >= duration;
+                              TimePoint now) const {
+  if (!answered_ || InOutage(now)) return false;
+  return !outage_ended_at_ || now - *outage_ended_at_ >= duration;
 }
 
 }  // namespace yuccapick
--- a/test/gateway/stale_weights_test.cc
+++ b/test/gateway/stale_weights_test.cc
@@ -16,6 +16,7 @@
   "service":"engines","maxAttempts":2,"resumable":true}])";
 
 constexpr milliseconds kStaleWeightsLimit{8'000};
+constexpr char kSetTimesTable[] = "yuccapick-weights";
 
 /// A gateway with one engine that has the weights 1 and one with the weights 2,
 /// which is full.
@@ -118,5 +119,19 @@
   CHECK(engine.old.received().empty());
 }
 
+TEST_CASE("A gateway that starts later knows that weights are too old") {
+  OldEngine engine;
+  engine.fixture.PutTargetWeights(2);
+  REQUIRE(engine.fixture.RunUntilTrue(
+      [&engine] { return engine.fixture.store.Has(kSetTimesTable, "m/2"); }));
+  engine.fixture.store.set_time(milliseconds(2'000) + kStaleWeightsLimit);
+  engine.fixture.StartLate();
+  REQUIRE(engine.fixture.AwaitListed(1));
+  const std::string answer = engine.fixture.AskLate(CallerRequest(
+      "POST", "/tell/", "X-Model: m\r\nX-Token-Count: 10,10\r\n"));
+  CHECK(answer.starts_with("HTTP/1.1 503"));
+  CHECK(engine.old.received().empty());
+}
+
 }  // namespace
 }  // namespace yuccapick
--- a/test/store_contact_test.cc
+++ b/test/store_contact_test.cc
@@ -7,7 +7,7 @@
 
 using std::chrono::milliseconds;
 
-const StoreTime kStart{std::chrono::seconds(60)};
+const TimePoint kStart{std::chrono::seconds(60)};
 constexpr milliseconds kDuration{8'000};
 
 TEST_CASE("A store that never answered is not in touch") {
@@ -16,8 +16,16 @@
   CHECK_FALSE(contact.InTouchFor(milliseconds(0), kStart));
 }
 
-TEST_CASE("The time in touch begins with the first answer") {
+TEST_CASE("A store that answers a new process at once is in touch") {
   StoreContact contact;
+  contact.OnFailure(kStart);
+  contact.OnAnswer(kStart + milliseconds(500));
+  CHECK(contact.InTouchFor(kDuration, kStart + milliseconds(500)));
+}
+
+TEST_CASE("After an outage at the start the first answer begins the time") {
+  StoreContact contact;
+  contact.OnFailure(kStart - milliseconds(1'000));
   contact.OnAnswer(kStart);
   contact.OnAnswer(kStart + milliseconds(5'000));
   CHECK_FALSE(
