Keep limited upstreams as sources of cached parts, but not as homes

By reading: an upstream at its limit vanished from the placement and came back several times a second, at one gateway after the other. So its cached parts could not be imported, and the rendezvous home of a prompt changed each time, and differed among gateways.

It stays a source now, gets no request while it is at its limit, and is no home as long as it names one; all gateways agree on that.

Tests of the placement and of the limit's end without requests are new. The making of candidates is in small functions.

--- a/include/yuccapick/direct_placement.h
+++ b/include/yuccapick/direct_placement.h
@@ -36,6 +36,11 @@
   std::string cache_scope;   ///< Parts are shared only within one scope.
   bool loading = false;      ///< Is about to load, or loading, new weights.
   bool old_weights = false;  ///< A newer version is the target.
+  /// Names a limit of requests, so it is no rendezvous home.
+  bool limited = false;
+  /// Must not get a request now because of its limit. Others may import what
+  /// it has cached.
+  bool at_limit = false;
 };
 
 /// The candidates for one request and the properties that they share.
--- a/include/yuccapick/upstream_limits.h
+++ b/include/yuccapick/upstream_limits.h
@@ -55,6 +55,9 @@
     /// The end of a limit is remembered for this long, so that late reports
     /// have no effect.
     std::chrono::milliseconds ended_lifetime{60'000};
+    /// A limit that no answer has named for this long is forgotten, since the
+    /// upstream may not have got a request.
+    std::chrono::milliseconds unconfirmed_lifetime{30'000};
     std::size_t max_upstreams = 4'096;
   };
 
@@ -110,6 +113,8 @@
     NamedLimit named;
     /// When this gateway may send the next request.
     StoreTime next_send;
+    /// When this gateway told coordinators last.
+    StoreTime told_at;
   };
 
   bool IsCoordinator(const UpstreamId& upstream) const;
--- a/src/direct_placement.cc
+++ b/src/direct_placement.cc
@@ -29,7 +29,8 @@
   const PlacementCandidate* home = nullptr;
   std::uint64_t home_score = 0;
   for (const PlacementCandidate& node : fleet.candidates) {
-    if (node.loading || health.Paused(node.upstream->id, now)) continue;
+    if (node.loading || node.limited) continue;
+    if (health.Paused(node.upstream->id, now)) continue;
     const std::uint64_t score = RendezvousScore(
         chain.back().hash, RendezvousNodeHash(node.upstream->id.value));
     if (home != nullptr && score <= home_score) continue;
@@ -195,6 +196,7 @@
   std::map<std::string, PartSources> sources;
   std::optional<DirectPlacementDecision> best;
   for (const PlacementCandidate& candidate : fleet.candidates) {
+    if (candidate.at_limit) continue;
     if (WasTried(query, candidate.upstream->id)) continue;
     auto found = sources.find(candidate.cache_scope);
     if (found == sources.end()) {
--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -66,6 +66,10 @@
   bool FindStreamOrigin();
   void RefuseUnknownStream();
   PlacementFleet Fleet() const;
+  PlacementFleet FleetWithoutCandidates() const;
+  PlacementCandidate CandidateFor(const UpstreamEntry& upstream) const;
+  /// True if the upstream's weights are, or are soon, too old for requests.
+  bool IsOverdue(const UpstreamEntry& upstream) const;
   /// True if the limit that the upstream names keeps this gateway from sending
   /// it a request now.
   bool IsAtLimit(const UpstreamEntry& upstream) const;
@@ -100,7 +104,7 @@
   std::chrono::milliseconds StaleWeightsMargin() const;
   /// True if an upstream with these weights may get the request if no other is
   /// left.
-  bool MayUseOverdueWeights(WeightVersionNumber weights, StoreTime now) const;
+  bool MayUseOverdueWeights(WeightVersionNumber weights) const;
   /// How long the upstream may send nothing before the attempt is given up.
   std::chrono::milliseconds SilenceTimeout() const;
   /// When the current attempt is given up; nullopt if it may not be retried.
--- a/src/gateway/proxied_request_fleet.cc
+++ b/src/gateway/proxied_request_fleet.cc
@@ -32,51 +32,70 @@
   return *now - *replaced_at;
 }
 
-PlacementFleet ProxiedRequest::Fleet() const {
+PlacementFleet ProxiedRequest::FleetWithoutCandidates() const {
   PlacementFleet fleet;
   const GatewayConfig& config = *admitted_.config;
   const GatewayService* service = config.FindService(service_);
-  const bool engines = service != nullptr && service->engine.has_value();
-  if (engines) {
-    fleet.kv_capacity_tokens = service->engine->kv_capacity_tokens;
-    const GatewayService* store = config.FindKvStore();
-    if (store != nullptr && state_.kv_store_usable) {
-      fleet.kv_store_endpoint = store->kv_store_endpoint;
-      fleet.kv_store_link = &state_.kv_store_link;
-    }
-  }
-  const ModelId& model = admitted_.caller.model;
+  if (service == nullptr || !service->engine) return fleet;
+  fleet.kv_capacity_tokens = service->engine->kv_capacity_tokens;
+  const GatewayService* store = config.FindKvStore();
+  if (store == nullptr || !state_.kv_store_usable) return fleet;
+  fleet.kv_store_endpoint = store->kv_store_endpoint;
+  fleet.kv_store_link = &state_.kv_store_link;
+  return fleet;
+}
+
+PlacementCandidate ProxiedRequest::CandidateFor(
+    const UpstreamEntry& upstream) const {
+  PlacementCandidate candidate;
+  candidate.upstream = &upstream;
+  candidate.loading = state_.loading.contains(upstream.id);
+  candidate.limited = state_.limits.LimitOf(upstream.id).has_value();
+  candidate.at_limit = candidate.limited && IsAtLimit(upstream);
+  const std::optional<WeightVersionNumber> weights = WeightsAt(upstream);
+  if (!weights) return candidate;
+  candidate.cache_scope =
+      admitted_.config->CacheScopeOf(admitted_.team, *weights);
+  candidate.old_weights =
+      *weights < state_.target_weights.Newest(admitted_.caller.model);
+  return candidate;
+}
+
+bool ProxiedRequest::IsOverdue(const UpstreamEntry& upstream) const {
+  const std::optional<WeightVersionNumber> weights = WeightsAt(upstream);
+  const std::optional<StoreTime> now = state_.StoreNow();
+  if (!weights || !now) return false;
   const milliseconds limit =
       state_.settings.bounds.stale_weights_limit - StaleWeightsMargin();
-  const std::optional<StoreTime> now = state_.StoreNow();
+  return state_.target_weights.IsOverdue(admitted_.caller.model, *weights,
+                                         limit, *now);
+}
+
+PlacementFleet ProxiedRequest::Fleet() const {
+  PlacementFleet fleet = FleetWithoutCandidates();
+  const GatewayService* service = admitted_.config->FindService(service_);
+  const bool engines = service != nullptr && service->engine.has_value();
   std::vector<PlacementCandidate> overdue;
   for (const UpstreamEntry* upstream : state_.roster.Usable(service_)) {
     if (stream_software_ && upstream->software != *stream_software_) continue;
-    if (IsAtLimit(*upstream)) continue;
-    PlacementCandidate candidate;
-    candidate.upstream = upstream;
-    candidate.loading = state_.loading.contains(upstream->id);
-    if (engines) {
-      const std::optional<WeightVersionNumber> weights = WeightsAt(*upstream);
-      if (!weights) continue;
-      candidate.cache_scope = config.CacheScopeOf(admitted_.team, *weights);
-      candidate.old_weights = *weights < state_.target_weights.Newest(model);
-      if (now &&
-          state_.target_weights.IsOverdue(model, *weights, limit, *now)) {
-        if (MayUseOverdueWeights(*weights, *now)) {
-          overdue.push_back(std::move(candidate));
-        }
-        continue;
-      }
+    if (engines && !WeightsAt(*upstream)) continue;
+    PlacementCandidate candidate = CandidateFor(*upstream);
+    if (!candidate.old_weights || !IsOverdue(*upstream)) {
+      fleet.candidates.push_back(std::move(candidate));
+    } else if (MayUseOverdueWeights(*WeightsAt(*upstream))) {
+      overdue.push_back(std::move(candidate));
     }
-    fleet.candidates.push_back(std::move(candidate));
   }
-  if (fleet.candidates.empty()) fleet.candidates = std::move(overdue);
+  const bool any_usable =
+      std::any_of(fleet.candidates.begin(), fleet.candidates.end(),
+                  [](const PlacementCandidate& it) { return !it.at_limit; });
+  if (!any_usable) fleet.candidates = std::move(overdue);
   return fleet;
 }
 
 bool ProxiedRequest::HasUntriedUpstream() const {
   for (const PlacementCandidate& candidate : Fleet().candidates) {
+    if (candidate.at_limit) continue;
     const auto& tried = query_.tried;
     if (std::find(tried.begin(), tried.end(), candidate.upstream->id) ==
         tried.end()) {
--- a/src/gateway/proxied_request_timing.cc
+++ b/src/gateway/proxied_request_timing.cc
@@ -36,14 +36,15 @@
   return std::min(margin, longest);
 }
 
-bool ProxiedRequest::MayUseOverdueWeights(WeightVersionNumber weights,
-                                          StoreTime now) const {
+bool ProxiedRequest::MayUseOverdueWeights(WeightVersionNumber weights) const {
   const milliseconds limit = state_.settings.bounds.stale_weights_limit;
   // Without the store nobody can roll out newer weights: an answer on old ones
   // is better than none.
   if (!state_.store_contact.InTouchFor(limit, BootTimeNow())) return true;
+  const std::optional<StoreTime> now = state_.StoreNow();
+  if (!now) return true;
   return !state_.target_weights.IsOverdue(admitted_.caller.model, weights,
-                                          limit - kMinStaleWeightsMargin, now);
+                                          limit - kMinStaleWeightsMargin, *now);
 }
 
 milliseconds ProxiedRequest::SilenceTimeout() const {
--- a/src/upstream_limits.cc
+++ b/src/upstream_limits.cc
@@ -60,9 +60,14 @@
     if (!known || sent_at <= it->second.named.seen_at) return false;
   }
   const NamedLimit limit{upstream, incarnation, per_second, now};
-  if (!Apply(limit, now)) return false;
-  TellCoordinators(limit);
-  return true;
+  const bool changed = Apply(limit, now);
+  const auto record = limits_.find(upstream);
+  if (record == limits_.end()) return changed;
+  const bool due = now - record->second.told_at >= options_.repeat_interval;
+  if (!changed && !due) return false;
+  record->second.told_at = now;
+  TellCoordinators(record->second.named);
+  return changed;
 }
 
 bool UpstreamLimits::OnReport(const NamedLimit& limit, StoreTime now) {
@@ -77,7 +82,8 @@
     if (!limit.per_second || limits_.size() >= options_.max_upstreams) {
       return false;
     }
-    limits_[limit.upstream] = {limit, now};
+    if (now - limit.seen_at >= options_.unconfirmed_lifetime) return false;
+    limits_[limit.upstream] = {limit, now, StoreTime()};
     return true;
   }
   NamedLimit& named = it->second.named;
@@ -95,7 +101,10 @@
 void UpstreamLimits::OnTick(StoreTime now) {
   std::erase_if(limits_, [&](const auto& entry) {
     const NamedLimit& named = entry.second.named;
-    return !named.per_second && now - named.seen_at >= options_.ended_lifetime;
+    const milliseconds lifetime = named.per_second
+                                      ? options_.unconfirmed_lifetime
+                                      : options_.ended_lifetime;
+    return now - named.seen_at >= lifetime;
   });
   if (now < next_repeat_) return;
   next_repeat_ = now + options_.repeat_interval;
--- a/test/direct_placement_test.cc
+++ b/test/direct_placement_test.cc
@@ -153,6 +153,36 @@
   CHECK_FALSE(fleet.Choose(tried).has_value());
 }
 
+TEST_CASE("An engine at its limit gets no request but serves as a source") {
+  Fleet fleet(2);
+  PartDirectory& directory = fleet.directory;
+  directory.OnUsed(SharedChain("v1", Query("x").parts), fleet.entries[0].id,
+                   kStart);
+  REQUIRE(fleet.Choose(Query("x"))->upstream == fleet.entries[0].id);
+  fleet.fleet.candidates[0].limited = true;
+  fleet.fleet.candidates[0].at_limit = true;
+  const auto choice = fleet.Choose(Query("x"));
+  REQUIRE(choice.has_value());
+  CHECK(choice->upstream == fleet.entries[1].id);
+  CHECK(choice->import_from == fleet.entries[0].endpoint);
+}
+
+TEST_CASE("An engine with a limit is no home, and used if others are busy") {
+  Fleet fleet(4);
+  for (PlacementCandidate& it : fleet.fleet.candidates) {
+    it.limited = it.upstream == &fleet.entries[2];
+  }
+  for (int i = 0; i < 50; ++i) {
+    const auto choice = fleet.Choose(Query("doc-" + std::to_string(i)));
+    CHECK(choice->upstream != fleet.entries[2].id);
+  }
+  for (const int busy : {0, 1, 3}) {
+    fleet.load.Begin(fleet.entries[static_cast<std::size_t>(busy)].id,
+                     {60, kCapacity, 90'000});
+  }
+  CHECK(fleet.Choose(Query("x"))->upstream == fleet.entries[2].id);
+}
+
 TEST_CASE(
     "Plain requests stay in their failure domain while it has free slots") {
   Fleet fleet(2);
--- a/test/upstream_limits_test.cc
+++ b/test/upstream_limits_test.cc
@@ -191,6 +191,17 @@
   CHECK(upstream.LimitingCount() == 0);
 }
 
+TEST_CASE("A limit lasts while any gateway sees it, and no longer") {
+  LimitedUpstream upstream(8, 0.0, 6);
+  upstream.set_limit(1.5);
+  upstream.Run(milliseconds(60'000), 0.01);
+  CHECK(upstream.LimitingCount() == 8);
+  upstream.Run(
+      UpstreamLimits::Options().unconfirmed_lifetime + milliseconds(1'000),
+      0.0);
+  CHECK(upstream.LimitingCount() == 0);
+}
+
 TEST_CASE("An upstream that takes nothing is asked now and then") {
   LimitedUpstream upstream(8, 0.0, 4);
   upstream.set_limit(0.0);
