Describe limits that upstreams name, and repeat them with the regular reports

Coordinators repeated limits to all in datagrams of their own: computed for 660 gateways, 264 datagrams a second for each limited upstream, 21 of the 28 KB/s that a node may spend. They stand in the regular reports now, some 40 bytes each in those of two gateways. The tests without sockets use the report interval of 660 gateways (4 s).

--- a/include/yuccapick/peer_report.h
+++ b/include/yuccapick/peer_report.h
@@ -15,6 +15,7 @@
 #include "yuccapick/ids.h"
 #include "yuccapick/lease.h"
 #include "yuccapick/part_directory.h"
+#include "yuccapick/upstream_limits.h"
 #include "yuccapick/upstream_load.h"
 #include "yuccapick/upstream_roster.h"
 
@@ -57,6 +58,8 @@
   /// store's link since its previous report.
   std::uint64_t kv_store_tokens = 0;
   LeaseWrite rollout_lease;  ///< If it holds the rollout lease.
+  /// Of the upstreams whose limits the sender coordinates.
+  std::vector<NamedLimit> limits;
 };
 
 /// Returns the interval of a gateway's reports. Beyond 40 peers it grows with
--- a/include/yuccapick/upstream_limits.h
+++ b/include/yuccapick/upstream_limits.h
@@ -37,18 +37,18 @@
 /// One gateway's share of the limits that upstreams name.
 ///
 /// A gateway that sees a limit begin, change or end tells two coordinators for
-/// the upstream, which rendezvous hashing picks; these tell all gateways, and
-/// repeat it while the limit lasts. A limit of N requests a second is split
-/// among N gateways at most, so that each may send one request a second; the
-/// others send none. Rendezvous hashing picks them anew every few seconds, so
-/// that no gateway is left out for long.
+/// the upstream, which rendezvous hashing picks; these tell all gateways at
+/// once, and again with each of their regular reports. A limit of N requests a
+/// second is split among N gateways at most, so that each may send one request
+/// a second; the others send none. Rendezvous hashing picks them anew every few
+/// seconds, so that no gateway is left out for long.
 class UpstreamLimits {
  public:
   struct Options {
     /// Time after which other gateways may send to a limited upstream.
     std::chrono::milliseconds turn{10'000};
-    /// Coordinators repeat limits in this interval.
-    std::chrono::milliseconds repeat_interval{5'000};
+    /// Gateways that see a limit tell its coordinators in this interval.
+    std::chrono::milliseconds confirm_interval{5'000};
     /// An upstream that takes no requests gets this many a second, since only
     /// an answer tells that the limit has ended.
     double lowest_rate = 0.1;
@@ -94,8 +94,9 @@
 
   /// True if `TakeReports` or `TakeBroadcast` would return something.
   bool HasNews() const { return !reports_.empty() || !broadcast_.empty(); }
-  /// Returns the limits in force, for a gateway that starts.
-  std::vector<NamedLimit> Limits() const;
+  /// Returns what this gateway knows of the upstreams that it coordinates, for
+  /// its regular reports.
+  std::vector<NamedLimit> CoordinatedLimits() const;
   /// @return time until this gateway may send a request to the upstream; zero
   ///   if it may send one now
   std::chrono::milliseconds WaitFor(const UpstreamId& upstream,
@@ -130,7 +131,6 @@
   std::map<UpstreamId, Record> limits_;
   std::map<InstanceId, std::vector<NamedLimit>> reports_;
   std::vector<NamedLimit> broadcast_;
-  StoreTime next_repeat_;
 };
 
 }  // namespace yuccapick
--- a/src/gateway/gateway_process_peers.cc
+++ b/src/gateway/gateway_process_peers.cc
@@ -36,6 +36,7 @@
   if (report.instance == state_.settings.instance) return;
   if (!peers_.OnReport(report, now)) return;
   state_.load.OnPeerReport(report.instance, report.work, now);
+  limit_sync_->OnLimits(report.limits);
   if (report.holds_rollout_lease) rollout_->OnPeerLease(report.rollout_lease);
   state_.parts.OnExported(report.exported, now);
   state_.kv_store_link.OnTransfer(report.kv_store_tokens, now);
@@ -109,16 +110,13 @@
   }
   upstream_watch_->OnPeerSnapshot(tables.upstream_rows);
   quarantine_sync_->OnDecisions(tables.part_decisions);
-  limit_sync_->OnLimits(tables.named_limits);
 }
 
 PeerTables GatewayProcess::TablesForPeers() const {
   return {operator_watch_->mirror().Snapshot(),
           upstream_watch_->mirror().Snapshot(),
-          state_.target_weights.SetTimes(),
-          state_.StoreNow(),
-          state_.quarantine.Decisions(),
-          state_.limits.Limits()};
+          state_.target_weights.SetTimes(), state_.StoreNow(),
+          state_.quarantine.Decisions()};
 }
 
 void GatewayProcess::RegisterEndpoint() {
@@ -163,6 +161,7 @@
   report.holds_rollout_lease = rollout_->holds();
   if (report.holds_rollout_lease) report.rollout_lease = rollout_->last_write();
   report.leaving = draining_;
+  report.limits = state_.limits.CoordinatedLimits();
   report.kv_store_lost =
       !state_.kv_store_usable && cache_watch_.watches_kv_store();
   report.work = state_.load.OwnReports();
--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -52,7 +52,7 @@
           v.config, v.operator_rows, v.upstream_rows, v.holds_rollout_lease,
           v.leaving, v.kv_store_lost, v.work, v.loading, v.weights, v.exported,
           v.parts, v.kv_store_tokens, v.rollout_lease.fence,
-          v.rollout_lease.write);
+          v.rollout_lease.write, v.limits);
     }
   };
   struct MirrorRowFields {
@@ -81,7 +81,7 @@
     auto operator()(yuccapick::PeerTables& v) const {
       return msgpack::type::make_define_array(v.operator_rows, v.upstream_rows,
                                               v.target_set_times, v.store_time,
-                                              v.part_decisions, v.named_limits);
+                                              v.part_decisions);
     }
   };
   struct PartCrashFields {
--- a/src/gateway/peer_codec.h
+++ b/src/gateway/peer_codec.h
@@ -28,7 +28,6 @@
   /// The store's time when this was sent, as far as the sender knows it.
   std::optional<StoreTime> store_time;
   std::vector<PartDecision> part_decisions;
-  std::vector<NamedLimit> named_limits;
 };
 
 std::string EncodePeerReport(const PeerReport& report);
--- a/src/upstream_limits.cc
+++ b/src/upstream_limits.cc
@@ -63,7 +63,7 @@
   const bool changed = Apply(limit, now);
   const auto record = limits_.find(upstream);
   if (record == limits_.end()) return changed;
-  const bool due = now - record->second.told_at >= options_.repeat_interval;
+  const bool due = now - record->second.told_at >= options_.confirm_interval;
   if (!changed && !due) return false;
   record->second.told_at = now;
   TellCoordinators(record->second.named);
@@ -106,12 +106,6 @@
                                       : options_.ended_lifetime;
     return now - named.seen_at >= lifetime;
   });
-  if (now < next_repeat_) return;
-  next_repeat_ = now + options_.repeat_interval;
-  for (const auto& [upstream, record] : limits_) {
-    if (!IsCoordinator(upstream)) continue;
-    broadcast_.push_back(record.named);
-  }
 }
 
 std::optional<milliseconds> UpstreamLimits::SendInterval(
@@ -167,9 +161,12 @@
   return std::exchange(broadcast_, {});
 }
 
-std::vector<NamedLimit> UpstreamLimits::Limits() const {
+std::vector<NamedLimit> UpstreamLimits::CoordinatedLimits() const {
   std::vector<NamedLimit> limits;
-  for (const auto& [upstream, record] : limits_) limits.push_back(record.named);
+  for (const auto& [upstream, record] : limits_) {
+    if (limits.size() >= kMaxReported) break;
+    if (IsCoordinator(upstream)) limits.push_back(record.named);
+  }
   return limits;
 }
 
--- a/test/peer_report_test.cc
+++ b/test/peer_report_test.cc
@@ -121,6 +121,8 @@
   report.exported = {{77, 120}};
   report.parts = {{UpstreamId("a"), 99, 640}};
   report.kv_store_tokens = 9'200;
+  report.limits = {
+      {UpstreamId("a"), Incarnation(1), 1.5, StoreTime(milliseconds(3))}};
   const auto decoded = DecodePeerReport(EncodePeerReport(report));
   REQUIRE(decoded.has_value());
   CHECK(decoded->instance == report.instance);
@@ -129,6 +131,7 @@
   CHECK(decoded->exported[0].hash == 77);
   CHECK(decoded->parts[0].tokens == 640);
   CHECK(decoded->kv_store_tokens == 9'200);
+  CHECK(decoded->limits == report.limits);
 
   const StoreTime now(milliseconds(5'000));
   const PeerTables tables{{{{"k", "v", 3, false}}, 9},
--- a/test/upstream_limits_test.cc
+++ b/test/upstream_limits_test.cc
@@ -15,6 +15,8 @@
 
 constexpr milliseconds kStep{10};
 constexpr milliseconds kTick{100};
+/// As with 660 gateways.
+constexpr milliseconds kReportInterval{4'000};
 constexpr milliseconds kWindow{4'000};
 /// Time within which the gateways must keep a new limit together.
 constexpr milliseconds kLimitInForce{3'000};
@@ -110,6 +112,22 @@
 
   void Tick() {
     for (UpstreamLimits& gateway : gateways_) gateway.OnTick(now_);
+    if (now_.time_since_epoch() % kReportInterval != milliseconds(0)) return;
+    for (std::size_t i = 0; i < gateways_.size(); ++i) {
+      for (const NamedLimit& it : gateways_[i].CoordinatedLimits()) {
+        Publish(i, it, 1);
+      }
+    }
+  }
+
+  /// Delivers copies to all other gateways, unless lost.
+  void Publish(std::size_t from, const NamedLimit& limit, int copies) {
+    std::bernoulli_distribution lost(loss_);
+    for (std::size_t to = 0; to < gateways_.size(); ++to) {
+      for (int copy = 0; copy < copies && to != from; ++copy) {
+        if (!lost(random_)) gateways_[to].OnReport(limit, now_);
+      }
+    }
   }
 
   void Exchange() {
@@ -126,11 +144,7 @@
     }
     for (std::size_t i = 0; i < gateways_.size(); ++i) {
       for (const NamedLimit& limit : gateways_[i].TakeBroadcast()) {
-        for (std::size_t to = 0; to < gateways_.size(); ++to) {
-          for (int copy = 0; copy < 2 && to != i; ++copy) {
-            if (!lost(random_)) gateways_[to].OnReport(limit, now_);
-          }
-        }
+        Publish(i, limit, 2);
       }
     }
   }
