Send nothing to an upstream while it has asked for a pause

An upstream that rejects a request with 503 may say in Retry-After for how long it wants nothing from this gateway. It gets none now, further attempts and polls of its cache included; its requests go elsewhere or, if all upstreams have asked, are refused with the shortest rest as Retry-After. Up to a fifth of the pause is added at random, so that gateways don't return at the same moment. Values that can't be read are logged and change nothing; pauses end after ten minutes, or with the upstream's incarnation.

The refusals for limits and for pauses are one decision, held_back; the test of its explanation moves with it, compared as exactly as before.

--- a/include/yuccapick/direct_placement.h
+++ b/include/yuccapick/direct_placement.h
@@ -38,9 +38,9 @@
   bool old_weights = false;  ///< A newer version is the target.
   /// Names a limit of requests, so it is no rendezvous home.
   bool limited = false;
-  /// Must not get a request now because of its limit. Others may import what
-  /// it has cached.
-  bool at_limit = false;
+  /// Must not get a request now because of its limit, or since it has asked for
+  /// a pause. Others may import what it has cached.
+  bool held_back = false;
 };
 
 /// The candidates for one request and the properties that they share.
--- a/src/direct_placement.cc
+++ b/src/direct_placement.cc
@@ -196,7 +196,7 @@
   std::map<std::string, PartSources> sources;
   std::optional<DirectPlacementDecision> best;
   for (const PlacementCandidate& candidate : fleet.candidates) {
-    if (candidate.at_limit) continue;
+    if (candidate.held_back) continue;
     if (WasTried(query, candidate.upstream->id)) continue;
     auto found = sources.find(candidate.cache_scope);
     if (found == sources.end()) {
--- a/src/gateway/cache_watch.cc
+++ b/src/gateway/cache_watch.cc
@@ -87,10 +87,18 @@
   }
   RemoveUnwantedTargets(wanted);
   for (auto& [name, target] : targets_) {
-    if (!target.polling && now >= target.next_call) Poll(name, target);
+    if (target.polling || now < target.next_call) continue;
+    if (!IsPaused(target.upstream, now)) Poll(name, target);
   }
 }
 
+bool CacheWatch::IsPaused(const UpstreamId& upstream, TimePoint now) const {
+  const UpstreamEntry* entry = state_.roster.Find(upstream);
+  if (entry == nullptr) return false;
+  return state_.pauses.WaitFor(upstream, entry->incarnation, now) >
+         std::chrono::milliseconds(0);
+}
+
 void CacheWatch::SetTarget(const std::string& name, const std::string& endpoint,
                            const UpstreamId& upstream, bool reports_to_peers) {
   Target& target = targets_[name];
--- a/src/gateway/cache_watch.h
+++ b/src/gateway/cache_watch.h
@@ -41,6 +41,8 @@
     TimePoint next_call;
   };
 
+  /// True while the upstream has asked for a pause.
+  bool IsPaused(const UpstreamId& upstream, TimePoint now) const;
   void SetTarget(const std::string& name, const std::string& endpoint,
                  const UpstreamId& upstream, bool reports_to_peers);
   void RemoveUnwantedTargets(const std::map<std::string, bool>& wanted);
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -173,8 +173,9 @@
   AppendMetric(out, "counter", "yuccapick_unknown_stream_origins",
                state_.unknown_stream_origins);
   gauge("yuccapick_limited_upstreams", state_.limits.limited_count());
-  AppendMetric(out, "counter", "yuccapick_requests_over_limits",
-               state_.requests_over_limits);
+  gauge("yuccapick_paused_upstreams", state_.pauses.size());
+  AppendMetric(out, "counter", "yuccapick_requests_held_back",
+               state_.requests_held_back);
   gauge("yuccapick_blocked_parts", state_.quarantine.blocked_count());
   gauge("yuccapick_suspect_parts", state_.quarantine.suspect_count());
   AppendMetric(out, "counter", "yuccapick_requests_with_blocked_part",
@@ -279,6 +280,7 @@
   ExchangeWithPeers(now);
   quarantine_sync_->OnTick(now);
   limit_sync_->OnTick(now);
+  state_.pauses.OnTick(now);
   state_.loading = peers_.Loading(now);
   const std::set<UpstreamId> own_loading = rollout_->Loading();
   state_.loading.insert(own_loading.begin(), own_loading.end());
--- a/src/gateway/gateway_process_tables.cc
+++ b/src/gateway/gateway_process_tables.cc
@@ -130,6 +130,7 @@
     state_.parts.OnEngineLost(change.id);
     state_.loading.erase(change.id);
     state_.limits.Forget(change.id);
+    state_.pauses.Forget(change.id);
   }
 }
 
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -33,6 +33,7 @@
 #include "yuccapick/upstream_health.h"
 #include "yuccapick/upstream_limits.h"
 #include "yuccapick/upstream_load.h"
+#include "yuccapick/upstream_pauses.h"
 #include "yuccapick/upstream_roster.h"
 
 namespace yuccapick {
@@ -84,8 +85,10 @@
   UpstreamLimits limits;
   /// Called when `limits` may have something to tell peers.
   std::function<void()> on_limit_changed = [] {};
-  /// Requests refused since all upstreams were at the limits that they name.
-  std::uint64_t requests_over_limits = 0;
+  UpstreamPauses pauses;
+  /// Requests refused since all upstreams were at the limits that they name, or
+  /// had asked for a pause.
+  std::uint64_t requests_held_back = 0;
   StoreTimes store_times;
   StoreContact store_contact;
   TargetWeightsHistory target_weights;
--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -70,17 +70,20 @@
   PlacementCandidate CandidateFor(const UpstreamEntry& upstream) const;
   /// True if the upstream's weights are, or are soon, too old for requests.
   bool IsOverdue(const UpstreamEntry& upstream) const;
-  /// True if the limit that the upstream names keeps this gateway from sending
-  /// it a request now.
-  bool IsAtLimit(const UpstreamEntry& upstream) const;
-  bool AnyAtLimit() const;
-  /// Sum of the limits of the service's upstreams that are at theirs, in
-  /// requests a second.
-  double RateAtLimit() const;
+  /// Time until the upstream's limit lets this gateway send it a request.
+  std::chrono::milliseconds WaitForLimit(const UpstreamEntry& upstream) const;
+  /// Time until the pause ends that the upstream has asked for.
+  std::chrono::milliseconds WaitForPause(const UpstreamEntry& upstream) const;
+  std::chrono::milliseconds WaitFor(const UpstreamEntry& upstream) const;
+  /// Time until an upstream that is held back may get a request; nullopt if
+  /// none is.
+  std::optional<std::chrono::milliseconds> TimeUntilRoom() const;
   /// Ends the request if no upstream may get it.
   void OnNoUpstream(TimePoint now);
   /// Learns whether the upstream names a limit.
   void RecordLimit(const AnswerInfo& info);
+  /// Learns whether the upstream asks for a pause.
+  void RecordPause(const AnswerInfo& info);
   bool HasUntriedUpstream() const;
   void TrySend();
   void Send(const DirectPlacementDecision& choice,
@@ -147,7 +150,7 @@
   PlacementQuery query_;
   std::vector<PartId> shared_parts_;
   /// No attempt may be made before this time has passed: a part of the prompt
-  /// is blocked, or the upstreams are at the limits that they name.
+  /// is blocked, or the upstreams take no more requests.
   std::optional<std::chrono::milliseconds> retry_after_;
 
   std::optional<Attempt> attempt_;
--- a/src/gateway/proxied_request_answers.cc
+++ b/src/gateway/proxied_request_answers.cc
@@ -30,6 +30,7 @@
     return HeadDecision::kSkip;
   }
   RecordLimit(info);
+  RecordPause(info);
   const bool success =
       head.status >= kHttpOk && head.status < kHttpFirstRedirect;
   if (success && (!info.authenticated || info.content_encoded ||
@@ -70,6 +71,25 @@
   state_.on_limit_changed();
 }
 
+void ProxiedRequest::RecordPause(const AnswerInfo& info) {
+  const UpstreamEntry& upstream = attempt_->upstream;
+  if (info.pause_unreadable) {
+    state_.log.Write(LogKind::kFailure, state_.Now(),
+                     "event=pause_ignored id={} upstream={} reason=\"not a "
+                     "number of seconds\"",
+                     admitted_.caller.attempt_id, upstream.id.value);
+  }
+  if (!info.pause) return;
+  const double draw = absl::Uniform(state_.random, 0.0, 1.0);
+  const milliseconds length = state_.pauses.OnAsked(
+      upstream.id, upstream.incarnation, *info.pause, draw, state_.Now());
+  state_.log.Write(LogKind::kStateChange, state_.Now(),
+                   "event=upstream_paused id={} upstream={} asked_ms={} "
+                   "pause_ms={}",
+                   admitted_.caller.attempt_id, upstream.id.value,
+                   info.pause->count(), length.count());
+}
+
 void ProxiedRequest::OnAnswerBody(std::string_view bytes) {
   if (!attempt_ || !attempt_->head) return;
   const TimePoint now = state_.Now();
--- a/src/gateway/proxied_request_fleet.cc
+++ b/src/gateway/proxied_request_fleet.cc
@@ -8,9 +8,9 @@
 
 using std::chrono::milliseconds;
 
-/// Shortest delay after which a caller should retry if all upstreams are at
-/// their limits.
-constexpr milliseconds kMinLimitRetryAfter{150};
+/// Shortest delay after which a caller should retry if no upstream takes a
+/// request now.
+constexpr milliseconds kMinRetryAfter{150};
 
 }  // namespace
 
@@ -51,7 +51,7 @@
   candidate.upstream = &upstream;
   candidate.loading = state_.loading.contains(upstream.id);
   candidate.limited = state_.limits.LimitOf(upstream.id).has_value();
-  candidate.at_limit = candidate.limited && IsAtLimit(upstream);
+  candidate.held_back = WaitFor(upstream) > milliseconds(0);
   const std::optional<WeightVersionNumber> weights = WeightsAt(upstream);
   if (!weights) return candidate;
   candidate.cache_scope =
@@ -88,14 +88,14 @@
   }
   const bool any_usable =
       std::any_of(fleet.candidates.begin(), fleet.candidates.end(),
-                  [](const PlacementCandidate& it) { return !it.at_limit; });
+                  [](const PlacementCandidate& it) { return !it.held_back; });
   if (!any_usable) fleet.candidates = std::move(overdue);
   return fleet;
 }
 
 bool ProxiedRequest::HasUntriedUpstream() const {
   for (const PlacementCandidate& candidate : Fleet().candidates) {
-    if (candidate.at_limit) continue;
+    if (candidate.held_back) continue;
     const auto& tried = query_.tried;
     if (std::find(tried.begin(), tried.end(), candidate.upstream->id) ==
         tried.end()) {
@@ -105,44 +105,53 @@
   return false;
 }
 
-bool ProxiedRequest::IsAtLimit(const UpstreamEntry& upstream) const {
+milliseconds ProxiedRequest::WaitForLimit(const UpstreamEntry& upstream) const {
   const std::optional<StoreTime> now = state_.StoreNow();
-  if (!now) return false;
-  return state_.limits.WaitFor(upstream.id, upstream.incarnation, *now) >
-         milliseconds(0);
+  if (!now) return milliseconds(0);
+  return state_.limits.WaitFor(upstream.id, upstream.incarnation, *now);
 }
 
-double ProxiedRequest::RateAtLimit() const {
-  double rate = 0;
-  for (const UpstreamEntry* upstream : state_.roster.Usable(service_)) {
-    if (!IsAtLimit(*upstream)) continue;
-    rate += state_.limits.LimitOf(upstream->id).value_or(0);
-  }
-  return rate;
+milliseconds ProxiedRequest::WaitForPause(const UpstreamEntry& upstream) const {
+  return state_.pauses.WaitFor(upstream.id, upstream.incarnation, state_.Now());
 }
 
-bool ProxiedRequest::AnyAtLimit() const {
-  const auto usable = state_.roster.Usable(service_);
-  return std::any_of(usable.begin(), usable.end(),
-                     [this](const auto* it) { return IsAtLimit(*it); });
+milliseconds ProxiedRequest::WaitFor(const UpstreamEntry& upstream) const {
+  return std::max(WaitForLimit(upstream), WaitForPause(upstream));
 }
 
-void ProxiedRequest::OnNoUpstream(TimePoint now) {
-  if (!AnyAtLimit()) {
-    return OnEnd(AttemptEnd::kNotSent, "no usable upstream");
+std::optional<milliseconds> ProxiedRequest::TimeUntilRoom() const {
+  std::optional<milliseconds> shortest_pause;
+  double rate = 0;
+  bool limited = false;
+  for (const UpstreamEntry* upstream : state_.roster.Usable(service_)) {
+    const milliseconds pause = WaitForPause(*upstream);
+    if (pause > milliseconds(0)) {
+      shortest_pause = std::min(pause, shortest_pause.value_or(pause));
+    } else if (WaitForLimit(*upstream) > milliseconds(0)) {
+      limited = true;
+      rate += state_.limits.LimitOf(upstream->id).value_or(0);
+    }
   }
+  if (!limited) return shortest_pause;
   // All gateways together get one request through in this time.
   const std::chrono::duration<double> interval(
-      1.0 / std::max(RateAtLimit(), state_.limits.lowest_rate()));
-  retry_after_ =
-      std::max(kMinLimitRetryAfter, std::chrono::ceil<milliseconds>(interval));
-  ++state_.requests_over_limits;
+      1.0 / std::max(rate, state_.limits.lowest_rate()));
+  const auto room = std::chrono::ceil<milliseconds>(interval);
+  return std::min(room, shortest_pause.value_or(room));
+}
+
+void ProxiedRequest::OnNoUpstream(TimePoint now) {
+  const std::optional<milliseconds> room = TimeUntilRoom();
+  if (!room) return OnEnd(AttemptEnd::kNotSent, "no usable upstream");
+  retry_after_ = std::max(kMinRetryAfter, *room);
+  ++state_.requests_held_back;
   state_.log.Write(LogKind::kFailure, now,
-                   "event=over_limits id={} route={} service={} "
-                   "limit={:.2f} retry_after_ms={}",
+                   "event=held_back id={} route={} service={} limited={} "
+                   "paused={} retry_after_ms={}",
                    admitted_.caller.attempt_id, admitted_.route->name,
-                   service_.value, RateAtLimit(), retry_after_->count());
-  OnEnd(AttemptEnd::kNotSent, "upstreams are at the limits that they name");
+                   service_.value, state_.limits.limited_count(),
+                   state_.pauses.size(), retry_after_->count());
+  OnEnd(AttemptEnd::kNotSent, "upstreams take no more requests for now");
 }
 
 }  // namespace yuccapick
--- a/src/gateway/upstream_messages.h
+++ b/src/gateway/upstream_messages.h
@@ -61,6 +61,11 @@
   std::optional<double> requests_per_second;
   /// It names such a limit, but the value is malformed or negative.
   bool limit_unreadable = false;
+  /// Set if the upstream rejected the request and wants none from this gateway
+  /// for so long.
+  std::optional<std::chrono::milliseconds> pause;
+  /// It asks for a pause, but the value is malformed or negative.
+  bool pause_unreadable = false;
 };
 
 /// Order to an upstream to load weights.
--- a/src/request_explanation.cc
+++ b/src/request_explanation.cc
@@ -73,11 +73,11 @@
           "ms",
           line.Field("part"), line.Field("retry_after_ms"));
     }
-    if (line.Field("event") == "over_limits") {
+    if (line.Field("event") == "held_back") {
       return fmt::format(
-          "the upstreams of {} are at the limits that they name, together {} "
-          "requests a second",
-          line.Field("service"), line.Field("limit"));
+          "the upstreams of {} took no more requests: of all upstreams {} "
+          "named limits and {} had asked for a pause",
+          line.Field("service"), line.Field("limited"), line.Field("paused"));
     }
     if (line.Field("event") != "attempt_ended") continue;
     cause = fmt::format("attempt {} at {} ended as {} ({})",
--- a/test/direct_placement_test.cc
+++ b/test/direct_placement_test.cc
@@ -153,14 +153,15 @@
   CHECK_FALSE(fleet.Choose(tried).has_value());
 }
 
-TEST_CASE("An engine at its limit gets no request but serves as a source") {
+TEST_CASE(
+    "An engine that is held back gets no request but serves as a source") {
   Fleet fleet(2);
   PartDirectory& directory = fleet.directory;
   directory.OnUsed(SharedChain("v1", Query("x").parts), fleet.entries[0].id,
                    kStart);
   REQUIRE(fleet.Choose(Query("x"))->upstream == fleet.entries[0].id);
   fleet.fleet.candidates[0].limited = true;
-  fleet.fleet.candidates[0].at_limit = true;
+  fleet.fleet.candidates[0].held_back = true;
   const auto choice = fleet.Choose(Query("x"));
   REQUIRE(choice.has_value());
   CHECK(choice->upstream == fleet.entries[1].id);
--- a/test/platform/header_fields_test.cc
+++ b/test/platform/header_fields_test.cc
@@ -144,6 +144,22 @@
   }
 }
 
+TEST_CASE("A rejection may ask for a pause in seconds") {
+  HttpHead head;
+  head.status = 503;
+  CHECK_FALSE(platform::DecodeAnswer(head).pause);
+  head.fields = {{"Retry-After", "3"}};
+  CHECK(platform::DecodeAnswer(head).pause == std::chrono::milliseconds(3'000));
+  head.fields = {{"Retry-After", "1e300"}};
+  CHECK(platform::DecodeAnswer(head).pause == std::chrono::hours(24));
+  head.fields = {{"Retry-After", "-1"}};
+  CHECK_FALSE(platform::DecodeAnswer(head).pause);
+  CHECK(platform::DecodeAnswer(head).pause_unreadable);
+  head.status = 200;
+  head.fields = {{"Retry-After", "3"}};
+  CHECK_FALSE(platform::DecodeAnswer(head).pause);
+}
+
 TEST_CASE("An answer's hop-by-hop fields are not forwarded to the caller") {
   HttpHead head;
   head.fields = {{"X-Server-Seal", "3e1b"},
--- a/test/request_explanation_test.cc
+++ b/test/request_explanation_test.cc
@@ -88,16 +88,17 @@
         "00ff of its prompt, which is blocked for 9000 ms.");
 }
 
-TEST_CASE("A refused request's explanation names the upstreams' limits") {
+TEST_CASE("A refused request's explanation names limits and pauses") {
   const auto lines =
-      Parse({"time=3 event=over_limits id=4 service=app limit=4.50",
+      Parse({"time=3 event=held_back id=4 service=app limited=3 paused=1",
              "time=3 event=attempt_ended id=4 attempt=0 upstream=- "
-             "end=not_sent reason=\"limits\" step=refuse",
+             "end=not_sent reason=\"no more\" step=refuse",
              "time=3 event=request_done id=4 outcome=refused status=503 "
-             "total_ms=1 reason=\"limits\""});
+             "total_ms=1 reason=\"no more\""});
   CHECK(ExplainRequest(lines, "4").summary ==
-        "Ended as refused with status 503 after 1 ms: the upstreams of app are "
-        "at the limits that they name, together 4.50 requests a second.");
+        "Ended as refused with status 503 after 1 ms: the upstreams of app "
+        "took no more requests: of all upstreams 3 named limits and 1 had "
+        "asked for a pause.");
 }
 
 TEST_CASE("A request rejected under overload is explained by the slow route") {
