Send nothing new to an upstream whose answers say that it leaves

The mark in the answers was not read: an upstream that says it leaves, but whose row still says ready (or never says otherwise), got requests until its row went. It is drained now as if its row said so, for its incarnation: also if the list loses the row and brings it back, and if the mark is seen before the row. Peers learn it with the next report.

--- a/include/yuccapick/peer_report.h
+++ b/include/yuccapick/peer_report.h
@@ -58,6 +58,8 @@
   /// store's link since its previous report.
   std::uint64_t kv_store_tokens = 0;
   LeaseWrite rollout_lease;  ///< If it holds the rollout lease.
+  /// Upstreams that said that they leave, new since the previous report.
+  std::vector<UpstreamRun> leaving_upstreams;
   /// Of the upstreams whose limits the sender coordinates.
   std::vector<NamedLimit> limits;
 };
--- a/include/yuccapick/upstream_roster.h
+++ b/include/yuccapick/upstream_roster.h
@@ -34,6 +34,14 @@
   bool operator==(const UpstreamEntry&) const = default;
 };
 
+/// An incarnation of an upstream.
+struct UpstreamRun {
+  UpstreamId id;
+  Incarnation incarnation;
+
+  bool operator==(const UpstreamRun&) const = default;
+};
+
 /// What changed for one upstream.
 struct RosterChange {
   enum class Kind : std::uint8_t {
@@ -57,6 +65,8 @@
   /// Entries do not expire in outages shorter than this, so that a removal
   /// after one is final.
   std::chrono::milliseconds min_outage{600};
+  /// Upstreams whose leaving was seen in their answers and is remembered.
+  std::size_t max_leaving_runs = 4'096;
 };
 
 /// Keeps the listed upstreams. An upstream that is marked as leaving stays so
@@ -69,7 +79,7 @@
 
   /// An entry was added to the list or changed.
   /// @return nothing if nothing changed
-  std::optional<RosterChange> OnEntry(const UpstreamEntry& entry,
+  std::optional<RosterChange> OnEntry(const UpstreamEntry& listed,
                                       TimePoint now);
   /// An entry was removed from the list or expired. In an outage of the list of
   /// at least `min_outage`, and for `reregistration_window` after it, the
@@ -80,6 +90,10 @@
   /// @return true if they are newer than the known ones and replaced them
   bool OnWeightsSeen(const UpstreamId& id, const ModelId& model,
                      WeightVersionNumber weights);
+  /// An answer of the upstream says that it leaves. Its entry may follow later,
+  /// or never.
+  /// @return nothing if that is known
+  std::optional<RosterChange> OnLeavingSeen(const UpstreamRun& run);
   /// The list stopped answering.
   void OnListUnavailable(TimePoint now);
   /// The list answers again.
@@ -107,6 +121,9 @@
 
   RosterOptions options_;
   std::map<UpstreamId, Member> members_;
+  /// Newest incarnation that was seen leaving. Kept when the entry goes, since
+  /// the list may bring it back.
+  std::map<UpstreamId, Incarnation> leaving_runs_;
   std::optional<TimePoint> outage_since_;
   std::optional<TimePoint> reregistration_until_;
 };
--- a/src/gateway/gateway_process_peers.cc
+++ b/src/gateway/gateway_process_peers.cc
@@ -37,6 +37,11 @@
   if (!peers_.OnReport(report, now)) return;
   state_.load.OnPeerReport(report.instance, report.work, now);
   limit_sync_->OnLimits(report.limits);
+  for (const UpstreamRun& run : report.leaving_upstreams) {
+    if (const auto change = state_.roster.OnLeavingSeen(run)) {
+      ApplyRosterChange(*change);
+    }
+  }
   if (report.holds_rollout_lease) rollout_->OnPeerLease(report.rollout_lease);
   state_.parts.OnExported(report.exported, now);
   state_.kv_store_link.OnTransfer(report.kv_store_tokens, now);
@@ -167,6 +172,7 @@
   report.work = state_.load.OwnReports();
   const std::set<UpstreamId> loading = rollout_->Loading();
   report.loading.assign(loading.begin(), loading.end());
+  report.leaving_upstreams = std::exchange(state_.unreported_leaving, {});
   report.weights = std::exchange(state_.unreported_weights, {});
   report.parts = std::exchange(state_.unreported_part_updates, {});
   report.kv_store_tokens = std::exchange(state_.unreported_kv_store_tokens, 0);
--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -55,6 +55,14 @@
   }
 }
 
+void GatewayState::RecordLeaving(const UpstreamRun& run) {
+  if (!roster.OnLeavingSeen(run)) return;
+  unreported_leaving.push_back(run);
+  log.Write(LogKind::kStateChange, Now(),
+            "event=upstream_changed upstream={} change={} source=answer",
+            run.id.value, RosterChangeName(RosterChange::Kind::kLeaving));
+}
+
 void GatewayState::LogLimit(const UpstreamId& upstream,
                             std::optional<double> per_second,
                             std::string_view source) {
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -54,6 +54,9 @@
   /// @param source `answer` or `peer`
   void LogLimit(const UpstreamId& upstream, std::optional<double> per_second,
                 std::string_view source);
+  /// An answer says that the upstream leaves. Peers learn it with the next
+  /// report.
+  void RecordLeaving(const UpstreamRun& run);
   TimePoint Now() const { return std::chrono::steady_clock::now(); }
   /// @return nullopt before the store's time is known
   std::optional<StoreTime> StoreNow() const;
@@ -107,6 +110,8 @@
   std::vector<PartUpdate> unreported_part_updates;
   /// Live peers, among which limited tasks are distributed.
   std::vector<InstanceId> live_peers;
+  /// Upstreams that said that they leave, not yet reported to peers.
+  std::vector<UpstreamRun> unreported_leaving;
   /// Weights observed at upstreams and not yet reported to peers.
   std::vector<ObservedWeights> unreported_weights;
 
--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -52,7 +52,7 @@
           v.config, v.operator_rows, v.upstream_rows, v.holds_rollout_lease,
           v.leaving, v.kv_store_lost, v.work, v.loading, v.weights, v.exported,
           v.parts, v.kv_store_tokens, v.rollout_lease.fence,
-          v.rollout_lease.write, v.limits);
+          v.rollout_lease.write, v.limits, v.leaving_upstreams);
     }
   };
   struct MirrorRowFields {
@@ -99,6 +99,11 @@
       return msgpack::type::make_define_array(v.crashes, v.survivals);
     }
   };
+  struct UpstreamRunFields {
+    auto operator()(yuccapick::UpstreamRun& v) const {
+      return msgpack::type::make_define_array(v.id, v.incarnation);
+    }
+  };
   struct NamedLimitFields {
     auto operator()(yuccapick::NamedLimit& v) const {
       return msgpack::type::make_define_array(v.upstream, v.incarnation,
@@ -137,6 +142,12 @@
   struct pack<yuccapick::ObservedWeights>
       : PackAsArray<yuccapick::ObservedWeights, ObservedWeightsFields> {};
   template <>
+  struct convert<yuccapick::UpstreamRun>
+      : PackAsArray<yuccapick::UpstreamRun, UpstreamRunFields> {};
+  template <>
+  struct pack<yuccapick::UpstreamRun>
+      : PackAsArray<yuccapick::UpstreamRun, UpstreamRunFields> {};
+  template <>
   struct convert<yuccapick::PeerReport>
       : PackAsArray<yuccapick::PeerReport, PeerReportFields> {};
   template <>
--- a/src/gateway/proxied_request_answers.cc
+++ b/src/gateway/proxied_request_answers.cc
@@ -31,6 +31,10 @@
   }
   RecordLimit(info);
   RecordPause(info);
+  const UpstreamEntry& upstream = attempt_->upstream;
+  if (info.leaving && !info.wrong_upstream) {
+    state_.RecordLeaving({upstream.id, upstream.incarnation});
+  }
   const bool success =
       head.status >= kHttpOk && head.status < kHttpFirstRedirect;
   if (success && (!info.authenticated || info.content_encoded ||
--- a/src/gateway/upstream_messages.h
+++ b/src/gateway/upstream_messages.h
@@ -66,6 +66,7 @@
   std::optional<std::chrono::milliseconds> pause;
   /// It asks for a pause, but the value is malformed or negative.
   bool pause_unreadable = false;
+  bool leaving = false;  ///< The upstream says that it is about to stop.
 };
 
 /// Order to an upstream to load weights.
--- a/src/upstream_roster.cc
+++ b/src/upstream_roster.cc
@@ -30,8 +30,33 @@
   return reregistration_until_ && now < *reregistration_until_;
 }
 
-std::optional<RosterChange> UpstreamRoster::OnEntry(const UpstreamEntry& entry,
+std::optional<RosterChange> UpstreamRoster::OnLeavingSeen(
+    const UpstreamRun& run) {
+  const auto seen = leaving_runs_.find(run.id);
+  if (seen != leaving_runs_.end() && seen->second >= run.incarnation) {
+    return std::nullopt;
+  }
+  if (leaving_runs_.size() >= options_.max_leaving_runs) {
+    leaving_runs_.erase(leaving_runs_.begin());
+  }
+  leaving_runs_[run.id] = run.incarnation;
+  const auto it = members_.find(run.id);
+  if (it == members_.end()) return std::nullopt;
+  UpstreamEntry& entry = it->second.entry;
+  if (entry.incarnation != run.incarnation || entry.leaving) {
+    return std::nullopt;
+  }
+  entry.leaving = true;
+  return RosterChange{Kind::kLeaving, run.id};
+}
+
+std::optional<RosterChange> UpstreamRoster::OnEntry(const UpstreamEntry& listed,
                                                     TimePoint /*now*/) {
+  UpstreamEntry entry = listed;
+  const auto seen = leaving_runs_.find(entry.id);
+  if (seen != leaving_runs_.end() && seen->second == entry.incarnation) {
+    entry.leaving = true;
+  }
   const auto it = members_.find(entry.id);
   if (it == members_.end()) {
     members_.emplace(entry.id, Member{entry, std::nullopt});
@@ -49,9 +74,9 @@
   // Within one incarnation weight versions only rise, but the entry may lag
   // behind what the upstream reported itself.
   for (const auto& [model, weights] : before.weights) {
-    const auto listed = member.entry.weights.find(model);
-    if (listed == member.entry.weights.end()) continue;
-    listed->second = std::max(listed->second, weights);
+    const auto held = member.entry.weights.find(model);
+    if (held == member.entry.weights.end()) continue;
+    held->second = std::max(held->second, weights);
   }
   if (member.entry.leaving && !before.leaving) {
     return RosterChange{Kind::kLeaving, entry.id};
--- a/test/peer_report_test.cc
+++ b/test/peer_report_test.cc
@@ -121,6 +121,7 @@
   report.exported = {{77, 120}};
   report.parts = {{UpstreamId("a"), 99, 640}};
   report.kv_store_tokens = 9'200;
+  report.leaving_upstreams = {{UpstreamId("b"), Incarnation(7)}};
   report.limits = {
       {UpstreamId("a"), Incarnation(1), 1.5, StoreTime(milliseconds(3))}};
   const auto decoded = DecodePeerReport(EncodePeerReport(report));
@@ -132,6 +133,7 @@
   CHECK(decoded->parts[0].tokens == 640);
   CHECK(decoded->kv_store_tokens == 9'200);
   CHECK(decoded->limits == report.limits);
+  CHECK(decoded->leaving_upstreams == report.leaving_upstreams);
 
   const StoreTime now(milliseconds(5'000));
   const PeerTables tables{{{{"k", "v", 3, false}}, 9},
--- a/test/platform/header_fields_test.cc
+++ b/test/platform/header_fields_test.cc
@@ -144,6 +144,16 @@
   }
 }
 
+TEST_CASE("An answer may say that its upstream leaves") {
+  HttpHead head;
+  head.status = 200;
+  CHECK_FALSE(platform::DecodeAnswer(head).leaving);
+  head.fields = {{"Server-Leaving", "1"}};
+  CHECK(platform::DecodeAnswer(head).leaving);
+  head.fields = {{"Server-Leaving", "0"}};
+  CHECK_FALSE(platform::DecodeAnswer(head).leaving);
+}
+
 TEST_CASE("A rejection may ask for a pause in seconds") {
   HttpHead head;
   head.status = 503;
--- a/test/upstream_roster_test.cc
+++ b/test/upstream_roster_test.cc
@@ -37,6 +37,43 @@
   CHECK(roster.Usable(kService).size() == 1);
 }
 
+TEST_CASE("An upstream that says that it leaves gets no new work") {
+  UpstreamRoster roster;
+  const UpstreamEntry entry = Entry("a");
+  const UpstreamRun run{entry.id, entry.incarnation};
+  roster.OnEntry(entry, kStart);
+  CHECK(roster.OnLeavingSeen(run)->kind == Kind::kLeaving);
+  CHECK_FALSE(roster.OnLeavingSeen(run));
+  CHECK(roster.Usable(kService).empty());
+  // The list still says that it is ready.
+  roster.OnEntry(entry, kStart);
+  CHECK(roster.Usable(kService).empty());
+  // The list loses the entry and brings it back.
+  roster.OnRemoved(entry.id, kStart);
+  roster.OnEntry(entry, kStart);
+  CHECK(roster.Usable(kService).empty());
+}
+
+TEST_CASE("A restarted upstream does not leave with its earlier incarnation") {
+  UpstreamRoster roster;
+  UpstreamEntry entry = Entry("a");
+  entry.incarnation = Incarnation(6);
+  roster.OnEntry(entry, kStart);
+  CHECK_FALSE(roster.OnLeavingSeen({entry.id, Incarnation(5)}));
+  CHECK(roster.Usable(kService).size() == 1);
+}
+
+TEST_CASE("The leaving of an upstream that is not listed yet is remembered") {
+  RosterOptions options;
+  options.max_leaving_runs = 2;
+  UpstreamRoster roster(options);
+  const UpstreamEntry entry = Entry("z");
+  for (const char* id : {"a", "b", "z"}) {
+    CHECK_FALSE(roster.OnLeavingSeen({UpstreamId(id), entry.incarnation}));
+  }
+  CHECK(roster.OnEntry(entry, kStart)->kind == Kind::kLeaving);
+}
+
 TEST_CASE("A removed entry stops new work at once while the list answers") {
   UpstreamRoster roster;
   roster.OnEntry(Entry("a"), kStart);
