Collect messages to peers for a short time in one place

The stream origins, the reports on parts and the limits each had a timer and a flag of their own for that; all use DelayedCall now. The clock is read only for upstreams that name a limit, or while a pause lasts, instead of twice for each upstream of each choice.

--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -20,6 +20,8 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kTickInterval{100};
+/// Streams that begin within this time are reported together.
+constexpr milliseconds kStreamOriginsDelay{20};
 /// A tick that is later than this is logged as a pause of the process.
 constexpr milliseconds kMinPause{600};
 constexpr std::uint64_t kTicksBetweenSweeps = 10;
@@ -94,19 +96,20 @@
           *this),
       quarantine_sync_(std::make_shared<QuarantineSync>(state_, table_calls_,
                                                         exchange_, peers_)),
-      limit_sync_(std::make_shared<LimitSync>(state_, exchange_, peers_)),
+      limit_sync_(std::make_unique<LimitSync>(state_, exchange_, peers_)),
       rollout_(std::make_shared<RolloutController>(state_, table_calls_,
                                                    incarnation)),
       target_set_times_(std::make_shared<TargetSetTimes>(state_, table_calls_)),
       cache_watch_(state_, table_calls_),
-      stream_origins_timer_(loop),
+      send_stream_origins_(loop, kStreamOriginsDelay,
+                           [this] { SendStreamOrigins(); }),
       pause_detector_(kMinPause),
       tick_timer_(loop) {
   TableWatchHandler& watch_handler = *this;
   IngressHandler& ingress_handler = *this;
   TableWatchOptions options;
   options.endpoint = state_.settings.table_endpoint;
-  state_.on_stream_began = [this] { ScheduleStreamOrigins(); };
+  state_.on_stream_began = [this] { send_stream_origins_.Schedule(); };
   state_.on_limit_changed = [this] { limit_sync_->Schedule(); };
   state_.on_part_observed = [this] { quarantine_sync_->Schedule(); };
   options.table = platform::kOperator;
--- a/src/gateway/gateway_process.h
+++ b/src/gateway/gateway_process.h
@@ -15,6 +15,7 @@
 #include "absl/status/status.h"
 #include "gateway/cache_watch.h"
 #include "gateway/call_client.h"
+#include "gateway/delayed_call.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/gateway_state.h"
 #include "gateway/ingress_session.h"
@@ -77,8 +78,7 @@
   void FetchPeerList();
   PeerReport MakeReport();
   void ExchangeWithPeers(TimePoint now);
-  /// Tells peers of the streams that began lately, shortly after the first.
-  void ScheduleStreamOrigins();
+  /// Tells peers of the streams that began lately.
   void SendStreamOrigins();
   /// Tells again what was sent since the previous tick: datagrams may be lost.
   void RepeatStreamOrigins(TimePoint now);
@@ -104,13 +104,12 @@
   PeerRegistry peers_;
   PeerExchange exchange_;
   std::shared_ptr<QuarantineSync> quarantine_sync_;
-  std::shared_ptr<LimitSync> limit_sync_;
+  std::unique_ptr<LimitSync> limit_sync_;
   std::shared_ptr<RolloutController> rollout_;
   std::shared_ptr<TargetSetTimes> target_set_times_;
   CacheWatch cache_watch_;
   std::uint64_t reports_sent_ = 0;
-  asio::steady_timer stream_origins_timer_;
-  bool stream_origins_scheduled_ = false;
+  DelayedCall send_stream_origins_;
   std::vector<StreamOriginReport> repeated_origins_;
   TimePoint next_report_;
   std::set<UpstreamId> reported_loading_;
--- a/src/gateway/gateway_process_peers.cc
+++ b/src/gateway/gateway_process_peers.cc
@@ -22,8 +22,6 @@
 constexpr milliseconds kPeerTableFetchDelay{250};
 /// Limits the streams in one datagram.
 constexpr std::size_t kMaxStreamsPerDatagram = 256;
-/// Streams that begin within this time are reported together.
-constexpr milliseconds kStreamOriginsDelay{20};
 constexpr char kGatewayTable[] = "yuccapick-gateways";
 /// Limits the exported parts in one report, so that it fits a datagram together
 /// with the work reports.
@@ -65,17 +63,6 @@
   }
 }
 
-void GatewayProcess::ScheduleStreamOrigins() {
-  if (stream_origins_scheduled_) return;
-  stream_origins_scheduled_ = true;
-  stream_origins_timer_.expires_after(kStreamOriginsDelay);
-  stream_origins_timer_.async_wait([this](const asio::error_code& ec) {
-    if (ec) return;
-    stream_origins_scheduled_ = false;
-    SendStreamOrigins();
-  });
-}
-
 void GatewayProcess::SendStreamOrigins() {
   const TimePoint now = state_.Now();
   std::vector<StreamOriginReport> origins =
--- a/src/gateway/limit_sync.cc
+++ b/src/gateway/limit_sync.cc
@@ -11,17 +11,12 @@
 
 }  // namespace
 
-void LimitSync::Schedule() {
-  if (scheduled_) return;
-  scheduled_ = true;
-  send_timer_.expires_after(kSendDelay);
-  send_timer_.async_wait([weak = weak_from_this()](const asio::error_code& ec) {
-    const auto self = weak.lock();
-    if (ec || self == nullptr) return;
-    self->scheduled_ = false;
-    self->Send(self->state_.Now());
-  });
-}
+LimitSync::LimitSync(GatewayState& state, PeerExchange& exchange,
+                     const PeerRegistry& peers)
+    : state_(state),
+      exchange_(exchange),
+      peers_(peers),
+      send_(state.loop, kSendDelay, [this] { Send(state_.Now()); }) {}
 
 void LimitSync::OnTick(TimePoint now) {
   state_.limits.SetPeers(state_.live_peers);
--- a/src/gateway/limit_sync.h
+++ b/src/gateway/limit_sync.h
@@ -4,30 +4,25 @@
 /// @file
 /// Exchanges the limits that upstreams name with other gateways.
 
-#include <asio.hpp>
-#include <memory>
 #include <string_view>
 #include <vector>
 
+#include "gateway/delayed_call.h"
 #include "gateway/gateway_state.h"
 #include "gateway/peer_exchange.h"
 
 namespace yuccapick {
 
 /// Carries the messages of `GatewayState::limits`. Used on one event loop.
-class LimitSync : public std::enable_shared_from_this<LimitSync> {
+class LimitSync {
  public:
   /// @param peers must outlive this object, like the other arguments
   LimitSync(GatewayState& state, PeerExchange& exchange,
-            const PeerRegistry& peers)
-      : state_(state),
-        exchange_(exchange),
-        peers_(peers),
-        send_timer_(state.loop) {}
+            const PeerRegistry& peers);
 
-  void Stop() { send_timer_.cancel(); }
+  void Stop() { send_.Cancel(); }
   /// Sends what there is to tell, shortly after the first call.
-  void Schedule();
+  void Schedule() { send_.Schedule(); }
   void OnTick(TimePoint now);
   void OnLimits(const std::vector<NamedLimit>& limits);
 
@@ -38,8 +33,7 @@
   GatewayState& state_;
   PeerExchange& exchange_;
   const PeerRegistry& peers_;
-  asio::steady_timer send_timer_;
-  bool scheduled_ = false;
+  DelayedCall send_;
   // Sent a second time, since datagrams may be lost.
   std::vector<AddressedLimits> repeated_reports_;
   std::vector<NamedLimit> repeated_broadcast_;
--- a/src/gateway/proxied_request_fleet.cc
+++ b/src/gateway/proxied_request_fleet.cc
@@ -106,12 +106,14 @@
 }
 
 milliseconds ProxiedRequest::WaitForLimit(const UpstreamEntry& upstream) const {
+  if (!state_.limits.LimitOf(upstream.id)) return milliseconds(0);
   const std::optional<StoreTime> now = state_.StoreNow();
   if (!now) return milliseconds(0);
   return state_.limits.WaitFor(upstream.id, upstream.incarnation, *now);
 }
 
 milliseconds ProxiedRequest::WaitForPause(const UpstreamEntry& upstream) const {
+  if (state_.pauses.size() == 0) return milliseconds(0);
   return state_.pauses.WaitFor(upstream.id, upstream.incarnation, state_.Now());
 }
 
--- a/src/gateway/quarantine_sync.cc
+++ b/src/gateway/quarantine_sync.cc
@@ -61,7 +61,7 @@
       calls_(calls),
       exchange_(exchange),
       peers_(peers),
-      send_timer_(state.loop) {
+      send_(state.loop, kSendDelay, [this] { Send(state_.Now()); }) {
   TableWatchOptions options;
   options.endpoint = state_.settings.table_endpoint;
   options.table = kTable;
@@ -74,19 +74,7 @@
 
 void QuarantineSync::Stop() {
   watch_->Stop();
-  send_timer_.cancel();
-}
-
-void QuarantineSync::Schedule() {
-  if (scheduled_) return;
-  scheduled_ = true;
-  send_timer_.expires_after(kSendDelay);
-  send_timer_.async_wait([weak = weak_from_this()](const asio::error_code& ec) {
-    const auto self = weak.lock();
-    if (ec || self == nullptr) return;
-    self->scheduled_ = false;
-    self->Send(self->state_.Now());
-  });
+  send_.Cancel();
 }
 
 void QuarantineSync::OnTick(TimePoint now) {
--- a/src/gateway/quarantine_sync.h
+++ b/src/gateway/quarantine_sync.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "gateway/call_client.h"
+#include "gateway/delayed_call.h"
 #include "gateway/gateway_state.h"
 #include "gateway/peer_exchange.h"
 #include "gateway/table_watch.h"
@@ -32,7 +33,7 @@
   void Start();
   void Stop();
   /// Sends what the quarantine has to tell, shortly after the first call.
-  void Schedule();
+  void Schedule() { send_.Schedule(); }
   void OnTick(TimePoint now);
   void OnReport(const PartReport& report);
   void OnDecisions(const std::vector<PartDecision>& decisions);
@@ -66,8 +67,7 @@
   PeerExchange& exchange_;
   const PeerRegistry& peers_;
   std::shared_ptr<TableWatch> watch_;
-  asio::steady_timer send_timer_;
-  bool scheduled_ = false;
+  DelayedCall send_;
   std::vector<AddressedPartReport> repeated_reports_;
   std::vector<RepeatedDecisions> repeated_decisions_;
   std::map<PartId, PartDecision> unsaved_;
