Forget that a limit has ended though answers go on

Each answer without a limit renewed the memory of a limit's end, and told the coordinators every five seconds, as long as the upstream got requests. Found by reading. The new test failed before on both of its checks.

--- a/include/yuccapick/upstream_limits.h
+++ b/include/yuccapick/upstream_limits.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "yuccapick/gateway_ring.h"
--- a/src/gateway/quarantine_sync.cc
+++ b/src/gateway/quarantine_sync.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <iterator>
 #include <optional>
 #include <utility>
 
--- a/src/upstream_limits.cc
+++ b/src/upstream_limits.cc
@@ -58,12 +58,12 @@
                               std::optional<double> per_second,
                               StoreTime sent_at, StoreTime now) {
   const auto it = limits_.find(upstream);
-  const bool known =
-      it != limits_.end() && it->second.named.incarnation == incarnation;
-  if (!per_second) {
-    // An answer to an earlier request may have been on its way already.
-    if (!known || sent_at <= it->second.named.seen_at) return false;
-  }
+  const bool limited = it != limits_.end() &&
+                       it->second.named.incarnation == incarnation &&
+                       it->second.named.per_second.has_value();
+  // An answer to an earlier request may have been on its way already.
+  const bool ends = limited && sent_at > it->second.named.seen_at;
+  if (!per_second && !ends) return false;
   const NamedLimit limit{upstream, incarnation, per_second, now};
   const bool changed = Apply(limit, now);
   const auto record = limits_.find(upstream);
--- a/test/upstream_limits_test.cc
+++ b/test/upstream_limits_test.cc
@@ -273,6 +273,18 @@
   CHECK_FALSE(limits.OnReport({kUpstream, kFirst, 1.0, At(200)}, At(500)));
 }
 
+TEST_CASE("The end of a limit is forgotten while answers go on") {
+  UpstreamLimits limits(GatewayName(0));
+  limits.OnAnswer(kUpstream, kFirst, 1.0, At(0), At(1));
+  REQUIRE(limits.OnAnswer(kUpstream, kFirst, std::nullopt, At(2), At(3)));
+  limits.TakeBroadcast();
+  const milliseconds lifetime = UpstreamLimits::Options().ended_lifetime;
+  limits.OnAnswer(kUpstream, kFirst, std::nullopt, At(4), At(3) + lifetime / 2);
+  CHECK_FALSE(limits.HasNews());
+  limits.OnTick(At(3) + lifetime);
+  CHECK(limits.CoordinatedLimits().empty());
+}
+
 TEST_CASE("Small changes of a limit are not told to the other gateways") {
   UpstreamLimits limits(GatewayName(0));
   REQUIRE(limits.OnAnswer(kUpstream, kFirst, 10.0, At(0), At(1)));
