--- /dev/null
+++ b/test/gateway/fake_store.cc
@@ -0,0 +1,128 @@
+#include "test/gateway/fake_store.h"
+
+#include <fmt/format.h>
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "absl/strings/escaping.h"
+#include "test/gateway/received_request.h"
+
+namespace yuccapick {
+namespace {
+
+using Json = nlohmann::json;
+
+std::string Parameter(const std::string& target, const std::string& name) {
+  const std::size_t at = target.find(name + "=");
+  if (at == std::string::npos) return {};
+  const std::size_t from = at + name.size() + 1;
+  return target.substr(from, target.find_first_of("& ", from) - from);
+}
+
+}  // namespace
+
+FakeStore::FakeStore(asio::io_context& loop)
+    : server_(loop, [this](ScriptedServer::Connection& c) { OnInput(c); }) {}
+
+std::string FakeStore::endpoint() const {
+  return LoopbackEndpoint(server_.port());
+}
+
+void FakeStore::Put(const std::string& table, const std::string& key,
+                    const std::string& value) {
+  tables_[table][key] = {value, ++version_, false};
+  Notify();
+}
+
+bool FakeStore::Has(const std::string& table, const std::string& key) const {
+  const auto it = tables_.find(table);
+  return it != tables_.end() && it->second.contains(key);
+}
+
+void FakeStore::Remove(const std::string& table, const std::string& key) {
+  tables_[table][key] = {"", ++version_, true};
+  Notify();
+}
+
+std::string FakeStore::RowsAfter(const std::string& table, std::uint64_t after,
+                                 bool with_removed) const {
+  Json rows = Json::array();
+  const auto it = tables_.find(table);
+  if (it != tables_.end()) {
+    for (const auto& [key, row] : it->second) {
+      if (row.version <= after || (row.removed && !with_removed)) continue;
+      Json json{{"table", table},
+                {"part", ""},
+                {"key", key},
+                {"value", absl::Base64Escape(row.value)},
+                {"rowVersion", row.version}};
+      if (row.removed) json["tombstone"] = true;
+      rows.push_back(std::move(json));
+    }
+  }
+  if (rows.empty() && with_removed) return {};
+  return Json{{"rows", std::move(rows)},
+              {"rowVersion", version_},
+              {"nowMs", time_.count()}}
+      .dump();
+}
+
+void FakeStore::Reply(ScriptedServer::Connection& connection, int status,
+                      const std::string& body) {
+  connection.Write(fmt::format("HTTP/1.1 {} X\r\nContent-Length: {}\r\n\r\n{}",
+                               status, body.size(), body));
+}
+
+void FakeStore::Notify() {
+  std::vector<Watcher> waiting;
+  for (Watcher& watcher : watchers_) {
+    const std::string rows = RowsAfter(watcher.table, watcher.after, true);
+    if (rows.empty()) {
+      waiting.push_back(std::move(watcher));
+    } else {
+      Reply(*watcher.connection, 200, rows);
+    }
+  }
+  watchers_ = std::move(waiting);
+}
+
+void FakeStore::OnInput(ScriptedServer::Connection& connection) {
+  while (const auto request = TakeRequest(connection.input)) {
+    if (!up_) {
+      Reply(connection, 503, "");
+      continue;
+    }
+    const std::string target = request->path();
+    const std::string table = Parameter(target, "table");
+    if (target.starts_with("/rows-get")) {
+      Reply(connection, 200, RowsAfter(table, 0, false));
+    } else if (target.starts_with("/rows-feed")) {
+      watchers_.push_back({connection.shared_from_this(), table,
+                           std::stoull(Parameter(target, "after"))});
+      Notify();
+    } else if (target == "/rows-tx") {
+      const Json transaction = Json::parse(request->body);
+      for (const Json& row : transaction["remove"]) {
+        Remove(row["table"], row["key"]);
+      }
+      if (transaction["put"].empty()) {
+        Reply(connection, 200, Json{{"rowVersion", version_}}.dump());
+        continue;
+      }
+      const Json put = transaction["put"][0];
+      if (refused_[put["table"]]-- > 0) {
+        Reply(connection, 503, "");
+        continue;
+      }
+      std::string value;
+      absl::Base64Unescape(put["value"].get<std::string>(), &value);
+      Put(put["table"], put["key"], value);
+      Reply(connection, 200, Json{{"rowVersion", version_}}.dump());
+    } else {
+      Reply(connection, 404, "");
+    }
+  }
+}
+
+}  // namespace yuccapick
--- a/test/gateway/gateway_fixture.cc
+++ b/test/gateway/gateway_fixture.cc
@@ -5,7 +5,6 @@
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
-#include "absl/strings/escaping.h"
 #include "platform/names.h"
 #include "test/shell/test_address.h"
 
@@ -16,25 +15,6 @@
 
 constexpr char kGatewayTable[] = "yuccapick-gateways";
 
-std::string LoopbackEndpoint(std::uint16_t port) {
-  return fmt::format("127.0.0.1:{}", port);
-}
-
-/// Removes a complete request from the front of `input`.
-/// @return nullopt if none is complete
-std::optional<ReceivedRequest> TakeRequest(std::string& input) {
-  const std::size_t end = input.find("\r\n\r\n");
-  if (end == std::string::npos) return std::nullopt;
-  ReceivedRequest request;
-  request.head = input.substr(0, end + 4);
-  const std::string length = request.Field("Content-Length");
-  const std::size_t n = length.empty() ? 0 : std::stoul(length);
-  if (input.size() < end + 4 + n) return std::nullopt;
-  request.body = input.substr(end + 4, n);
-  input.erase(0, end + 4 + n);
-  return request;
-}
-
 Json UpstreamRow(const FakeUpstream& upstream, const std::string& service) {
   return Json{{"service", service},
               {"address", upstream.endpoint()},
@@ -54,171 +34,8 @@
   settings.metrics_port = NextTestPort();
 }
 
-std::string Parameter(const std::string& target, const std::string& name) {
-  const std::size_t at = target.find(name + "=");
-  if (at == std::string::npos) return {};
-  const std::size_t from = at + name.size() + 1;
-  return target.substr(from, target.find_first_of("& ", from) - from);
-}
-
 }  // namespace
 
-std::string ReceivedRequest::Field(const std::string& name) const {
-  const std::string start = "\r\n" + name + ": ";
-  const std::size_t at = head.find(start);
-  if (at == std::string::npos) return {};
-  const std::size_t from = at + start.size();
-  return head.substr(from, head.find("\r\n", from) - from);
-}
-
-std::string ReceivedRequest::path() const {
-  const std::size_t from = head.find(' ') + 1;
-  return head.substr(from, head.find(' ', from) - from);
-}
-
-FakeUpstream::FakeUpstream(asio::io_context& loop, std::string id,
-                           Script script)
-    : id_(std::move(id)),
-      script_(std::move(script)),
-      server_(loop, [this](Connection& c) { OnInput(c); }) {}
-
-std::string FakeUpstream::endpoint() const {
-  return LoopbackEndpoint(server_.port());
-}
-
-void FakeUpstream::OnInput(Connection& connection) {
-  while (auto request = TakeRequest(connection.input)) {
-    if (request->path().starts_with("/kv-") || request->path() == "/report") {
-      connection.Write("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
-      continue;
-    }
-    received_.push_back(*request);
-    script_(connection, *request);
-  }
-}
-
-void FakeUpstream::Answer(Connection& connection,
-                          const ReceivedRequest& request, int status,
-                          const std::string& body,
-                          const std::string& more_fields) const {
-  connection.Write(fmt::format(
-      "HTTP/1.1 {} X\r\nX-Attempt-Id: {}\r\nX-Server-Seal: {}-seal\r\n"
-      "{}Content-Length: {}\r\n\r\n{}",
-      status, request.Field("X-Attempt-Id"), id_, more_fields, body.size(),
-      body));
-}
-
-void FakeUpstream::BeginStream(Connection& connection,
-                               const ReceivedRequest& request) const {
-  connection.Write(fmt::format(
-      "HTTP/1.1 200 OK\r\nX-Attempt-Id: {}\r\nX-Server-Seal: {}-seal\r\n"
-      "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-      request.Field("X-Attempt-Id"), id_));
-}
-
-FakeStore::FakeStore(asio::io_context& loop)
-    : server_(loop, [this](ScriptedServer::Connection& c) { OnInput(c); }) {}
-
-std::string FakeStore::endpoint() const {
-  return LoopbackEndpoint(server_.port());
-}
-
-void FakeStore::Put(const std::string& table, const std::string& key,
-                    const std::string& value) {
-  tables_[table][key] = {value, ++version_, false};
-  Notify();
-}
-
-bool FakeStore::Has(const std::string& table, const std::string& key) const {
-  const auto it = tables_.find(table);
-  return it != tables_.end() && it->second.contains(key);
-}
-
-void FakeStore::Remove(const std::string& table, const std::string& key) {
-  tables_[table][key] = {"", ++version_, true};
-  Notify();
-}
-
-std::string FakeStore::RowsAfter(const std::string& table, std::uint64_t after,
-                                 bool with_removed) const {
-  Json rows = Json::array();
-  const auto it = tables_.find(table);
-  if (it != tables_.end()) {
-    for (const auto& [key, row] : it->second) {
-      if (row.version <= after || (row.removed && !with_removed)) continue;
-      Json json{{"table", table},
-                {"part", ""},
-                {"key", key},
-                {"value", absl::Base64Escape(row.value)},
-                {"rowVersion", row.version}};
-      if (row.removed) json["tombstone"] = true;
-      rows.push_back(std::move(json));
-    }
-  }
-  if (rows.empty() && with_removed) return {};
-  return Json{{"rows", std::move(rows)},
-              {"rowVersion", version_},
-              {"nowMs", time_.count()}}
-      .dump();
-}
-
-void FakeStore::Reply(ScriptedServer::Connection& connection, int status,
-                      const std::string& body) {
-  connection.Write(fmt::format("HTTP/1.1 {} X\r\nContent-Length: {}\r\n\r\n{}",
-                               status, body.size(), body));
-}
-
-void FakeStore::Notify() {
-  std::vector<Watcher> waiting;
-  for (Watcher& watcher : watchers_) {
-    const std::string rows = RowsAfter(watcher.table, watcher.after, true);
-    if (rows.empty()) {
-      waiting.push_back(std::move(watcher));
-    } else {
-      Reply(*watcher.connection, 200, rows);
-    }
-  }
-  watchers_ = std::move(waiting);
-}
-
-void FakeStore::OnInput(ScriptedServer::Connection& connection) {
-  while (const auto request = TakeRequest(connection.input)) {
-    if (!up_) {
-      Reply(connection, 503, "");
-      continue;
-    }
-    const std::string target = request->path();
-    const std::string table = Parameter(target, "table");
-    if (target.starts_with("/rows-get")) {
-      Reply(connection, 200, RowsAfter(table, 0, false));
-    } else if (target.starts_with("/rows-feed")) {
-      watchers_.push_back({connection.shared_from_this(), table,
-                           std::stoull(Parameter(target, "after"))});
-      Notify();
-    } else if (target == "/rows-tx") {
-      const Json transaction = Json::parse(request->body);
-      for (const Json& row : transaction["remove"]) {
-        Remove(row["table"], row["key"]);
-      }
-      if (transaction["put"].empty()) {
-        Reply(connection, 200, Json{{"rowVersion", version_}}.dump());
-        continue;
-      }
-      const Json put = transaction["put"][0];
-      if (refused_[put["table"]]-- > 0) {
-        Reply(connection, 503, "");
-        continue;
-      }
-      std::string value;
-      absl::Base64Unescape(put["value"].get<std::string>(), &value);
-      Put(put["table"], put["key"], value);
-      Reply(connection, 200, Json{{"rowVersion", version_}}.dump());
-    } else {
-      Reply(connection, 404, "");
-    }
-  }
-}
-
 FakeCaller::FakeCaller(asio::io_context& loop, const std::string& endpoint)
     : connection_(std::make_shared<Connection>(loop)) {
   connection_->socket.connect(ParseEndpoint(endpoint));
--- a/test/gateway/gateway_fixture.h
+++ b/test/gateway/gateway_fixture.h
@@ -13,95 +13,12 @@
 #include <vector>
 
 #include "gateway/gateway_process.h"
+#include "test/gateway/fake_store.h"
+#include "test/gateway/fake_upstream.h"
 #include "test/shell/scripted_server.h"
 
 namespace yuccapick {
 
-/// A request as an upstream received it.
-struct ReceivedRequest {
-  std::string head;
-  std::string body;
-
-  /// @return the field's value, or empty if it is missing
-  std::string Field(const std::string& name) const;
-  std::string path() const;
-};
-
-/// An upstream that calls its script for each complete request.
-class FakeUpstream {
- public:
-  using Connection = ScriptedServer::Connection;
-  using Script = std::function<void(Connection&, const ReceivedRequest&)>;
-
-  FakeUpstream(asio::io_context& loop, std::string id, Script script);
-
-  /// Writes a complete answer with the upstream's seal.
-  void Answer(Connection& connection, const ReceivedRequest& request,
-              int status, const std::string& body,
-              const std::string& more_fields = "") const;
-  /// Writes the head of an event stream.
-  void BeginStream(Connection& connection,
-                   const ReceivedRequest& request) const;
-  std::string endpoint() const;
-  const std::string& id() const { return id_; }
-  /// Callers' requests, without status reports and cache event polls.
-  const std::vector<ReceivedRequest>& received() const { return received_; }
-  ScriptedServer& server() { return server_; }
-
- private:
-  void OnInput(Connection& connection);
-
-  std::string id_;
-  Script script_;
-  std::vector<ReceivedRequest> received_;
-  ScriptedServer server_;
-};
-
-/// A store whose tables can be read, watched and written.
-class FakeStore {
- public:
-  explicit FakeStore(asio::io_context& loop);
-
-  void Put(const std::string& table, const std::string& key,
-           const std::string& value);
-  void Remove(const std::string& table, const std::string& key);
-  /// Answers the next `n` writes to `table` with 503.
-  void RefuseWrites(const std::string& table, int n) { refused_[table] = n; }
-  bool Has(const std::string& table, const std::string& key) const;
-  /// Sets the store's steady clock, which stands still otherwise.
-  void set_time(std::chrono::milliseconds time) { time_ = time; }
-  /// While false, every call is answered 503.
-  void set_up(bool up) { up_ = up; }
-  std::string endpoint() const;
-
- private:
-  struct Row {
-    std::string value;
-    std::uint64_t version = 0;
-    bool removed = false;
-  };
-  struct Watcher {
-    std::shared_ptr<ScriptedServer::Connection> connection;
-    std::string table;
-    std::uint64_t after = 0;
-  };
-
-  void OnInput(ScriptedServer::Connection& connection);
-  void Reply(ScriptedServer::Connection& connection, int status,
-             const std::string& body);
-  std::string RowsAfter(const std::string& table, std::uint64_t after,
-                        bool with_removed) const;
-  void Notify();
-
-  std::map<std::string, std::map<std::string, Row>> tables_;
-  std::map<std::string, int> refused_;  ///< Writes to refuse, by table.
-  std::uint64_t version_ = 0;
-  std::chrono::milliseconds time_{1'000};
-  bool up_ = true;
-  std::vector<Watcher> watchers_;
-  ScriptedServer server_;
-};
-
 /// A caller's connection, closed by the destructor.
 class FakeCaller {
  public:
