--- a/src/config_reader.cc
+++ b/src/config_reader.cc
@@ -16,6 +16,18 @@
                          : node->source().begin.line;
 }
 
+std::optional<toml::table> ParseTomlFile(const ConfigFile& file,
+                                         std::vector<ConfigProblem>& problems) {
+  try {
+    return toml::parse(file.text, file.path);
+  } catch (const toml::parse_error& error) {
+    problems.push_back({file.path, error.source().begin.line, "",
+                        std::string(error.description()),
+                        "correct the TOML syntax"});
+    return std::nullopt;
+  }
+}
+
 void ConfigReader::Report(std::uint32_t line, std::string_view key,
                           std::string message, std::string remedy) {
   if (line == 0) line = std::max(1U, table_.source().begin.line);
--- a/src/config_reader.h
+++ b/src/config_reader.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -30,6 +31,12 @@
   T high;
 };
 
+/// Parses a file as TOML.
+/// @param problems gets a problem if the syntax is wrong
+/// @return nullopt in that case
+std::optional<toml::table> ParseTomlFile(const ConfigFile& file,
+                                         std::vector<ConfigProblem>& problems);
+
 /// Reads one table. `Finish` reports every key that was not read.
 class ConfigReader {
  public:
