Show that gateways learn of changes late after a short silence of the store

Callers saw a configuration in force, a removed key refused, an upstream's leaving and target weights followed more than 2 s after the acknowledgement.

The store of the tests can be silent, its clock can run, and a feed with waitMs=0 is answered at once. Nothing of the existing tests changes.

--- a/test/gateway/fake_store.cc
+++ b/test/gateway/fake_store.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -45,6 +46,26 @@
   Notify();
 }
 
+void FakeStore::set_silent(bool silent) {
+  silent_ = silent;
+  if (silent) watchers_.clear();
+}
+
+std::chrono::milliseconds FakeStore::Now() const {
+  if (!clock_runs_since_) return time_;
+  return time_ + std::chrono::duration_cast<std::chrono::milliseconds>(
+                     std::chrono::steady_clock::now() - *clock_runs_since_);
+}
+
+bool FakeStore::HasRowsAfter(const std::string& table,
+                             std::uint64_t after) const {
+  const auto it = tables_.find(table);
+  if (it == tables_.end()) return false;
+  return std::any_of(
+      it->second.begin(), it->second.end(),
+      [after](const auto& entry) { return entry.second.version > after; });
+}
+
 std::string FakeStore::RowsAfter(const std::string& table, std::uint64_t after,
                                  bool with_removed) const {
   Json rows = Json::array();
@@ -61,10 +82,9 @@
       rows.push_back(std::move(json));
     }
   }
-  if (rows.empty() && with_removed) return {};
   return Json{{"rows", std::move(rows)},
               {"rowVersion", version_},
-              {"nowMs", time_.count()}}
+              {"nowMs", Now().count()}}
       .dump();
 }
 
@@ -77,18 +97,31 @@
 void FakeStore::Notify() {
   std::vector<Watcher> waiting;
   for (Watcher& watcher : watchers_) {
-    const std::string rows = RowsAfter(watcher.table, watcher.after, true);
-    if (rows.empty()) {
+    if (!HasRowsAfter(watcher.table, watcher.after)) {
       waiting.push_back(std::move(watcher));
-    } else {
-      Reply(*watcher.connection, 200, rows);
+      continue;
     }
+    Reply(*watcher.connection, 200,
+          RowsAfter(watcher.table, watcher.after, true));
   }
   watchers_ = std::move(waiting);
 }
 
+void FakeStore::OnFeed(ScriptedServer::Connection& connection,
+                       const std::string& target) {
+  const std::string table = Parameter(target, "table");
+  const std::uint64_t after = std::stoull(Parameter(target, "after"));
+  if (Parameter(target, "waitMs") == "0") {
+    ++checks_;
+    return Reply(connection, 200, RowsAfter(table, after, true));
+  }
+  watchers_.push_back({connection.shared_from_this(), table, after});
+  Notify();
+}
+
 void FakeStore::OnInput(ScriptedServer::Connection& connection) {
   while (const auto request = TakeRequest(connection.input)) {
+    if (silent_) continue;
     if (!up_) {
       Reply(connection, 503, "");
       continue;
@@ -98,9 +131,7 @@
     if (target.starts_with("/rows-get")) {
       Reply(connection, 200, RowsAfter(table, 0, false));
     } else if (target.starts_with("/rows-feed")) {
-      watchers_.push_back({connection.shared_from_this(), table,
-                           std::stoull(Parameter(target, "after"))});
-      Notify();
+      OnFeed(connection, target);
     } else if (target == "/rows-tx") {
       const Json transaction = Json::parse(request->body);
       for (const Json& row : transaction["remove"]) {
--- a/test/gateway/fake_store.h
+++ b/test/gateway/fake_store.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,8 +30,15 @@
   bool Has(const std::string& table, const std::string& key) const;
   /// Sets the store's steady clock, which stands still otherwise.
   void set_time(std::chrono::milliseconds time) { time_ = time; }
+  /// Lets the store's steady clock run from now on.
+  void RunClock() { clock_runs_since_ = std::chrono::steady_clock::now(); }
+  /// While true, nothing is answered. Calls that arrive meanwhile, and open
+  /// long polls, are never answered.
+  void set_silent(bool silent);
   /// While false, every call is answered 503.
   void set_up(bool up) { up_ = up; }
+  /// Reads of changes that asked for an answer at once.
+  std::size_t checks() const { return checks_; }
   std::string endpoint() const;
 
  private:
@@ -48,15 +56,22 @@
   void OnInput(ScriptedServer::Connection& connection);
   void Reply(ScriptedServer::Connection& connection, int status,
              const std::string& body);
+  bool HasRowsAfter(const std::string& table, std::uint64_t after) const;
   std::string RowsAfter(const std::string& table, std::uint64_t after,
                         bool with_removed) const;
+  void OnFeed(ScriptedServer::Connection& connection,
+              const std::string& target);
   void Notify();
+  std::chrono::milliseconds Now() const;
 
   std::map<std::string, std::map<std::string, Row>> tables_;
   std::map<std::string, int> refused_;  ///< Writes to refuse, by table.
   std::uint64_t version_ = 0;
   std::chrono::milliseconds time_{1'000};
+  std::optional<std::chrono::steady_clock::time_point> clock_runs_since_;
   bool up_ = true;
+  bool silent_ = false;
+  std::size_t checks_ = 0;
   std::vector<Watcher> watchers_;
   ScriptedServer server_;
 };
--- a/test/gateway/gateway_fixture.cc
+++ b/test/gateway/gateway_fixture.cc
@@ -104,8 +104,8 @@
   store.Put("op", key, Json{{"model", "m"}, {"version", weights}}.dump());
 }
 
-void GatewayFixture::PutConfig(std::uint64_t version,
-                               const std::string& routes) {
+void GatewayFixture::PutConfig(std::uint64_t version, const std::string& routes,
+                               const std::string& key) {
   const Json config{
       {"version", version},
       {"routes", Json::parse(routes)},
@@ -113,8 +113,7 @@
                                 Json{{"name", "engines"},
                                      {"maxConns", 100},
                                      {"engine", Json{{"slots", 4}}}}})},
-      {"tenants",
-       Json::array({Json{{"name", "moor"}, {"apiKeys", {"key-moor"}}}})}};
+      {"tenants", Json::array({Json{{"name", "moor"}, {"apiKeys", {key}}}})}};
   store.Put("op", "config", config.dump());
 }
 
@@ -163,6 +162,19 @@
   return caller.input().find("\n" + line + "\n") != std::string::npos;
 }
 
+void GatewayFixture::SilenceStore(std::chrono::milliseconds duration) {
+  store.set_silent(true);
+  Run(duration);
+  store.set_silent(false);
+}
+
+void GatewayFixture::Run(std::chrono::milliseconds duration) {
+  asio::steady_timer timer(loop, duration);
+  bool ended = false;
+  timer.async_wait([&ended](const asio::error_code&) { ended = true; });
+  REQUIRE(RunUntilTrue([&ended] { return ended; }));
+}
+
 bool GatewayFixture::AwaitListed(std::size_t n) {
   const std::string line = fmt::format("yuccapick_upstreams_listed {}", n);
   return RunUntilTrue([&] {
--- a/test/gateway/gateway_fixture.h
+++ b/test/gateway/gateway_fixture.h
@@ -64,7 +64,9 @@
   /// Puts the row of an engine that has loaded `weights` of the model "m".
   /// @param born start of the engine's incarnation
   void RegisterEngine(const FakeUpstream& upstream, int weights, int born = 1);
-  void PutConfig(std::uint64_t version, const std::string& routes);
+  /// @param key of the team "moor"
+  void PutConfig(std::uint64_t version, const std::string& routes,
+                 const std::string& key = "key-moor");
   /// Sets the target weights of the model "m".
   void PutTargetWeights(int weights);
   void Start();
@@ -80,6 +82,13 @@
   bool RunUntilTrue(const std::function<bool()>& done) {
     return RunUntil(loop, done);
   }
+  /// Makes the store silent for `duration`: it loses all open long polls.
+  void SilenceStore(std::chrono::milliseconds duration);
+  /// Runs the loop for `duration`.
+  void Run(std::chrono::milliseconds duration);
+  bool PeerHasMetric(const std::string& line) {
+    return HasMetric(peer_settings, line);
+  }
   bool IsReady() { return IsReady(settings); }
   /// Waits until every gateway lists `n` upstreams.
   /// @return false if they did not within `kTestTimeout`
