Fetch a peer's tables only for changes that the own copy lacks

A gateway that started after a removal fetched a peer's tables again and again for as long as nothing changed: it compared the peer's newest change with its own newest change, but a removed row isn't among the rows that it read. Its copy was complete all the time. It now compares with the version up to which its copy is complete.

All gateways that were behind chose the same peer, the one with the newest rows.

A peer with some newer rows may be chosen although another has more; the next fetch brings the rest.

--- a/include/yuccapick/peer_report.h
+++ b/include/yuccapick/peer_report.h
@@ -107,10 +107,13 @@
   std::set<UpstreamId> Loading(TimePoint now) const;
   /// True if a live peer that can reach the store has this version active.
   bool AnyPeerConfirms(ConfigVersion config, TimePoint now) const;
-  /// @return the report of the live peer with the newest rows, if they are
-  /// newer than these, or null
-  const PeerReport* FindPeerNewerThan(std::uint64_t operator_rows,
-                                      std::uint64_t upstream_rows,
+  /// @param operator_as_of version up to which the caller's rows are complete
+  /// @param self the caller; different ones find different peers
+  /// @return the report of a live peer with a change that the caller lacks, or
+  ///   null
+  const PeerReport* FindPeerNewerThan(std::uint64_t operator_as_of,
+                                      std::uint64_t upstream_as_of,
+                                      const InstanceId& self,
                                       TimePoint now) const;
 
  private:
--- a/src/gateway/gateway_process_peers.cc
+++ b/src/gateway/gateway_process_peers.cc
@@ -193,8 +193,9 @@
   next_report_ = now + PeerReportInterval(live);
   exchange_.Send(MakeReport(), peers_.Targets(now));
   const PeerReport* newer =
-      peers_.FindPeerNewerThan(operator_watch_->mirror().newest_change(),
-                               upstream_watch_->mirror().newest_change(), now);
+      peers_.FindPeerNewerThan(operator_watch_->mirror().as_of(),
+                               upstream_watch_->mirror().as_of(),
+                               state_.settings.instance, now);
   if (newer == nullptr) {
     behind_since_.reset();
     return;
--- a/src/peer_report.cc
+++ b/src/peer_report.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "yuccapick/rendezvous.h"
+
 namespace yuccapick {
 namespace {
 
@@ -129,24 +131,27 @@
   return false;
 }
 
-const PeerReport* PeerRegistry::FindPeerNewerThan(std::uint64_t operator_rows,
-                                                  std::uint64_t upstream_rows,
+const PeerReport* PeerRegistry::FindPeerNewerThan(std::uint64_t operator_as_of,
+                                                  std::uint64_t upstream_as_of,
+                                                  const InstanceId& self,
                                                   TimePoint now) const {
-  const PeerReport* newest = nullptr;
+  const std::uint64_t key = RendezvousNodeHash(self.value);
+  const PeerReport* found = nullptr;
+  std::uint64_t best = 0;
   for (const auto& [instance, peer] : peers_) {
     const PeerReport& report = peer.report;
     if (!Live(peer, now)) continue;
-    if (report.operator_rows <= operator_rows &&
-        report.upstream_rows <= upstream_rows) {
+    if (report.operator_rows <= operator_as_of &&
+        report.upstream_rows <= upstream_as_of) {
       continue;
     }
-    if (newest == nullptr || report.operator_rows > newest->operator_rows ||
-        (report.operator_rows == newest->operator_rows &&
-         report.upstream_rows > newest->upstream_rows)) {
-      newest = &report;
-    }
+    const std::uint64_t score =
+        RendezvousScore(key, RendezvousNodeHash(instance.value));
+    if (found != nullptr && score <= best) continue;
+    found = &report;
+    best = score;
   }
-  return newest;
+  return found;
 }
 
 }  // namespace yuccapick
