Keep a gateway's own failures apart from its peers' confirmations

A gateway that the store refuses, while its peers confirm the tables twice a second, would have logged store_lost and store_regained by turns: a confirmation counted as an answer to it. The log and yuccapick_store_in_touch follow the gateway's own calls again; the list of upstreams and the age of weights follow confirmations, too.

A test shows that an outage of 3 s that swallowed the polls counts as an outage for overdue weights; it was measured from the poll's end before.

--- a/src/gateway/freshness_sync.cc
+++ b/src/gateway/freshness_sync.cc
@@ -29,12 +29,14 @@
 FreshnessSync::FreshnessSync(GatewayState& state, PeerExchange& exchange,
                              const PeerRegistry& peers,
                              TableWatch& operator_watch,
-                             TableWatch& upstream_watch)
+                             TableWatch& upstream_watch,
+                             std::function<void()> on_confirmed)
     : state_(state),
       exchange_(exchange),
       peers_(peers),
       operator_watch_(operator_watch),
       upstream_watch_(upstream_watch),
+      on_confirmed_(std::move(on_confirmed)),
       freshness_(state.settings.instance, state.Now()),
       timer_(state.loop) {}
 
@@ -140,13 +142,16 @@
   const TimePoint now = state_.Now();
   const std::optional<TimePoint> at = LocalTime(confirmation.as_of, now);
   if (!at || !freshness_.OnConfirmation(confirmation, *at, now)) return;
+  bool all_current = true;
   for (const WatchedTable table : kWatchedTables) {
     TableWatch& watch = WatchOf(table);
     watch.OnStoreAnswers();
     const bool current =
         !freshness_.Behind(table) && freshness_.Confirmed(table, now);
     if (current) watch.OnConfirmed();
+    all_current = all_current && current;
   }
+  if (all_current) on_confirmed_();
   Schedule();
 }
 
--- a/src/gateway/freshness_sync.h
+++ b/src/gateway/freshness_sync.h
@@ -6,6 +6,7 @@
 
 #include <asio.hpp>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -28,9 +29,11 @@
     std::uint64_t renewed_polls = 0;
   };
 
+  /// @param on_confirmed called when a peer has confirmed that the copies of
+  ///   all tables are current
   FreshnessSync(GatewayState& state, PeerExchange& exchange,
                 const PeerRegistry& peers, TableWatch& operator_watch,
-                TableWatch& upstream_watch);
+                TableWatch& upstream_watch, std::function<void()> on_confirmed);
 
   void OnTick(TimePoint now);
   void Stop() { timer_.cancel(); }
@@ -67,6 +70,7 @@
   const PeerRegistry& peers_;
   TableWatch& operator_watch_;
   TableWatch& upstream_watch_;
+  std::function<void()> on_confirmed_;
   TableFreshness freshness_;
   asio::steady_timer timer_;
   std::array<bool, kWatchedTables.size()> believed_confirmed_{};
--- a/src/gateway/gateway_process.h
+++ b/src/gateway/gateway_process.h
@@ -101,6 +101,8 @@
   /// Tells again what was sent since the previous tick: datagrams may be lost.
   void RepeatStreamOrigins(TimePoint now);
   void RecordListedSoftware(TimePoint now);
+  /// A peer has confirmed that all tables are current.
+  void OnTablesConfirmed();
   void ApplyOperatorRow(const MirrorRow& row);
   void ApplyTargetWeights(const MirrorRow& row);
   void ApplyUpstreamRow(const MirrorRow& row);
--- a/src/gateway/gateway_process_tables.cc
+++ b/src/gateway/gateway_process_tables.cc
@@ -49,6 +49,11 @@
   state_.log.Write(LogKind::kLifecycle, state_.Now(), "event=store_regained");
 }
 
+void GatewayProcess::OnTablesConfirmed() {
+  state_.roster.OnListAvailable(state_.Now());
+  state_.store_contact.OnAnswer(BootTimeNow());
+}
+
 void GatewayProcess::ApplyOperatorRow(const MirrorRow& row) {
   if (row.removed) return;
   if (row.key == platform::kConfigKey) return ApplyConfig(row);
--- a/src/gateway/table_watch.cc
+++ b/src/gateway/table_watch.cc
@@ -69,13 +69,7 @@
   });
 }
 
-void TableWatch::OnConfirmed() {
-  if (stopped_ || mirror_.as_of() == 0) return;
-  confirmed_at_ = Now();
-  reachable_ = true;
-  handler_.OnTableAnswered(options_.table);
-  OnStoreAnswers();
-}
+void TableWatch::OnConfirmed() { confirmed_at_ = Now(); }
 
 void TableWatch::OnStoreAnswers() {
   if (stopped_ || !backing_off_ || mirror_.as_of() == 0) return;
@@ -106,8 +100,11 @@
     return handler_.OnTableChecked(options_.table, std::nullopt);
   }
   answered_at_ = Now();
+  reachable_ = true;
+  handler_.OnTableAnswered(options_.table);
   const TableAnswer checked = ApplyChanges(*rows, sent_at);
   OnConfirmed();
+  OnStoreAnswers();
   handler_.OnTableChecked(options_.table, checked);
 }
 
--- a/test/gateway/stale_weights_test.cc
+++ b/test/gateway/stale_weights_test.cc
@@ -119,6 +119,18 @@
   CHECK(engine.old.received().empty());
 }
 
+TEST_CASE("An outage that swallowed all polls counts as an outage") {
+  OldEngine engine;
+  GatewayFixture& fixture = engine.fixture;
+  fixture.store.RunClock();
+  fixture.SilenceStore(milliseconds(3'000));
+  fixture.PutTargetWeights(2);
+  fixture.store.set_time(milliseconds(2'000) + kStaleWeightsLimit);
+  AwaitNewConfig(fixture);
+  // The outage left no time to replace the weights.
+  CHECK(AskForStream(fixture).starts_with("HTTP/1.1 200"));
+}
+
 TEST_CASE("A gateway that starts later knows that weights are too old") {
   OldEngine engine;
   engine.fixture.PutTargetWeights(2);
