--- a/include/yuccapick/table_freshness.h
+++ b/include/yuccapick/table_freshness.h
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -120,6 +121,8 @@
   };
   /// The calls of a check in progress.
   struct Check {
+    explicit Check(TimePoint now) : began_at(now) {}
+
     TimePoint began_at;
     std::size_t open_calls = kWatchedTables.size();
     bool failed = false;
--- a/src/table_freshness.cc
+++ b/src/table_freshness.cc
@@ -201,7 +201,7 @@
 std::vector<FreshnessAction> TableFreshness::OnTick(TimePoint now) {
   std::vector<FreshnessAction> actions;
   if (!check_ && now >= NextCheck()) {
-    check_.emplace().began_at = now;
+    check_.emplace(now);
     last_check_began_at_ = now;
     retry_at_.reset();
     actions.emplace_back(StartTableCheck());
