Take no pause of the process for an outage of the store

A gateway uses engines with overdue weights for the weights' time limit after an outage of the store. An outage was the time from the first failed call to the next answer, however long nothing was tried in between. A process that stood still after one failed call (a lost answer, a refusal) thus saw an outage as long as its own pause, and for 8 s after it sent requests on weights that were replaced too long ago.

The time between two failures counts now only if it is at most 2 s, which is longer than a call's time limit (0.8 s) and the delay before the next call (0.6 s) together. So an outage during which the process stood still is seen again from the first two failures after it. A pause below 2 s just after a failed call still counts as an outage; this remains.

"A process that stood still after a failed call saw no outage" failed before, in all three sections (nothing read yet, an answer first, a call whose limit passed: InTouchFor was false), passes now. The other new cases passed before, too: an outage that goes on after the pause, polls swallowed by a short silence, a poll that hangs, a table that goes on failing. No existing test changed.

--- a/include/yuccapick/store_contact.h
+++ b/include/yuccapick/store_contact.h
@@ -11,13 +11,17 @@
 
 namespace yuccapick {
 
-/// Short failures, such as a single call without an answer, are no outage. A
+/// Short failures, such as a single call without an answer, are no outage. The
+/// time between two failures counts only if it is short enough for the calls
+/// to have failed one after another: in a longer one the process stood still. A
 /// process that starts knows of no earlier outage, so it assumes none. All
 /// times are boot times, which go on while the machine is suspended.
 class StoreContact {
  public:
   struct Options {
     std::chrono::milliseconds min_outage{1'000};
+    /// Longer than a call's time limit and the delay before the next one.
+    std::chrono::milliseconds max_failure_gap{2'000};
   };
 
   StoreContact() = default;
@@ -41,6 +45,7 @@
   bool answered_ = false;  ///< At least once.
   std::optional<TimePoint> outage_ended_at_;
   std::optional<TimePoint> failing_since_;
+  TimePoint failed_at_;  ///< Last failure.
 };
 
 }  // namespace yuccapick
--- a/src/store_contact.cc
+++ b/src/store_contact.cc
@@ -3,7 +3,8 @@
 namespace yuccapick {
 
 bool StoreContact::InOutage(TimePoint now) const {
-  return failing_since_ && now - *failing_since_ >= options_.min_outage;
+  return failing_since_ && now - *failing_since_ >= options_.min_outage &&
+         now - failed_at_ <= options_.max_failure_gap;
 }
 
 void StoreContact::OnAnswer(TimePoint now) {
@@ -13,7 +14,10 @@
 }
 
 void StoreContact::OnFailure(TimePoint now) {
-  if (!failing_since_) failing_since_ = now;
+  if (!failing_since_ || now - failed_at_ > options_.max_failure_gap) {
+    failing_since_ = now;
+  }
+  failed_at_ = now;
 }
 
 bool StoreContact::InTouchFor(std::chrono::milliseconds duration,
--- a/test/store_contact_test.cc
+++ b/test/store_contact_test.cc
@@ -52,5 +52,53 @@
   CHECK(contact.InTouchFor(kDuration, kStart + milliseconds(17'000)));
 }
 
+TEST_CASE("A process that stood still after a failed call saw no outage") {
+  StoreContact contact;
+  contact.OnAnswer(kStart);
+  contact.OnFailure(kStart + milliseconds(1'000));
+  const TimePoint resumed = kStart + milliseconds(5'000);
+  SECTION("before anything is read") {}
+  SECTION("with an answer first") { contact.OnAnswer(resumed); }
+  SECTION("with a call whose time limit passed") { contact.OnFailure(resumed); }
+  CHECK(contact.InTouchFor(kDuration, resumed));
+}
+
+TEST_CASE("An outage that lasts counts though the process stood still in it") {
+  StoreContact contact;
+  contact.OnAnswer(kStart);
+  contact.OnFailure(kStart + milliseconds(1'000));
+  const TimePoint resumed = kStart + milliseconds(5'000);
+  contact.OnFailure(resumed);
+  contact.OnFailure(resumed + milliseconds(1'000));
+  CHECK_FALSE(contact.InTouchFor(kDuration, resumed + milliseconds(1'000)));
+}
+
+TEST_CASE("Polls that a short silence swallowed are no outage") {
+  StoreContact contact;
+  contact.OnAnswer(kStart);
+  // Both tables' polls are given up 5.9 s after they were opened.
+  contact.OnFailure(kStart + milliseconds(5'900));
+  contact.OnFailure(kStart + milliseconds(5'940));
+  CHECK(contact.InTouchFor(kDuration, kStart + milliseconds(5'950)));
+  contact.OnAnswer(kStart + milliseconds(6'100));
+  CHECK(contact.InTouchFor(kDuration, kStart + milliseconds(6'100)));
+}
+
+TEST_CASE("A poll that hangs is taken for contact until it is given up") {
+  StoreContact contact;
+  contact.OnAnswer(kStart);
+  CHECK(contact.InTouchFor(kDuration, kStart + milliseconds(5'899)));
+}
+
+TEST_CASE("A table whose calls go on failing is an outage") {
+  StoreContact contact;
+  contact.OnAnswer(kStart);
+  // The other table's answers aren't passed on while this one fails.
+  for (const int ms : {1'000, 1'150, 1'450, 2'050}) {
+    contact.OnFailure(kStart + milliseconds(ms));
+  }
+  CHECK_FALSE(contact.InTouchFor(kDuration, kStart + milliseconds(2'050)));
+}
+
 }  // namespace
 }  // namespace yuccapick
