Date target weights after all gateways have ended

A row has no time. Gateways date a target by the answers that they had before it, and save that time; but if all end before they save it, or before they learn of the target, the new ones find the row in their first answer and counted from when they read it.

The holder of the rollout lease now saves row versions and times with each renewal, in the same transaction, beside the lease's row; a read of the lease brings both, so no call is added. A gateway without a set time reads them, dates the target, and saves its time. Each pair is a time at which the store did not have the row, so the date is never late.

"A gateway knows the age of weights set after all others had ended" failed before (the answer was not 503, and the engine got the request), passes now. "Row times that can't be read count as none" is new. The fake store applies all puts of a transaction now, with one version; no existing check changed.

--- a/src/gateway/gateway_process_tables.cc
+++ b/src/gateway/gateway_process_tables.cc
@@ -77,7 +77,9 @@
                    "set_after_ms={} store_time_ms={}",
                    set->model.value, set->weights, row.version,
                    set_after ? Count(*set_after) : -1, Count(now));
-  if (!set_after) return target_set_times_->Load();
+  if (!set_after) {
+    return target_set_times_->LoadFor({set->model, set->weights, row.version});
+  }
   const TargetSetTime target{set->model, set->weights, *set_after};
   if (now - *set_after < kExactSetTime) return target_set_times_->Save(target);
   target_set_times_->SaveIfMissing(target);
--- a/src/gateway/rollout_controller.cc
+++ b/src/gateway/rollout_controller.cc
@@ -4,6 +4,7 @@
 
 #include "gateway/boot_clock.h"
 #include "gateway/http_status.h"
+#include "gateway/stored_row_times.h"
 #include "platform/engine_calls.h"
 #include "platform/table_calls.h"
 
@@ -12,7 +13,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr char kLeaseTable[] = "yuccapick-lease";
 constexpr char kLeaseKey[] = "rollout";
 
 constexpr milliseconds kLeaseTerm{2'000};
@@ -43,17 +43,21 @@
   return options;
 }
 
-/// Extracts the lease's row from an answer.
-/// @return nullopt if the read failed; a row with version 0 if there is none
-std::optional<TableRow> ParseLeaseRow(
+/// @return nullopt if the read failed
+std::optional<platform::RowsAnswer> ParseRows(
     const absl::StatusOr<CallAnswer>& answer) {
   if (!answer.ok() || answer->status != kHttpOk) return std::nullopt;
-  const auto rows = platform::DecodeRows(answer->body);
+  auto rows = platform::DecodeRows(answer->body);
   if (!rows.ok()) return std::nullopt;
-  for (const MirrorRow& row : rows->rows) {
-    if (row.key == kLeaseKey) return TableRow{row.key, row.value, row.version};
+  return *std::move(rows);
+}
+
+/// @return the lease's row, with version 0 if there is none
+TableRow FindLeaseRow(const platform::RowsAnswer& answer) {
+  for (const MirrorRow& row : answer.rows) {
+    if (row.key == kLeaseKey) return {row.key, row.value, row.version};
   }
-  return TableRow{kLeaseKey, "", 0};
+  return {kLeaseKey, "", 0};
 }
 
 WriteResult ToWriteResult(const absl::StatusOr<CallAnswer>& answer) {
@@ -194,7 +198,15 @@
 }
 
 void RolloutController::OnRead(const absl::StatusOr<CallAnswer>& answer) {
-  lease_.OnRead(ParseLeaseRow(answer), BootTimeNow());
+  const TimePoint now = BootTimeNow();
+  const std::optional<platform::RowsAnswer> rows = ParseRows(answer);
+  std::optional<TableRow> lease_row;
+  if (rows) {
+    state_.store_times.OnAnswer(*rows, now);
+    ImportRowTimes(*rows, state_);
+    lease_row = FindLeaseRow(*rows);
+  }
+  lease_.OnRead(lease_row, now);
   UpdateHeldFence();
   RunLease();
 }
@@ -208,7 +220,9 @@
   write.expected = transaction.checks.front().version;
   orders_.OnAnnouncementSent();
   calls_.Call(
-      endpoint, platform::EncodeWrite(endpoint, write), kTableTimeout,
+      endpoint,
+      platform::EncodeWrites(endpoint, {write, MakeRowTimesWrite(state_)}),
+      kTableTimeout,
       [self = shared_from_this()](const absl::StatusOr<CallAnswer>& answer) {
         self->OnCommitted(answer);
       });
--- a/src/gateway/target_set_times.cc
+++ b/src/gateway/target_set_times.cc
@@ -11,6 +11,7 @@
 #include "absl/strings/numbers.h"
 #include "gateway/boot_clock.h"
 #include "gateway/http_status.h"
+#include "gateway/stored_row_times.h"
 #include "platform/table_calls.h"
 
 namespace yuccapick {
@@ -44,7 +45,8 @@
   return target;
 }
 
-bool IsSameVersion(const TargetSetTime& a, const TargetSetTime& b) {
+template <typename Target>
+bool IsSameVersion(const Target& a, const TargetSetTime& b) {
   return a.model == b.model && a.weights == b.weights;
 }
 
@@ -96,6 +98,11 @@
   });
 }
 
+void TargetSetTimes::LoadFor(UndatedTarget target) {
+  undated_.push_back(std::move(target));
+  Load();
+}
+
 void TargetSetTimes::Load() {
   if (loading_) {
     load_again_ = true;
@@ -119,12 +126,7 @@
     state_.log.Write(LogKind::kStateChange, state_.Now(),
                      "event=naming_times_unknown reason=\"{}\"",
                      rows.status().message().data());
-    retry_timer_.expires_after(kRetryDelay);
-    retry_timer_.async_wait(
-        [self = shared_from_this()](const asio::error_code& ec) {
-          if (!ec) self->Load();
-        });
-    return;
+    return RetryLoad();
   }
   state_.store_times.OnAnswer(*rows, BootTimeNow());
   for (const MirrorRow& row : rows->rows) {
@@ -132,12 +134,72 @@
     if (!target || target->set_after > rows->store_time) continue;
     state_.target_weights.OnSetAfterKnown(target->model, target->weights,
                                           target->set_after);
-    std::erase_if(unsaved_, [&](const TargetSetTime& unsaved) {
-      return IsSameVersion(unsaved, *target);
-    });
+    const auto is_same = [&target](const auto& it) {
+      return IsSameVersion(it, *target);
+    };
+    std::erase_if(undated_, is_same);
+    std::erase_if(unsaved_, is_same);
   }
+  DateByRowVersion();
+  if (!undated_.empty()) ReadRowTimes();
   for (const TargetSetTime& target : std::exchange(unsaved_, {})) Save(target);
   if (std::exchange(load_again_, false)) Load();
 }
 
+void TargetSetTimes::RetryLoad() {
+  retry_timer_.expires_after(kRetryDelay);
+  retry_timer_.async_wait(
+      [self = shared_from_this()](const asio::error_code& ec) {
+        if (!ec) self->Load();
+      });
+}
+
+void TargetSetTimes::DateByRowVersion() {
+  std::erase_if(undated_, [this](const UndatedTarget& target) {
+    const std::optional<StoreTime> set_after =
+        state_.store_times.rows.WrittenAfter(target.row_version);
+    if (!set_after) return false;
+    state_.target_weights.OnSetAfterKnown(target.model, target.weights,
+                                          *set_after);
+    state_.log.Write(LogKind::kStateChange, state_.Now(),
+                     "event=weights_dated model={} weights={} row_version={} "
+                     "set_after_ms={}",
+                     target.model.value, target.weights, target.row_version,
+                     set_after->time_since_epoch().count());
+    unsaved_.push_back({target.model, target.weights, *set_after});
+    return true;
+  });
+}
+
+void TargetSetTimes::ReadRowTimes() {
+  const std::string& store = state_.settings.table_endpoint;
+  calls_.Call(
+      store, platform::EncodeReadRows(store, kLeaseTable, kRowTimesKey),
+      kCallTimeout,
+      [self = shared_from_this()](const absl::StatusOr<CallAnswer>& answer) {
+        self->OnRowTimes(answer);
+      });
+}
+
+void TargetSetTimes::OnRowTimes(const absl::StatusOr<CallAnswer>& answer) {
+  const bool answered = answer.ok() && answer->status == kHttpOk;
+  const auto rows = answered ? platform::DecodeRows(answer->body)
+                             : absl::UnavailableError("no answer");
+  if (!rows.ok()) {
+    state_.log.Write(LogKind::kStateChange, state_.Now(),
+                     "event=row_times_unknown reason=\"{}\"",
+                     rows.status().message().data());
+    return RetryLoad();
+  }
+  state_.store_times.OnAnswer(*rows, BootTimeNow());
+  ImportRowTimes(*rows, state_);
+  DateByRowVersion();
+  for (const TargetSetTime& target : std::exchange(unsaved_, {})) Save(target);
+  for (const UndatedTarget& target : std::exchange(undated_, {})) {
+    state_.log.Write(LogKind::kStateChange, state_.Now(),
+                     "event=weights_undated model={} weights={} row_version={}",
+                     target.model.value, target.weights, target.row_version);
+  }
+}
+
 }  // namespace yuccapick
--- a/src/gateway/target_set_times.h
+++ b/src/gateway/target_set_times.h
@@ -7,6 +7,7 @@
 
 #include <asio.hpp>
 #include <chrono>
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <vector>
@@ -22,6 +23,13 @@
 /// @param gateways number of live gateways, including this one
 double TargetTimeWriterShare(std::size_t gateways);
 
+/// A target whose row was in the store before this process read it first.
+struct UndatedTarget {
+  ModelId model;
+  WeightVersionNumber weights = 0;
+  std::uint64_t row_version = 0;
+};
+
 class TargetSetTimes : public std::enable_shared_from_this<TargetSetTimes> {
  public:
   TargetSetTimes(GatewayState& state, CallClient& calls)
@@ -32,6 +40,9 @@
   void Save(const TargetSetTime& target);
   /// Saves a time after the next `Load`, unless the store has one.
   void SaveIfMissing(const TargetSetTime& target);
+  /// Loads the time of a target. If none was saved, the row versions and times
+  /// count that the holder of the rollout lease has saved.
+  void LoadFor(UndatedTarget target);
   /// Reads all times and corrects `GatewayState::target_weights`. Retries while
   /// the store doesn't answer.
   void Load();
@@ -48,11 +59,18 @@
                  const absl::StatusOr<CallAnswer>& answer);
   void OnLoaded(const absl::StatusOr<CallAnswer>& answer);
 
+  void RetryLoad();
+  /// Dates targets by the row versions and times that are known by now.
+  void DateByRowVersion();
+  void ReadRowTimes();
+  void OnRowTimes(const absl::StatusOr<CallAnswer>& answer);
+
   GatewayState& state_;
   CallClient& calls_;
   asio::steady_timer retry_timer_;  ///< For `Load`.
   bool loading_ = false;
   bool load_again_ = false;  ///< A target is newer than the read under way.
+  std::vector<UndatedTarget> undated_;
   std::vector<TargetSetTime> unsaved_;  ///< Saved if the store has no time.
 };
 
--- a/test/gateway/fake_store.cc
+++ b/test/gateway/fake_store.cc
@@ -41,6 +41,11 @@
   return it != tables_.end() && it->second.contains(key);
 }
 
+std::uint64_t FakeStore::VersionOf(const std::string& table,
+                                   const std::string& key) const {
+  return Has(table, key) ? tables_.at(table).at(key).version : 0;
+}
+
 void FakeStore::Remove(const std::string& table, const std::string& key) {
   tables_[table][key] = {"", ++version_, true};
   Notify();
@@ -141,14 +146,17 @@
         Reply(connection, 200, Json{{"rowVersion", version_}}.dump());
         continue;
       }
-      const Json put = transaction["put"][0];
-      if (refused_[put["table"]]-- > 0) {
+      if (refused_[transaction["put"][0]["table"]]-- > 0) {
         Reply(connection, 503, "");
         continue;
       }
-      std::string value;
-      absl::Base64Unescape(put["value"].get<std::string>(), &value);
-      Put(put["table"], put["key"], value);
+      ++version_;
+      for (const Json& put : transaction["put"]) {
+        std::string value;
+        absl::Base64Unescape(put["value"].get<std::string>(), &value);
+        tables_[put["table"]][put["key"]] = {value, version_, false};
+      }
+      Notify();
       Reply(connection, 200, Json{{"rowVersion", version_}}.dump());
     } else {
       Reply(connection, 404, "");
--- a/test/gateway/fake_store.h
+++ b/test/gateway/fake_store.h
@@ -28,6 +28,9 @@
   /// Answers the next `n` writes to `table` with 503.
   void RefuseWrites(const std::string& table, int n) { refused_[table] = n; }
   bool Has(const std::string& table, const std::string& key) const;
+  /// @return version of a row; 0 if there is none
+  std::uint64_t VersionOf(const std::string& table,
+                          const std::string& key) const;
   /// Sets the store's steady clock, which stands still otherwise.
   void set_time(std::chrono::milliseconds time) { time_ = time; }
   /// Lets the store's steady clock run from now on.
--- a/test/gateway/stale_weights_test.cc
+++ b/test/gateway/stale_weights_test.cc
@@ -1,6 +1,9 @@
+#include <fmt/format.h>
+
 #include <catch2/catch.hpp>
 
 #include "test/gateway/gateway_fixture.h"
+#include "test/shell/test_address.h"
 
 namespace yuccapick {
 namespace {
@@ -59,6 +62,64 @@
   FakeUpstream old;
 };
 
+/// A gateway on an event loop of its own. Once the loop isn't run any more, it
+/// has ended without notice, as far as the others can tell.
+class EndingGateway {
+ public:
+  explicit EndingGateway(GatewayFixture& fixture) : fixture_(fixture) {
+    GatewaySettings settings = fixture.settings;
+    settings.instance = InstanceId("gateway-0");
+    settings.caller_endpoint = FreeEndpoint();
+    settings.ready_endpoint = FreeEndpoint();
+    settings.peer_port = NextTestPort();
+    settings.metrics_port = NextTestPort();
+    process_ =
+        std::make_unique<GatewayProcess>(loop_, settings, Incarnation(1));
+    REQUIRE(process_->Start().ok());
+  }
+
+  /// Runs until the lease's row has been written `n` times.
+  void RunUntilLeaseWritten(int n) {
+    std::uint64_t last = 0;
+    const auto end = std::chrono::steady_clock::now() + kTestTimeout;
+    while (n > 0 && std::chrono::steady_clock::now() < end) {
+      loop_.run_one_for(milliseconds(1));
+      fixture_.loop.run_one_for(milliseconds(1));
+      const std::uint64_t version =
+          fixture_.store.VersionOf("yuccapick-lease", "rollout");
+      if (version != last) --n;
+      last = version;
+    }
+    REQUIRE(n == 0);
+    fixture_.store.Remove("yuccapick-gateways", "gateway-0");
+  }
+
+ private:
+  static std::string FreeEndpoint() {
+    return fmt::format("{}:{}", TestHost(), NextTestPort());
+  }
+
+  GatewayFixture& fixture_;
+  asio::io_context loop_;
+  std::unique_ptr<GatewayProcess> process_;
+};
+
+/// An engine with the weights 1, for gateways that start later.
+struct EngineWithoutGateway {
+  EngineWithoutGateway()
+      : old(fixture.loop, "old",
+            [this](Connection& c, const ReceivedRequest& r) {
+              old.Answer(c, r, 200, "", "Content-Type: text/event-stream\r\n");
+            }) {
+    fixture.settings.bounds.stale_weights_limit = kStaleWeightsLimit;
+    fixture.PutConfig(1, kRoutes);
+    fixture.RegisterEngine(old, 1);
+  }
+
+  GatewayFixture fixture;
+  FakeUpstream old;
+};
+
 /// Waits until the gateway has a newer configuration, from a later answer of
 /// the store.
 void AwaitNewConfig(GatewayFixture& fixture) {
@@ -145,5 +206,37 @@
   CHECK(engine.old.received().empty());
 }
 
+TEST_CASE("A gateway knows the age of weights set after all others had ended") {
+  EngineWithoutGateway engine;
+  EndingGateway(engine.fixture).RunUntilLeaseWritten(2);
+  engine.fixture.PutTargetWeights(2);
+  engine.fixture.store.set_time(milliseconds(1'000) + kStaleWeightsLimit);
+  engine.fixture.Start();
+  REQUIRE(engine.fixture.AwaitListed(1));
+  // The weights would be too old in any case after longer waiting.
+  const auto end = std::chrono::steady_clock::now() + kStaleWeightsLimit / 4;
+  engine.fixture.RunUntilTrue([&engine, end] {
+    return engine.fixture.store.Has(kSetTimesTable, "m/2") ||
+           std::chrono::steady_clock::now() >= end;
+  });
+  const std::string answer = AskForStream(engine.fixture);
+  CHECK(answer.starts_with("HTTP/1.1 503"));
+  CHECK(answer.find("Retry-After: ") != std::string::npos);
+  CHECK(engine.old.received().empty());
+}
+
+TEST_CASE("Row times that can't be read count as none") {
+  EngineWithoutGateway engine;
+  engine.fixture.store.Put("yuccapick-lease", "rollout-row-times",
+                           GENERATE("[", "{}", R"({"savedAfterMs":"x"})",
+                                    R"({"savedAfterMs":9000000,"times":[]})",
+                                    R"({"savedAfterMs":1,"times":[[1]]})",
+                                    R"({"savedAfterMs":1,"times":[[99,1]]})"));
+  engine.fixture.PutTargetWeights(2);
+  engine.fixture.Start();
+  REQUIRE(engine.fixture.AwaitListed(1));
+  CHECK(AskForStream(engine.fixture).starts_with("HTTP/1.1 200"));
+}
+
 }  // namespace
 }  // namespace yuccapick
--- a/test/row_version_times_test.cc
+++ b/test/row_version_times_test.cc
@@ -31,6 +31,30 @@
   CHECK_FALSE(times.WrittenAfter(7));
 }
 
+TEST_CASE("Saved row times hold the latest answer and earlier ones apart") {
+  RowVersionTimes times;
+  for (int i = 0; i < 10; ++i) {
+    times.OnAnswer(static_cast<std::uint64_t>(10 + i),
+                   kStart + milliseconds(200) * i);
+  }
+  const std::vector<RowVersionTime> expected{
+      {13, kStart + milliseconds(600)},
+      {16, kStart + milliseconds(1'200)},
+      {19, kStart + milliseconds(1'800)}};
+  CHECK(times.Latest(3, milliseconds(500)) == expected);
+}
+
+TEST_CASE("Saved row times can be read again, malformed ones can't") {
+  const SavedRowTimes saved{kStart,
+                            {{7, kStart - milliseconds(5)}, {9, kStart}}};
+  CHECK(ParseRowTimes(SerialiseRowTimes(saved)) == saved);
+  for (const char* text : {"", "[", "[]", "{}", R"({"savedAfterMs":1})",
+                           R"({"savedAfterMs":1,"times":[7]})",
+                           R"({"savedAfterMs":1,"times":[["a",1]]})"}) {
+    CHECK_FALSE(ParseRowTimes(text));
+  }
+}
+
 TEST_CASE("Answers in any order and read late never make a row look younger") {
   rc::prop("random writes, answers and orders of reading", [] {
     std::map<std::uint64_t, StoreTime> written;
