Give up streams whose weights expire before they begin

An engine with old weights gets no requests from 0.7 to 2 s before the limit on, so that a request that it queues still begins in time. The engine checks the weight version when the request arrives, not when it begins. If it is silent or busy for longer than the margin, the request began on weights that were replaced too long ago.

The gateway now gives up such a stream 0.1 s before the limit if no event has come: the connection is closed, and the request goes to another engine if its route, its attempts and the retry budget allow it, or fails. An answer that begins after the limit earns nothing. As with the choice of engines, nothing is given up within the limit after an outage of the store. Two cases remain: an engine that goes on with the request though its connection is closed, and a target that the gateway learns of only after it has sent the request.

"A request that waits at an engine ends before its weights expire" failed before (the answer was not 502: the request waited for its time limit), passes now. No existing test changed.

--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -112,6 +112,10 @@
   std::chrono::milliseconds SilenceTimeout() const;
   /// When the current attempt is given up; nullopt if it may not be retried.
   std::optional<TimePoint> GiveUpAt() const;
+  /// When the attempt's weights become too old for its answer to begin; nullopt
+  /// if they don't or it has begun.
+  std::optional<TimePoint> WeightsExpireAt() const;
+  void GiveUpOldWeights();
   void RecordFirstEventTime(TimePoint now);
 
   void HandleFirstEvent();
--- a/src/gateway/proxied_request_timing.cc
+++ b/src/gateway/proxied_request_timing.cc
@@ -21,6 +21,9 @@
 constexpr milliseconds kMinStaleWeightsMargin{700};
 constexpr milliseconds kMaxStaleWeightsMargin{2'000};
 constexpr int kStaleWeightsMarginFactor = 2;
+/// An attempt that hasn't begun is given up this long before its weights are
+/// too old, so that the upstream learns of it in time.
+constexpr milliseconds kWeightsExpiryMargin{100};
 
 }  // namespace
 
@@ -47,6 +50,26 @@
                                           limit - kMinStaleWeightsMargin, *now);
 }
 
+std::optional<TimePoint> ProxiedRequest::WeightsExpireAt() const {
+  const bool begun = !attempt_ || attempt_->has_first_event;
+  // Only of a stream is it known when the upstream begins.
+  if (begun || admitted_.route->kind != RouteKind::kStreaming) {
+    return std::nullopt;
+  }
+  const milliseconds limit = state_.settings.bounds.stale_weights_limit;
+  if (!state_.store_contact.InTouchFor(limit, BootTimeNow())) {
+    return std::nullopt;
+  }
+  const std::optional<WeightVersionNumber> weights =
+      WeightsAt(attempt_->upstream);
+  const std::optional<StoreTime> now = state_.StoreNow();
+  if (!weights || !now) return std::nullopt;
+  const std::optional<StoreTime> replaced_at =
+      state_.target_weights.ReplacedAt(admitted_.caller.model, *weights);
+  if (!replaced_at) return std::nullopt;
+  return state_.Now() + (*replaced_at + limit - kWeightsExpiryMargin - *now);
+}
+
 milliseconds ProxiedRequest::SilenceTimeout() const {
   if (attempt_->has_first_event) {
     return std::max(kMinEventGapTimeout,
@@ -77,6 +100,9 @@
   if (done_) return;
   TimePoint when = deadline_;
   if (const auto give_up_at = GiveUpAt()) when = std::min(when, *give_up_at);
+  if (const auto expire_at = WeightsExpireAt()) {
+    when = std::min(when, *expire_at);
+  }
   timer_.expires_at(when);
   std::weak_ptr<ProxiedRequest> weak = weak_from_this();
   timer_.async_wait([weak](const asio::error_code& ec) {
@@ -93,6 +119,8 @@
     AbandonAttempt();
     return OnEnd(AttemptEnd::kTimedOut, "time limit reached");
   }
+  const auto expire_at = WeightsExpireAt();
+  if (expire_at && now >= *expire_at) return GiveUpOldWeights();
   const auto give_up_at = GiveUpAt();
   if (!give_up_at || now < *give_up_at) return ArmTimer();
   // The attempt is given up only if another upstream can be tried.
@@ -114,6 +142,21 @@
   OnEnd(AttemptEnd::kBroken, "upstream is silent");
 }
 
+void ProxiedRequest::GiveUpOldWeights() {
+  state_.log.Write(
+      LogKind::kFailure, state_.Now(),
+      "event=weights_expired id={} upstream={} weights={} "
+      "sent_before_ms={}",
+      admitted_.caller.attempt_id, attempt_->upstream.id.value,
+      WeightsAt(attempt_->upstream).value_or(0),
+      std::chrono::duration_cast<milliseconds>(state_.Now() - attempt_->sent_at)
+          .count());
+  ++delivered_attempts_;
+  may_have_run_ = true;
+  AbandonAttempt();
+  OnEnd(AttemptEnd::kBroken, "weights are too old before the answer began");
+}
+
 void ProxiedRequest::RecordFirstEventTime(TimePoint now) {
   if (admitted_.route->kind != RouteKind::kStreaming) return;
   state_.stream_loads[admitted_.route->name].first_event.OnSample(
--- a/test/gateway/stale_weights_test.cc
+++ b/test/gateway/stale_weights_test.cc
@@ -225,6 +225,23 @@
   CHECK(engine.old.received().empty());
 }
 
+TEST_CASE("A request that waits at an engine ends before its weights expire") {
+  GatewayFixture fixture;
+  FakeUpstream silent(fixture.loop, "silent",
+                      [](Connection&, const ReceivedRequest&) {});
+  fixture.settings.bounds.stale_weights_limit = milliseconds(1'000);
+  fixture.PutConfig(1, kRoutes);
+  fixture.RegisterEngine(silent, 1);
+  fixture.Start();
+  REQUIRE(fixture.AwaitListed(1));
+  fixture.PutTargetWeights(2);
+  AwaitNewConfig(fixture);
+  // The gateway's time limit would end it with 504.
+  CHECK(AskForStream(fixture).starts_with("HTTP/1.1 502"));
+  REQUIRE(silent.received().size() == 1);
+  CHECK(silent.server().connections.front()->closed_by_peer);
+}
+
 TEST_CASE("Row times that can't be read count as none") {
   EngineWithoutGateway engine;
   engine.fixture.store.Put("yuccapick-lease", "rollout-row-times",
