--- a/test/row_version_times_test.cc
+++ b/test/row_version_times_test.cc
@@ -33,9 +33,10 @@
 
 TEST_CASE("Saved row times hold the latest answer and earlier ones apart") {
   RowVersionTimes times;
-  for (int i = 0; i < 10; ++i) {
-    times.OnAnswer(static_cast<std::uint64_t>(10 + i),
-                   kStart + milliseconds(200) * i);
+  StoreTime answered_at = kStart;
+  for (std::uint64_t version = 10; version < 20; ++version) {
+    times.OnAnswer(version, answered_at);
+    answered_at += milliseconds(200);
   }
   const std::vector<RowVersionTime> expected{
       {13, kStart + milliseconds(600)},
