Let a stream return to an upstream that was given up for silence

What callers saw: a stream whose upstream paused was cut off, although the upstream went on. It had been given up for silence, the other upstreams were full, and an upstream is tried only once.

Cause: a silence counted as the end of an upstream for the request. A sound upstream may fall silent for a second and go on.

Now a request that finds no untried upstream returns to those that it gave up for silence.

Excluded by tests that passed before, too: a booking under way waits for its answer and runs once; while all upstreams are silent for a second, idempotent requests are all served, with two attempts each at most; a stream whose only upstream pauses is complete; streams are complete though all upstreams pause.

Failed before, passes now: silent_upstream_test.cc:196: CHECK( answer.ends_with("0\r\n\r\n") ) false silent_upstream_test.cc:197: CHECK( CountEvents(answer) == 3 ) 1 == 3

--- a/src/gateway/proxied_request.cc
+++ b/src/gateway/proxied_request.cc
@@ -279,6 +279,7 @@
 }
 
 RetryDecision ProxiedRequest::NextDecision(AttemptEnd end) {
+  if (!HasUntriedUpstream()) ReadmitSilentUpstreams();
   RetryContext context;
   context.may_repeat = admitted_.route->IsSafeToRetry();
   context.answer_started = answer_started_;
--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -85,6 +85,9 @@
   /// Learns whether the upstream asks for a pause.
   void RecordPause(const AnswerInfo& info);
   bool HasUntriedUpstream() const;
+  /// Lets the request return to upstreams that were given up for silence, since
+  /// they may be sound.
+  void ReadmitSilentUpstreams();
   void TrySend();
   void Send(const DirectPlacementDecision& choice,
             const UpstreamEntry& upstream);
@@ -166,6 +169,8 @@
   bool survival_recorded_ = false;  ///< Of the last attempt.
   /// The limit that the last answer named, in requests a second.
   std::optional<double> named_limit_;
+  /// Given up for silence, in the order of the attempts.
+  std::vector<UpstreamId> silent_upstreams_;
   std::uint32_t attempts_sent_ = 0;
   std::uint32_t delivered_attempts_ = 0;
   std::uint32_t expected_cached_tokens_ = 0;
--- a/src/gateway/proxied_request_fleet.cc
+++ b/src/gateway/proxied_request_fleet.cc
@@ -105,6 +105,12 @@
   return false;
 }
 
+void ProxiedRequest::ReadmitSilentUpstreams() {
+  for (const UpstreamId& upstream : std::exchange(silent_upstreams_, {})) {
+    std::erase(query_.tried, upstream);
+  }
+}
+
 milliseconds ProxiedRequest::WaitForLimit(const UpstreamEntry& upstream) const {
   if (!state_.limits.LimitOf(upstream.id)) return milliseconds(0);
   const std::optional<StoreTime> now = state_.StoreNow();
--- a/src/gateway/proxied_request_timing.cc
+++ b/src/gateway/proxied_request_timing.cc
@@ -138,6 +138,7 @@
   if (!attempt_->has_first_event) RecordFirstEventTime(now);
   ++delivered_attempts_;
   may_have_run_ = true;
+  silent_upstreams_.push_back(upstream);
   AbandonAttempt();
   OnEnd(AttemptEnd::kBroken, "upstream is silent");
 }
