Ask a silent KV store again before it counts as unusable

What callers saw: after a silence of the KV store of one second, gateways didn't use it for 1.7 s although it answered again, so prompts were read again that it held.

Cause: one poll without an answer made it unusable, 1.6 s after the poll began, when the silence was over already. The next poll came 0.7 s later and, as there was no news, was answered after another second.

A refused or broken connection makes it unusable at once, as before.

Failed before, pass now: cache_watch_test.cc:107: CHECK( fixture.ticks_lost == 0 ) 17 == 0 cache_watch_test.cc:121: CHECK( fixture.state.Now() - spoke_at < milliseconds(1'200) ) 1701391362ns < 1200ms

--- a/src/gateway/cache_watch.cc
+++ b/src/gateway/cache_watch.cc
@@ -12,7 +12,10 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kLongPollWait{1'000};
-constexpr milliseconds kCallTimeout{1'600};
+constexpr milliseconds kCallTimeout{1'300};
+/// After a failure a short poll shows soon whether the cache answers.
+constexpr milliseconds kShortPollWait{200};
+constexpr milliseconds kShortCallTimeout{400};
 /// Delay between two calls, so that one answer carries several events.
 constexpr milliseconds kPollInterval{150};
 constexpr milliseconds kRetryDelay{700};
@@ -24,8 +27,6 @@
 constexpr std::size_t kMinWatchers = 2;
 /// Limits the part updates in one report, so that it fits a datagram.
 constexpr std::size_t kMaxPendingPartUpdates = 96;
-/// The KV store counts as unusable after this many consecutive failures.
-constexpr std::uint32_t kMaxStoreFailures = 1;
 
 }  // namespace
 
@@ -120,14 +121,16 @@
 
 void CacheWatch::Poll(const std::string& name, Target& target) {
   target.polling = true;
+  const bool failed = target.failures > 0;
   const std::uint64_t generation = target.generation;
-  calls_.Call(target.endpoint,
-              platform::EncodeWatchCacheEvents(target.endpoint, target.since,
-                                               kLongPollWait),
-              kCallTimeout,
-              [this, name, generation](const absl::StatusOr<CallAnswer>& it) {
-                OnAnswer(name, generation, it);
-              });
+  calls_.Call(
+      target.endpoint,
+      platform::EncodeWatchCacheEvents(target.endpoint, target.since,
+                                       failed ? kShortPollWait : kLongPollWait),
+      failed ? kShortCallTimeout : kCallTimeout,
+      [this, name, generation](const absl::StatusOr<CallAnswer>& it) {
+        OnAnswer(name, generation, it);
+      });
 }
 
 void CacheWatch::OnAnswer(const std::string& name, std::uint64_t generation,
@@ -136,6 +139,9 @@
   if (it == targets_.end() || it->second.generation != generation) return;
   Target& target = it->second;
   target.polling = false;
+  if (absl::IsDeadlineExceeded(answer.status()) && target.failures == 0) {
+    return OnSilence(target);
+  }
   if (!answer.ok()) return OnFailure(target, answer.status().message().data());
   if (answer->status != kHttpOk) return OnFailure(target, "refused");
   const absl::StatusOr<CacheEvents> events =
@@ -146,11 +152,23 @@
   Apply(target, *events);
 }
 
+void CacheWatch::OnSilence(Target& target) {
+  const TimePoint now = state_.Now();
+  ++target.failures;
+  target.next_call = now;
+  state_.log.Write(LogKind::kFailure, now,
+                   "event=cache_poll_unanswered endpoint={} upstream={} "
+                   "waited_ms={} since={}",
+                   target.endpoint,
+                   target.upstream.empty() ? "-" : target.upstream.value,
+                   kCallTimeout.count(), target.since);
+}
+
 void CacheWatch::OnFailure(Target& target, std::string_view reason) {
   const TimePoint now = state_.Now();
   ++target.failures;
   target.next_call = now + kRetryDelay;
-  if (!target.upstream.empty() || target.failures != kMaxStoreFailures) return;
+  if (!target.upstream.empty() || !state_.kv_store_usable) return;
   state_.kv_store_usable = false;
   state_.log.Write(LogKind::kLifecycle, now,
                    "event=kv_store_lost endpoint={} reason=\"{}\"",
--- a/src/gateway/cache_watch.h
+++ b/src/gateway/cache_watch.h
@@ -57,6 +57,9 @@
   void Poll(const std::string& name, Target& target);
   void OnAnswer(const std::string& name, std::uint64_t generation,
                 const absl::StatusOr<CallAnswer>& answer);
+  /// A poll was not answered in time. Its connection may be lost, or the cache
+  /// silent for a moment, so another one decides.
+  void OnSilence(Target& target);
   void OnFailure(Target& target, std::string_view reason);
   void Apply(Target& target, const CacheEvents& events);
 
