Repeat a read of the store on a new connection after half a second

What callers saw: a router or an agent whose connections to the store had fallen silent read neither the configuration's head nor the list of instances for 2 s, and again for 2 s with the next idle connection, so a change was in force later than the promised 4 s.

Cause: a read could use its whole deadline of 2 s for one attempt, so it was never repeated, and the next poll waits for its end. libcurl then took the next idle connection, which was as silent.

Now an attempt has 0.5 s while as much is left for another one, and after an attempt without an answer no connection is used that has been idle since before it. Retries stay within their budget.

Failed before, passes now (three idle connections, all silent; two reads): platform_client_test.cc:172: CHECK( result->ok() ) false platform_client_test.cc:174: CHECK( now - began_at < 1'500 ms ) 1999370935ns and 1999363083ns

--- a/src/shell/http_client.h
+++ b/src/shell/http_client.h
@@ -34,6 +34,9 @@
   /// new connection instead of a pooled one, which may be stale, and libcurl
   /// never resends it.
   bool repeatable = false;
+  /// Longest time for which a pooled connection may have been idle; 0 demands a
+  /// new connection.
+  std::chrono::seconds max_idle{60};
 };
 
 struct HttpResult {
--- a/src/shell/http_transfer.cc
+++ b/src/shell/http_transfer.cc
@@ -86,7 +86,10 @@
   const long total_ms = request_.timeouts.total.count();
   curl_easy_setopt(easy_, CURLOPT_CONNECTTIMEOUT_MS, connect_ms);
   curl_easy_setopt(easy_, CURLOPT_TIMEOUT_MS, total_ms);
-  curl_easy_setopt(easy_, CURLOPT_FRESH_CONNECT, request_.repeatable ? 0L : 1L);
+  const long max_idle = request_.max_idle.count();
+  const bool pooled = request_.repeatable && max_idle > 0;
+  curl_easy_setopt(easy_, CURLOPT_FRESH_CONNECT, pooled ? 0L : 1L);
+  if (pooled) curl_easy_setopt(easy_, CURLOPT_MAXAGE_CONN, max_idle);
   curl_easy_setopt(easy_, CURLOPT_PRIVATE, this);
   curl_easy_setopt(easy_, CURLOPT_PREREQFUNCTION, &OnBeforeRequest);
   curl_easy_setopt(easy_, CURLOPT_PREREQDATA, this);
--- a/src/shell/platform_channel.cc
+++ b/src/shell/platform_channel.cc
@@ -3,11 +3,14 @@
 #include <algorithm>
 #include <utility>
 
+#include "easylogging++.h"
+
 namespace yuccapick {
 namespace {
 
 constexpr long kHttpTooManyRequests = 429;
 constexpr long kHttpInternalServerError = 500;
+constexpr std::chrono::seconds kMaxIdle{60};
 
 bool IsUsable(const HttpResponse& response) {
   const long status = response.result.http_status;
@@ -26,6 +29,7 @@
   HttpRequest request;
   Done done;
   TimePoint deadline;
+  TimePoint sent_at;  ///< Of the last attempt.
   std::uint32_t retries = 0;
 };
 
@@ -46,8 +50,9 @@
   if (!budget_.TakeRead(TimePoint::clock::now())) return RejectCall(read->done);
   ++stats_.reads;
   HttpRequest request = read->request;
-  request.timeouts.total =
-      std::max(TimeLeft(read->deadline), std::chrono::milliseconds(1));
+  request.timeouts.total = AttemptLimit(*read);
+  request.max_idle = MaxIdle();
+  read->sent_at = TimePoint::clock::now();
   client_.Fetch(std::move(request), options_.max_response_bytes,
                 [self = weak_from_this(), read](HttpResponse response) {
                   if (auto channel = self.lock()) {
@@ -56,10 +61,40 @@
                 });
 }
 
+std::chrono::milliseconds PlatformChannel::AttemptLimit(
+    const PendingRead& read) const {
+  const auto left =
+      std::max(TimeLeft(read.deadline), std::chrono::milliseconds(1));
+  return left < options_.attempt_timeout * 2 ? left : options_.attempt_timeout;
+}
+
+std::chrono::seconds PlatformChannel::MaxIdle() const {
+  if (!silent_since_) return kMaxIdle;
+  const auto age = std::chrono::floor<std::chrono::seconds>(
+      TimePoint::clock::now() - *silent_since_);
+  // Idle times are compared in whole seconds.
+  return std::clamp(age - std::chrono::seconds(1), std::chrono::seconds(0),
+                    kMaxIdle);
+}
+
+void PlatformChannel::RecordSilence(TimePoint sent_at) {
+  ++stats_.timeouts;
+  silent_since_ = sent_at;
+}
+
 void PlatformChannel::OnReadResponse(const std::shared_ptr<PendingRead>& read,
                                      HttpResponse response) {
   RecordResponse(response);
   if (IsUsable(response)) return read->done(std::move(response));
+  if (absl::IsDeadlineExceeded(response.result.status)) {
+    RecordSilence(read->sent_at);
+    LOG(WARNING) << "event=platform_read_unanswered url=" << read->request.url
+                 << " waited_ms="
+                 << std::chrono::duration_cast<std::chrono::milliseconds>(
+                        TimePoint::clock::now() - read->sent_at)
+                        .count()
+                 << " retries=" << read->retries;
+  }
   RetryOrFail(read, std::move(response));
 }
 
--- a/src/shell/platform_channel.h
+++ b/src/shell/platform_channel.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include "shell/http_client.h"
 #include "yuccapick/platform_budget.h"
@@ -18,6 +19,9 @@
 struct PlatformChannelOptions {
   PlatformBudgetOptions budget;
   std::chrono::milliseconds deadline{2'000};  ///< Of a call, including retries.
+  /// A read that has waited this long is sent again on a new connection, if as
+  /// much time is left for that.
+  std::chrono::milliseconds attempt_timeout{500};
   std::size_t max_response_bytes = 8 << 20;
 };
 
@@ -26,6 +30,7 @@
   std::uint64_t reads = 0;              ///< Sent, including retries.
   std::uint64_t writes = 0;             ///< Sent.
   std::uint64_t retries = 0;            ///< Retried reads.
+  std::uint64_t timeouts = 0;           ///< Reads without an answer in time.
   std::uint64_t failures = 0;           ///< Requests without a usable response.
   std::uint64_t budget_rejections = 0;  ///< Calls over budget.
 };
@@ -54,7 +59,14 @@
                       HttpResponse response);
   void RetryOrFail(const std::shared_ptr<PendingRead>& read,
                    HttpResponse response);
+  /// How long the next attempt may take.
+  std::chrono::milliseconds AttemptLimit(const PendingRead& read) const;
   void RecordResponse(const HttpResponse& response);
+  /// The platform answered nothing to a read sent at `sent_at`. Connections
+  /// that have been idle since may be silent, too.
+  void RecordSilence(TimePoint sent_at);
+  /// How long a pooled connection may have been idle to be used now.
+  std::chrono::seconds MaxIdle() const;
   void RejectCall(Done done);
 
   asio::io_context& loop_;
@@ -62,6 +74,8 @@
   PlatformBudget budget_;
   PlatformChannelStats stats_;
   HttpClient client_;
+  /// When the last read was sent that got no answer in time.
+  std::optional<TimePoint> silent_since_;
 };
 
 }  // namespace yuccapick
--- a/test/shell/platform_client_test.cc
+++ b/test/shell/platform_client_test.cc
@@ -1,7 +1,10 @@
 #include "shell/platform_client.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <chrono>
 #include <optional>
+#include <vector>
 
 #include "test/shell/scripted_server.h"
 
@@ -130,6 +133,49 @@
   CHECK(requests == 3);
 }
 
+TEST_CASE("Reads are answered though the open connections fell silent") {
+  constexpr std::size_t kConnections = 3;
+  asio::io_context loop;
+  std::size_t requests = 0;
+  ScriptedServer server(loop, [&](Connection& c) {
+    if (!c.input.ends_with("}")) return;
+    c.input.clear();
+    const auto response = HttpResponseText("200 OK", R"({"rows":[]})");
+    if (++requests > kConnections) {
+      const auto& first = server.connections.begin();
+      const bool is_silent =
+          std::any_of(first, first + kConnections,
+                      [&c](const auto& it) { return it.get() == &c; });
+      if (!is_silent) c.Write(response);
+    } else if (requests == kConnections) {
+      for (const auto& it : server.connections) it->Write(response);
+    }
+  });
+  HttpTableService table(
+      std::make_shared<PlatformChannel>(loop, PlatformChannelOptions()),
+      server.url("/table"));
+  const auto read = [&table](std::optional<ReadResult>& result) {
+    table.Read({"a"}, [&](ReadResult it) { result = std::move(it); });
+  };
+  std::vector<std::optional<ReadResult>> warm(kConnections);
+  for (auto& result : warm) read(result);
+  REQUIRE(RunUntil(loop, [&] {
+    return std::all_of(warm.begin(), warm.end(),
+                       [](const auto& it) { return it && it->ok(); });
+  }));
+  REQUIRE(server.connections.size() == kConnections);
+  for (int i = 0; i < 2; ++i) {
+    std::optional<ReadResult> result;
+    const auto began_at = std::chrono::steady_clock::now();
+    read(result);
+    REQUIRE(RunUntil(loop, [&] { return result.has_value(); }));
+    CHECK(result->ok());
+    // A change has to be in force everywhere 4 s after it.
+    CHECK(std::chrono::steady_clock::now() - began_at <
+          std::chrono::milliseconds(1'500));
+  }
+}
+
 TEST_CASE("Listed instances of an unknown kind are skipped") {
   asio::io_context loop;
   ScriptedServer server(
