Replace a link to a peer on which a call got no answer

What callers saw: a configuration that was pushed to a process over a link that had fallen silent arrived only after the link's heartbeat had ended it, 3 to 4 s later; over two levels of the tree that is more than the promised 4 s.

Cause: each of the four pushes, 1 s and 0.15 s apart, used the same link. Only the heartbeat, after 3 s without input, replaced it.

Now a call that times out closes the link if the peer has sent nothing since the call, not even the answer to a heartbeat, and the next push opens a new one. Links to agents, which carry requests, aren't touched: a peer's silence is no reason to end these sooner.

Failed before, passes now: peer_links_test.cc:62: CHECK( peer.Call().ok() ) false peer_links_test.cc:63: CHECK( peer.relay.accepted() == 2 ) 1 == 2

--- a/src/shell/link_client.cc
+++ b/src/shell/link_client.cc
@@ -114,6 +114,13 @@
   return session->Open(path, std::move(handlers));
 }
 
+void LinkClient::CloseIfSilentSince(
+    std::chrono::steady_clock::time_point since) {
+  const auto session = session_;
+  if (session == nullptr || session->last_receive_time() >= since) return;
+  session->Close(absl::DeadlineExceededError("peer sent nothing since a call"));
+}
+
 void LinkClient::Call(const std::string& name, std::string_view bytes,
                       std::chrono::milliseconds timeout, CallDone done) {
   auto timer = std::make_shared<asio::steady_timer>(loop_, timeout);
--- a/src/shell/link_client.h
+++ b/src/shell/link_client.h
@@ -56,6 +56,10 @@
   void Call(const std::string& name, std::string_view bytes,
             std::chrono::milliseconds timeout, CallDone done);
 
+  /// Closes the link and connects again if the peer has sent nothing since
+  /// `since`. Open streams end with an error.
+  void CloseIfSilentSince(std::chrono::steady_clock::time_point since);
+
   bool up() const { return session_ != nullptr && session_->ready(); }
 
  private:
--- a/src/shell/link_session.h
+++ b/src/shell/link_session.h
@@ -71,6 +71,10 @@
   /// Closes the connection once its pending output is written.
   void Shutdown();
 
+  /// When the peer last sent something.
+  std::chrono::steady_clock::time_point last_receive_time() const {
+    return last_receive_time_;
+  }
   bool ready() const { return ready_ && !closed_; }
   std::size_t streams() const { return streams_.size(); }
   /// True if there is no unwritten output.
--- a/src/shell/peer_links.cc
+++ b/src/shell/peer_links.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "easylogging++.h"
 #include "shell/link_transport.h"
 
 namespace yuccapick {
@@ -28,11 +29,35 @@
                      std::string bytes, CallDone done) {
   Peer& entry = FindOrConnect(peer);
   entry.last_used = std::chrono::steady_clock::now();
+  PendingCall call{name, std::move(bytes), std::move(done)};
   if (entry.client->up()) {
-    entry.client->Call(name, bytes, kCallTimeout, std::move(done));
-    return;
+    return Send({peer.host, peer.port}, *entry.client, call);
   }
-  entry.pending_calls.push_back({name, std::move(bytes), std::move(done)});
+  entry.pending_calls.push_back(std::move(call));
+}
+
+void PeerLinks::Send(const Address& address, LinkClient& client,
+                     const PendingCall& call) {
+  const auto sent_at = std::chrono::steady_clock::now();
+  client.Call(call.name, call.bytes, kCallTimeout,
+              [weak = weak_from_this(), address, sent_at,
+               done = call.done](absl::StatusOr<std::string> result) {
+                const auto self = weak.lock();
+                if (self && absl::IsDeadlineExceeded(result.status())) {
+                  self->OnCallTimeout(address, sent_at);
+                }
+                done(std::move(result));
+              });
+}
+
+void PeerLinks::OnCallTimeout(const Address& address,
+                              std::chrono::steady_clock::time_point sent_at) {
+  const auto it = peers_.find(address);
+  if (it == peers_.end()) return;
+  LOG(WARNING) << "event=peer_call_unanswered peer=" << address.first << ':'
+               << address.second << " waited_ms=" << kCallTimeout.count();
+  const std::shared_ptr<LinkClient> client = it->second.client;
+  client->CloseIfSilentSince(sent_at);
 }
 
 PeerLinks::Peer& PeerLinks::FindOrConnect(const Endpoint& endpoint) {
@@ -59,7 +84,7 @@
   if (it == peers_.end()) return;
   const auto pending_calls = std::exchange(it->second.pending_calls, {});
   for (const PendingCall& call : pending_calls) {
-    it->second.client->Call(call.name, call.bytes, kCallTimeout, call.done);
+    Send(address, *it->second.client, call);
   }
 }
 
--- a/src/shell/peer_links.h
+++ b/src/shell/peer_links.h
@@ -25,7 +25,8 @@
             std::string name, std::uint64_t seed);
 
   /// Calls `name` at `peer`; connects first if there is no link. `done` gets an
-  /// error if connecting fails or the call times out.
+  /// error if connecting fails or the call times out. A link on which the peer
+  /// sent nothing meanwhile is replaced.
   void Call(const Endpoint& peer, const std::string& name, std::string bytes,
             CallDone done);
   /// Closes links that were idle for 30 s.
@@ -45,7 +46,12 @@
   };
   using Address = std::pair<std::string, std::uint16_t>;
 
+  /// Sends a call on a link that is up.
+  void Send(const Address& address, LinkClient& client,
+            const PendingCall& call);
   Peer& FindOrConnect(const Endpoint& endpoint);
+  void OnCallTimeout(const Address& address,
+                     std::chrono::steady_clock::time_point sent_at);
   void OnUp(const Address& address);
   void OnDown(const Address& address, const absl::Status& status);
 
