Test that a silence of all engines doesn't make new weights late

Excludes that a rollout waits longer than it may for an engine that is silent for a second: eighteen engines, all silent for one second that begins at any of 120 moments of the first 6 s, have new weights within 12 s. Passed at once.

--- a/test/rollout_planner_test.cc
+++ b/test/rollout_planner_test.cc
@@ -73,6 +73,9 @@
   void Silence(const std::string& id) {
     engines_[UpstreamId(id)].silent = true;
   }
+  void SetAllSilent(bool silent) {
+    for (auto& [id, engine] : engines_) engine.silent = silent;
+  }
 
   RolloutPlanner planner;
   UpstreamRoster roster;
@@ -272,6 +275,22 @@
   CHECK(simulation.Outdated(2) == 3);
 }
 
+TEST_CASE("New weights are in time though all engines pause for a second") {
+  const milliseconds limit(12'000);
+  const milliseconds silence(1'000);
+  for (milliseconds begin(0); begin < milliseconds(6'000); begin += kStep) {
+    RolloutSimulation simulation(18);
+    simulation.SetTarget(2);
+    for (milliseconds at(0); at < limit; at += kStep) {
+      if (at == begin) simulation.SetAllSilent(true);
+      if (at == begin + silence) simulation.SetAllSilent(false);
+      simulation.Step();
+    }
+    INFO("silent from " << begin.count() << " ms");
+    CHECK(simulation.Outdated(2) == 0);
+  }
+}
+
 TEST_CASE(
     "Engines load new weights once each even if orders are lost or late") {
   rc::prop("all engines are updated, a few at a time", [] {
