End a call to a peer in time if its link doesn't come up

What callers saw: a push of the configuration to a process that accepts connections and says nothing, or whose connection doesn't open, took 3 s (the heartbeat's timeout) or 2 s instead of the 1 s of a call, and the next attempt came after that. Two of them, one at each level of the tree, are longer than the 4 s in which a configuration has to be in force.

Cause: a call's time limit began when its link was up.

Now a connection to a peer has 0.5 s and its handshake 0.8 s, which the first heartbeat notices after 1 s. Links to agents keep their limits.

Failed before, passes now: peer_links_test.cc:79: CHECK( now - began_at < 1'500 ms ) 3012731944ns

--- a/src/shell/peer_links.cc
+++ b/src/shell/peer_links.cc
@@ -9,6 +9,10 @@
 namespace {
 
 constexpr std::chrono::milliseconds kCallTimeout{1'000};
+/// A call that waits for its link takes no longer than others: the handshake's
+/// timeout is noticed at the first heartbeat, 1 s after the start.
+constexpr std::chrono::milliseconds kConnectTimeout{500};
+constexpr std::chrono::milliseconds kHandshakeTimeout{800};
 constexpr std::chrono::seconds kIdleTimeout{30};
 
 }  // namespace
@@ -19,6 +23,8 @@
   options_.secret = settings.secret;
   options_.name = std::move(name);
   options_.seed = seed;
+  options_.connect_timeout = kConnectTimeout;
+  options_.timings.handshake_timeout = kHandshakeTimeout;
   if (settings.link_tls.enabled()) {
     auto tls = MakeTlsContext(settings.link_tls, LinkRole::kClient);
     if (tls.ok()) options_.tls = *tls;
--- a/test/shell/peer_links_test.cc
+++ b/test/shell/peer_links_test.cc
@@ -62,5 +62,23 @@
   CHECK(peer.relay.accepted() == 2);
 }
 
+TEST_CASE("A call to a peer that accepts and says nothing fails in time") {
+  asio::io_context loop;
+  ScriptedServer silent_server(loop, [](ScriptedServer::Connection&) {});
+  ProcessSettings settings;
+  settings.secret = "secret";
+  auto links = std::make_shared<PeerLinks>(loop, settings, "router-1", 1);
+  const auto began_at = std::chrono::steady_clock::now();
+  std::optional<absl::Status> result;
+  links->Call(
+      {"127.0.0.1", silent_server.port()}, "echo", "x",
+      [&](const absl::StatusOr<std::string>& it) { result = it.status(); });
+  REQUIRE(RunUntil(loop, [&] { return result.has_value(); }));
+  CHECK_FALSE(result->ok());
+  // Two such calls, one at each level of the tree, fit into the promised 4 s.
+  CHECK(std::chrono::steady_clock::now() - began_at < milliseconds(1'500));
+  links->Stop();
+}
+
 }  // namespace
 }  // namespace yuccapick
