--- a/test/gateway/silent_connection_test.cc
+++ b/test/gateway/silent_connection_test.cc
@@ -86,10 +86,9 @@
   }
 
   std::size_t CountOpen() const {
-    std::size_t open = 0;
-    for (const auto& it : server.connections)
-      open += it->closed_by_peer ? 0 : 1;
-    return open;
+    return static_cast<std::size_t>(
+        std::count_if(server.connections.begin(), server.connections.end(),
+                      [](const auto& it) { return !it->closed_by_peer; }));
   }
 
   asio::io_context loop;
--- a/test/gateway/silent_upstream_test.cc
+++ b/test/gateway/silent_upstream_test.cc
@@ -17,7 +17,7 @@
 
 /// How long a sound upstream may say nothing.
 constexpr milliseconds kSilence{1'000};
-constexpr int kCallers = 12;
+constexpr std::size_t kCallers = 12;
 
 constexpr char kRoutes[] = R"([
  {"name":"book","host":"crew.example","prefix":"/book/",
@@ -90,7 +90,7 @@
                                    const std::string& path,
                                    const std::string& end) {
     std::vector<std::unique_ptr<FakeCaller>> callers;
-    for (int i = 0; i < kCallers; ++i) {
+    for (std::size_t i = 0; i < kCallers; ++i) {
       callers.push_back(std::make_unique<FakeCaller>(
           fixture.loop, fixture.settings.caller_endpoint));
       callers.back()->Send(
