Let checks leave a table alone that is being read

A check that was answered 410 began the read of the whole table again, even while one was under way. A gateway that had missed more than the store's history read a table of several pages again and again, for as long as its checks came sooner than the last page: it learned of no configuration, key, target weights or upstream. 150 ms lie between checks that fail, so four pages at 100 ms each were never read.

The new test has a store that discards its history and a table of four pages. Before: the copy is at the old version after 3 s ("10 == 20"). Now it is read.

--- a/src/gateway/table_watch.cc
+++ b/src/gateway/table_watch.cc
@@ -91,7 +91,8 @@
   const absl::StatusOr<platform::RowsAnswer> rows = Decode(answer);
   if (!rows.ok()) {
     if (absl::IsOutOfRange(rows.status())) {
-      Refresh();
+      // A read under way would begin again with each check.
+      if (!read_due_ || backing_off_) Refresh();
     } else {
       reachable_ = false;
       handler_.OnTableUnavailable(options_.table,
