Give up streams whose weights are replaced after they were sent

The time at which an attempt's weights expire was computed when it was sent. If new target weights were set only then, and the route may not be retried, the timer waited for the request's time limit, so a stream that waited at an engine could begin on weights that were too old. Attempts on resumable routes were saved by the timer of silent upstreams.

A waiting attempt now looks for new targets four times within the limit.

The new test sends a stream, sets target weights 100 ms later and lets the limit of 1 s pass. Before, on the route that isn't resumable: the engine's connection is still open and the caller has no answer. Now it is closed and the caller gets 502, on both routes.

--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -115,6 +115,10 @@
   std::chrono::milliseconds SilenceTimeout() const;
   /// When the current attempt is given up; nullopt if it may not be retried.
   std::optional<TimePoint> GiveUpAt() const;
+  /// True if the upstream may not have begun with the attempt.
+  bool WaitsToBegin() const;
+  /// How long an attempt waits until it looks for new target weights.
+  std::chrono::milliseconds WeightsCheckDelay() const;
   /// When the attempt's weights become too old for its answer to begin; nullopt
   /// if they don't or it has begun.
   std::optional<TimePoint> WeightsExpireAt() const;
--- a/src/gateway/proxied_request_timing.cc
+++ b/src/gateway/proxied_request_timing.cc
@@ -24,6 +24,10 @@
 /// An attempt that hasn't begun is given up this long before its weights are
 /// too old, so that the upstream learns of it in time.
 constexpr milliseconds kWeightsExpiryMargin{100};
+/// How often within the weights' time limit a waiting attempt looks whether new
+/// targets have been set since it was sent.
+constexpr int kWeightsChecksPerLimit = 4;
+constexpr milliseconds kMinWeightsCheckDelay{50};
 
 }  // namespace
 
@@ -50,12 +54,14 @@
                                           limit - kMinStaleWeightsMargin, *now);
 }
 
-std::optional<TimePoint> ProxiedRequest::WeightsExpireAt() const {
-  const bool begun = !attempt_ || attempt_->has_first_event;
+bool ProxiedRequest::WaitsToBegin() const {
   // Only of a stream is it known when the upstream begins.
-  if (begun || admitted_.route->kind != RouteKind::kStreaming) {
-    return std::nullopt;
-  }
+  return attempt_ && !attempt_->has_first_event &&
+         admitted_.route->kind == RouteKind::kStreaming;
+}
+
+std::optional<TimePoint> ProxiedRequest::WeightsExpireAt() const {
+  if (!WaitsToBegin()) return std::nullopt;
   const milliseconds limit = state_.settings.bounds.stale_weights_limit;
   if (!state_.store_contact.InTouchFor(limit, BootTimeNow())) {
     return std::nullopt;
@@ -70,6 +76,12 @@
   return state_.Now() + (*replaced_at + limit - kWeightsExpiryMargin - *now);
 }
 
+milliseconds ProxiedRequest::WeightsCheckDelay() const {
+  return std::max(
+      kMinWeightsCheckDelay,
+      state_.settings.bounds.stale_weights_limit / kWeightsChecksPerLimit);
+}
+
 milliseconds ProxiedRequest::SilenceTimeout() const {
   if (attempt_->has_first_event) {
     return std::max(kMinEventGapTimeout,
@@ -103,6 +115,9 @@
   if (const auto expire_at = WeightsExpireAt()) {
     when = std::min(when, *expire_at);
   }
+  if (WaitsToBegin() && WeightsAt(attempt_->upstream)) {
+    when = std::min(when, state_.Now() + WeightsCheckDelay());
+  }
   timer_.expires_at(when);
   std::weak_ptr<ProxiedRequest> weak = weak_from_this();
   timer_.async_wait([weak](const asio::error_code& ec) {
