Test that polls that a silence swallowed are opened again

"Polls that a silence swallowed are opened again" passed with all renewals taken out of FreshnessSync, as did the 17 tests with "silence", "swallowed" or "poll" in their names: the checks alone brought the changes. The test now also asks whether the store has an open poll of the table.

With the renewals taken out it fails: 5417 ms, 2000 ms are allowed. With them it passes.

--- a/test/gateway/fake_store.cc
+++ b/test/gateway/fake_store.cc
@@ -51,6 +51,12 @@
   Notify();
 }
 
+bool FakeStore::HasPoll(const std::string& table) const {
+  return std::any_of(
+      watchers_.begin(), watchers_.end(),
+      [&table](const Watcher& watcher) { return watcher.table == table; });
+}
+
 void FakeStore::set_silent(bool silent) {
   silent_ = silent;
   if (silent) watchers_.clear();
--- a/test/gateway/fake_store.h
+++ b/test/gateway/fake_store.h
@@ -42,6 +42,8 @@
   void set_up(bool up) { up_ = up; }
   /// Reads of changes that asked for an answer at once.
   std::size_t checks() const { return checks_; }
+  /// True if a long poll of `table` waits for an answer.
+  bool HasPoll(const std::string& table) const;
   std::string endpoint() const;
 
  private:
--- a/test/gateway/silent_store_test.cc
+++ b/test/gateway/silent_store_test.cc
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "platform/names.h"
 #include "test/gateway/gateway_fixture.h"
 #include "yuccapick/table_freshness.h"
 
@@ -126,6 +127,9 @@
   app.fixture.PutConfig(2, kNewRoutes);
   REQUIRE(
       app.fixture.RunUntilTrue([&] { return app.Answers(kNewPath, "200"); }));
+  CHECK(TimeUntil(app.fixture, [&] {
+          return app.fixture.store.HasPoll(platform::kOperator);
+        }) < kChangeLimit);
   app.fixture.PutConfig(3, kOldRoutes);
   CHECK(TimeUntil(app.fixture, [&] { return app.Answers(kNewPath, "404"); }) <
         kChangeLimit);
