Name in a confirmation only changes that the sender can vouch for

Found in a review, no caller saw it. A gateway that read all rows again took the newest listed row, or the version of its first read, for the table's newest change. (1) A row that came and went between two of its answers was missing from its confirmation, so a peer that held the row counted as current.

--- a/include/yuccapick/table_freshness.h
+++ b/include/yuccapick/table_freshness.h
@@ -37,6 +37,15 @@
   bool operator==(const StoreConfirmation&) const = default;
 };
 
+/// What a call of a check found in its table.
+struct CheckedTable {
+  WatchedTable table = WatchedTable::kOperator;
+  StoreTime as_of;           ///< The store's time of the answer.
+  std::uint64_t newest = 0;  ///< Version of the newest change, or higher.
+  bool newest_is_exact = true;
+  bool changed = false;  ///< The call brought changes.
+};
+
 /// Check all watched tables now.
 struct StartTableCheck {};
 
@@ -80,13 +89,11 @@
   /// ones, for example if it is a peer's.
   void OnRows(WatchedTable table, std::uint64_t as_of);
   /// The call of a check was answered, and its rows are in the copy.
-  /// @param changed whether it brought changes
-  /// @param newest version of the newest change in the table
-  /// @return the confirmation for all peers once all tables are checked
-  std::optional<StoreConfirmation> OnCheckAnswered(WatchedTable table,
-                                                   StoreTime as_of,
-                                                   std::uint64_t newest,
-                                                   bool changed, TimePoint now);
+  /// @return the confirmation for all peers once all tables are checked. One
+  ///   that may take peers for behind though they aren't waits for a while for
+  ///   a better one of a peer.
+  std::optional<StoreConfirmation> OnCheckAnswered(const CheckedTable& found,
+                                                   TimePoint now);
   /// The call of a check failed.
   void OnCheckFailed(TimePoint now);
   /// A peer checked the tables.
@@ -126,6 +133,7 @@
     TimePoint began_at;
     std::size_t open_calls = kWatchedTables.size();
     bool failed = false;
+    bool exact = true;  ///< No peer is taken for behind that isn't.
     StoreConfirmation found;
   };
 
--- a/include/yuccapick/table_mirror.h
+++ b/include/yuccapick/table_mirror.h
@@ -4,6 +4,7 @@
 /// @file
 /// A local copy of a table's rows that never goes back to an older state.
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -37,6 +38,9 @@
   /// @param as_of version up to which the changes are complete
   std::vector<MirrorRow> OnChanges(const std::vector<MirrorRow>& rows,
                                    std::uint64_t as_of);
+  /// The table's newest change was `version` at a time after the last snapshot
+  /// was read.
+  void OnNewestChangeKnown(std::uint64_t version);
 
   // Queries.
 
@@ -45,7 +49,11 @@
   std::uint64_t newest_change() const { return newest_change_; }
   /// No row changed after this version and up to `as_of`. Unlike
   /// `newest_change`, it covers rows removed before they were ever received.
-  std::uint64_t unchanged_since() const { return unchanged_since_; }
+  std::uint64_t unchanged_since() const {
+    return std::max(newest_change_, unseen_until_);
+  }
+  /// False if `unchanged_since` may be higher than the newest change.
+  bool knows_newest_change() const { return newest_change_ >= unseen_until_; }
   TableSnapshot Snapshot() const;
 
  private:
@@ -54,7 +62,9 @@
   std::map<std::string, MirrorRow> rows_;
   std::uint64_t as_of_ = 0;
   std::uint64_t newest_change_ = 0;
-  std::uint64_t unchanged_since_ = 0;
+  /// A snapshot doesn't show rows that came and went before it; such changes
+  /// have at most this version.
+  std::uint64_t unseen_until_ = 0;
 };
 
 }  // namespace yuccapick
--- a/src/gateway/freshness_sync.cc
+++ b/src/gateway/freshness_sync.cc
@@ -125,9 +125,11 @@
     freshness_.OnCheckFailed(now);
     return Schedule();
   }
+  const TableMirror& mirror = WatchOf(watched).mirror();
   const auto confirmation = freshness_.OnCheckAnswered(
-      watched, answer->store_time, WatchOf(watched).mirror().unchanged_since(),
-      answer->changed, now);
+      {watched, answer->store_time, mirror.unchanged_since(),
+       mirror.knows_newest_change(), answer->changed},
+      now);
   if (confirmation) exchange_.Send(*confirmation, peers_.Targets(now));
   Schedule();
 }
@@ -146,6 +148,10 @@
   for (const WatchedTable table : kWatchedTables) {
     TableWatch& watch = WatchOf(table);
     watch.OnStoreAnswers();
+    watch.OnNewestChangeKnown(table == WatchedTable::kOperator
+                                  ? confirmation.operator_rows
+                                  : confirmation.upstream_rows,
+                              *at);
     const bool current =
         !freshness_.Behind(table) && freshness_.Confirmed(table, now);
     if (current) watch.OnConfirmed();
--- a/src/gateway/table_watch.cc
+++ b/src/gateway/table_watch.cc
@@ -134,7 +134,12 @@
   handler_.OnPollEnded(options_.table);
 }
 
+void TableWatch::OnNewestChangeKnown(std::uint64_t version, TimePoint at) {
+  if (at >= snapshot_at_) mirror_.OnNewestChangeKnown(version);
+}
+
 void TableWatch::OnPeerSnapshot(const TableSnapshot& snapshot) {
+  snapshot_at_ = Now();
   handler_.OnTableRows(options_.table, mirror_.OnSnapshot(snapshot));
 }
 
@@ -203,6 +208,7 @@
     return ReadAll(rows->rows.back().key + '\0');
   }
   read_due_ = false;
+  snapshot_at_ = Now();
   HandleAnswered();
   handler_.OnTableRows(options_.table, mirror_.OnSnapshot(partial_snapshot_));
   handler_.OnTableCurrent(options_.table,
--- a/src/gateway/table_watch.h
+++ b/src/gateway/table_watch.h
@@ -99,6 +99,8 @@
   }
   /// Takes over the newer rows of a peer's copy of the table.
   void OnPeerSnapshot(const TableSnapshot& snapshot);
+  /// The table's newest change was `version` at a local time.
+  void OnNewestChangeKnown(std::uint64_t version, TimePoint at);
 
   const TableMirror& mirror() const { return mirror_; }
   /// True while the last call was answered.
@@ -142,6 +144,7 @@
   TableMirror mirror_;
   TableSnapshot partial_snapshot_;
   StoreTime partial_store_time_;
+  TimePoint snapshot_at_;         ///< When the last snapshot was taken over.
   std::uint64_t generation_ = 0;  ///< Answers to older calls are dropped.
   bool read_due_ = true;
   bool reachable_ = false;
--- a/src/table_freshness.cc
+++ b/src/table_freshness.cc
@@ -20,6 +20,9 @@
 /// From one gateway's check to the next one's; times their number, the shortest
 /// time between the checks of one gateway. 950 calls a second for two tables.
 constexpr microseconds kDelayPerGateway{2'100};
+/// How long a gateway that has just read all rows waits for the confirmation of
+/// one that knows the newest change.
+constexpr milliseconds kInexactConfirmationDelay{1'000};
 /// How long a poll may lack changes that are known from elsewhere.
 constexpr milliseconds kRenewGrace{100};
 /// Spreads the renewals of all gateways.
@@ -142,18 +145,19 @@
 }
 
 std::optional<StoreConfirmation> TableFreshness::OnCheckAnswered(
-    WatchedTable table, StoreTime as_of, std::uint64_t newest, bool changed,
-    TimePoint now) {
-  if (changed) ScheduleRenewal(table, RenewReason::kChecked, now);
+    const CheckedTable& found, TimePoint now) {
+  if (found.changed) ScheduleRenewal(found.table, RenewReason::kChecked, now);
   if (!check_) return std::nullopt;
-  StoreConfirmation& found = check_->found;
+  StoreConfirmation& all = check_->found;
   const bool first = check_->open_calls == kWatchedTables.size();
-  found.as_of = first ? as_of : std::min(found.as_of, as_of);
-  if (table == WatchedTable::kOperator) {
-    found.operator_rows = newest;
+  all.as_of = first ? found.as_of : std::min(all.as_of, found.as_of);
+  if (found.table == WatchedTable::kOperator) {
+    all.operator_rows = found.newest;
   } else {
-    found.upstream_rows = newest;
+    all.upstream_rows = found.newest;
   }
+  const bool known = found.newest <= StateOf(found.table).newest_confirmed;
+  check_->exact = check_->exact && (found.newest_is_exact || known);
   return EndCall(now);
 }
 
@@ -176,6 +180,10 @@
   const bool newer =
       ended.found.as_of > last_.as_of || ended.began_at > last_confirmed_at_;
   if (!newer) return std::nullopt;
+  if (!ended.exact && now - last_confirmed_at_ < kInexactConfirmationDelay) {
+    retry_at_ = now + Spaced(kMinRetryDelay, gateway_count_);
+    return std::nullopt;
+  }
   Adopt(ended.found, ended.began_at);
   return ended.found;
 }
--- a/src/table_mirror.cc
+++ b/src/table_mirror.cc
@@ -26,7 +26,6 @@
 std::vector<MirrorRow> TableMirror::OnSnapshot(const TableSnapshot& snapshot) {
   std::vector<MirrorRow> changes;
   if (snapshot.as_of < as_of_) return changes;
-  const bool first = as_of_ == 0;
   std::set<std::string> listed;
   for (const MirrorRow& row : snapshot.rows) {
     listed.insert(row.key);
@@ -40,8 +39,8 @@
     changes.push_back({it->first, "", snapshot.as_of, true});
     it = rows_.erase(it);
   }
+  if (snapshot.as_of > as_of_) unseen_until_ = snapshot.as_of;
   as_of_ = snapshot.as_of;
-  if (first || !changes.empty()) unchanged_since_ = as_of_;
   return changes;
 }
 
@@ -52,10 +51,13 @@
     if (Apply(row)) changes.push_back(row);
   }
   as_of_ = std::max(as_of_, as_of);
-  unchanged_since_ = std::max(unchanged_since_, newest_change_);
   return changes;
 }
 
+void TableMirror::OnNewestChangeKnown(std::uint64_t version) {
+  unseen_until_ = std::min(unseen_until_, version);
+}
+
 TableSnapshot TableMirror::Snapshot() const {
   TableSnapshot snapshot;
   for (const auto& [key, row] : rows_) snapshot.rows.push_back(row);
--- a/test/table_freshness_test.cc
+++ b/test/table_freshness_test.cc
@@ -174,10 +174,10 @@
     as_of_[call.gateway] = version_;
     gateway.OnCurrent(WatchedTable::kOperator, version_, now_);
     gateway.OnCurrent(WatchedTable::kUpstreams, version_, now_);
-    gateway.OnCheckAnswered(WatchedTable::kOperator, StoreNow(), version_,
-                            changed, now_);
+    gateway.OnCheckAnswered(
+        {WatchedTable::kOperator, StoreNow(), version_, true, changed}, now_);
     const auto confirmation = gateway.OnCheckAnswered(
-        WatchedTable::kUpstreams, StoreNow(), 1, false, now_);
+        {WatchedTable::kUpstreams, StoreNow(), 1, true, false}, now_);
     if (confirmation) Tell(call.gateway, *confirmation);
   }
   void Tell(std::size_t from, const StoreConfirmation& confirmation) {
@@ -217,10 +217,10 @@
   REQUIRE(IsCheck(Due(gateway)));
   const TimePoint end = kStart + milliseconds(510);
   const StoreTime time(milliseconds(7));
-  CHECK_FALSE(
-      gateway.OnCheckAnswered(WatchedTable::kOperator, time, 3, false, end));
+  CHECK_FALSE(gateway.OnCheckAnswered(
+      {WatchedTable::kOperator, time, 3, true, false}, end));
   const auto confirmation = gateway.OnCheckAnswered(
-      WatchedTable::kUpstreams, time + milliseconds(1), 4, false, end);
+      {WatchedTable::kUpstreams, time + milliseconds(1), 4, true, false}, end);
   CHECK(confirmation == StoreConfirmation{time, 3, 4});
   CHECK(gateway.NextDue() == kStart + milliseconds(1'000));
 }
@@ -230,7 +230,8 @@
   REQUIRE(IsCheck(Due(gateway)));
   const TimePoint end = kStart + milliseconds(1'000);
   gateway.OnCheckFailed(end);
-  gateway.OnCheckAnswered(WatchedTable::kUpstreams, StoreTime(), 1, false, end);
+  gateway.OnCheckAnswered(
+      {WatchedTable::kUpstreams, StoreTime(), 1, true, false}, end);
   CHECK(gateway.NextDue() == end + milliseconds(150));
   CHECK(IsCheck(Due(gateway)));
 }
@@ -273,7 +274,8 @@
   REQUIRE(IsCheck(Due(gateway)));
   const TimePoint end = kStart + milliseconds(510);
   gateway.OnCurrent(WatchedTable::kUpstreams, 9, end);
-  gateway.OnCheckAnswered(WatchedTable::kUpstreams, StoreTime(), 9, true, end);
+  gateway.OnCheckAnswered(
+      {WatchedTable::kUpstreams, StoreTime(), 9, true, true}, end);
   const auto actions = gateway.OnTick(end + milliseconds(100));
   REQUIRE(actions.size() == 1);
   CHECK(std::get<RenewPoll>(actions[0]).reason == RenewReason::kChecked);
@@ -305,9 +307,10 @@
                          kStart);
   REQUIRE(IsCheck(Due(gateway)));
   const TimePoint end = kStart + milliseconds(510);
-  gateway.OnCheckAnswered(WatchedTable::kOperator, StoreTime(), 1, false, end);
-  CHECK(gateway.OnCheckAnswered(WatchedTable::kUpstreams, StoreTime(), 1, false,
-                                end));
+  gateway.OnCheckAnswered(
+      {WatchedTable::kOperator, StoreTime(), 1, true, false}, end);
+  CHECK(gateway.OnCheckAnswered(
+      {WatchedTable::kUpstreams, StoreTime(), 1, true, false}, end));
   CHECK(gateway.NextDue() == kStart + milliseconds(1'000));
 }
 
@@ -408,5 +411,30 @@
   CHECK_FALSE(DecodeStoreConfirmation(EncodeNamedLimits({})).has_value());
 }
 
+TEST_CASE("A gateway that has just read all rows takes no peer for behind") {
+  TableFreshness gateway(InstanceId("started"), kStart);
+  const auto check = [&gateway](TimePoint now) {
+    gateway.OnTick(now);
+    gateway.OnCheckAnswered(
+        {WatchedTable::kOperator, StoreTime(milliseconds(7)), 20, false, false},
+        now);
+    return gateway.OnCheckAnswered(
+        {WatchedTable::kUpstreams, StoreTime(milliseconds(7)), 20, false,
+         false},
+        now);
+  };
+  CHECK_FALSE(check(kStart + milliseconds(600)).has_value());
+  // A peer that knows the newest change is told of nothing new.
+  const StoreConfirmation exact{StoreTime(milliseconds(8)), 9, 12};
+  SECTION("A peer knows it") {
+    CHECK(gateway.OnConfirmation(exact, kStart + milliseconds(700),
+                                 kStart + milliseconds(700)));
+    CHECK_FALSE(check(kStart + milliseconds(1'500)).has_value());
+  }
+  SECTION("No peer knows it") {
+    CHECK(check(kStart + milliseconds(1'100)).has_value());
+  }
+}
+
 }  // namespace
 }  // namespace yuccapick
--- a/test/table_mirror_test.cc
+++ b/test/table_mirror_test.cc
@@ -93,9 +93,13 @@
   CHECK(mirror.unchanged_since() == 9);
   mirror.OnChanges({}, 12);
   mirror.OnSnapshot({{{"a", "x", 3, false}}, 14});
+  CHECK(mirror.unchanged_since() == 14);
+  CHECK_FALSE(mirror.knows_newest_change());
+  mirror.OnNewestChangeKnown(9);
   CHECK(mirror.unchanged_since() == 9);
   mirror.OnChanges({{"a", "y", 15, false}}, 16);
   CHECK(mirror.unchanged_since() == 15);
+  CHECK(mirror.knows_newest_change());
   mirror.OnSnapshot({{}, 20});
   CHECK(mirror.unchanged_since() == 20);
 }
