Read from a platform whose answers take more than half a second

Each attempt of a read but the last had 500 ms, so a read was sent three times to a platform that needed longer, and failed if it needed 1 s. Callers of the platform channel got no rows in that case.

The attempt after one without an answer now has all the time that is left, so answers that take up to about 1.4 s arrive again.

--- a/src/shell/platform_channel.cc
+++ b/src/shell/platform_channel.cc
@@ -31,6 +31,7 @@
   TimePoint deadline;
   TimePoint sent_at;  ///< Of the last attempt.
   std::uint32_t retries = 0;
+  bool timed_out = false;  ///< An attempt got no answer in time.
 };
 
 PlatformChannel::PlatformChannel(asio::io_context& loop,
@@ -65,7 +66,8 @@
     const PendingRead& read) const {
   const auto left =
       std::max(TimeLeft(read.deadline), std::chrono::milliseconds(1));
-  return left < options_.attempt_timeout * 2 ? left : options_.attempt_timeout;
+  const bool last = read.timed_out || left < options_.attempt_timeout * 2;
+  return last ? left : options_.attempt_timeout;
 }
 
 std::chrono::seconds PlatformChannel::MaxIdle() const {
@@ -88,6 +90,7 @@
   if (IsUsable(response)) return read->done(std::move(response));
   if (absl::IsDeadlineExceeded(response.result.status)) {
     RecordSilence(read->sent_at);
+    read->timed_out = true;
     LOG(WARNING) << "event=platform_read_unanswered url=" << read->request.url
                  << " waited_ms="
                  << std::chrono::duration_cast<std::chrono::milliseconds>(
