Let no older answer of a peer end an outage

Found in a review by reading, no caller saw it. A confirmation may be 1.5 s old when it is read. It ended an outage of the store that a gateway's own calls had found after it, so overdue weights were refused, and entries that had expired in the outage were removed, as if the store had answered.

Now it counts only if it is from after the last failure of an own call. 'An answer that a peer got before the last failure ends no outage' checks the decision, which had no place of its own before.

--- a/include/yuccapick/store_contact.h
+++ b/include/yuccapick/store_contact.h
@@ -31,6 +31,9 @@
 
   void OnAnswer(TimePoint now);
   void OnFailure(TimePoint now);
+  /// A peer's call was answered at `answered_at`.
+  /// @return false if an own call failed later, so this tells nothing new
+  bool OnPeerAnswer(TimePoint answered_at, TimePoint now);
 
   // Queries.
 
--- a/src/gateway/freshness_sync.cc
+++ b/src/gateway/freshness_sync.cc
@@ -26,11 +26,10 @@
 
 }  // namespace
 
-FreshnessSync::FreshnessSync(GatewayState& state, PeerExchange& exchange,
-                             const PeerRegistry& peers,
-                             TableWatch& operator_watch,
-                             TableWatch& upstream_watch,
-                             std::function<void()> on_confirmed)
+FreshnessSync::FreshnessSync(
+    GatewayState& state, PeerExchange& exchange, const PeerRegistry& peers,
+    TableWatch& operator_watch, TableWatch& upstream_watch,
+    std::function<void(TimePoint::duration age)> on_confirmed)
     : state_(state),
       exchange_(exchange),
       peers_(peers),
@@ -157,7 +156,7 @@
     if (current) watch.OnConfirmed();
     all_current = all_current && current;
   }
-  if (all_current) on_confirmed_();
+  if (all_current) on_confirmed_(now - *at);
   Schedule();
 }
 
--- a/src/gateway/freshness_sync.h
+++ b/src/gateway/freshness_sync.h
@@ -33,7 +33,8 @@
   ///   all tables are current
   FreshnessSync(GatewayState& state, PeerExchange& exchange,
                 const PeerRegistry& peers, TableWatch& operator_watch,
-                TableWatch& upstream_watch, std::function<void()> on_confirmed);
+                TableWatch& upstream_watch,
+                std::function<void(TimePoint::duration age)> on_confirmed);
 
   void OnTick(TimePoint now);
   void Stop() { timer_.cancel(); }
@@ -70,7 +71,7 @@
   const PeerRegistry& peers_;
   TableWatch& operator_watch_;
   TableWatch& upstream_watch_;
-  std::function<void()> on_confirmed_;
+  std::function<void(TimePoint::duration age)> on_confirmed_;
   TableFreshness freshness_;
   asio::steady_timer timer_;
   std::array<bool, kWatchedTables.size()> believed_confirmed_{};
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -117,7 +117,7 @@
       loop, table_calls_, state_.store_times, options, watch_handler);
   freshness_sync_ = std::make_unique<FreshnessSync>(
       state_, exchange_, peers_, *operator_watch_, *upstream_watch_,
-      [this] { OnTablesConfirmed(); });
+      [this](TimePoint::duration age) { OnTablesConfirmed(age); });
   status_pages_ = std::make_unique<StatusPages>(loop, *this);
   ingress_server_ = std::make_unique<IngressServer>(loop, ingress_handler);
 }
--- a/src/gateway/gateway_process.h
+++ b/src/gateway/gateway_process.h
@@ -102,7 +102,7 @@
   void RepeatStreamOrigins(TimePoint now);
   void RecordListedSoftware(TimePoint now);
   /// A peer has confirmed that all tables are current.
-  void OnTablesConfirmed();
+  void OnTablesConfirmed(TimePoint::duration age);
   void ApplyOperatorRow(const MirrorRow& row);
   void ApplyTargetWeights(const MirrorRow& row);
   void ApplyUpstreamRow(const MirrorRow& row);
--- a/src/gateway/gateway_process_tables.cc
+++ b/src/gateway/gateway_process_tables.cc
@@ -49,9 +49,10 @@
   state_.log.Write(LogKind::kLifecycle, state_.Now(), "event=store_regained");
 }
 
-void GatewayProcess::OnTablesConfirmed() {
+void GatewayProcess::OnTablesConfirmed(TimePoint::duration age) {
+  const TimePoint now = BootTimeNow();
+  if (!state_.store_contact.OnPeerAnswer(now - age, now)) return;
   state_.roster.OnListAvailable(state_.Now());
-  state_.store_contact.OnAnswer(BootTimeNow());
 }
 
 void GatewayProcess::ApplyOperatorRow(const MirrorRow& row) {
--- a/src/store_contact.cc
+++ b/src/store_contact.cc
@@ -20,6 +20,12 @@
   failed_at_ = now;
 }
 
+bool StoreContact::OnPeerAnswer(TimePoint answered_at, TimePoint now) {
+  if (failing_since_ && answered_at < failed_at_) return false;
+  OnAnswer(now);
+  return true;
+}
+
 bool StoreContact::InTouchFor(std::chrono::milliseconds duration,
                               TimePoint now) const {
   if (!answered_ || InOutage(now)) return false;
--- a/test/store_contact_test.cc
+++ b/test/store_contact_test.cc
@@ -52,6 +52,18 @@
   CHECK(contact.InTouchFor(kDuration, kStart + milliseconds(17'000)));
 }
 
+TEST_CASE("An answer that a peer got before the last failure ends no outage") {
+  StoreContact contact;
+  contact.OnAnswer(kStart);
+  contact.OnFailure(kStart + milliseconds(1'000));
+  contact.OnFailure(kStart + milliseconds(2'500));
+  const TimePoint now = kStart + milliseconds(2'600);
+  CHECK_FALSE(contact.OnPeerAnswer(kStart + milliseconds(2'400), now));
+  CHECK_FALSE(contact.InTouchFor(milliseconds(0), now));
+  CHECK(contact.OnPeerAnswer(kStart + milliseconds(2'550), now));
+  CHECK(contact.InTouchFor(milliseconds(0), now));
+}
+
 TEST_CASE("A process that stood still after a failed call saw no outage") {
   StoreContact contact;
   contact.OnAnswer(kStart);
