Keep upstreams that a restored list lacks, and none that left

The store may come back from a copy some seconds old. Callers would have seen fewer upstreams, until each had written its row again, and requests sent to upstreams that had left: the copy still has their rows as ready.

The roster learns that its list was restored. For the re-registration window, a missing entry makes an upstream unconfirmed; a short failure of the list no longer ends that window. An entry of the copy brings neither an earlier incarnation back nor one that was removed or left; both are remembered, 4,096 of each. An upstream that was removed returns with its next own entry.

--- a/include/yuccapick/upstream_roster.h
+++ b/include/yuccapick/upstream_roster.h
@@ -65,8 +65,10 @@
   /// Entries do not expire in outages shorter than this, so that a removal
   /// after one is final.
   std::chrono::milliseconds min_outage{600};
-  /// Upstreams whose leaving was seen in their answers and is remembered.
+  /// Upstreams whose leaving is remembered.
   std::size_t max_leaving_runs = 4'096;
+  /// Removed upstreams that are remembered.
+  std::size_t max_removed_runs = 4'096;
 };
 
 /// Keeps the listed upstreams. An upstream that is marked as leaving stays so
@@ -85,6 +87,14 @@
   /// at least `min_outage`, and for `reregistration_window` after it, the
   /// upstream stays usable as unconfirmed unless it is leaving.
   std::optional<RosterChange> OnRemoved(const UpstreamId& id, TimePoint now);
+  /// The list came back from an older copy. For `reregistration_window`,
+  /// upstreams whose entries are missing stay usable as unconfirmed.
+  void OnListRestored(TimePoint now);
+  /// An entry of the copy differs from the known one. It may be older: it
+  /// brings no upstream back that was removed in the same incarnation, nor an
+  /// earlier incarnation.
+  std::optional<RosterChange> OnRestoredEntry(const UpstreamEntry& listed,
+                                              TimePoint now);
   /// Records the weights that the upstream itself reported; its entry follows
   /// later.
   /// @return true if they are newer than the known ones and replaced them
@@ -118,12 +128,16 @@
   };
 
   bool InReregistrationWindow(TimePoint now) const;
+  void RememberLeaving(const UpstreamRun& run);
+  void RememberRemoved(const UpstreamRun& run);
 
   RosterOptions options_;
   std::map<UpstreamId, Member> members_;
-  /// Newest incarnation that was seen leaving. Kept when the entry goes, since
-  /// the list may bring it back.
+  /// Newest incarnation that left. Kept when the entry goes, since the list may
+  /// bring it back.
   std::map<UpstreamId, Incarnation> leaving_runs_;
+  /// Newest incarnation that was removed.
+  std::map<UpstreamId, Incarnation> removed_runs_;
   std::optional<TimePoint> outage_since_;
   std::optional<TimePoint> reregistration_until_;
 };
--- a/src/upstream_roster.cc
+++ b/src/upstream_roster.cc
@@ -25,9 +25,52 @@
   return "unknown";
 }
 
+namespace {
+
+using Runs = std::map<UpstreamId, Incarnation>;
+
+/// Adds a run to bounded ones, unless a newer one is known.
+void Remember(Runs& runs, std::size_t limit, const UpstreamRun& run) {
+  const auto it = runs.find(run.id);
+  if (it != runs.end()) {
+    it->second = std::max(it->second, run.incarnation);
+    return;
+  }
+  if (runs.size() >= limit) runs.erase(runs.begin());
+  runs[run.id] = run.incarnation;
+}
+
+}  // namespace
+
+void UpstreamRoster::RememberLeaving(const UpstreamRun& run) {
+  Remember(leaving_runs_, options_.max_leaving_runs, run);
+}
+
+void UpstreamRoster::RememberRemoved(const UpstreamRun& run) {
+  Remember(removed_runs_, options_.max_removed_runs, run);
+}
+
 bool UpstreamRoster::InReregistrationWindow(TimePoint now) const {
-  if (outage_since_) return now - *outage_since_ >= options_.min_outage;
-  return reregistration_until_ && now < *reregistration_until_;
+  if (reregistration_until_ && now < *reregistration_until_) return true;
+  return outage_since_ && now - *outage_since_ >= options_.min_outage;
+}
+
+void UpstreamRoster::OnListRestored(TimePoint now) {
+  reregistration_until_ = now + options_.reregistration_window;
+}
+
+std::optional<RosterChange> UpstreamRoster::OnRestoredEntry(
+    const UpstreamEntry& listed, TimePoint now) {
+  const auto removed = removed_runs_.find(listed.id);
+  if (removed != removed_runs_.end() && removed->second >= listed.incarnation) {
+    return std::nullopt;
+  }
+  const auto it = members_.find(listed.id);
+  const bool known = it != members_.end();
+  if (known && it->second.entry.incarnation > listed.incarnation) {
+    return OnRemoved(listed.id, now);
+  }
+  return OnEntry(listed, now);
 }
 
 std::optional<RosterChange> UpstreamRoster::OnLeavingSeen(
@@ -36,10 +79,7 @@
   if (seen != leaving_runs_.end() && seen->second >= run.incarnation) {
     return std::nullopt;
   }
-  if (leaving_runs_.size() >= options_.max_leaving_runs) {
-    leaving_runs_.erase(leaving_runs_.begin());
-  }
-  leaving_runs_[run.id] = run.incarnation;
+  RememberLeaving(run);
   const auto it = members_.find(run.id);
   if (it == members_.end()) return std::nullopt;
   UpstreamEntry& entry = it->second.entry;
@@ -54,9 +94,11 @@
                                                     TimePoint /*now*/) {
   UpstreamEntry entry = listed;
   const auto seen = leaving_runs_.find(entry.id);
-  if (seen != leaving_runs_.end() && seen->second == entry.incarnation) {
+  if (seen != leaving_runs_.end() && seen->second >= entry.incarnation) {
     entry.leaving = true;
   }
+  if (entry.leaving) RememberLeaving({entry.id, entry.incarnation});
+  removed_runs_.erase(entry.id);
   const auto it = members_.find(entry.id);
   if (it == members_.end()) {
     members_.emplace(entry.id, Member{entry, std::nullopt});
@@ -95,6 +137,7 @@
     member.unconfirmed_until = now + options_.reregistration_window;
     return RosterChange{Kind::kUnconfirmed, id};
   }
+  RememberRemoved({id, member.entry.incarnation});
   members_.erase(it);
   return RosterChange{Kind::kRemoved, id};
 }
@@ -132,6 +175,7 @@
       continue;
     }
     changes.push_back({Kind::kRemoved, it->first});
+    RememberRemoved({it->first, it->second.entry.incarnation});
     it = members_.erase(it);
   }
   return changes;
--- a/test/upstream_roster_test.cc
+++ b/test/upstream_roster_test.cc
@@ -54,6 +54,90 @@
   CHECK(roster.Usable(kService).empty());
 }
 
+TEST_CASE(
+    "An upstream whose entry the restored list lacks may register again") {
+  UpstreamRoster roster;
+  const UpstreamEntry entry = Entry("a");
+  roster.OnEntry(entry, kStart);
+  roster.OnListRestored(kStart);
+  CHECK(roster.OnRemoved(entry.id, kStart)->kind == Kind::kUnconfirmed);
+  CHECK(roster.OnTick(kStart + milliseconds(2'000)).empty());
+  CHECK(roster.FindUsable(entry.id) != nullptr);
+  SECTION("It does") {
+    roster.OnEntry(entry, kStart + milliseconds(2'100));
+    CHECK(roster.OnTick(kStart + milliseconds(9'000)).empty());
+    CHECK(roster.FindUsable(entry.id) != nullptr);
+  }
+  SECTION("It does not") {
+    CHECK(roster.OnTick(kStart + milliseconds(9'000)).size() == 1);
+    CHECK(roster.FindUsable(entry.id) == nullptr);
+  }
+}
+
+TEST_CASE("A short failure after a restored list does not end its window") {
+  UpstreamRoster roster;
+  const UpstreamEntry entry = Entry("a");
+  roster.OnEntry(entry, kStart);
+  roster.OnListRestored(kStart);
+  roster.OnListUnavailable(kStart + milliseconds(10));
+  CHECK(roster.OnRemoved(entry.id, kStart + milliseconds(20))->kind ==
+        Kind::kUnconfirmed);
+}
+
+TEST_CASE("A restored list brings no upstream back that was removed") {
+  UpstreamRoster roster;
+  UpstreamEntry entry = Entry("a");
+  roster.OnEntry(entry, kStart);
+  roster.OnRemoved(entry.id, kStart);
+  roster.OnListRestored(kStart);
+  CHECK_FALSE(roster.OnRestoredEntry(entry, kStart));
+  CHECK(roster.Find(entry.id) == nullptr);
+  SECTION("Its next own entry does") {
+    CHECK(roster.OnEntry(entry, kStart)->kind == Kind::kAdded);
+  }
+  SECTION("A later incarnation comes back with the list") {
+    entry.incarnation = Incarnation(6);
+    CHECK(roster.OnRestoredEntry(entry, kStart)->kind == Kind::kAdded);
+  }
+}
+
+TEST_CASE("A restored list brings no upstream back that left") {
+  UpstreamRoster roster;
+  UpstreamEntry entry = Entry("a");
+  entry.leaving = true;
+  roster.OnEntry(entry, kStart);
+  roster.OnRemoved(entry.id, kStart);
+  roster.OnListRestored(kStart);
+  entry.leaving = false;
+  roster.OnRestoredEntry(entry, kStart);
+  roster.OnEntry(entry, kStart);
+  CHECK(roster.Usable(kService).empty());
+}
+
+TEST_CASE("A restored list brings no earlier incarnation back") {
+  UpstreamRoster roster;
+  UpstreamEntry entry = Entry("a");
+  entry.incarnation = Incarnation(6);
+  roster.OnEntry(entry, kStart);
+  roster.OnListRestored(kStart);
+  CHECK(roster.OnRestoredEntry(Entry("a"), kStart)->kind == Kind::kUnconfirmed);
+  CHECK(roster.Find(entry.id)->incarnation == Incarnation(6));
+}
+
+TEST_CASE("Only so many removed and left upstreams are remembered") {
+  RosterOptions options;
+  options.max_removed_runs = 2;
+  UpstreamRoster roster(options);
+  for (const char* id : {"a", "b", "c"}) {
+    roster.OnEntry(Entry(id), kStart);
+    roster.OnRemoved(UpstreamId(id), kStart);
+  }
+  roster.OnListRestored(kStart);
+  CHECK(roster.OnRestoredEntry(Entry("a"), kStart));
+  CHECK_FALSE(roster.OnRestoredEntry(Entry("b"), kStart));
+  CHECK_FALSE(roster.OnRestoredEntry(Entry("c"), kStart));
+}
+
 TEST_CASE("A restarted upstream does not leave with its earlier incarnation") {
   UpstreamRoster roster;
   UpstreamEntry entry = Entry("a");
