Give each generation of the store a lease of its own

A store that comes back from a copy may have lost the lease's row, or have an older one. The next holder then took the lost holder's fencing token again, at once, while that one still acted; and a renewal that expected version 7 of the lost row could replace a holder whose row has version 7 in the copy. Engines would have got orders of two holders under one token.

Answers name the store's generation, judged by StoreGenerations. The lease's row has the generation in its key, so that a write of an earlier generation can't touch the present row, and the tokens carry the generation above a count of 32 bits, so that they rise without memory of the lost ones. The first holder of a generation waits for a whole term; it gets no note. A process that doesn't hold the lease may read the row less often, and reads it again before it acquires the lease, so that hundreds don't write at once.

--- a/include/yuccapick/lease.h
+++ b/include/yuccapick/lease.h
@@ -13,10 +13,22 @@
 #include <vector>
 
 #include "yuccapick/ids.h"
+#include "yuccapick/store_generation.h"
 #include "yuccapick/table.h"
 
 namespace yuccapick {
 
+/// Bits of a fencing token that count the holders in one generation of the
+/// store. The generation takes the bits above, 52 in all, so that the token is
+/// exact as a double, too.
+inline constexpr int kFenceCountBits = 32;
+
+/// @return the token of the first holder in a generation; higher than all
+/// tokens of earlier generations
+constexpr FencingToken FirstFence(StoreGeneration generation) {
+  return FencingToken((generation.value << kFenceCountBits) + 1);
+}
+
 /// Value of the lease's row. The row's version changes with each renewal.
 struct LeaseRow {
   std::string holder;       ///< Empty after a release.
@@ -41,12 +53,16 @@
 std::optional<LeaseRow> ParseLease(const std::string& bytes);
 
 struct LeaseOptions {
-  std::string key;          ///< Key of the lease's row.
+  /// Key of the lease's row; in later generations of the store than zero, the
+  /// number of the generation is appended to it.
+  std::string key;
   std::string holder;       ///< Name of this process.
   Incarnation incarnation;  ///< Of this process.
   std::chrono::milliseconds term{3'000};
   std::chrono::milliseconds renew_every{1'000};
   std::chrono::milliseconds retry_every{300};
+  /// Interval at which a process that doesn't hold the lease reads the row.
+  std::chrono::milliseconds observe_every{300};
   /// Bound on the relative rate difference of two processes' clocks. A holder
   /// shortens its term by this fraction, an observer lengthens it.
   double max_clock_drift = 0.02;
@@ -67,6 +83,12 @@
 /// observer takes over only after the row has not changed for a whole term of
 /// its own steady clock, and a holder's term starts before it sends the write
 /// that begins it. At most one call is in progress at a time.
+///
+/// Each generation of the store has a row of its own, which doesn't exist when
+/// the generation begins. So a write that was meant for an earlier generation
+/// can't replace a holder of the present one, whatever row versions it checks.
+/// The holder of the earlier generation may act until its term ends, so the
+/// first one of a generation waits for a whole term. It gets no note.
 class Lease {
  public:
   explicit Lease(LeaseOptions options) : options_(std::move(options)) {}
@@ -79,6 +101,14 @@
   /// failed
   void OnRead(const std::optional<TableRow>& row, TimePoint now);
   void OnCommitted(const CommitResult& result, TimePoint now);
+  /// An answer of the store named a generation. If it is newer, the lease is
+  /// not held any more, and the result of a call in progress will be ignored.
+  /// @param next_call_at time of the first call in the new generation
+  void OnGeneration(StoreGeneration generation, TimePoint next_call_at);
+  /// Sets `LeaseOptions::observe_every`.
+  void SetObserveInterval(std::chrono::milliseconds interval) {
+    options_.observe_every = interval;
+  }
   /// The holder reported that `write` is in the row. If a later read finds the
   /// same write, the observer counts the term from this report, which the
   /// holder sent after its term began.
@@ -105,6 +135,8 @@
   /// This process's last write that is known to be in the row, to be reported
   /// to other processes.
   const LeaseWrite& confirmed_write() const { return confirmed_write_; }
+  /// Key of the lease's row.
+  std::string RowKey() const;
   /// True while a call is in progress.
   bool busy() const { return busy_; }
   /// True once the lease was released and the row cannot name this process any
@@ -115,14 +147,22 @@
   void Observe(const TableRow& row, TimePoint now);
   LeaseAction Acquire(const LeaseRow& current, TimePoint now);
   LeaseAction Write(LeaseRow next, TimePoint now);
+  std::chrono::milliseconds CallInterval() const;
+  /// True if, as far as the last read tells, the lease may be acquired.
+  bool MayAcquire(TimePoint now) const;
+  /// True if the last read is recent enough to write without another one.
+  bool ReadIsFresh(TimePoint now) const;
   std::chrono::nanoseconds HolderTerm() const;
   std::chrono::nanoseconds ObserverTerm() const;
 
   LeaseOptions options_;
+  StoreGeneration generation_;
   bool busy_ = false;
+  bool call_is_void_ = false;  ///< The call belongs to an earlier generation.
   bool releasing_ = false;
   bool read_needed_ = true;  ///< The row or a write's result is unknown.
   TimePoint next_call_at_;
+  TimePoint last_read_at_;
   /// Time since which the row's version has not changed.
   std::optional<TimePoint> observed_since_;
   TableRow table_row_;
--- a/src/lease.cc
+++ b/src/lease.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <string>
 #include <utility>
 
 namespace yuccapick {
@@ -32,6 +33,15 @@
   }
 }
 
+std::string Lease::RowKey() const {
+  if (generation_ == StoreGeneration()) return options_.key;
+  return options_.key + "/" + std::to_string(generation_.value);
+}
+
+std::chrono::milliseconds Lease::CallInterval() const {
+  return owns_row_ ? options_.retry_every : options_.observe_every;
+}
+
 std::chrono::nanoseconds Lease::HolderTerm() const {
   return std::chrono::duration_cast<std::chrono::nanoseconds>(
       options_.term * (1.0 - options_.max_clock_drift));
@@ -61,24 +71,34 @@
     return Write(
         {options_.holder, options_.incarnation, current.fence, 0, note}, now);
   }
-  const bool unheld = table_row_.version == 0 || current.holder.empty();
+  if (MayAcquire(now) && ReadIsFresh(now)) return Acquire(current, now);
+  busy_ = true;
+  return LeaseRead{};
+}
+
+bool Lease::MayAcquire(TimePoint now) const {
   const bool expired =
       observed_since_ && now - *observed_since_ >= ObserverTerm();
+  // Without a row, a holder of an earlier generation may still act.
+  const bool first_generation = generation_ == StoreGeneration();
+  if (table_row_.version == 0) return expired || first_generation;
+  const LeaseRow current = lease_row_.value_or(LeaseRow());
   const bool own_previous_incarnation =
       options_.holder_name_is_unique && current.holder == options_.holder;
-  if (unheld || expired || own_previous_incarnation) {
-    return Acquire(current, now);
-  }
-  busy_ = true;
-  return LeaseRead{};
+  return expired || current.holder.empty() || own_previous_incarnation;
+}
+
+bool Lease::ReadIsFresh(TimePoint now) const {
+  return now - last_read_at_ < options_.term / 2;
 }
 
 LeaseAction Lease::Acquire(const LeaseRow& current, TimePoint now) {
   predecessor_ = current.holder;
   predecessor_note_ = current.note;
   note_.reset();
-  return Write({options_.holder, options_.incarnation, current.fence.Next(), 0,
-                current.note},
+  const FencingToken fence =
+      std::max(current.fence.Next(), FirstFence(generation_));
+  return Write({options_.holder, options_.incarnation, fence, 0, current.note},
                now);
 }
 
@@ -88,8 +108,8 @@
   last_write_at_ = now;
   busy_ = true;
   LeaseCommit commit;
-  commit.transaction.checks = {{options_.key, table_row_.version}};
-  commit.transaction.puts = {{options_.key, SerialiseLease(next)}};
+  commit.transaction.checks = {{RowKey(), table_row_.version}};
+  commit.transaction.puts = {{RowKey(), SerialiseLease(next)}};
   // The holder must not act any more once the release is sent.
   if (next.holder.empty()) valid_until_ = TimePoint();
   return commit;
@@ -116,12 +136,30 @@
   reported_at_ = now;
 }
 
+void Lease::OnGeneration(StoreGeneration generation, TimePoint next_call_at) {
+  if (generation <= generation_) return;
+  generation_ = generation;
+  call_is_void_ = busy_;
+  read_needed_ = true;
+  observed_since_.reset();
+  table_row_ = TableRow();
+  lease_row_.reset();
+  owns_row_ = false;
+  last_write_ = LeaseRow();
+  valid_until_ = TimePoint();
+  next_call_at_ = next_call_at;
+}
+
 void Lease::OnRead(const std::optional<TableRow>& row, TimePoint now) {
   busy_ = false;
-  next_call_at_ = now + options_.retry_every;
+  if (std::exchange(call_is_void_, false)) return;
+  next_call_at_ = now + CallInterval();
   if (!row) return;
   read_needed_ = false;
+  last_read_at_ = now;
   Observe(*row, now);
+  next_call_at_ = now + CallInterval();
+  if (!owns_row_ && !releasing_ && MayAcquire(now)) next_call_at_ = now;
   // A write without a response took effect: its term began when it was sent.
   const bool write_applied = owns_row_ && lease_row_ == last_write_;
   if (write_applied) {
@@ -134,6 +172,7 @@
 
 void Lease::OnCommitted(const CommitResult& result, TimePoint now) {
   busy_ = false;
+  if (std::exchange(call_is_void_, false)) return;
   next_call_at_ = now + options_.retry_every;
   read_needed_ = true;
   if (result.result != WriteResult::kApplied) return;
