--- a/include/yuccapick/part_quarantine.h
+++ b/include/yuccapick/part_quarantine.h
@@ -135,6 +135,8 @@
   bool HasNews() const { return !reports_.empty() || !decisions_.empty(); }
   bool IsBlocked(PartId part) const;
   std::size_t blocked_count() const;
+  /// True if this gateway is one of the part's coordinators.
+  bool IsCoordinator(PartId part) const;
   /// Returns the decisions in force, for a gateway that starts.
   std::vector<PartDecision> Decisions() const;
   /// Parts of which evidence is kept.
--- a/include/yuccapick/peer_report.h
+++ b/include/yuccapick/peer_report.h
@@ -15,6 +15,7 @@
 #include "yuccapick/ids.h"
 #include "yuccapick/lease.h"
 #include "yuccapick/part_directory.h"
+#include "yuccapick/store_generation.h"
 #include "yuccapick/upstream_limits.h"
 #include "yuccapick/upstream_load.h"
 #include "yuccapick/upstream_roster.h"
@@ -62,6 +63,16 @@
   std::vector<UpstreamRun> leaving_upstreams;
   /// Of the upstreams whose limits the sender coordinates.
   std::vector<NamedLimit> limits;
+  /// Of `operator_rows` and `upstream_rows`.
+  StoreGeneration store_generation;
+};
+
+/// How new the tables and the configuration of a gateway are.
+struct TableProgress {
+  StoreGeneration generation;
+  std::uint64_t operator_rows = 0;  ///< Version up to which they are complete.
+  std::uint64_t upstream_rows = 0;
+  ConfigVersion config;  ///< In force.
 };
 
 /// Returns the interval of a gateway's reports. Beyond 40 peers it grows with
@@ -107,12 +118,10 @@
   std::set<UpstreamId> Loading(TimePoint now) const;
   /// True if a live peer that can reach the store has this version active.
   bool AnyPeerConfirms(ConfigVersion config, TimePoint now) const;
-  /// @param operator_as_of version up to which the caller's rows are complete
   /// @param self the caller; different ones find different peers
-  /// @return the report of a live peer with a change that the caller lacks, or
-  ///   null
-  const PeerReport* FindPeerNewerThan(std::uint64_t operator_as_of,
-                                      std::uint64_t upstream_as_of,
+  /// @return the report of a live peer with a change or a configuration that
+  ///   the caller lacks, or null
+  const PeerReport* FindPeerNewerThan(const TableProgress& own,
                                       const InstanceId& self,
                                       TimePoint now) const;
 
--- a/include/yuccapick/table_freshness.h
+++ b/include/yuccapick/table_freshness.h
@@ -15,6 +15,7 @@
 
 #include "yuccapick/ids.h"
 #include "yuccapick/store_clock.h"
+#include "yuccapick/store_generation.h"
 
 namespace yuccapick {
 
@@ -33,6 +34,7 @@
   StoreTime as_of;  ///< The store's time before which all changes are known.
   std::uint64_t operator_rows = 0;  ///< Version of the newest change.
   std::uint64_t upstream_rows = 0;
+  StoreGeneration generation;  ///< Of both versions.
 
   bool operator==(const StoreConfirmation&) const = default;
 };
--- a/include/yuccapick/table_mirror.h
+++ b/include/yuccapick/table_mirror.h
@@ -10,9 +10,12 @@
 #include <string>
 #include <vector>
 
+#include "yuccapick/store_generation.h"
+
 namespace yuccapick {
 
-/// A row as read from the table. Its version increases with each write.
+/// A row as read from the table. Its version increases with each write in a
+/// generation of the store.
 struct MirrorRow {
   std::string key;
   std::string value;
@@ -26,24 +29,35 @@
 struct TableSnapshot {
   std::vector<MirrorRow> rows;
   std::uint64_t as_of = 0;
+  StoreGeneration generation;
+};
+
+/// Rows of a table that changed between two positions.
+struct TableChanges {
+  std::vector<MirrorRow> rows;
+  TablePosition after;  ///< Where the reader asked for changes.
+  TablePosition as_of;  ///< The changes are complete up to it.
 };
 
 /// Merges snapshots and changes from the store and from peers. A newer state is
-/// never replaced by an older one.
+/// never replaced by an older one. A new generation begins with a snapshot.
 class TableMirror {
  public:
   // Commands. Each returns the rows that changed, including removals.
 
+  /// A snapshot of a newer generation replaces all rows; those that differ in
+  /// their value count as changed.
   std::vector<MirrorRow> OnSnapshot(const TableSnapshot& snapshot);
-  /// @param as_of version up to which the changes are complete
-  std::vector<MirrorRow> OnChanges(const std::vector<MirrorRow>& rows,
-                                   std::uint64_t as_of);
+  /// Changes that begin or end in another generation than the mirror's are
+  /// ignored.
+  std::vector<MirrorRow> OnChanges(const TableChanges& changes);
   /// The table's newest change was `version` at a time after the last snapshot
-  /// was read.
+  /// was read, in the mirror's generation.
   void OnNewestChangeKnown(std::uint64_t version);
 
   // Queries.
 
+  StoreGeneration generation() const { return generation_; }
   std::uint64_t as_of() const { return as_of_; }
   /// Version of the newest change received.
   std::uint64_t newest_change() const { return newest_change_; }
@@ -58,8 +72,10 @@
 
  private:
   bool Apply(const MirrorRow& row);
+  std::vector<MirrorRow> BeginGeneration(const TableSnapshot& snapshot);
 
   std::map<std::string, MirrorRow> rows_;
+  StoreGeneration generation_;
   std::uint64_t as_of_ = 0;
   std::uint64_t newest_change_ = 0;
   /// A snapshot doesn't show rows that came and went before it; such changes
--- a/src/gateway/call_client.cc
+++ b/src/gateway/call_client.cc
@@ -26,6 +26,7 @@
 
   HeadDecision OnAnswerHead(const HttpHead& head) override {
     answer_.status = head.status;
+    answer_.fields = head.fields;
     return HeadDecision::kAccept;
   }
 
--- a/src/gateway/call_client.h
+++ b/src/gateway/call_client.h
@@ -10,16 +10,18 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "absl/status/statusor.h"
 #include "gateway/http_connection.h"
 
 namespace yuccapick {
 
-/// Status and body of an answer.
+/// Status, header fields and body of an answer.
 struct CallAnswer {
   int status = 0;
   std::string body;
+  std::vector<HttpField> fields;
 };
 
 /// Makes calls with a timeout. A call that ends without an answer may still
--- a/src/gateway/freshness_sync.cc
+++ b/src/gateway/freshness_sync.cc
@@ -125,11 +125,14 @@
     return Schedule();
   }
   const TableMirror& mirror = WatchOf(watched).mirror();
-  const auto confirmation = freshness_.OnCheckAnswered(
+  auto confirmation = freshness_.OnCheckAnswered(
       {watched, answer->store_time, mirror.unchanged_since(),
        mirror.knows_newest_change(), answer->changed},
       now);
-  if (confirmation) exchange_.Send(*confirmation, peers_.Targets(now));
+  if (confirmation && InOneGeneration()) {
+    confirmation->generation = mirror.generation();
+    exchange_.Send(*confirmation, peers_.Targets(now));
+  }
   Schedule();
 }
 
@@ -139,8 +142,20 @@
   }
 }
 
+bool FreshnessSync::InOneGeneration() const {
+  return operator_watch_.mirror().generation() ==
+         upstream_watch_.mirror().generation();
+}
+
+void FreshnessSync::Restart() {
+  freshness_ = TableFreshness(state_.settings.instance, state_.Now());
+}
+
 void FreshnessSync::OnConfirmation(const StoreConfirmation& confirmation) {
   const TimePoint now = state_.Now();
+  // Versions of different generations can't be compared.
+  const StoreGeneration own = operator_watch_.mirror().generation();
+  if (!InOneGeneration() || confirmation.generation != own) return;
   const std::optional<TimePoint> at = LocalTime(confirmation.as_of, now);
   if (!at || !freshness_.OnConfirmation(confirmation, *at, now)) return;
   bool all_current = true;
--- a/src/gateway/freshness_sync.h
+++ b/src/gateway/freshness_sync.h
@@ -43,6 +43,9 @@
   void OnTableCurrent(const std::string& table, const TableAnswer& answer);
   void OnTableChecked(const std::string& table,
                       const std::optional<TableAnswer>& answer);
+  /// A table was read in a new generation of the store: what was known of row
+  /// versions is void.
+  void Restart();
   /// Rows of a peer were taken over.
   void OnPeerRows();
   void OnConfirmation(const StoreConfirmation& confirmation);
@@ -57,6 +60,8 @@
 
  private:
   TableWatch& WatchOf(WatchedTable table);
+  /// True if the copies of both tables are of the same generation.
+  bool InOneGeneration() const;
   void Act(TimePoint now);
   void Perform(const FreshnessAction& action, TimePoint now);
   void Renew(const RenewPoll& renewal, TimePoint now);
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -86,17 +86,18 @@
     : loop_(loop),
       state_(loop, std::move(settings)),
       table_calls_(loop, {}),
+      store_(std::make_shared<StoreClient>(table_calls_, state_.log)),
       incarnation_(incarnation),
       exchange_(
           loop, table_calls_,
           fmt::format("{}:{}", state_.settings.ip, state_.settings.peer_port),
           *this),
-      quarantine_sync_(std::make_shared<QuarantineSync>(state_, table_calls_,
-                                                        exchange_, peers_)),
+      quarantine_sync_(
+          std::make_shared<QuarantineSync>(state_, store_, exchange_, peers_)),
       limit_sync_(std::make_unique<LimitSync>(state_, exchange_, peers_)),
-      rollout_(std::make_shared<RolloutController>(state_, table_calls_,
+      rollout_(std::make_shared<RolloutController>(state_, table_calls_, store_,
                                                    incarnation)),
-      target_set_times_(std::make_shared<TargetSetTimes>(state_, table_calls_)),
+      target_set_times_(std::make_shared<TargetSetTimes>(state_, store_)),
       cache_watch_(state_, table_calls_),
       send_stream_origins_(loop, kStreamOriginsDelay,
                            [this] { SendStreamOrigins(); }),
@@ -108,13 +109,15 @@
   options.endpoint = state_.settings.table_endpoint;
   state_.on_stream_began = [this] { send_stream_origins_.Schedule(); };
   state_.on_limit_changed = [this] { limit_sync_->Schedule(); };
+  store_->SetOnChange(
+      [this](StoreGeneration generation) { OnStoreGeneration(generation); });
   state_.on_part_observed = [this] { quarantine_sync_->Schedule(); };
   options.table = platform::kOperator;
   operator_watch_ = std::make_shared<TableWatch>(
-      loop, table_calls_, state_.store_times, options, watch_handler);
+      loop, *store_, state_.store_times, options, watch_handler);
   options.table = platform::kServers;
   upstream_watch_ = std::make_shared<TableWatch>(
-      loop, table_calls_, state_.store_times, options, watch_handler);
+      loop, *store_, state_.store_times, options, watch_handler);
   freshness_sync_ = std::make_unique<FreshnessSync>(
       state_, exchange_, peers_, *operator_watch_, *upstream_watch_,
       [this](TimePoint::duration age) { OnTablesConfirmed(age); });
@@ -124,6 +127,7 @@
 
 GatewayProcess::~GatewayProcess() {
   freshness_sync_->Stop();
+  store_->Stop();
   operator_watch_->Stop();
   upstream_watch_->Stop();
   quarantine_sync_->Stop();
@@ -175,6 +179,16 @@
                checks.renewed_polls);
   AppendMetric(out, "counter", "yuccapick_tables_from_peers",
                tables_from_peers_);
+  const StoreGenerations& generations = store_->generations();
+  gauge("yuccapick_store_generation", generations.current().value);
+  AppendMetric(out, "counter", "yuccapick_store_generation_changes",
+               generations.changes());
+  AppendMetric(out, "counter", "yuccapick_store_answers_late",
+               generations.late_answers());
+  AppendMetric(out, "counter", "yuccapick_store_answers_unsound",
+               generations.unsound_answers());
+  AppendMetric(out, "counter", "yuccapick_store_tables_restored",
+               tables_restored_);
   gauge("yuccapick_upstreams_listed", state_.roster.All().size());
   gauge("yuccapick_upstreams_loading", state_.loading.size());
   gauge("yuccapick_peers_live", peers_.LiveCount(now));
@@ -289,6 +303,7 @@
     ApplyRosterChange(change);
   }
   RepeatStreamOrigins(now);
+  CatchUpWithStore(now);
   ExchangeWithPeers(now);
   freshness_sync_->OnTick(now);
   quarantine_sync_->OnTick(now);
--- a/src/gateway/gateway_process.h
+++ b/src/gateway/gateway_process.h
@@ -24,9 +24,11 @@
 #include "gateway/peer_exchange.h"
 #include "gateway/quarantine_sync.h"
 #include "gateway/rollout_controller.h"
+#include "gateway/store_client.h"
 #include "gateway/table_watch.h"
 #include "gateway/target_set_times.h"
 #include "yuccapick/pause_detector.h"
+#include "yuccapick/store_catch_up.h"
 
 namespace yuccapick {
 
@@ -49,6 +51,10 @@
 
  private:
   class StatusPages;
+  enum class UpstreamRowSource : std::uint8_t {
+    kList,
+    kCopy,  ///< The first rows of a new generation of the store.
+  };
 
   std::shared_ptr<PendingRequest> OnRequest(
       IngressRequest request, std::shared_ptr<IngressSession> session) override;
@@ -57,6 +63,8 @@
 
   void OnTableRows(const std::string& table,
                    const std::vector<MirrorRow>& changes) override;
+  void OnTableRestored(const std::string& table,
+                       const std::vector<MirrorRow>& changes) override;
   void OnTableUnavailable(const std::string& table,
                           std::string_view reason) override;
   void OnTableAnswered(const std::string& table) override;
@@ -87,12 +95,25 @@
     limit_sync_->OnLimits(limits);
   }
   void OnStoreConfirmation(const StoreConfirmation& confirmation) override {
+    OnPeerGeneration(confirmation.generation);
     freshness_sync_->OnConfirmation(confirmation);
   }
   void OnPeerTables(const PeerTables& tables) override;
   PeerTables TablesForPeers() const override;
 
+  /// The store began a generation.
+  void OnStoreGeneration(StoreGeneration generation);
+  /// A peer knows a generation that this gateway hasn't heard of.
+  void OnPeerGeneration(StoreGeneration generation);
+  SpreadShare RandomShare();
+  /// Makes the calls that are due after a change of the store's generation.
+  void CatchUpWithStore(TimePoint now);
+  TableProgress OwnProgress() const;
   void RegisterEndpoint();
+  /// Registers the endpoint again if the store's new generation lacks it.
+  void RegisterEndpointIfMissing();
+  void OnOwnEndpointRead(const std::string& key,
+                         const absl::StatusOr<StoreAnswer>& answer);
   void FetchPeerList();
   PeerReport MakeReport();
   void ExchangeWithPeers(TimePoint now);
@@ -105,7 +126,7 @@
   void OnTablesConfirmed(TimePoint::duration age);
   void ApplyOperatorRow(const MirrorRow& row);
   void ApplyTargetWeights(const MirrorRow& row);
-  void ApplyUpstreamRow(const MirrorRow& row);
+  void ApplyUpstreamRow(const MirrorRow& row, UpstreamRowSource source);
   void ApplyConfig(const MirrorRow& row);
   void ApplyRosterChange(const RosterChange& change);
   std::string RenderMetrics() const;
@@ -118,6 +139,7 @@
   asio::io_context& loop_;
   GatewayState state_;
   CallClient table_calls_;
+  std::shared_ptr<StoreClient> store_;
   std::shared_ptr<TableWatch> operator_watch_;
   std::shared_ptr<TableWatch> upstream_watch_;
   Incarnation incarnation_;
@@ -137,6 +159,9 @@
   TimePoint next_peer_list_;
   std::optional<TimePoint> behind_since_;  ///< Since when a peer is newer.
   bool registered_ = false;
+  StoreCatchUp store_catch_up_;
+  std::uint64_t tables_restored_ = 0;
+  std::string config_in_force_;  ///< As the operator wrote it.
   std::unique_ptr<StatusPages> status_pages_;
   std::unique_ptr<IngressServer> ingress_server_;
   PauseDetector pause_detector_;
--- a/src/gateway/gateway_process_peers.cc
+++ b/src/gateway/gateway_process_peers.cc
@@ -5,6 +5,7 @@
 #include "gateway/boot_clock.h"
 #include "gateway/gateway_process.h"
 #include "gateway/http_status.h"
+#include "platform/names.h"
 
 namespace yuccapick {
 namespace {
@@ -33,6 +34,7 @@
   const TimePoint now = state_.Now();
   if (report.instance == state_.settings.instance) return;
   if (!peers_.OnReport(report, now)) return;
+  OnPeerGeneration(report.store_generation);
   state_.load.OnPeerReport(report.instance, report.work, now);
   limit_sync_->OnLimits(report.limits);
   for (const UpstreamRun& run : report.leaving_upstreams) {
@@ -97,6 +99,9 @@
   }
   ++tables_from_peers_;
   operator_watch_->OnPeerSnapshot(tables.operator_rows);
+  if (!tables.config.empty()) {
+    ApplyConfig({platform::kConfigKey, tables.config});
+  }
   for (const TargetSetTime& target : tables.target_set_times) {
     state_.target_weights.OnSetAfterKnown(target.model, target.weights,
                                           target.set_after);
@@ -109,8 +114,88 @@
 PeerTables GatewayProcess::TablesForPeers() const {
   return {operator_watch_->mirror().Snapshot(),
           upstream_watch_->mirror().Snapshot(),
-          state_.target_weights.SetTimes(), state_.StoreNow(),
-          state_.quarantine.Decisions()};
+          state_.target_weights.SetTimes(),
+          state_.StoreNow(),
+          state_.quarantine.Decisions(),
+          config_in_force_};
+}
+
+SpreadShare GatewayProcess::RandomShare() {
+  return {absl::Uniform(state_.random, 0.0, 1.0),
+          absl::Uniform(state_.random, 0.0, 1.0)};
+}
+
+void GatewayProcess::OnStoreGeneration(StoreGeneration generation) {
+  rollout_->OnGeneration(generation);
+  if (store_->generations().changes() == 0) return;
+  store_catch_up_.OnGeneration(generation, state_.LiveGateways(), RandomShare(),
+                               state_.Now());
+}
+
+void GatewayProcess::OnPeerGeneration(StoreGeneration generation) {
+  const StoreGeneration current = store_->generations().current();
+  if (generation <= current) return;
+  const TimePoint now = state_.Now();
+  if (!store_catch_up_.OnPeerGeneration(generation, state_.LiveGateways(),
+                                        RandomShare(), now)) {
+    return;
+  }
+  state_.log.Write(LogKind::kStateChange, now,
+                   "event=store_generation_heard generation={} current={}",
+                   generation.value, current.value);
+}
+
+void GatewayProcess::CatchUpWithStore(TimePoint now) {
+  if (store_catch_up_.TakeReread(now)) {
+    const StoreGeneration newest = store_catch_up_.newest();
+    operator_watch_->CatchUpWith(newest);
+    upstream_watch_->CatchUpWith(newest);
+  }
+  if (store_catch_up_.TakeRewrite(now)) {
+    quarantine_sync_->CatchUpWith(store_catch_up_.newest());
+    target_set_times_->SaveMissing();
+    RegisterEndpointIfMissing();
+  }
+}
+
+TableProgress GatewayProcess::OwnProgress() const {
+  TableProgress own;
+  own.generation = std::min(operator_watch_->mirror().generation(),
+                            upstream_watch_->mirror().generation());
+  own.operator_rows = operator_watch_->mirror().as_of();
+  own.upstream_rows = upstream_watch_->mirror().as_of();
+  if (state_.config != nullptr) own.config = state_.config->version();
+  return own;
+}
+
+void GatewayProcess::RegisterEndpointIfMissing() {
+  const std::string& store = state_.settings.table_endpoint;
+  const std::string key = state_.settings.instance.value;
+  store_->Call(store, platform::EncodeReadRow(store, kGatewayTable, key),
+               kPeerListRetryDelay,
+               [this, key](const absl::StatusOr<StoreAnswer>& answer) {
+                 OnOwnEndpointRead(key, answer);
+               });
+}
+
+void GatewayProcess::OnOwnEndpointRead(
+    const std::string& key, const absl::StatusOr<StoreAnswer>& answer) {
+  const bool answered = answer.ok() && answer->status == kHttpOk;
+  const auto rows = answered ? platform::DecodeRows(answer->body)
+                             : absl::UnavailableError("no answer");
+  if (!rows.ok()) {
+    store_catch_up_.RetryRewrite(state_.Now() + kPeerListRetryDelay);
+    return;
+  }
+  registered_ = std::any_of(
+      rows->rows.begin(), rows->rows.end(), [&](const MirrorRow& row) {
+        return row.key == key && row.value == exchange_.endpoint();
+      });
+  if (registered_) return;
+  state_.log.Write(LogKind::kStateChange, state_.Now(),
+                   "event=endpoint_registered_again generation={}",
+                   answer->generation.value);
+  RegisterEndpoint();
 }
 
 void GatewayProcess::RegisterEndpoint() {
@@ -119,27 +204,26 @@
   write.key = state_.settings.instance.value;
   write.value = exchange_.endpoint();
   const std::string& store = state_.settings.table_endpoint;
-  table_calls_.Call(store, platform::EncodeWrite(store, write),
-                    kPeerListRetryDelay,
-                    [this](const absl::StatusOr<CallAnswer>& answer) {
-                      registered_ = answer.ok() && answer->status == kHttpOk;
-                    });
+  store_->Call(store, platform::EncodeWrite(store, write), kPeerListRetryDelay,
+               [this](const absl::StatusOr<StoreAnswer>& answer) {
+                 registered_ = answer.ok() && answer->status == kHttpOk;
+               });
 }
 
 void GatewayProcess::FetchPeerList() {
   const std::string& store = state_.settings.table_endpoint;
-  table_calls_.Call(store, platform::EncodeReadRows(store, kGatewayTable, ""),
-                    kPeerListRetryDelay,
-                    [this](const absl::StatusOr<CallAnswer>& answer) {
-                      if (!answer.ok() || answer->status != kHttpOk) return;
-                      const auto rows = platform::DecodeRows(answer->body);
-                      if (!rows.ok()) return;
-                      next_peer_list_ = state_.Now() + kPeerListInterval;
-                      for (const MirrorRow& row : rows->rows) {
-                        if (row.value == exchange_.endpoint()) continue;
-                        peers_.OnEndpoint(row.value, state_.Now());
-                      }
-                    });
+  store_->Call(store, platform::EncodeReadRows(store, kGatewayTable, ""),
+               kPeerListRetryDelay,
+               [this](const absl::StatusOr<StoreAnswer>& answer) {
+                 if (!answer.ok() || answer->status != kHttpOk) return;
+                 const auto rows = platform::DecodeRows(answer->body);
+                 if (!rows.ok()) return;
+                 next_peer_list_ = state_.Now() + kPeerListInterval;
+                 for (const MirrorRow& row : rows->rows) {
+                   if (row.value == exchange_.endpoint()) continue;
+                   peers_.OnEndpoint(row.value, state_.Now());
+                 }
+               });
 }
 
 PeerReport GatewayProcess::MakeReport() {
@@ -151,6 +235,7 @@
   report.store_reachable =
       freshness_sync_->Confirmed(WatchedTable::kOperator, state_.Now());
   if (state_.config != nullptr) report.config = state_.config->version();
+  report.store_generation = OwnProgress().generation;
   report.operator_rows = operator_watch_->mirror().newest_change();
   report.upstream_rows = upstream_watch_->mirror().newest_change();
   report.holds_rollout_lease = rollout_->holds();
@@ -195,9 +280,8 @@
   state_.load.SetReportLifetime(peers_.LiveTimeout());
   next_report_ = now + PeerReportInterval(live);
   exchange_.Send(MakeReport(), peers_.Targets(now));
-  const PeerReport* newer = peers_.FindPeerNewerThan(
-      operator_watch_->mirror().as_of(), upstream_watch_->mirror().as_of(),
-      state_.settings.instance, now);
+  const PeerReport* newer =
+      peers_.FindPeerNewerThan(OwnProgress(), state_.settings.instance, now);
   if (newer == nullptr) {
     behind_since_.reset();
     return;
--- a/src/gateway/gateway_process_tables.cc
+++ b/src/gateway/gateway_process_tables.cc
@@ -22,11 +22,26 @@
     if (table == platform::kOperator) {
       ApplyOperatorRow(row);
     } else {
-      ApplyUpstreamRow(row);
+      ApplyUpstreamRow(row, UpstreamRowSource::kList);
     }
   }
 }
 
+void GatewayProcess::OnTableRestored(const std::string& table,
+                                     const std::vector<MirrorRow>& changes) {
+  ++tables_restored_;
+  freshness_sync_->Restart();
+  state_.log.Write(LogKind::kStateChange, state_.Now(),
+                   "event=table_restored table={} generation={} differing={}",
+                   table, store_->generations().current().value,
+                   changes.size());
+  if (table == platform::kOperator) return OnTableRows(table, changes);
+  state_.roster.OnListRestored(state_.Now());
+  for (const MirrorRow& row : changes) {
+    ApplyUpstreamRow(row, UpstreamRowSource::kCopy);
+  }
+}
+
 void GatewayProcess::OnTableUnavailable(const std::string& table,
                                         std::string_view reason) {
   const TimePoint now = state_.Now();
@@ -68,7 +83,8 @@
   if (!set) return;
   const StoreTime now = state_.StoreNow().value_or(StoreTime());
   const std::optional<StoreTime> set_after =
-      state_.store_times.rows.WrittenAfter(row.version);
+      state_.store_times.rows.WrittenAfter(
+          {operator_watch_->mirror().generation(), row.version});
   if (!state_.target_weights.OnTargetSet(set->model, set->weights, set_after,
                                          now)) {
     return;
@@ -79,7 +95,8 @@
                    set->model.value, set->weights, row.version,
                    set_after ? Count(*set_after) : -1, Count(now));
   if (!set_after) {
-    return target_set_times_->LoadFor({set->model, set->weights, row.version});
+    return target_set_times_->LoadFor({set->model, set->weights, row.version,
+                                       operator_watch_->mirror().generation()});
   }
   const TargetSetTime target{set->model, set->weights, *set_after};
   if (now - *set_after < kExactSetTime) return target_set_times_->Save(target);
@@ -101,13 +118,15 @@
     return;
   }
   state_.config = *config;
+  config_in_force_ = row.value;
   state_.kv_store_link.SetRate(state_.config->KvStoreTimePerToken());
   state_.log.Write(LogKind::kStateChange, state_.Now(),
                    "event=config_in_force version={} row_version={}",
                    state_.config->version().value, row.version);
 }
 
-void GatewayProcess::ApplyUpstreamRow(const MirrorRow& row) {
+void GatewayProcess::ApplyUpstreamRow(const MirrorRow& row,
+                                      UpstreamRowSource source) {
   const TimePoint now = state_.Now();
   const UpstreamId id(row.key);
   std::optional<UpstreamEntry> entry;
@@ -118,9 +137,14 @@
                      row.key, row.version);
     return;
   }
-  const std::optional<RosterChange> change =
-      entry ? state_.roster.OnEntry(*entry, now)
-            : state_.roster.OnRemoved(id, now);
+  std::optional<RosterChange> change;
+  if (!entry) {
+    change = state_.roster.OnRemoved(id, now);
+  } else if (source == UpstreamRowSource::kCopy) {
+    change = state_.roster.OnRestoredEntry(*entry, now);
+  } else {
+    change = state_.roster.OnEntry(*entry, now);
+  }
   if (entry) {
     state_.stream_origins.OnListed({entry->service, entry->software}, now);
   }
--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -35,6 +35,12 @@
   return store_times.clock.Now(BootTimeNow());
 }
 
+std::chrono::milliseconds GatewayState::RandomDelay(
+    std::chrono::milliseconds spread) {
+  return std::chrono::milliseconds(
+      absl::Uniform<std::int64_t>(random, 0, spread.count()));
+}
+
 RetryBudget& GatewayState::RetryBudgetOf(const ServiceId& service) {
   const auto it = budgets.find(service);
   if (it != budgets.end()) return it->second;
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -57,6 +57,10 @@
   /// An answer says that the upstream leaves. Peers learn it with the next
   /// report.
   void RecordLeaving(const UpstreamRun& run);
+  /// Number of live gateways, including this one.
+  std::size_t LiveGateways() const { return live_peers.size() + 1; }
+  /// @return a random time below `spread`
+  std::chrono::milliseconds RandomDelay(std::chrono::milliseconds spread);
   TimePoint Now() const { return std::chrono::steady_clock::now(); }
   /// @return nullopt before the store's time is known
   std::optional<StoreTime> StoreNow() const;
--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -52,7 +52,8 @@
           v.config, v.operator_rows, v.upstream_rows, v.holds_rollout_lease,
           v.leaving, v.kv_store_lost, v.work, v.loading, v.weights, v.exported,
           v.parts, v.kv_store_tokens, v.rollout_lease.fence,
-          v.rollout_lease.write, v.limits, v.leaving_upstreams);
+          v.rollout_lease.write, v.limits, v.leaving_upstreams,
+          v.store_generation);
     }
   };
   struct MirrorRowFields {
@@ -63,7 +64,7 @@
   };
   struct TableSnapshotFields {
     auto operator()(yuccapick::TableSnapshot& v) const {
-      return msgpack::type::make_define_array(v.rows, v.as_of);
+      return msgpack::type::make_define_array(v.rows, v.as_of, v.generation);
     }
   };
   struct StreamOriginReportFields {
@@ -81,7 +82,7 @@
     auto operator()(yuccapick::PeerTables& v) const {
       return msgpack::type::make_define_array(v.operator_rows, v.upstream_rows,
                                               v.target_set_times, v.store_time,
-                                              v.part_decisions);
+                                              v.part_decisions, v.config);
     }
   };
   struct PartCrashFields {
@@ -113,7 +114,7 @@
   struct StoreConfirmationFields {
     auto operator()(yuccapick::StoreConfirmation& v) const {
       return msgpack::type::make_define_array(v.as_of, v.operator_rows,
-                                              v.upstream_rows);
+                                              v.upstream_rows, v.generation);
     }
   };
   struct PartDecisionFields {
--- a/src/gateway/peer_codec.h
+++ b/src/gateway/peer_codec.h
@@ -29,6 +29,9 @@
   /// The store's time when this was sent, as far as the sender knows it.
   std::optional<StoreTime> store_time;
   std::vector<PartDecision> part_decisions;
+  /// The operator's configuration in force, which the tables may lack while the
+  /// store comes back from an older copy. Empty if there is none.
+  std::string config;
 };
 
 std::string EncodePeerReport(const PeerReport& report);
--- a/src/gateway/quarantine_sync.cc
+++ b/src/gateway/quarantine_sync.cc
@@ -10,6 +10,7 @@
 #include "absl/strings/str_split.h"
 #include "gateway/http_status.h"
 #include "platform/table_calls.h"
+#include "yuccapick/store_catch_up.h"
 
 namespace yuccapick {
 namespace {
@@ -55,11 +56,12 @@
 
 }  // namespace
 
-QuarantineSync::QuarantineSync(GatewayState& state, CallClient& calls,
+QuarantineSync::QuarantineSync(GatewayState& state,
+                               std::shared_ptr<StoreClient> store,
                                PeerExchange& exchange,
                                const PeerRegistry& peers)
     : state_(state),
-      calls_(calls),
+      store_(std::move(store)),
       exchange_(exchange),
       peers_(peers),
       send_(state.loop, kSendDelay, [this] { Send(state_.Now()); }) {
@@ -67,8 +69,8 @@
   options.endpoint = state_.settings.table_endpoint;
   options.table = kTable;
   TableWatchHandler& handler = *this;
-  watch_ = std::make_shared<TableWatch>(state_.loop, calls_, state_.store_times,
-                                        options, handler);
+  watch_ = std::make_shared<TableWatch>(state_.loop, *store_,
+                                        state_.store_times, options, handler);
 }
 
 void QuarantineSync::Start() { watch_->Start(); }
@@ -140,6 +142,35 @@
   for (const MirrorRow& row : changes) ApplyRow(row);
 }
 
+void QuarantineSync::OnTableRestored(const std::string& /*table*/,
+                                     const std::vector<MirrorRow>& changes) {
+  for (const MirrorRow& row : changes) {
+    // A row that is missing from a copy was not removed by an operator.
+    if (!row.removed) ApplyRow(row);
+  }
+  const std::size_t before = unsaved_.size();
+  SaveMissing();
+  state_.log.Write(LogKind::kStateChange, state_.Now(),
+                   "event=blocked_parts_restored differing={} to_save={}",
+                   changes.size(), unsaved_.size() - before);
+}
+
+void QuarantineSync::SaveMissing() {
+  std::map<PartId, PartDecision> saved;
+  for (const MirrorRow& row : watch_->mirror().Snapshot().rows) {
+    if (const auto decision = ParseRow(row)) saved[decision->part] = *decision;
+  }
+  for (const PartDecision& known : state_.quarantine.Decisions()) {
+    if (!state_.quarantine.IsCoordinator(known.part)) continue;
+    const auto it = saved.find(known.part);
+    const bool is_saved = it != saved.end() && it->second == known;
+    const bool is_absent = it == saved.end() && !known.blocked;
+    if (!is_saved && !is_absent) unsaved_[known.part] = known;
+  }
+  next_save_ = state_.Now() +
+               state_.RandomDelay(StoreWriteSpread(state_.LiveGateways()));
+}
+
 void QuarantineSync::ApplyRow(const MirrorRow& row) {
   std::optional<PartDecision> decision = ParseRow(row);
   if (!decision) {
@@ -183,15 +214,15 @@
   write.table = kTable;
   write.key = FormatKey(decision.part);
   if (decision.blocked) write.value = FormatValue(decision);
-  calls_.Call(store, platform::EncodeWrite(store, write), kSaveTimeout,
-              [self = shared_from_this(),
-               decision](const absl::StatusOr<CallAnswer>& answer) {
-                self->OnSaved(decision, answer);
-              });
+  store_->Call(store, platform::EncodeWrite(store, write), kSaveTimeout,
+               [self = shared_from_this(),
+                decision](const absl::StatusOr<StoreAnswer>& answer) {
+                 self->OnSaved(decision, answer);
+               });
 }
 
 void QuarantineSync::OnSaved(const PartDecision& decision,
-                             const absl::StatusOr<CallAnswer>& answer) {
+                             const absl::StatusOr<StoreAnswer>& answer) {
   saving_ = false;
   const int status = answer.ok() ? answer->status : 0;
   state_.log.Write(LogKind::kStateChange, state_.Now(),
--- a/src/gateway/quarantine_sync.h
+++ b/src/gateway/quarantine_sync.h
@@ -12,10 +12,10 @@
 #include <string_view>
 #include <vector>
 
-#include "gateway/call_client.h"
 #include "gateway/delayed_call.h"
 #include "gateway/gateway_state.h"
 #include "gateway/peer_exchange.h"
+#include "gateway/store_client.h"
 #include "gateway/table_watch.h"
 #include "yuccapick/part_quarantine.h"
 
@@ -27,14 +27,18 @@
                        public std::enable_shared_from_this<QuarantineSync> {
  public:
   /// @param peers must outlive this object, like the other arguments
-  QuarantineSync(GatewayState& state, CallClient& calls, PeerExchange& exchange,
-                 const PeerRegistry& peers);
+  QuarantineSync(GatewayState& state, std::shared_ptr<StoreClient> store,
+                 PeerExchange& exchange, const PeerRegistry& peers);
 
   void Start();
   void Stop();
   /// Sends what the quarantine has to tell, shortly after the first call.
   void Schedule() { send_.Schedule(); }
   void OnTick(TimePoint now);
+  /// Reads the decisions in the store's new generation.
+  void CatchUpWith(StoreGeneration generation) {
+    watch_->CatchUpWith(generation);
+  }
   void OnReport(const PartReport& report);
   void OnDecisions(const std::vector<PartDecision>& decisions);
 
@@ -47,6 +51,10 @@
 
   void OnTableRows(const std::string& table,
                    const std::vector<MirrorRow>& changes) override;
+  /// The decisions that the copy lacks are written again by the parts'
+  /// coordinators.
+  void OnTableRestored(const std::string& table,
+                       const std::vector<MirrorRow>& changes) override;
   void OnTableUnavailable(const std::string& /*table*/,
                           std::string_view /*reason*/) override {}
   void OnTableAnswered(const std::string& /*table*/) override {}
@@ -57,13 +65,16 @@
   void ApplyRow(const MirrorRow& row);
   void Apply(const PartDecision& decision, std::string_view source);
   void Log(const PartDecision& decision, std::string_view source);
+  /// Makes the decisions of the parts that this gateway coordinates unsaved,
+  /// unless their rows are in the table.
+  void SaveMissing();
   /// Writes one unsaved decision, unless a write is under way.
   void SaveNext(TimePoint now);
   void OnSaved(const PartDecision& decision,
-               const absl::StatusOr<CallAnswer>& answer);
+               const absl::StatusOr<StoreAnswer>& answer);
 
   GatewayState& state_;
-  CallClient& calls_;
+  std::shared_ptr<StoreClient> store_;
   PeerExchange& exchange_;
   const PeerRegistry& peers_;
   std::shared_ptr<TableWatch> watch_;
--- a/src/gateway/rollout_controller.cc
+++ b/src/gateway/rollout_controller.cc
@@ -1,5 +1,6 @@
 #include "gateway/rollout_controller.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "gateway/boot_clock.h"
@@ -7,6 +8,7 @@
 #include "gateway/stored_row_times.h"
 #include "platform/engine_calls.h"
 #include "platform/table_calls.h"
+#include "yuccapick/store_catch_up.h"
 
 namespace yuccapick {
 namespace {
@@ -45,7 +47,7 @@
 
 /// @return nullopt if the read failed
 std::optional<platform::RowsAnswer> ParseRows(
-    const absl::StatusOr<CallAnswer>& answer) {
+    const absl::StatusOr<StoreAnswer>& answer) {
   if (!answer.ok() || answer->status != kHttpOk) return std::nullopt;
   auto rows = platform::DecodeRows(answer->body);
   if (!rows.ok()) return std::nullopt;
@@ -53,14 +55,15 @@
 }
 
 /// @return the lease's row, with version 0 if there is none
-TableRow FindLeaseRow(const platform::RowsAnswer& answer) {
+TableRow FindLeaseRow(const platform::RowsAnswer& answer,
+                      const std::string& key) {
   for (const MirrorRow& row : answer.rows) {
-    if (row.key == kLeaseKey) return {row.key, row.value, row.version};
+    if (row.key == key) return {row.key, row.value, row.version};
   }
-  return {kLeaseKey, "", 0};
+  return {key, "", 0};
 }
 
-WriteResult ToWriteResult(const absl::StatusOr<CallAnswer>& answer) {
+WriteResult ToWriteResult(const absl::StatusOr<StoreAnswer>& answer) {
   if (!answer.ok()) {
     return absl::IsUnavailable(answer.status()) ? WriteResult::kNotApplied
                                                 : WriteResult::kUnknown;
@@ -97,9 +100,11 @@
 }  // namespace
 
 RolloutController::RolloutController(GatewayState& state, CallClient& calls,
+                                     std::shared_ptr<StoreClient> store,
                                      Incarnation incarnation)
     : state_(state),
       calls_(calls),
+      store_(std::move(store)),
       lease_(MakeLeaseOptions(state, incarnation)),
       planner_(MakeRolloutOptions(state)),
       orders_(state.settings.bounds.lease_handover_gap + kLeaseGapMargin) {}
@@ -112,6 +117,8 @@
 
 void RolloutController::OnTick(bool other_holder) {
   UpdateHeldFence();
+  lease_.SetObserveInterval(
+      std::max(kLeaseRetryDelay, StoreReadSpread(state_.LiveGateways())));
   // While another holder reports itself, the store need not be read.
   if (!other_holder || holds() || lease_.busy()) RunLease();
   RunPlanner();
@@ -121,6 +128,12 @@
   lease_.OnWriteReported(write, BootTimeNow());
 }
 
+void RolloutController::OnGeneration(StoreGeneration generation) {
+  const milliseconds spread = StoreReadSpread(state_.LiveGateways());
+  lease_.OnGeneration(generation, BootTimeNow() + state_.RandomDelay(spread));
+  UpdateHeldFence();
+}
+
 void RolloutController::RunPlanner() {
   if (!MayOrder()) return;
   planner_.SetExcludedUpstreams(orders_.BlockedByPredecessor(BootTimeNow()));
@@ -160,6 +173,8 @@
     lease_.SetNote(orders_.Announcement());
     return true;
   }
+  // A holder that didn't know its predecessor's orders left no note.
+  if (note.empty()) return false;
   if (predecessor == state_.settings.instance.value) {
     orders_.ResumeAfterRestart(note, now);
     return true;
@@ -169,7 +184,10 @@
 }
 
 void RolloutController::ReleaseLease() {
-  lease_.Release(orders_.HandoverNote(BootTimeNow()));
+  const TimePoint now = BootTimeNow();
+  const bool waits_for_predecessor =
+      orders_allowed_from_ && now < *orders_allowed_from_;
+  lease_.Release(waits_for_predecessor ? "" : orders_.HandoverNote(now));
 }
 
 bool RolloutController::MayOrder() const {
@@ -189,22 +207,22 @@
 
 void RolloutController::Read() {
   const std::string& endpoint = state_.settings.table_endpoint;
-  calls_.Call(
+  store_->Call(
       endpoint, platform::EncodeReadRows(endpoint, kLeaseTable, kLeaseKey),
       kTableTimeout,
-      [self = shared_from_this()](const absl::StatusOr<CallAnswer>& answer) {
+      [self = shared_from_this()](const absl::StatusOr<StoreAnswer>& answer) {
         self->OnRead(answer);
       });
 }
 
-void RolloutController::OnRead(const absl::StatusOr<CallAnswer>& answer) {
+void RolloutController::OnRead(const absl::StatusOr<StoreAnswer>& answer) {
   const TimePoint now = BootTimeNow();
   const std::optional<platform::RowsAnswer> rows = ParseRows(answer);
   std::optional<TableRow> lease_row;
   if (rows) {
-    state_.store_times.OnAnswer(*rows, now);
+    state_.store_times.OnAnswer(*rows, answer->generation, now);
     ImportRowTimes(*rows, state_);
-    lease_row = FindLeaseRow(*rows);
+    lease_row = FindLeaseRow(*rows, lease_.RowKey());
   }
   lease_.OnRead(lease_row, now);
   UpdateHeldFence();
@@ -219,16 +237,16 @@
   write.value = transaction.puts.front().value;
   write.expected = transaction.checks.front().version;
   orders_.OnAnnouncementSent();
-  calls_.Call(
+  store_->Call(
       endpoint,
       platform::EncodeWrites(endpoint, {write, MakeRowTimesWrite(state_)}),
       kTableTimeout,
-      [self = shared_from_this()](const absl::StatusOr<CallAnswer>& answer) {
+      [self = shared_from_this()](const absl::StatusOr<StoreAnswer>& answer) {
         self->OnCommitted(answer);
       });
 }
 
-void RolloutController::OnCommitted(const absl::StatusOr<CallAnswer>& answer) {
+void RolloutController::OnCommitted(const absl::StatusOr<StoreAnswer>& answer) {
   CommitResult result;
   result.result = ToWriteResult(answer);
   if (result.result == WriteResult::kApplied) orders_.OnAnnouncementWritten();
--- a/src/gateway/rollout_controller.h
+++ b/src/gateway/rollout_controller.h
@@ -13,6 +13,7 @@
 
 #include "gateway/call_client.h"
 #include "gateway/gateway_state.h"
+#include "gateway/store_client.h"
 #include "yuccapick/lease.h"
 #include "yuccapick/order_history.h"
 #include "yuccapick/rollout_planner.h"
@@ -23,7 +24,9 @@
 class RolloutController
     : public std::enable_shared_from_this<RolloutController> {
  public:
+  /// @param calls for the engines
   RolloutController(GatewayState& state, CallClient& calls,
+                    std::shared_ptr<StoreClient> store,
                     Incarnation incarnation);
 
   /// Starts the calls that are due; called on every tick of the process.
@@ -31,6 +34,8 @@
   void OnTick(bool other_holder);
   /// A peer that holds the lease reported its last write of the lease's row.
   void OnPeerLease(const LeaseWrite& write);
+  /// The store began a generation. The lease is lost.
+  void OnGeneration(StoreGeneration generation);
   /// Releases the lease; no order is sent afterwards.
   void ReleaseLease();
 
@@ -49,9 +54,9 @@
   void RunLease();
   void RunPlanner();
   void Read();
-  void OnRead(const absl::StatusOr<CallAnswer>& answer);
+  void OnRead(const absl::StatusOr<StoreAnswer>& answer);
   void Commit(const TableTransaction& transaction);
-  void OnCommitted(const absl::StatusOr<CallAnswer>& answer);
+  void OnCommitted(const absl::StatusOr<StoreAnswer>& answer);
   void UpdateHeldFence();
   /// Takes over the previous holder's orders from the note in the lease's row.
   /// @return false if the times of its last orders are unknown
@@ -66,6 +71,7 @@
 
   GatewayState& state_;
   CallClient& calls_;
+  std::shared_ptr<StoreClient> store_;
   Lease lease_;
   RolloutPlanner planner_;
   FencingToken held_fence_;
--- a/src/gateway/store_times.h
+++ b/src/gateway/store_times.h
@@ -13,9 +13,10 @@
 /// What all answers of the store tell of its clock and of its rows' age.
 struct StoreTimes {
   /// @param received_at boot time at which the answer was read
-  void OnAnswer(const platform::RowsAnswer& answer, TimePoint received_at) {
+  void OnAnswer(const platform::RowsAnswer& answer, StoreGeneration generation,
+                TimePoint received_at) {
     clock.OnAnswer(answer.store_time, received_at);
-    rows.OnAnswer(answer.as_of, answer.store_time);
+    rows.OnAnswer({generation, answer.as_of}, answer.store_time);
   }
 
   StoreClockEstimate clock;
--- a/src/gateway/stored_row_times.cc
+++ b/src/gateway/stored_row_times.cc
@@ -16,6 +16,7 @@
   const std::optional<SavedRowTimes> saved = ParseRowTimes(row.value);
   const bool plausible =
       saved && saved->saved_after <= answer.store_time &&
+      saved->generation <= state.store_times.rows.generation() &&
       std::all_of(saved->times.begin(), saved->times.end(),
                   [&answer](const RowVersionTime& it) {
                     return it.newest <= answer.as_of &&
@@ -29,9 +30,10 @@
   }
   RowVersionTimes& rows = state.store_times.rows;
   for (const RowVersionTime& time : saved->times) {
-    rows.OnAnswer(time.newest, time.answered_at);
+    // Times of an earlier generation are ignored.
+    rows.OnAnswer({saved->generation, time.newest}, time.answered_at);
   }
-  rows.OnAnswer(row.version, saved->saved_after);
+  rows.OnAnswer({rows.generation(), row.version}, saved->saved_after);
 }
 
 }  // namespace
@@ -41,6 +43,7 @@
   saved.saved_after = state.StoreNow().value_or(StoreTime());
   saved.times = state.store_times.rows.Latest(
       kMaxTimes, state.settings.bounds.stale_weights_limit / kTimesPerLimit);
+  saved.generation = state.store_times.rows.generation();
   platform::RowWrite write;
   write.table = kLeaseTable;
   write.key = kRowTimesKey;
--- a/src/gateway/stored_row_times.h
+++ b/src/gateway/stored_row_times.h
@@ -12,7 +12,8 @@
 
 /// Table of the lease's row and of this one.
 inline constexpr char kLeaseTable[] = "yuccapick-lease";
-/// Follows the lease's key, so a read of the table from that key on gets both.
+/// Follows the lease's first key, so a read of the table from that key on gets
+/// it and the lease's rows.
 inline constexpr char kRowTimesKey[] = "rollout-row-times";
 
 /// @return the write that saves the times that this process knows
--- a/src/gateway/table_watch.cc
+++ b/src/gateway/table_watch.cc
@@ -23,7 +23,7 @@
 
 }  // namespace
 
-TableWatch::TableWatch(asio::io_context& loop, CallClient& client,
+TableWatch::TableWatch(asio::io_context& loop, StoreClient& client,
                        StoreTimes& store_times, TableWatchOptions options,
                        TableWatchHandler& handler)
     : loop_(loop),
@@ -38,13 +38,13 @@
 
 void TableWatch::Stop() {
   stopped_ = true;
-  ++generation_;
+  ++calls_;
   timer_.cancel();
 }
 
 void TableWatch::Refresh() {
   if (stopped_) return;
-  ++generation_;
+  ++calls_;
   EndPoll();
   read_due_ = true;
   timer_.cancel();
@@ -52,23 +52,28 @@
 }
 
 void TableWatch::Check() {
-  CallForChanges([self = shared_from_this(),
-                  sent_at = Now()](const absl::StatusOr<CallAnswer>& answer) {
-    if (!self->stopped_) self->OnCheckAnswer(answer, sent_at);
+  CallForChanges([self = shared_from_this(), after = Position(),
+                  sent_at = Now()](const absl::StatusOr<StoreAnswer>& answer) {
+    if (!self->stopped_) self->OnCheckAnswer(after, answer, sent_at);
   });
 }
 
 void TableWatch::Renew() {
   if (stopped_ || !poll_open_) return;
-  const std::uint64_t generation = ++generation_;
+  const std::uint64_t call = ++calls_;
   EndPoll();
-  CallForChanges([self = shared_from_this(), generation,
-                  sent_at = Now()](const absl::StatusOr<CallAnswer>& answer) {
-    if (generation != self->generation_) return;
-    self->OnRenewAnswer(answer, sent_at);
+  CallForChanges([self = shared_from_this(), call, after = Position(),
+                  sent_at = Now()](const absl::StatusOr<StoreAnswer>& answer) {
+    if (call != self->calls_) return;
+    self->OnRenewAnswer(after, answer, sent_at);
   });
 }
 
+void TableWatch::CatchUpWith(StoreGeneration generation) {
+  const bool reading = read_due_ && partial_snapshot_.generation == generation;
+  if (mirror_.generation() < generation && !reading) Refresh();
+}
+
 void TableWatch::OnConfirmed() { confirmed_at_ = Now(); }
 
 void TableWatch::OnStoreAnswers() {
@@ -79,14 +84,15 @@
   if (Now() + delay < timer_.expiry()) ScheduleNextCall(delay);
 }
 
-void TableWatch::CallForChanges(CallClient::Done done) {
+void TableWatch::CallForChanges(StoreClient::Done done) {
   client_.Call(options_.endpoint,
                platform::EncodeWatchRows(options_.endpoint, options_.table,
                                          mirror_.as_of(), milliseconds(0)),
                options_.check_timeout, std::move(done));
 }
 
-void TableWatch::OnCheckAnswer(const absl::StatusOr<CallAnswer>& answer,
+void TableWatch::OnCheckAnswer(const TablePosition& after,
+                               const absl::StatusOr<StoreAnswer>& answer,
                                TimePoint sent_at) {
   const absl::StatusOr<platform::RowsAnswer> rows = Decode(answer);
   if (!rows.ok()) {
@@ -100,28 +106,35 @@
     }
     return handler_.OnTableChecked(options_.table, std::nullopt);
   }
+  if (answer->generation != after.generation) {
+    CatchUpWith(answer->generation);
+    return handler_.OnTableChecked(options_.table, std::nullopt);
+  }
   answered_at_ = Now();
   reachable_ = true;
   handler_.OnTableAnswered(options_.table);
-  const TableAnswer checked = ApplyChanges(*rows, sent_at);
+  const TableAnswer checked = ApplyChanges(after, *rows, sent_at);
   OnConfirmed();
   OnStoreAnswers();
   handler_.OnTableChecked(options_.table, checked);
 }
 
-void TableWatch::OnRenewAnswer(const absl::StatusOr<CallAnswer>& answer,
+void TableWatch::OnRenewAnswer(const TablePosition& after,
+                               const absl::StatusOr<StoreAnswer>& answer,
                                TimePoint sent_at) {
   const std::optional<platform::RowsAnswer> rows = ParseRows(answer);
   if (!rows) return;
   HandleAnswered();
-  ApplyChanges(*rows, sent_at);
+  if (answer->generation != after.generation) return Refresh();
+  ApplyChanges(after, *rows, sent_at);
   ScheduleNextCall(Spread(kReopenSpreadPerGateway));
 }
 
-TableAnswer TableWatch::ApplyChanges(const platform::RowsAnswer& rows,
+TableAnswer TableWatch::ApplyChanges(const TablePosition& after,
+                                     const platform::RowsAnswer& rows,
                                      TimePoint sent_at) {
   const std::vector<MirrorRow> changes =
-      mirror_.OnChanges(rows.rows, rows.as_of);
+      mirror_.OnChanges({rows.rows, after, {after.generation, rows.as_of}});
   handler_.OnTableRows(options_.table, changes);
   const TableAnswer answer{rows.store_time, sent_at, !changes.empty()};
   handler_.OnTableCurrent(options_.table, answer);
@@ -139,8 +152,17 @@
 }
 
 void TableWatch::OnPeerSnapshot(const TableSnapshot& snapshot) {
+  TakeSnapshot(snapshot);
+}
+
+void TableWatch::TakeSnapshot(const TableSnapshot& snapshot) {
   snapshot_at_ = Now();
-  handler_.OnTableRows(options_.table, mirror_.OnSnapshot(snapshot));
+  const bool read_before = mirror_.as_of() > 0;
+  const bool restored =
+      read_before && snapshot.generation > mirror_.generation();
+  const std::vector<MirrorRow> changes = mirror_.OnSnapshot(snapshot);
+  if (restored) return handler_.OnTableRestored(options_.table, changes);
+  handler_.OnTableRows(options_.table, changes);
 }
 
 void TableWatch::StartNextCall() {
@@ -153,20 +175,20 @@
 }
 
 void TableWatch::ReadAll(const std::string& from_key) {
-  const std::uint64_t generation = ++generation_;
+  const std::uint64_t call = ++calls_;
   auto self = shared_from_this();
   client_.Call(
       options_.endpoint,
       platform::EncodeReadRows(options_.endpoint, options_.table, from_key),
       options_.read_timeout,
-      [self, generation](const absl::StatusOr<CallAnswer>& answer) {
-        if (generation != self->generation_) return;
+      [self, call](const absl::StatusOr<StoreAnswer>& answer) {
+        if (call != self->calls_) return;
         self->OnReadAnswer(answer);
       });
 }
 
 absl::StatusOr<platform::RowsAnswer> TableWatch::Decode(
-    const absl::StatusOr<CallAnswer>& answer) {
+    const absl::StatusOr<StoreAnswer>& answer) {
   if (!answer.ok()) return answer.status();
   if (answer->status == kHttpGone) {
     return absl::OutOfRangeError("the version is too old");
@@ -176,12 +198,14 @@
   }
   absl::StatusOr<platform::RowsAnswer> rows =
       platform::DecodeRows(answer->body);
-  if (rows.ok()) store_times_.OnAnswer(*rows, BootTimeNow());
+  if (rows.ok()) {
+    store_times_.OnAnswer(*rows, answer->generation, BootTimeNow());
+  }
   return rows;
 }
 
 std::optional<platform::RowsAnswer> TableWatch::ParseRows(
-    const absl::StatusOr<CallAnswer>& answer) {
+    const absl::StatusOr<StoreAnswer>& answer) {
   absl::StatusOr<platform::RowsAnswer> rows = Decode(answer);
   if (rows.ok()) return *std::move(rows);
   if (absl::IsOutOfRange(rows.status())) {
@@ -194,45 +218,51 @@
   return std::nullopt;
 }
 
-void TableWatch::OnReadAnswer(const absl::StatusOr<CallAnswer>& answer) {
+void TableWatch::OnReadAnswer(const absl::StatusOr<StoreAnswer>& answer) {
   const std::optional<platform::RowsAnswer> rows = ParseRows(answer);
   if (!rows) return;
   // Later pages may be newer than the first one. The watch starts from the
   // first page's version, so that no change in between is missed.
-  if (partial_snapshot_.rows.empty()) {
+  const bool first_page = partial_snapshot_.rows.empty();
+  if (!first_page && partial_snapshot_.generation != answer->generation) {
+    return Refresh();
+  }
+  if (first_page) {
     partial_snapshot_.as_of = rows->as_of;
     partial_store_time_ = rows->store_time;
   }
+  partial_snapshot_.generation = answer->generation;
   for (const MirrorRow& row : rows->rows) partial_snapshot_.rows.push_back(row);
   if (rows->has_more && !rows->rows.empty()) {
     return ReadAll(rows->rows.back().key + '\0');
   }
   read_due_ = false;
-  snapshot_at_ = Now();
   HandleAnswered();
-  handler_.OnTableRows(options_.table, mirror_.OnSnapshot(partial_snapshot_));
+  TakeSnapshot(partial_snapshot_);
   handler_.OnTableCurrent(options_.table,
                           {partial_store_time_, read_sent_at_, true});
   StartNextCall();
 }
 
 void TableWatch::Watch() {
-  const std::uint64_t generation = ++generation_;
+  const std::uint64_t call = ++calls_;
+  const TablePosition after = Position();
   poll_open_ = true;
   poll_opened_at_ = Now();
   handler_.OnPollOpened(options_.table);
   auto self = shared_from_this();
   client_.Call(options_.endpoint,
                platform::EncodeWatchRows(options_.endpoint, options_.table,
-                                         mirror_.as_of(), options_.watch_wait),
+                                         after.version, options_.watch_wait),
                options_.watch_wait + options_.answer_margin,
-               [self, generation](const absl::StatusOr<CallAnswer>& answer) {
-                 if (generation != self->generation_) return;
-                 self->OnWatchAnswer(answer);
+               [self, call, after](const absl::StatusOr<StoreAnswer>& answer) {
+                 if (call != self->calls_) return;
+                 self->OnWatchAnswer(after, answer);
                });
 }
 
-void TableWatch::OnWatchAnswer(const absl::StatusOr<CallAnswer>& answer) {
+void TableWatch::OnWatchAnswer(const TablePosition& after,
+                               const absl::StatusOr<StoreAnswer>& answer) {
   EndPoll();
   const bool lost = absl::IsDeadlineExceeded(answer.status());
   if (lost && confirmed_at_ > poll_opened_at_) {
@@ -241,7 +271,11 @@
   const std::optional<platform::RowsAnswer> rows = ParseRows(answer);
   if (!rows) return;
   HandleAnswered();
-  ApplyChanges(*rows, poll_opened_at_);
+  if (answer->generation < mirror_.generation()) {
+    return HandleFailure("older generation than a peer's copy");
+  }
+  if (answer->generation > after.generation) return Refresh();
+  ApplyChanges(after, *rows, poll_opened_at_);
   ScheduleNextCall(rows->rows.empty() ? milliseconds(0)
                                       : options_.batch_window);
 }
@@ -272,7 +306,7 @@
 }
 
 void TableWatch::ScheduleNextCall(milliseconds delay) {
-  ++generation_;
+  ++calls_;
   timer_.expires_after(delay);
   timer_.async_wait([self = shared_from_this()](const asio::error_code& ec) {
     if (!ec) self->StartNextCall();
--- a/src/gateway/table_watch.h
+++ b/src/gateway/table_watch.h
@@ -12,7 +12,7 @@
 #include <vector>
 
 #include "absl/random/random.h"
-#include "gateway/call_client.h"
+#include "gateway/store_client.h"
 #include "gateway/store_times.h"
 #include "platform/table_calls.h"
 #include "yuccapick/ids.h"
@@ -51,6 +51,11 @@
   /// Rows that changed, including removed ones; may be empty.
   virtual void OnTableRows(const std::string& table,
                            const std::vector<MirrorRow>& changes) = 0;
+  /// The store came back from an older copy. What was written since the copy
+  /// may be missing, and may be written again.
+  /// @param changes rows of the copy that differ from those known before
+  virtual void OnTableRestored(const std::string& table,
+                               const std::vector<MirrorRow>& changes) = 0;
   /// A call failed; called for each failure.
   virtual void OnTableUnavailable(const std::string& table,
                                   std::string_view reason) = 0;
@@ -72,7 +77,7 @@
 class TableWatch : public std::enable_shared_from_this<TableWatch> {
  public:
   /// @param store_times learns from the answers
-  TableWatch(asio::io_context& loop, CallClient& client,
+  TableWatch(asio::io_context& loop, StoreClient& client,
              StoreTimes& store_times, TableWatchOptions options,
              TableWatchHandler& handler);
 
@@ -81,6 +86,9 @@
   /// Reads the whole table now and drops any call in flight, for example if a
   /// peer has newer rows or the connection seems silent.
   void Refresh();
+  /// Drops a call in flight whose answer would not be of this generation, and
+  /// reads the whole table, unless that was done.
+  void CatchUpWith(StoreGeneration generation);
   /// Reads the changes at once, beside the open long poll.
   void Check();
   /// Gives up the open long poll, reads the changes at once, and opens another
@@ -111,24 +119,34 @@
  private:
   void StartNextCall();
   void ReadAll(const std::string& from_key);
-  void OnReadAnswer(const absl::StatusOr<CallAnswer>& answer);
+  void OnReadAnswer(const absl::StatusOr<StoreAnswer>& answer);
   void Watch();
-  void OnWatchAnswer(const absl::StatusOr<CallAnswer>& answer);
+  /// @param after position from which changes were asked for
+  void OnWatchAnswer(const TablePosition& after,
+                     const absl::StatusOr<StoreAnswer>& answer);
   /// Calls for the changes since the copy, without waiting for any.
-  void CallForChanges(CallClient::Done done);
-  void OnCheckAnswer(const absl::StatusOr<CallAnswer>& answer,
+  void CallForChanges(StoreClient::Done done);
+  void OnCheckAnswer(const TablePosition& after,
+                     const absl::StatusOr<StoreAnswer>& answer,
                      TimePoint sent_at);
-  void OnRenewAnswer(const absl::StatusOr<CallAnswer>& answer,
+  void OnRenewAnswer(const TablePosition& after,
+                     const absl::StatusOr<StoreAnswer>& answer,
                      TimePoint sent_at);
   void EndPoll();
   /// @return the rows; OutOfRange if the whole table must be read
   absl::StatusOr<platform::RowsAnswer> Decode(
-      const absl::StatusOr<CallAnswer>& answer);
+      const absl::StatusOr<StoreAnswer>& answer);
   /// Decodes an answer and handles its failure.
   /// @return nullopt if the answer holds no rows
   std::optional<platform::RowsAnswer> ParseRows(
-      const absl::StatusOr<CallAnswer>& answer);
-  TableAnswer ApplyChanges(const platform::RowsAnswer& rows, TimePoint sent_at);
+      const absl::StatusOr<StoreAnswer>& answer);
+  /// @param rows changes after `after`, in the same generation
+  TableAnswer ApplyChanges(const TablePosition& after,
+                           const platform::RowsAnswer& rows, TimePoint sent_at);
+  TablePosition Position() const {
+    return {mirror_.generation(), mirror_.as_of()};
+  }
+  void TakeSnapshot(const TableSnapshot& snapshot);
   void HandleAnswered();
   void HandleFailure(std::string_view reason);
   /// @return a random time up to `per_gateway` for each gateway
@@ -136,7 +154,7 @@
   void ScheduleNextCall(std::chrono::milliseconds delay);
 
   asio::io_context& loop_;
-  CallClient& client_;
+  StoreClient& client_;
   StoreTimes& store_times_;
   TableWatchOptions options_;
   TableWatchHandler& handler_;
@@ -144,8 +162,8 @@
   TableMirror mirror_;
   TableSnapshot partial_snapshot_;
   StoreTime partial_store_time_;
-  TimePoint snapshot_at_;         ///< When the last snapshot was taken over.
-  std::uint64_t generation_ = 0;  ///< Answers to older calls are dropped.
+  TimePoint snapshot_at_;    ///< When the last snapshot was taken over.
+  std::uint64_t calls_ = 0;  ///< Answers to older calls are dropped.
   bool read_due_ = true;
   bool reachable_ = false;
   bool stopped_ = false;
--- a/src/gateway/target_set_times.cc
+++ b/src/gateway/target_set_times.cc
@@ -66,6 +66,11 @@
   unsaved_.push_back(target);
 }
 
+void TargetSetTimes::SaveMissing() {
+  unsaved_ = state_.target_weights.SetTimes();
+  if (!unsaved_.empty()) Load();
+}
+
 void TargetSetTimes::Write(PendingWrite pending) {
   const std::string& store = state_.settings.table_endpoint;
   platform::RowWrite write;
@@ -76,15 +81,15 @@
   // An existing time is never overwritten.
   write.expected = 0;
   ++pending.attempts;
-  calls_.Call(store, platform::EncodeWrite(store, write), kCallTimeout,
-              [self = shared_from_this(),
-               pending](const absl::StatusOr<CallAnswer>& answer) {
-                self->OnWritten(pending, answer);
-              });
+  store_->Call(store, platform::EncodeWrite(store, write), kCallTimeout,
+               [self = shared_from_this(),
+                pending](const absl::StatusOr<StoreAnswer>& answer) {
+                 self->OnWritten(pending, answer);
+               });
 }
 
 void TargetSetTimes::OnWritten(PendingWrite pending,
-                               const absl::StatusOr<CallAnswer>& answer) {
+                               const absl::StatusOr<StoreAnswer>& answer) {
   const int status = answer.ok() ? answer->status : 0;
   state_.log.Write(LogKind::kStateChange, state_.Now(),
                    "event=naming_time_saved key={} status={} attempts={}",
@@ -110,14 +115,14 @@
   }
   loading_ = true;
   const std::string& store = state_.settings.table_endpoint;
-  calls_.Call(
+  store_->Call(
       store, platform::EncodeReadRows(store, kTable, ""), kCallTimeout,
-      [self = shared_from_this()](const absl::StatusOr<CallAnswer>& answer) {
+      [self = shared_from_this()](const absl::StatusOr<StoreAnswer>& answer) {
         self->OnLoaded(answer);
       });
 }
 
-void TargetSetTimes::OnLoaded(const absl::StatusOr<CallAnswer>& answer) {
+void TargetSetTimes::OnLoaded(const absl::StatusOr<StoreAnswer>& answer) {
   loading_ = false;
   const bool answered = answer.ok() && answer->status == kHttpOk;
   const auto rows = answered ? platform::DecodeRows(answer->body)
@@ -128,7 +133,7 @@
                      rows.status().message().data());
     return RetryLoad();
   }
-  state_.store_times.OnAnswer(*rows, BootTimeNow());
+  state_.store_times.OnAnswer(*rows, answer->generation, BootTimeNow());
   for (const MirrorRow& row : rows->rows) {
     const std::optional<TargetSetTime> target = ParseRow(row);
     if (!target || target->set_after > rows->store_time) continue;
@@ -157,7 +162,8 @@
 void TargetSetTimes::DateByRowVersion() {
   std::erase_if(undated_, [this](const UndatedTarget& target) {
     const std::optional<StoreTime> set_after =
-        state_.store_times.rows.WrittenAfter(target.row_version);
+        state_.store_times.rows.WrittenAfter(
+            {target.generation, target.row_version});
     if (!set_after) return false;
     state_.target_weights.OnSetAfterKnown(target.model, target.weights,
                                           *set_after);
@@ -173,15 +179,15 @@
 
 void TargetSetTimes::ReadRowTimes() {
   const std::string& store = state_.settings.table_endpoint;
-  calls_.Call(
+  store_->Call(
       store, platform::EncodeReadRows(store, kLeaseTable, kRowTimesKey),
       kCallTimeout,
-      [self = shared_from_this()](const absl::StatusOr<CallAnswer>& answer) {
+      [self = shared_from_this()](const absl::StatusOr<StoreAnswer>& answer) {
         self->OnRowTimes(answer);
       });
 }
 
-void TargetSetTimes::OnRowTimes(const absl::StatusOr<CallAnswer>& answer) {
+void TargetSetTimes::OnRowTimes(const absl::StatusOr<StoreAnswer>& answer) {
   const bool answered = answer.ok() && answer->status == kHttpOk;
   const auto rows = answered ? platform::DecodeRows(answer->body)
                              : absl::UnavailableError("no answer");
@@ -191,7 +197,7 @@
                      rows.status().message().data());
     return RetryLoad();
   }
-  state_.store_times.OnAnswer(*rows, BootTimeNow());
+  state_.store_times.OnAnswer(*rows, answer->generation, BootTimeNow());
   ImportRowTimes(*rows, state_);
   DateByRowVersion();
   for (const TargetSetTime& target : std::exchange(unsaved_, {})) Save(target);
--- a/src/gateway/target_set_times.h
+++ b/src/gateway/target_set_times.h
@@ -12,8 +12,8 @@
 #include <string>
 #include <vector>
 
-#include "gateway/call_client.h"
 #include "gateway/gateway_state.h"
+#include "gateway/store_client.h"
 #include "yuccapick/target_weights.h"
 
 namespace yuccapick {
@@ -28,12 +28,13 @@
   ModelId model;
   WeightVersionNumber weights = 0;
   std::uint64_t row_version = 0;
+  StoreGeneration generation;  ///< Of `row_version`.
 };
 
 class TargetSetTimes : public std::enable_shared_from_this<TargetSetTimes> {
  public:
-  TargetSetTimes(GatewayState& state, CallClient& calls)
-      : state_(state), calls_(calls), retry_timer_(state.loop) {}
+  TargetSetTimes(GatewayState& state, std::shared_ptr<StoreClient> store)
+      : state_(state), store_(std::move(store)), retry_timer_(state.loop) {}
 
   /// Writes a time, with the probability `TargetTimeWriterShare`, unless
   /// another gateway did. A failed write is retried a few times.
@@ -43,6 +44,9 @@
   /// Loads the time of a target. If none was saved, the row versions and times
   /// count that the holder of the rollout lease has saved.
   void LoadFor(UndatedTarget target);
+  /// Saves the known times again that a new generation of the store lacks,
+  /// after reading which ones these are.
+  void SaveMissing();
   /// Reads all times and corrects `GatewayState::target_weights`. Retries while
   /// the store doesn't answer.
   void Load();
@@ -56,17 +60,17 @@
 
   void Write(PendingWrite pending);
   void OnWritten(PendingWrite pending,
-                 const absl::StatusOr<CallAnswer>& answer);
-  void OnLoaded(const absl::StatusOr<CallAnswer>& answer);
+                 const absl::StatusOr<StoreAnswer>& answer);
+  void OnLoaded(const absl::StatusOr<StoreAnswer>& answer);
 
   void RetryLoad();
   /// Dates targets by the row versions and times that are known by now.
   void DateByRowVersion();
   void ReadRowTimes();
-  void OnRowTimes(const absl::StatusOr<CallAnswer>& answer);
+  void OnRowTimes(const absl::StatusOr<StoreAnswer>& answer);
 
   GatewayState& state_;
-  CallClient& calls_;
+  std::shared_ptr<StoreClient> store_;
   asio::steady_timer retry_timer_;  ///< For `Load`.
   bool loading_ = false;
   bool load_again_ = false;  ///< A target is newer than the read under way.
--- a/src/part_quarantine.cc
+++ b/src/part_quarantine.cc
@@ -59,6 +59,10 @@
   return gateways_.IsOwnPicked(part.value, 1);
 }
 
+bool PartQuarantine::IsCoordinator(PartId part) const {
+  return gateways_.IsOwnPicked(part.value, kCoordinatorsPerPart);
+}
+
 void PartQuarantine::OnCrash(const std::vector<PartId>& parts,
                              UpstreamRunId upstream, StoreTime now) {
   for (const PartId part : parts) {
--- a/src/peer_report.cc
+++ b/src/peer_report.cc
@@ -16,6 +16,16 @@
 /// Silent peers get only one report in this many.
 constexpr std::int64_t kSilentPeerReportInterval = 4;
 
+bool IsNewer(const PeerReport& report, const TableProgress& own) {
+  if (report.config > own.config) return true;
+  // Row versions of different generations can't be compared.
+  if (report.store_generation != own.generation) {
+    return report.store_generation > own.generation;
+  }
+  return report.operator_rows > own.operator_rows ||
+         report.upstream_rows > own.upstream_rows;
+}
+
 }  // namespace
 
 milliseconds PeerReportInterval(std::size_t peers) {
@@ -131,8 +141,7 @@
   return false;
 }
 
-const PeerReport* PeerRegistry::FindPeerNewerThan(std::uint64_t operator_as_of,
-                                                  std::uint64_t upstream_as_of,
+const PeerReport* PeerRegistry::FindPeerNewerThan(const TableProgress& own,
                                                   const InstanceId& self,
                                                   TimePoint now) const {
   const std::uint64_t key = RendezvousNodeHash(self.value);
@@ -140,11 +149,7 @@
   std::uint64_t best = 0;
   for (const auto& [instance, peer] : peers_) {
     const PeerReport& report = peer.report;
-    if (!Live(peer, now)) continue;
-    if (report.operator_rows <= operator_as_of &&
-        report.upstream_rows <= upstream_as_of) {
-      continue;
-    }
+    if (!Live(peer, now) || !IsNewer(report, own)) continue;
     const std::uint64_t score =
         RendezvousScore(key, RendezvousNodeHash(instance.value));
     if (found != nullptr && score <= best) continue;
--- a/src/row_version_times.cc
+++ b/src/row_version_times.cc
@@ -26,7 +26,8 @@
     times.push_back({time.newest, Count(time.answered_at)});
   }
   return Json{{"savedAfterMs", Count(saved.saved_after)},
-              {"times", std::move(times)}}
+              {"times", std::move(times)},
+              {"generation", saved.generation.value}}
       .dump();
 }
 
@@ -35,6 +36,8 @@
     const Json json = Json::parse(text);
     SavedRowTimes saved;
     saved.saved_after = ToStoreTime(json.at("savedAfterMs"));
+    saved.generation =
+        StoreGeneration(json.value("generation", std::uint64_t{0}));
     for (const Json& time : json.at("times")) {
       saved.times.push_back(
           {time.at(0).get<std::uint64_t>(), ToStoreTime(time.at(1))});
@@ -45,24 +48,30 @@
   }
 }
 
-void RowVersionTimes::OnAnswer(std::uint64_t newest, StoreTime answered_at) {
+void RowVersionTimes::OnAnswer(TablePosition newest, StoreTime answered_at) {
+  if (newest.generation < generation_) return;
+  if (newest.generation > generation_) {
+    generation_ = newest.generation;
+    answers_.clear();
+  }
   const auto it =
-      std::lower_bound(answers_.begin(), answers_.end(), newest,
+      std::lower_bound(answers_.begin(), answers_.end(), newest.version,
                        [](const RowVersionTime& a, std::uint64_t version) {
                          return a.newest < version;
                        });
-  if (it != answers_.end() && it->newest == newest) {
+  if (it != answers_.end() && it->newest == newest.version) {
     it->answered_at = std::max(it->answered_at, answered_at);
     return;
   }
-  answers_.insert(it, {newest, answered_at});
+  answers_.insert(it, {newest.version, answered_at});
   if (answers_.size() > kMaxAnswers) answers_.pop_front();
 }
 
 std::optional<StoreTime> RowVersionTimes::WrittenAfter(
-    std::uint64_t version) const {
+    TablePosition position) const {
+  if (position.generation != generation_) return std::nullopt;
   const auto it = std::lower_bound(
-      answers_.begin(), answers_.end(), version,
+      answers_.begin(), answers_.end(), position.version,
       [](const RowVersionTime& a, std::uint64_t v) { return a.newest < v; });
   if (it == answers_.begin()) return std::nullopt;
   return std::prev(it)->answered_at;
--- a/src/table_mirror.cc
+++ b/src/table_mirror.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace yuccapick {
 
@@ -23,8 +24,31 @@
   return true;
 }
 
+std::vector<MirrorRow> TableMirror::BeginGeneration(
+    const TableSnapshot& snapshot) {
+  const std::map<std::string, MirrorRow> before = std::exchange(rows_, {});
+  generation_ = snapshot.generation;
+  as_of_ = snapshot.as_of;
+  unseen_until_ = snapshot.as_of;
+  newest_change_ = 0;
+  std::vector<MirrorRow> changes;
+  for (const MirrorRow& row : snapshot.rows) {
+    rows_[row.key] = row;
+    newest_change_ = std::max(newest_change_, row.version);
+    const auto it = before.find(row.key);
+    const bool differs = it == before.end() || it->second.value != row.value;
+    if (differs) changes.push_back(row);
+  }
+  for (const auto& [key, row] : before) {
+    if (!rows_.contains(key)) changes.push_back({key, "", as_of_, true});
+  }
+  return changes;
+}
+
 std::vector<MirrorRow> TableMirror::OnSnapshot(const TableSnapshot& snapshot) {
   std::vector<MirrorRow> changes;
+  if (snapshot.generation < generation_) return changes;
+  if (snapshot.generation > generation_) return BeginGeneration(snapshot);
   if (snapshot.as_of < as_of_) return changes;
   std::set<std::string> listed;
   for (const MirrorRow& row : snapshot.rows) {
@@ -44,14 +68,15 @@
   return changes;
 }
 
-std::vector<MirrorRow> TableMirror::OnChanges(
-    const std::vector<MirrorRow>& rows, std::uint64_t as_of) {
-  std::vector<MirrorRow> changes;
-  for (const MirrorRow& row : rows) {
-    if (Apply(row)) changes.push_back(row);
+std::vector<MirrorRow> TableMirror::OnChanges(const TableChanges& changes) {
+  std::vector<MirrorRow> applied;
+  if (changes.after.generation != generation_) return applied;
+  if (changes.as_of.generation != generation_) return applied;
+  for (const MirrorRow& row : changes.rows) {
+    if (Apply(row)) applied.push_back(row);
   }
-  as_of_ = std::max(as_of_, as_of);
-  return changes;
+  as_of_ = std::max(as_of_, changes.as_of.version);
+  return applied;
 }
 
 void TableMirror::OnNewestChangeKnown(std::uint64_t version) {
@@ -62,6 +87,7 @@
   TableSnapshot snapshot;
   for (const auto& [key, row] : rows_) snapshot.rows.push_back(row);
   snapshot.as_of = as_of_;
+  snapshot.generation = generation_;
   return snapshot;
 }
 
--- a/test/gateway/fake_store.cc
+++ b/test/gateway/fake_store.cc
@@ -38,7 +38,31 @@
 
 bool FakeStore::Has(const std::string& table, const std::string& key) const {
   const auto it = tables_.find(table);
-  return it != tables_.end() && it->second.contains(key);
+  if (it == tables_.end()) return false;
+  const auto row = it->second.find(key);
+  return row != it->second.end() && !row->second.removed;
+}
+
+void FakeStore::Restore(const Copy& copy) {
+  tables_ = copy.tables;
+  version_ = copy.version;
+  ++generation_;
+  for (const Watcher& watcher : watchers_) watcher.connection->Close();
+  watchers_.clear();
+}
+
+bool FakeStore::ConditionsHold(const std::string& body) const {
+  const Json transaction = Json::parse(body);
+  for (const Json& row : transaction.value("expected", Json::array())) {
+    std::uint64_t version = 0;
+    if (Has(row["table"], row["key"])) {
+      const std::string table = row["table"];
+      const std::string key = row["key"];
+      version = tables_.at(table).at(key).version;
+    }
+    if (version != row["rowVersion"].get<std::uint64_t>()) return false;
+  }
+  return true;
 }
 
 std::uint64_t FakeStore::VersionOf(const std::string& table,
@@ -101,8 +125,14 @@
 
 void FakeStore::Reply(ScriptedServer::Connection& connection, int status,
                       const std::string& body) {
-  connection.Write(fmt::format("HTTP/1.1 {} X\r\nContent-Length: {}\r\n\r\n{}",
-                               status, body.size(), body));
+  std::string named;
+  if (generation_ > 0) named = fmt::to_string(generation_);
+  const std::string text = generation_text_.value_or(named);
+  const std::string field =
+      text.empty() ? "" : fmt::format("Store-Era: {}\r\n", text);
+  connection.Write(
+      fmt::format("HTTP/1.1 {} X\r\n{}Content-Length: {}\r\n\r\n{}", status,
+                  field, body.size(), body));
 }
 
 void FakeStore::Notify() {
@@ -142,9 +172,17 @@
     if (target.starts_with("/rows-get")) {
       Reply(connection, 200, RowsAfter(table, 0, false));
     } else if (target.starts_with("/rows-feed")) {
+      if (std::stoull(Parameter(target, "after")) > version_) {
+        Reply(connection, 410, "");
+        continue;
+      }
       OnFeed(connection, target);
     } else if (target == "/rows-tx") {
       const Json transaction = Json::parse(request->body);
+      if (!ConditionsHold(request->body)) {
+        Reply(connection, 412, "");
+        continue;
+      }
       for (const Json& row : transaction["remove"]) {
         Remove(row["table"], row["key"]);
       }
--- a/test/gateway/fake_store.h
+++ b/test/gateway/fake_store.h
@@ -19,7 +19,20 @@
 
 /// A store whose tables can be read, watched and written.
 class FakeStore {
+  struct Row {
+    std::string value;
+    std::uint64_t version = 0;
+    bool removed = false;
+  };
+  using Tables = std::map<std::string, std::map<std::string, Row>>;
+
  public:
+  /// The rows at one moment.
+  struct Copy {
+    Tables tables;
+    std::uint64_t version = 0;
+  };
+
   explicit FakeStore(asio::io_context& loop);
 
   void Put(const std::string& table, const std::string& key,
@@ -27,10 +40,21 @@
   void Remove(const std::string& table, const std::string& key);
   /// Answers the next `n` writes to `table` with 503.
   void RefuseWrites(const std::string& table, int n) { refused_[table] = n; }
+  /// True if the row was written and not removed.
   bool Has(const std::string& table, const std::string& key) const;
   /// @return version of a row; 0 if there is none
   std::uint64_t VersionOf(const std::string& table,
                           const std::string& key) const;
+  Copy MakeCopy() const { return {tables_, version_}; }
+  /// Comes back from an older copy, with the next generation. Long polls lose
+  /// their connections.
+  void Restore(const Copy& copy);
+  /// Names this generation in all answers.
+  void set_generation(std::uint64_t generation) { generation_ = generation; }
+  /// Answers with this text in place of the generation; with none if empty.
+  void set_generation_text(std::optional<std::string> text) {
+    generation_text_ = std::move(text);
+  }
   /// Sets the store's steady clock, which stands still otherwise.
   void set_time(std::chrono::milliseconds time) { time_ = time; }
   /// Lets the store's steady clock run from now on.
@@ -47,11 +71,6 @@
   std::string endpoint() const;
 
  private:
-  struct Row {
-    std::string value;
-    std::uint64_t version = 0;
-    bool removed = false;
-  };
   struct Watcher {
     std::shared_ptr<ScriptedServer::Connection> connection;
     std::string table;
@@ -69,7 +88,11 @@
   void Notify();
   std::chrono::milliseconds Now() const;
 
-  std::map<std::string, std::map<std::string, Row>> tables_;
+  bool ConditionsHold(const std::string& body) const;
+
+  Tables tables_;
+  std::uint64_t generation_ = 0;  ///< Not named if zero.
+  std::optional<std::string> generation_text_;
   std::map<std::string, int> refused_;  ///< Writes to refuse, by table.
   std::uint64_t version_ = 0;
   std::chrono::milliseconds time_{1'000};
--- a/test/gateway/gateway_fixture.h
+++ b/test/gateway/gateway_fixture.h
@@ -94,6 +94,9 @@
   /// @return false if they did not within `kTestTimeout`
   bool AwaitListed(std::size_t n);
 
+  /// True if the gateway's metrics page has this line.
+  bool HasMetric(const GatewaySettings& of, const std::string& line);
+
   asio::io_context loop;
   FakeStore store;
   GatewaySettings settings;
@@ -105,7 +108,6 @@
 
  private:
   bool IsReady(const GatewaySettings& of);
-  bool HasMetric(const GatewaySettings& of, const std::string& line);
   std::string AskAt(const std::string& endpoint, const std::string& request);
 };
 
--- a/test/missed_removal_test.cc
+++ b/test/missed_removal_test.cc
@@ -16,7 +16,7 @@
   }
   // The row "b" is put at 12 and removed at 18. The receiver learns the former
   // only. The sender reads all rows after a call that failed.
-  receiver.OnChanges({{"b", "x", 12, false}}, 12);
+  receiver.OnChanges({{{"b", "x", 12, false}}, {}, {{}, 12}});
   sender.OnSnapshot({{{"a", "x", 3, false}}, 20});
   TableFreshness freshness(InstanceId("receiver"), kStart);
   freshness.OnCurrent(WatchedTable::kUpstreams, receiver.as_of(), kStart);
--- a/test/peer_report_test.cc
+++ b/test/peer_report_test.cc
@@ -13,6 +13,12 @@
 
 const TimePoint kStart{std::chrono::seconds(100)};
 
+constexpr ConfigVersion kConfig{4};
+
+TableProgress Rows(std::uint64_t operator_rows, std::uint64_t upstream_rows) {
+  return {StoreGeneration(), operator_rows, upstream_rows, kConfig};
+}
+
 PeerReport Report(const std::string& instance, std::uint64_t sequence) {
   PeerReport report;
   report.instance = InstanceId(instance);
@@ -20,7 +26,7 @@
   report.sequence = sequence;
   report.endpoint = instance + ":1";
   report.store_reachable = true;
-  report.config = ConfigVersion(4);
+  report.config = kConfig;
   return report;
 }
 
@@ -95,12 +101,12 @@
   peers.OnReport(one, kStart);
   peers.OnReport(two, kStart);
   const InstanceId self("three");
-  CHECK(peers.FindPeerNewerThan(6, 0, self, kStart) != nullptr);
-  CHECK(peers.FindPeerNewerThan(8, 0, self, kStart)->instance ==
+  CHECK(peers.FindPeerNewerThan(Rows(6, 0), self, kStart) != nullptr);
+  CHECK(peers.FindPeerNewerThan(Rows(8, 0), self, kStart)->instance ==
         InstanceId("two"));
-  CHECK(peers.FindPeerNewerThan(9, 0, self, kStart) == nullptr);
-  CHECK(peers.FindPeerNewerThan(9, 0, self, kStart + milliseconds(1'600)) ==
-        nullptr);
+  CHECK(peers.FindPeerNewerThan(Rows(9, 0), self, kStart) == nullptr);
+  CHECK(peers.FindPeerNewerThan(Rows(9, 0), self,
+                                kStart + milliseconds(1'600)) == nullptr);
 }
 
 TEST_CASE("Different gateways find different peers with newer rows") {
@@ -113,11 +119,36 @@
   std::map<InstanceId, int> found;
   for (int n = 0; n < 660; ++n) {
     const InstanceId self(std::to_string(n));
-    ++found[peers.FindPeerNewerThan(0, 4, self, kStart)->instance];
+    ++found[peers.FindPeerNewerThan(Rows(0, 4), self, kStart)->instance];
   }
   for (const auto& [peer, callers] : found) CHECK(callers <= 10);
 }
 
+TEST_CASE("Row versions of peers count only within the store's generation") {
+  PeerRegistry peers;
+  PeerReport peer = Report("one", 1);
+  peer.store_generation = StoreGeneration(1);
+  peer.operator_rows = 9;
+  peers.OnReport(peer, kStart);
+  const TableProgress own{StoreGeneration(2), 3, 0, kConfig};
+  CHECK(peers.FindPeerNewerThan(own, InstanceId("self"), kStart) == nullptr);
+  peer.sequence = 2;
+  peer.store_generation = StoreGeneration(3);
+  peer.operator_rows = 1;
+  peers.OnReport(peer, kStart);
+  CHECK(peers.FindPeerNewerThan(own, InstanceId("self"), kStart) != nullptr);
+}
+
+TEST_CASE("A peer with a newer configuration is newer despite its rows") {
+  PeerRegistry peers;
+  PeerReport peer = Report("one", 1);
+  peer.store_generation = StoreGeneration(1);
+  peer.config = ConfigVersion(7);
+  peers.OnReport(peer, kStart);
+  const TableProgress own{StoreGeneration(2), 9, 9, ConfigVersion(6)};
+  CHECK(peers.FindPeerNewerThan(own, InstanceId("self"), kStart) != nullptr);
+}
+
 TEST_CASE("Endpoints from a list are tried until they expire") {
   PeerRegistry peers;
   peers.OnEndpoint("one:1", kStart);
--- a/test/row_version_times_test.cc
+++ b/test/row_version_times_test.cc
@@ -16,26 +16,39 @@
 
 TEST_CASE("A row was written after the last answer without its version") {
   RowVersionTimes times;
-  times.OnAnswer(7, kStart);
-  times.OnAnswer(7, kStart + milliseconds(300));
-  times.OnAnswer(9, kStart + milliseconds(500));
-  CHECK(times.WrittenAfter(8) == kStart + milliseconds(300));
-  CHECK(times.WrittenAfter(9) == kStart + milliseconds(300));
-  CHECK(times.WrittenAfter(10) == kStart + milliseconds(500));
+  times.OnAnswer({{}, 7}, kStart);
+  times.OnAnswer({{}, 7}, kStart + milliseconds(300));
+  times.OnAnswer({{}, 9}, kStart + milliseconds(500));
+  CHECK(times.WrittenAfter({{}, 8}) == kStart + milliseconds(300));
+  CHECK(times.WrittenAfter({{}, 9}) == kStart + milliseconds(300));
+  CHECK(times.WrittenAfter({{}, 10}) == kStart + milliseconds(500));
 }
 
 TEST_CASE("Nothing is known of rows older than the first answer") {
   RowVersionTimes times;
-  CHECK_FALSE(times.WrittenAfter(7));
-  times.OnAnswer(7, kStart);
-  CHECK_FALSE(times.WrittenAfter(7));
+  CHECK_FALSE(times.WrittenAfter({{}, 7}));
+  times.OnAnswer({{}, 7}, kStart);
+  CHECK_FALSE(times.WrittenAfter({{}, 7}));
+}
+
+TEST_CASE("Answers of another generation tell nothing of a row's age") {
+  RowVersionTimes times;
+  const StoreGeneration first(1);
+  const StoreGeneration second(2);
+  times.OnAnswer({first, 7}, kStart);
+  times.OnAnswer({second, 5}, kStart + milliseconds(500));
+  CHECK(times.WrittenAfter({second, 8}) == kStart + milliseconds(500));
+  CHECK_FALSE(times.WrittenAfter({second, 5}));
+  CHECK_FALSE(times.WrittenAfter({first, 8}));
+  times.OnAnswer({first, 7}, kStart + milliseconds(900));
+  CHECK(times.WrittenAfter({second, 8}) == kStart + milliseconds(500));
 }
 
 TEST_CASE("Saved row times hold the latest answer and earlier ones apart") {
   RowVersionTimes times;
   StoreTime answered_at = kStart;
   for (std::uint64_t version = 10; version < 20; ++version) {
-    times.OnAnswer(version, answered_at);
+    times.OnAnswer({{}, version}, answered_at);
     answered_at += milliseconds(200);
   }
   const std::vector<RowVersionTime> expected{
@@ -74,11 +87,11 @@
     RowVersionTimes times;
     while (!answers.empty()) {
       const auto i = *rc::gen::inRange<std::size_t>(0, answers.size());
-      times.OnAnswer(answers[i].first, answers[i].second);
+      times.OnAnswer({{}, answers[i].first}, answers[i].second);
       answers.erase(answers.begin() + static_cast<std::ptrdiff_t>(i));
     }
     for (const auto& [row, written_at] : written) {
-      const auto after = times.WrittenAfter(row);
+      const auto after = times.WrittenAfter({{}, row});
       RC_ASSERT(!after || *after <= written_at);
     }
   });
--- a/test/table_mirror_test.cc
+++ b/test/table_mirror_test.cc
@@ -18,7 +18,7 @@
 
 TEST_CASE("An older snapshot does not change the mirror") {
   TableMirror mirror;
-  mirror.OnChanges({Row("a", "new", 9)}, 9);
+  mirror.OnChanges({{Row("a", "new", 9)}, {}, {{}, 9}});
   CHECK(mirror.OnSnapshot({{Row("a", "old", 4)}, 5}).empty());
   CHECK(mirror.Snapshot().rows.at(0).value == "new");
 }
@@ -33,11 +33,64 @@
 
 TEST_CASE("A row that is newer than the snapshot is kept") {
   TableMirror mirror;
-  mirror.OnChanges({Row("a", "1", 8)}, 3);
+  mirror.OnChanges({{Row("a", "1", 8)}, {}, {{}, 3}});
   CHECK(mirror.OnSnapshot({{}, 5}).empty());
   CHECK(mirror.Snapshot().rows.size() == 1);
 }
 
+TEST_CASE("A snapshot of a newer generation replaces higher row versions") {
+  TableMirror mirror;
+  const StoreGeneration first(1);
+  const StoreGeneration second(2);
+  mirror.OnSnapshot(
+      {{Row("a", "same", 1), Row("b", "lost", 9), Row("c", "later", 8)},
+       9,
+       first});
+  const auto changes = mirror.OnSnapshot(
+      {{Row("a", "same", 1), Row("c", "copy", 3)}, 4, second});
+  REQUIRE(changes.size() == 2);
+  CHECK(changes[0] == Row("c", "copy", 3));
+  CHECK(changes[1] == Removal("b", 4));
+  CHECK(mirror.as_of() == 4);
+  CHECK(mirror.newest_change() == 3);
+  CHECK(mirror.OnChanges({{Row("b", "again", 5)}, {second, 4}, {second, 5}})
+            .size() == 1);
+}
+
+TEST_CASE("Late answers of an earlier generation do not change the mirror") {
+  TableMirror mirror;
+  const StoreGeneration first(1);
+  const StoreGeneration second(2);
+  mirror.OnSnapshot({{Row("a", "copy", 1)}, 1, second});
+  CHECK(mirror.OnSnapshot({{Row("a", "late", 9)}, 9, first}).empty());
+  CHECK(mirror.OnChanges({{Row("a", "late", 9)}, {first, 1}, {first, 9}})
+            .empty());
+  CHECK(mirror.Snapshot().rows == std::vector<MirrorRow>{Row("a", "copy", 1)});
+  CHECK(mirror.as_of() == 1);
+}
+
+TEST_CASE("Changes of a newer generation wait for its snapshot") {
+  TableMirror mirror;
+  mirror.OnSnapshot({{Row("a", "1", 1)}, 1, StoreGeneration(1)});
+  const TablePosition after{StoreGeneration(1), 1};
+  const TablePosition as_of{StoreGeneration(2), 9};
+  CHECK(mirror.OnChanges({{Row("a", "2", 9)}, after, as_of}).empty());
+  CHECK(mirror.generation() == StoreGeneration(1));
+}
+
+TEST_CASE("Changes since a position of an earlier generation leave no gap") {
+  TableMirror mirror;
+  const StoreGeneration first(1);
+  const StoreGeneration second(2);
+  mirror.OnSnapshot({{Row("a", "1", 7)}, 7, first});
+  // A watch from there is under way when a peer's copy arrives, and has missed
+  // the row with version 5.
+  mirror.OnSnapshot({{Row("a", "1", 1)}, 1, second});
+  CHECK(
+      mirror.OnChanges({{Row("a", "3", 8)}, {first, 7}, {second, 8}}).empty());
+  CHECK(mirror.as_of() == 1);
+}
+
 TEST_CASE(
     "Any mix of snapshots and changes ends in the table's state and never goes "
     "back") {
@@ -65,8 +118,9 @@
         const auto from = *rc::gen::inRange<std::size_t>(0, log.size());
         if (log[from].version > mirror.as_of() + 1) continue;
         changes = mirror.OnChanges(
-            {log.begin() + static_cast<std::ptrdiff_t>(from), log.end()},
-            version);
+            {{log.begin() + static_cast<std::ptrdiff_t>(from), log.end()},
+             {},
+             {{}, version}});
       } else if (how == 1) {
         TableSnapshot snapshot;
         for (const auto& [k, r] : table) snapshot.rows.push_back(r);
@@ -91,13 +145,13 @@
   mirror.OnSnapshot({{{"a", "x", 3, false}}, 9});
   CHECK(mirror.newest_change() == 3);
   CHECK(mirror.unchanged_since() == 9);
-  mirror.OnChanges({}, 12);
+  mirror.OnChanges({{}, {}, {{}, 12}});
   mirror.OnSnapshot({{{"a", "x", 3, false}}, 14});
   CHECK(mirror.unchanged_since() == 14);
   CHECK_FALSE(mirror.knows_newest_change());
   mirror.OnNewestChangeKnown(9);
   CHECK(mirror.unchanged_since() == 9);
-  mirror.OnChanges({{"a", "y", 15, false}}, 16);
+  mirror.OnChanges({{{"a", "y", 15, false}}, {}, {{}, 16}});
   CHECK(mirror.unchanged_since() == 15);
   CHECK(mirror.knows_newest_change());
   mirror.OnSnapshot({{}, 20});
