--- a/test/gateway/slow_table_read_test.cc
+++ b/test/gateway/slow_table_read_test.cc
@@ -27,17 +27,20 @@
   DiscardedHistoryFixture()
       : server(loop, [this](ScriptedServer::Connection& c) { OnInput(c); }),
         calls(loop, {}),
+        client(std::make_shared<StoreClient>(calls, log)),
         check_timer(loop) {
     TableWatchOptions options;
     options.endpoint = LoopbackEndpoint(server.port());
     options.table = kServers;
-    watch = std::make_shared<TableWatch>(loop, calls, times, options, *this);
+    watch = std::make_shared<TableWatch>(loop, *client, times, options, *this);
     watch->Start();
   }
   ~DiscardedHistoryFixture() override { watch->Stop(); }
 
   void OnTableRows(const std::string& /*table*/,
                    const std::vector<MirrorRow>& /*changes*/) override {}
+  void OnTableRestored(const std::string& /*table*/,
+                       const std::vector<MirrorRow>& /*changes*/) override {}
   void OnTableUnavailable(const std::string& /*table*/,
                           std::string_view /*reason*/) override {}
   void OnTableAnswered(const std::string& /*table*/) override {}
@@ -92,6 +95,8 @@
   ScriptedServer server;
   StoreTimes times;
   CallClient calls;
+  LogSink log;
+  std::shared_ptr<StoreClient> client;
   asio::steady_timer check_timer;
   std::shared_ptr<TableWatch> watch;
 };
