--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -11,7 +11,6 @@
 #include "platform/header_fields.h"
 #include "platform/names.h"
 #include "platform/operator_rows.h"
-#include "shell/metrics_server.h"
 #include "yuccapick/gateway_admission.h"
 
 namespace yuccapick {
@@ -157,68 +156,6 @@
   return absl::OkStatus();
 }
 
-std::string GatewayProcess::RenderMetrics() const {
-  const TimePoint now = state_.Now();
-  std::string out = state_.metrics.Render();
-  const auto age = std::chrono::duration_cast<milliseconds>(
-      now - operator_watch_->answered_at());
-  const auto gauge = [&out](std::string_view name, std::uint64_t value) {
-    AppendMetric(out, "gauge", name, value);
-  };
-  gauge("yuccapick_config_version",
-        state_.config == nullptr ? 0 : state_.config->version().value);
-  gauge("yuccapick_config_age_ms", static_cast<std::uint64_t>(age.count()));
-  gauge("yuccapick_store_in_touch", operator_watch_->reachable() ? 1 : 0);
-  gauge("yuccapick_tables_confirmation_age_ms",
-        static_cast<std::uint64_t>(freshness_sync_->Age(now).count()));
-  const FreshnessSync::Counters& checks = freshness_sync_->counters();
-  AppendMetric(out, "counter", "yuccapick_table_checks_sent", checks.checks);
-  AppendMetric(out, "counter", "yuccapick_table_checks_failed",
-               checks.failed_checks);
-  AppendMetric(out, "counter", "yuccapick_watches_renewed",
-               checks.renewed_polls);
-  AppendMetric(out, "counter", "yuccapick_tables_from_peers",
-               tables_from_peers_);
-  const StoreGenerations& generations = store_->generations();
-  gauge("yuccapick_store_generation", generations.current().value);
-  AppendMetric(out, "counter", "yuccapick_store_generation_changes",
-               generations.changes());
-  AppendMetric(out, "counter", "yuccapick_store_answers_late",
-               generations.late_answers());
-  AppendMetric(out, "counter", "yuccapick_store_answers_unsound",
-               generations.unsound_answers());
-  AppendMetric(out, "counter", "yuccapick_store_tables_restored",
-               tables_restored_);
-  gauge("yuccapick_upstreams_listed", state_.roster.All().size());
-  gauge("yuccapick_upstreams_loading", state_.loading.size());
-  gauge("yuccapick_peers_live", peers_.LiveCount(now));
-  gauge("yuccapick_rollout_lease_held", rollout_->holds() ? 1 : 0);
-  gauge("yuccapick_known_prompt_parts", state_.parts.size());
-  gauge("yuccapick_caller_connections", ingress_server_->session_count());
-  gauge("yuccapick_requests_under_way", ingress_server_->busy_count());
-  AppendMetric(out, "counter", "yuccapick_process_pauses", pauses_);
-  gauge("yuccapick_known_stream_origins", state_.stream_origins.size());
-  AppendMetric(out, "counter", "yuccapick_unknown_stream_origins",
-               state_.unknown_stream_origins);
-  gauge("yuccapick_limited_upstreams", state_.limits.limited_count());
-  gauge("yuccapick_paused_upstreams", state_.pauses.size());
-  AppendMetric(out, "counter", "yuccapick_requests_held_back",
-               state_.requests_held_back);
-  gauge("yuccapick_blocked_parts", state_.quarantine.blocked_count());
-  gauge("yuccapick_suspect_parts", state_.quarantine.suspect_count());
-  AppendMetric(out, "counter", "yuccapick_requests_with_blocked_part",
-               state_.requests_with_blocked_part);
-  AppendMetric(out, "counter", "yuccapick_attempts_on_overdue_weights",
-               state_.attempts_on_overdue_weights);
-  AppendMetric(out, "counter", "yuccapick_log_lines_dropped",
-               state_.log.dropped());
-  AppendMetric(out, "counter", "yuccapick_log_bytes",
-               state_.log.written_bytes());
-  AppendMetric(out, "counter", "yuccapick_requests_not_admitted",
-               not_admitted_);
-  return out;
-}
-
 bool GatewayProcess::Ready() const {
   return !draining_ && state_.config != nullptr && !state_.roster.All().empty();
 }
