Share the pool of connections with the calls in flight

Found in a review by reading, seen nowhere: a call that timed out gave up its connection through a reference to the pool of its client, which may end before the loop does. Calls in flight share the pool now.

--- a/src/gateway/call_client.cc
+++ b/src/gateway/call_client.cc
@@ -9,9 +9,12 @@
 class PendingCall : public ExchangeHandler,
                     public std::enable_shared_from_this<PendingCall> {
  public:
-  PendingCall(asio::io_context& loop, HttpConnectionPool& connections,
+  PendingCall(asio::io_context& loop,
+              std::shared_ptr<HttpConnectionPool> connections,
               CallClient::Done done)
-      : timer_(loop), connections_(connections), done_(std::move(done)) {}
+      : timer_(loop),
+        connections_(std::move(connections)),
+        done_(std::move(done)) {}
 
   void StartTimer(std::chrono::milliseconds timeout) {
     timer_.expires_after(timeout);
@@ -49,7 +52,7 @@
 
  private:
   void OnTimeout() {
-    if (connection_ != nullptr) connections_.GiveUp(connection_);
+    if (connection_ != nullptr) connections_->GiveUp(connection_);
     End(absl::DeadlineExceededError("call timed out"));
   }
 
@@ -61,7 +64,7 @@
   }
 
   asio::steady_timer timer_;
-  HttpConnectionPool& connections_;
+  std::shared_ptr<HttpConnectionPool> connections_;
   CallClient::Done done_;
   std::shared_ptr<HttpConnection> connection_;
   CallAnswer answer_;
@@ -75,7 +78,7 @@
       std::make_shared<PendingCall>(loop_, connections_, std::move(done));
   call->StartTimer(timeout);
   call->set_connection(
-      connections_.Start(endpoint, std::move(request), false, call));
+      connections_->Start(endpoint, std::move(request), false, call));
 }
 
 }  // namespace yuccapick
--- a/src/gateway/call_client.h
+++ b/src/gateway/call_client.h
@@ -32,18 +32,20 @@
   using Done = std::function<void(absl::StatusOr<CallAnswer>)>;
 
   CallClient(asio::io_context& loop, HttpConnectionOptions options)
-      : loop_(loop), connections_(loop, options) {}
+      : loop_(loop),
+        connections_(std::make_shared<HttpConnectionPool>(loop, options)) {}
 
   /// @param done called exactly once, asynchronously, on the loop; Unavailable
   ///   if nothing was sent, DeadlineExceeded or Unknown if the call may have
   ///   taken effect
   void Call(const std::string& endpoint, std::string request,
             std::chrono::milliseconds timeout, Done done);
-  void DropExpired(TimePoint now) { connections_.DropExpired(now); }
+  void DropExpired(TimePoint now) { connections_->DropExpired(now); }
 
  private:
   asio::io_context& loop_;
-  HttpConnectionPool connections_;
+  std::shared_ptr<HttpConnectionPool>
+      connections_;  ///< Shared by calls in flight.
 };
 
 }  // namespace yuccapick
