Count the time of a suspension in the age of confirmations

Found in a review by reading, seen nowhere. The steady clock stops while a machine is suspended, so after it the copies of the tables counted as current for up to 1.5 s, and unknown routes and keys got 404 and 401. 'A copy is unconfirmed after the machine was suspended' tests the new event; the decision had none before.

--- a/include/yuccapick/table_freshness.h
+++ b/include/yuccapick/table_freshness.h
@@ -103,6 +103,9 @@
   /// @return false if a newer confirmation is known
   bool OnConfirmation(const StoreConfirmation& confirmation,
                       TimePoint confirmed_at, TimePoint now);
+  /// The machine was suspended, which the steady clock doesn't count: all
+  /// confirmations are older by that time.
+  void OnSuspended(std::chrono::milliseconds duration);
   /// @return what is due
   std::vector<FreshnessAction> OnTick(TimePoint now);
 
--- a/src/gateway/freshness_sync.h
+++ b/src/gateway/freshness_sync.h
@@ -37,6 +37,10 @@
                 std::function<void(TimePoint::duration age)> on_confirmed);
 
   void OnTick(TimePoint now);
+  /// The machine was suspended, which the steady clock doesn't count.
+  void OnSuspended(std::chrono::milliseconds duration) {
+    freshness_.OnSuspended(duration);
+  }
   void Stop() { timer_.cancel(); }
   void OnPollOpened(const std::string& table);
   void OnPollEnded(const std::string& table);
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -228,6 +228,7 @@
   const auto pause = pause_detector_.OnTick(now, BootTimeNow());
   if (!pause) return;
   ++pauses_;
+  freshness_sync_->OnSuspended(pause->suspended);
   state_.log.Write(LogKind::kLifecycle, now,
                    "event=process_paused duration_ms={} suspended_ms={}",
                    pause->duration.count(), pause->suspended.count());
--- a/src/table_freshness.cc
+++ b/src/table_freshness.cc
@@ -206,6 +206,13 @@
       due, *last_check_began_at_ + Times(kDelayPerGateway, gateway_count_));
 }
 
+void TableFreshness::OnSuspended(milliseconds duration) {
+  last_confirmed_at_ -= duration;
+  for (TableState& state : tables_) {
+    if (state.confirmed_at) *state.confirmed_at -= duration;
+  }
+}
+
 std::vector<FreshnessAction> TableFreshness::OnTick(TimePoint now) {
   std::vector<FreshnessAction> actions;
   if (!check_ && now >= NextCheck()) {
--- a/test/table_freshness_test.cc
+++ b/test/table_freshness_test.cc
@@ -101,6 +101,16 @@
       gateway.Confirmed(WatchedTable::kOperator, kStart + kConfirmationMaxAge));
 }
 
+TEST_CASE("A copy is unconfirmed after the machine was suspended") {
+  TableFreshness gateway(InstanceId("gateway-0"), kStart);
+  gateway.OnCurrent(WatchedTable::kOperator, 5, kStart);
+  const TimePoint resumed = kStart + milliseconds(100);
+  REQUIRE(gateway.Confirmed(WatchedTable::kOperator, resumed));
+  gateway.OnSuspended(kConfirmationMaxAge);
+  CHECK_FALSE(gateway.Confirmed(WatchedTable::kOperator, resumed));
+  CHECK(gateway.NextDue() <= resumed);
+}
+
 TEST_CASE("A confirmation that is older than the last one is dropped") {
   TableFreshness gateway(InstanceId("gateway-0"), kStart);
   const StoreConfirmation last{StoreTime(milliseconds(9)), 5, 5};
