Show that removed upstreams get requests for too long

Excluded so far: late knowledge of the removal (all gateways read it within 130 ms) and late delivery (5 ms). No logic is changed here.

--- a/test/upstream_roster_test.cc
+++ b/test/upstream_roster_test.cc
@@ -201,6 +201,44 @@
         Kind::kRemoved);
 }
 
+TEST_CASE("An upstream removed late after an outage is believed to be gone") {
+  UpstreamRoster roster;
+  roster.OnEntry(Entry("a"), kStart);
+  roster.OnEntry(Entry("b"), kStart);
+  roster.OnListUnavailable(kStart);
+  const TimePoint back = kStart + milliseconds(1'300);
+  roster.OnListAvailable(back);
+  const TimePoint removed_at = back + milliseconds(2'100);
+  roster.OnRemoved(UpstreamId("a"), removed_at);
+  roster.OnTick(removed_at + milliseconds(1'500));
+  CHECK(roster.FindUsable(UpstreamId("a")) == nullptr);
+}
+
+TEST_CASE("An unconfirmed upstream is removed in a second outage, too") {
+  UpstreamRoster roster;
+  roster.OnEntry(Entry("a"), kStart);
+  roster.OnEntry(Entry("b"), kStart);
+  roster.OnListUnavailable(kStart);
+  const TimePoint back = kStart + milliseconds(5'000);
+  roster.OnListAvailable(back);
+  roster.OnRemoved(UpstreamId("a"), back);
+  roster.OnListUnavailable(back + milliseconds(500));
+  roster.OnTick(back + milliseconds(2'500));
+  CHECK(roster.FindUsable(UpstreamId("a")) == nullptr);
+  CHECK(roster.FindUsable(UpstreamId("b")) != nullptr);
+}
+
+TEST_CASE("The newest of too many leaving upstreams are remembered") {
+  RosterOptions options;
+  options.max_leaving_runs = 2;
+  UpstreamRoster roster(options);
+  const UpstreamEntry entry = Entry("a");
+  for (const char* id : {"z", "y", "a", "x"}) {
+    roster.OnLeavingSeen({UpstreamId(id), entry.incarnation});
+  }
+  CHECK(roster.OnEntry(entry, kStart)->kind == Kind::kLeaving);
+}
+
 TEST_CASE("Weights reported by the upstream override its lagging entry") {
   UpstreamRoster roster;
   roster.OnEntry(Entry("a"), kStart);
