Derive the time limit of missing entries from the bounds

Cause: an entry that vanishes within 2.2 s after an outage was taken for one that expired in it, and its upstream kept for 2.2 s from the removal on. The limit was counted from the wrong moment and set without the promise that depends on it: 2.2 s is later than drainMs, whatever that is.

Now such an upstream is kept until 2.2 s after the outage at most, and no longer than drainMs after the list was last known to be as it is here, or contactMs after the last failed call, whichever is later, less the time that a request takes to its upstream. Both bounds come from the settings. Upstreams that are most of their service stay longer: a whole fleet whose entries expired is served, also if the outage's end is noticed late.

The log names the limit and what it is reckoned from.

--- a/include/yuccapick/upstream_roster.h
+++ b/include/yuccapick/upstream_roster.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -54,17 +55,27 @@
   };
   Kind kind;
   UpstreamId id;
+  /// Until when an unconfirmed upstream may register again.
+  TimePoint until;
 };
 
 /// Returns the name of the kind for log lines.
 std::string_view RosterChangeName(RosterChange::Kind kind);
 
 struct RosterOptions {
-  /// Time that upstreams have to register again after an outage of the list.
-  std::chrono::milliseconds reregistration_window{2'200};
+  /// Upstreams whose entries expired in an outage of the list register again
+  /// within this time after it.
+  std::chrono::milliseconds reregistration_time{2'200};
   /// Entries do not expire in outages shorter than this, so that a removal
   /// after one is final.
   std::chrono::milliseconds min_outage{600};
+  /// No request may reach an upstream later than this after its entry was
+  /// removed.
+  std::chrono::milliseconds drain_timeout{2'000};
+  /// `drain_timeout` does not bind for this long after an outage of the list.
+  std::chrono::milliseconds contact_time{3'000};
+  /// A request reaches its upstream within this time.
+  std::chrono::milliseconds delivery_time{500};
   /// Upstreams whose leaving is remembered.
   std::size_t max_leaving_runs = 4'096;
   /// Removed upstreams that are remembered.
@@ -79,15 +90,22 @@
 
   // Commands.
 
+  /// Applies to removals from now on.
+  void SetOptions(const RosterOptions& options) { options_ = options; }
   /// An entry was added to the list or changed.
   /// @return nothing if nothing changed
   std::optional<RosterChange> OnEntry(const UpstreamEntry& listed,
                                       TimePoint now);
   /// An entry was removed from the list or expired. In an outage of the list of
-  /// at least `min_outage`, and for `reregistration_window` after it, the
-  /// upstream stays usable as unconfirmed unless it is leaving.
+  /// at least `min_outage`, and for `reregistration_time` after it, the
+  /// upstream stays usable as unconfirmed unless it is leaving: until the end
+  /// of that time, and no longer than `drain_timeout` allows. Beyond that it
+  /// stays only while most upstreams of its service are unconfirmed, since
+  /// these can't all have left.
   std::optional<RosterChange> OnRemoved(const UpstreamId& id, TimePoint now);
-  /// The list came back from an older copy. For `reregistration_window`,
+  /// The known entries were all in the list at a time.
+  void OnListCurrent(TimePoint at);
+  /// The list came back from an older copy. For `reregistration_time`,
   /// upstreams whose entries are missing stay usable as unconfirmed.
   void OnListRestored(TimePoint now);
   /// An entry of the copy differs from the known one. It may be older: it
@@ -104,15 +122,21 @@
   /// or never.
   /// @return nothing if that is known
   std::optional<RosterChange> OnLeavingSeen(const UpstreamRun& run);
-  /// The list stopped answering.
-  void OnListUnavailable(TimePoint now);
+  /// The list did not answer a call.
+  /// @param sent_at when the call was sent; it may have been lost at once
+  void OnListUnavailable(TimePoint now, TimePoint sent_at);
   /// The list answers again.
   void OnListAvailable(TimePoint now);
-  /// Removes unconfirmed upstreams that did not register again in time.
+  /// Removes unconfirmed upstreams that did not register again in time. To be
+  /// called after each batch of changes, too.
   std::vector<RosterChange> OnTick(TimePoint now);
 
   // Queries.
 
+  /// When the list was last known not to answer.
+  TimePoint unavailable_at() const { return unavailable_at_; }
+  /// When all known entries were last known to be in the list.
+  TimePoint listed_at() const { return listed_at_; }
   /// @return the entry if the upstream may get new work, or null
   const UpstreamEntry* FindUsable(const UpstreamId& id) const;
   /// @return the entry of any upstream that is listed, or null
@@ -127,7 +151,14 @@
     std::optional<TimePoint> unconfirmed_until;
   };
 
-  bool InReregistrationWindow(TimePoint now) const;
+  /// True if a missing entry may have expired in an outage of the list.
+  bool MayHaveExpired(TimePoint now) const;
+  /// True if missing entries may still come back.
+  bool AwaitsRegistrations(TimePoint now) const;
+  /// Until when an upstream is unconfirmed whose entry is found missing now.
+  TimePoint UnconfirmedUntil(TimePoint now) const;
+  /// @return services most of whose upstreams are unconfirmed
+  std::set<ServiceId> MostlyUnconfirmedServices() const;
   void RememberLeaving(const UpstreamRun& run);
   void RememberRemoved(const UpstreamRun& run);
 
@@ -140,6 +171,9 @@
   std::map<UpstreamId, Incarnation> removed_runs_;
   std::optional<TimePoint> outage_since_;
   std::optional<TimePoint> reregistration_until_;
+  /// When the list was last known to be unavailable, and to be as known here.
+  TimePoint unavailable_at_;
+  TimePoint listed_at_;
 };
 
 }  // namespace yuccapick
--- a/src/gateway/freshness_sync.h
+++ b/src/gateway/freshness_sync.h
@@ -58,6 +58,10 @@
   bool Confirmed(WatchedTable table, TimePoint now) const {
     return freshness_.Confirmed(table, now);
   }
+  /// @return when the copy is known to have been current; nullopt if never
+  std::optional<TimePoint> ConfirmedAt(WatchedTable table) const {
+    return freshness_.ConfirmedAt(table);
+  }
   /// @return the age of the oldest confirmation of a table; zero before any
   std::chrono::milliseconds Age(TimePoint now) const;
   const Counters& counters() const { return counters_; }
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -237,9 +237,7 @@
 void GatewayProcess::Tick() {
   const TimePoint now = state_.Now();
   CheckPause(now);
-  for (const RosterChange& change : state_.roster.OnTick(now)) {
-    ApplyRosterChange(change);
-  }
+  RemoveUnconfirmed(now);
   RepeatStreamOrigins(now);
   CatchUpWithStore(now);
   ExchangeWithPeers(now);
@@ -307,6 +305,7 @@
 
 void GatewayProcess::OnSettingsChanged(const GatewaySettings& settings) {
   state_.settings.bounds = settings.bounds;
+  state_.roster.SetOptions(RosterOptionsFor(settings.bounds));
   state_.settings.seed_endpoints = settings.seed_endpoints;
   state_.SetGatewayCount(state_.gateway_count);
   state_.log.Write(LogKind::kLifecycle, state_.Now(),
--- a/src/gateway/gateway_process.h
+++ b/src/gateway/gateway_process.h
@@ -65,7 +65,7 @@
                    const std::vector<MirrorRow>& changes) override;
   void OnTableRestored(const std::string& table,
                        const std::vector<MirrorRow>& changes) override;
-  void OnTableUnavailable(const std::string& table,
+  void OnTableUnavailable(const std::string& table, TimePoint sent_at,
                           std::string_view reason) override;
   void OnTableAnswered(const std::string& table) override;
   void OnTableCurrent(const std::string& table,
@@ -126,9 +126,16 @@
   void OnTablesConfirmed(TimePoint::duration age);
   void ApplyOperatorRow(const MirrorRow& row);
   void ApplyTargetWeights(const MirrorRow& row);
+  void ApplyUpstreamRows(const std::vector<MirrorRow>& changes,
+                         UpstreamRowSource source);
   void ApplyUpstreamRow(const MirrorRow& row, UpstreamRowSource source);
   void ApplyConfig(const MirrorRow& row);
+  void LogUnconfirmed(const RosterChange& change);
   void ApplyRosterChange(const RosterChange& change);
+  /// Tells the roster when its list was current, before that changes.
+  void RecordListCurrent();
+  /// Removes upstreams that did not register again in time.
+  void RemoveUnconfirmed(TimePoint now);
   std::string RenderMetrics() const;
   bool Ready() const;
   bool ConfigConfirmed(TimePoint now) const;
--- a/src/gateway/gateway_process_tables.cc
+++ b/src/gateway/gateway_process_tables.cc
@@ -18,34 +18,55 @@
 
 void GatewayProcess::OnTableRows(const std::string& table,
                                  const std::vector<MirrorRow>& changes) {
-  for (const MirrorRow& row : changes) {
-    if (table == platform::kOperator) {
-      ApplyOperatorRow(row);
-    } else {
-      ApplyUpstreamRow(row, UpstreamRowSource::kList);
-    }
+  if (table == platform::kOperator) {
+    for (const MirrorRow& row : changes) ApplyOperatorRow(row);
+    return;
+  }
+  ApplyUpstreamRows(changes, UpstreamRowSource::kList);
+}
+
+void GatewayProcess::ApplyUpstreamRows(const std::vector<MirrorRow>& changes,
+                                       UpstreamRowSource source) {
+  RecordListCurrent();
+  if (source == UpstreamRowSource::kCopy) {
+    state_.roster.OnListRestored(state_.Now());
+  }
+  for (const MirrorRow& row : changes) ApplyUpstreamRow(row, source);
+  RemoveUnconfirmed(state_.Now());
+}
+
+void GatewayProcess::RecordListCurrent() {
+  const auto at = freshness_sync_->ConfirmedAt(WatchedTable::kUpstreams);
+  if (at) state_.roster.OnListCurrent(*at);
+}
+
+void GatewayProcess::RemoveUnconfirmed(TimePoint now) {
+  for (const RosterChange& change : state_.roster.OnTick(now)) {
+    ApplyRosterChange(change);
   }
 }
 
 void GatewayProcess::OnTableRestored(const std::string& table,
                                      const std::vector<MirrorRow>& changes) {
   ++tables_restored_;
+  RecordListCurrent();
   freshness_sync_->Restart();
   state_.log.Write(LogKind::kStateChange, state_.Now(),
                    "event=table_restored table={} generation={} differing={}",
                    table, store_->generations().current().value,
                    changes.size());
-  if (table == platform::kOperator) return OnTableRows(table, changes);
-  state_.roster.OnListRestored(state_.Now());
-  for (const MirrorRow& row : changes) {
-    ApplyUpstreamRow(row, UpstreamRowSource::kCopy);
+  if (table == platform::kOperator) {
+    OnTableRows(table, changes);
+  } else {
+    ApplyUpstreamRows(changes, UpstreamRowSource::kCopy);
   }
 }
 
 void GatewayProcess::OnTableUnavailable(const std::string& table,
+                                        TimePoint sent_at,
                                         std::string_view reason) {
   const TimePoint now = state_.Now();
-  state_.roster.OnListUnavailable(now);
+  state_.roster.OnListUnavailable(now, sent_at);
   state_.store_contact.OnFailure(BootTimeNow());
   if (!store_failing_since_) store_failing_since_ = now;
   if (store_lost_ || now - *store_failing_since_ < kStoreLostAfter) return;
@@ -151,8 +172,22 @@
   if (change) ApplyRosterChange(*change);
 }
 
+void GatewayProcess::LogUnconfirmed(const RosterChange& change) {
+  const TimePoint now = state_.Now();
+  const auto count = [](TimePoint::duration time) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+  };
+  state_.log.Write(LogKind::kStateChange, now,
+                   "event=upstream_unconfirmed upstream={} left_ms={} "
+                   "listed_ms_ago={} list_lost_ms_ago={}",
+                   change.id.value, count(change.until - now),
+                   count(now - state_.roster.listed_at()),
+                   count(now - state_.roster.unavailable_at()));
+}
+
 void GatewayProcess::ApplyRosterChange(const RosterChange& change) {
   using Kind = RosterChange::Kind;
+  if (change.kind == Kind::kUnconfirmed) LogUnconfirmed(change);
   const UpstreamEntry* entry = state_.roster.Find(change.id);
   state_.log.Write(LogKind::kStateChange, state_.Now(),
                    "event=upstream_changed upstream={} change={} endpoint={} "
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -20,6 +20,11 @@
   /// Minimum time between the last order of a lease holder and the first order
   /// of the next one.
   std::chrono::milliseconds lease_handover_gap{3'000};
+  /// No request may reach an upstream later than this after its entry was
+  /// removed or marked as leaving.
+  std::chrono::milliseconds drain_timeout{2'000};
+  /// Time after an outage of the store for which other bounds are not in force.
+  std::chrono::milliseconds contact_time{3'000};
   /// Requests must not start on weights that were replaced this long ago.
   std::chrono::milliseconds stale_weights_limit{12'000};
   /// Retries of a service as a share of its requests.
--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -15,16 +15,29 @@
 /// Share of the configured retry budget that is used.
 constexpr double kUsableBudgetShare = 0.8;
 
+/// Time from the end of connecting until the request is at the upstream.
+constexpr std::chrono::milliseconds kTransitTime{100};
+
 HttpConnectionOptions UpstreamConnectionOptions() { return {}; }
 
 }  // namespace
 
+RosterOptions RosterOptionsFor(const GatewayBounds& bounds) {
+  RosterOptions options;
+  options.drain_timeout = bounds.drain_timeout;
+  options.contact_time = bounds.contact_time;
+  options.delivery_time =
+      UpstreamConnectionOptions().connect_timeout + kTransitTime;
+  return options;
+}
+
 GatewayState::GatewayState(asio::io_context& io,
                            GatewaySettings process_settings)
     : loop(io),
       settings(std::move(process_settings)),
       metrics(kTeamsWithLabels),
       upstream_connections(io, UpstreamConnectionOptions()),
+      roster(RosterOptionsFor(settings.bounds)),
       load(kPeerReportMaxAge),
       placement(settings.domain, {}),
       quarantine(settings.instance),
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -38,6 +38,9 @@
 
 namespace yuccapick {
 
+/// Time limits of membership that follow from the bounds.
+RosterOptions RosterOptionsFor(const GatewayBounds& bounds);
+
 /// State of one gateway process; used on its event loop only.
 struct GatewayState {
   GatewayState(asio::io_context& io, GatewaySettings process_settings);
--- a/src/gateway/quarantine_sync.h
+++ b/src/gateway/quarantine_sync.h
@@ -55,7 +55,7 @@
   /// coordinators.
   void OnTableRestored(const std::string& table,
                        const std::vector<MirrorRow>& changes) override;
-  void OnTableUnavailable(const std::string& /*table*/,
+  void OnTableUnavailable(const std::string& /*table*/, TimePoint /*sent_at*/,
                           std::string_view /*reason*/) override {}
   void OnTableAnswered(const std::string& /*table*/) override {}
 
--- a/src/gateway/table_watch.cc
+++ b/src/gateway/table_watch.cc
@@ -101,7 +101,7 @@
       if (!read_due_ || backing_off_) Refresh();
     } else {
       reachable_ = false;
-      handler_.OnTableUnavailable(options_.table,
+      handler_.OnTableUnavailable(options_.table, sent_at,
                                   rows.status().message().data());
     }
     return handler_.OnTableChecked(options_.table, std::nullopt);
@@ -122,7 +122,7 @@
 void TableWatch::OnRenewAnswer(const TablePosition& after,
                                const absl::StatusOr<StoreAnswer>& answer,
                                TimePoint sent_at) {
-  const std::optional<platform::RowsAnswer> rows = ParseRows(answer);
+  const std::optional<platform::RowsAnswer> rows = ParseRows(answer, sent_at);
   if (!rows) return;
   HandleAnswered();
   if (answer->generation != after.generation) return Refresh();
@@ -205,7 +205,7 @@
 }
 
 std::optional<platform::RowsAnswer> TableWatch::ParseRows(
-    const absl::StatusOr<StoreAnswer>& answer) {
+    const absl::StatusOr<StoreAnswer>& answer, TimePoint sent_at) {
   absl::StatusOr<platform::RowsAnswer> rows = Decode(answer);
   if (rows.ok()) return *std::move(rows);
   if (absl::IsOutOfRange(rows.status())) {
@@ -214,12 +214,13 @@
     ScheduleNextCall(milliseconds(0));
     return std::nullopt;
   }
-  HandleFailure(rows.status().message().data());
+  HandleFailure(sent_at, rows.status().message().data());
   return std::nullopt;
 }
 
 void TableWatch::OnReadAnswer(const absl::StatusOr<StoreAnswer>& answer) {
-  const std::optional<platform::RowsAnswer> rows = ParseRows(answer);
+  const std::optional<platform::RowsAnswer> rows =
+      ParseRows(answer, read_sent_at_);
   if (!rows) return;
   // Later pages may be newer than the first one. The watch starts from the
   // first page's version, so that no change in between is missed.
@@ -268,11 +269,13 @@
   if (lost && confirmed_at_ > poll_opened_at_) {
     return ScheduleNextCall(Spread(kReopenSpreadPerGateway));
   }
-  const std::optional<platform::RowsAnswer> rows = ParseRows(answer);
+  const std::optional<platform::RowsAnswer> rows =
+      ParseRows(answer, poll_opened_at_);
   if (!rows) return;
   HandleAnswered();
   if (answer->generation < mirror_.generation()) {
-    return HandleFailure("older generation than a peer's copy");
+    return HandleFailure(poll_opened_at_,
+                         "older generation than a peer's copy");
   }
   if (answer->generation > after.generation) return Refresh();
   ApplyChanges(after, *rows, poll_opened_at_);
@@ -287,12 +290,12 @@
   handler_.OnTableAnswered(options_.table);
 }
 
-void TableWatch::HandleFailure(std::string_view reason) {
+void TableWatch::HandleFailure(TimePoint sent_at, std::string_view reason) {
   reachable_ = false;
   // A row may have changed and changed back meanwhile, so all rows are read
   // again.
   read_due_ = true;
-  handler_.OnTableUnavailable(options_.table, reason);
+  handler_.OnTableUnavailable(options_.table, sent_at, reason);
   ScheduleNextCall(backoff_ + Spread(kRetrySpreadPerGateway));
   backing_off_ = true;
   backoff_ = std::min(backoff_ * 2, options_.max_backoff);
--- a/src/gateway/table_watch.h
+++ b/src/gateway/table_watch.h
@@ -57,7 +57,8 @@
   virtual void OnTableRestored(const std::string& table,
                                const std::vector<MirrorRow>& changes) = 0;
   /// A call failed; called for each failure.
-  virtual void OnTableUnavailable(const std::string& table,
+  /// @param sent_at when the call was sent
+  virtual void OnTableUnavailable(const std::string& table, TimePoint sent_at,
                                   std::string_view reason) = 0;
   /// A call was answered; called for each answer.
   virtual void OnTableAnswered(const std::string& table) = 0;
@@ -139,7 +140,7 @@
   /// Decodes an answer and handles its failure.
   /// @return nullopt if the answer holds no rows
   std::optional<platform::RowsAnswer> ParseRows(
-      const absl::StatusOr<StoreAnswer>& answer);
+      const absl::StatusOr<StoreAnswer>& answer, TimePoint sent_at);
   /// @param rows changes after `after`, in the same generation
   TableAnswer ApplyChanges(const TablePosition& after,
                            const platform::RowsAnswer& rows, TimePoint sent_at);
@@ -148,7 +149,7 @@
   }
   void TakeSnapshot(const TableSnapshot& snapshot);
   void HandleAnswered();
-  void HandleFailure(std::string_view reason);
+  void HandleFailure(TimePoint sent_at, std::string_view reason);
   /// @return a random time up to `per_gateway` for each gateway
   std::chrono::milliseconds Spread(std::chrono::milliseconds per_gateway);
   void ScheduleNextCall(std::chrono::milliseconds delay);
--- a/src/upstream_roster.cc
+++ b/src/upstream_roster.cc
@@ -50,13 +50,47 @@
   Remember(removed_runs_, options_.max_removed_runs, run);
 }
 
-bool UpstreamRoster::InReregistrationWindow(TimePoint now) const {
+bool UpstreamRoster::MayHaveExpired(TimePoint now) const {
   if (reregistration_until_ && now < *reregistration_until_) return true;
   return outage_since_ && now - *outage_since_ >= options_.min_outage;
 }
 
+bool UpstreamRoster::AwaitsRegistrations(TimePoint now) const {
+  return outage_since_ ||
+         (reregistration_until_ && now < *reregistration_until_);
+}
+
+TimePoint UpstreamRoster::UnconfirmedUntil(TimePoint now) const {
+  const bool answers = !outage_since_ && reregistration_until_;
+  const TimePoint registered =
+      answers ? *reregistration_until_ : now + options_.reregistration_time;
+  const TimePoint drained = std::max(listed_at_ + options_.drain_timeout,
+                                     unavailable_at_ + options_.contact_time);
+  return std::min(registered, drained - options_.delivery_time);
+}
+
+std::set<ServiceId> UpstreamRoster::MostlyUnconfirmedServices() const {
+  std::map<ServiceId, int> surplus;
+  for (const auto& [id, member] : members_) {
+    if (member.entry.leaving) continue;
+    surplus[member.entry.service] += member.unconfirmed_until ? 1 : -1;
+  }
+  std::set<ServiceId> services;
+  for (const auto& [service, n] : surplus) {
+    if (n > 0) services.insert(service);
+  }
+  return services;
+}
+
+void UpstreamRoster::OnListCurrent(TimePoint at) {
+  listed_at_ = std::max(listed_at_, at);
+}
+
 void UpstreamRoster::OnListRestored(TimePoint now) {
-  reregistration_until_ = now + options_.reregistration_window;
+  reregistration_until_ = now + options_.reregistration_time;
+  // The list was away between its last answer and now.
+  const bool known = listed_at_ != TimePoint();
+  unavailable_at_ = std::max(unavailable_at_, known ? listed_at_ : now);
 }
 
 std::optional<RosterChange> UpstreamRoster::OnRestoredEntry(
@@ -87,7 +121,7 @@
     return std::nullopt;
   }
   entry.leaving = true;
-  return RosterChange{Kind::kLeaving, run.id};
+  return RosterChange{Kind::kLeaving, run.id, {}};
 }
 
 std::optional<RosterChange> UpstreamRoster::OnEntry(const UpstreamEntry& listed,
@@ -103,14 +137,14 @@
   if (it == members_.end()) {
     members_.emplace(entry.id, Member{entry, std::nullopt});
     const Kind kind = entry.leaving ? Kind::kLeaving : Kind::kAdded;
-    return RosterChange{kind, entry.id};
+    return RosterChange{kind, entry.id, {}};
   }
   Member& member = it->second;
   const bool was_unconfirmed = member.unconfirmed_until.has_value();
   member.unconfirmed_until.reset();
   const UpstreamEntry before = std::exchange(member.entry, entry);
   if (before.incarnation != entry.incarnation) {
-    return RosterChange{Kind::kRestarted, entry.id};
+    return RosterChange{Kind::kRestarted, entry.id, {}};
   }
   member.entry.leaving |= before.leaving;
   // Within one incarnation weight versions only rise, but the entry may lag
@@ -121,10 +155,10 @@
     held->second = std::max(held->second, weights);
   }
   if (member.entry.leaving && !before.leaving) {
-    return RosterChange{Kind::kLeaving, entry.id};
+    return RosterChange{Kind::kLeaving, entry.id, {}};
   }
   if (before == member.entry && !was_unconfirmed) return std::nullopt;
-  return RosterChange{Kind::kUpdated, entry.id};
+  return RosterChange{Kind::kUpdated, entry.id, {}};
 }
 
 std::optional<RosterChange> UpstreamRoster::OnRemoved(const UpstreamId& id,
@@ -132,14 +166,14 @@
   const auto it = members_.find(id);
   if (it == members_.end()) return std::nullopt;
   Member& member = it->second;
-  if (InReregistrationWindow(now) && !member.entry.leaving) {
+  if (MayHaveExpired(now) && !member.entry.leaving) {
     if (member.unconfirmed_until) return std::nullopt;
-    member.unconfirmed_until = now + options_.reregistration_window;
-    return RosterChange{Kind::kUnconfirmed, id};
+    member.unconfirmed_until = UnconfirmedUntil(now);
+    return RosterChange{Kind::kUnconfirmed, id, *member.unconfirmed_until};
   }
   RememberRemoved({id, member.entry.incarnation});
   members_.erase(it);
-  return RosterChange{Kind::kRemoved, id};
+  return RosterChange{Kind::kRemoved, id, {}};
 }
 
 bool UpstreamRoster::OnWeightsSeen(const UpstreamId& id, const ModelId& model,
@@ -153,14 +187,15 @@
   return true;
 }
 
-void UpstreamRoster::OnListUnavailable(TimePoint now) {
+void UpstreamRoster::OnListUnavailable(TimePoint now, TimePoint sent_at) {
+  unavailable_at_ = std::max(unavailable_at_, sent_at);
   if (!outage_since_) outage_since_ = now;
 }
 
 void UpstreamRoster::OnListAvailable(TimePoint now) {
   if (!outage_since_) return;
   if (now - *outage_since_ >= options_.min_outage) {
-    reregistration_until_ = now + options_.reregistration_window;
+    reregistration_until_ = now + options_.reregistration_time;
   }
   outage_since_.reset();
 }
@@ -168,13 +203,16 @@
 std::vector<RosterChange> UpstreamRoster::OnTick(TimePoint now) {
   std::vector<RosterChange> changes;
   if (outage_since_) return changes;
+  std::set<ServiceId> kept;
+  if (AwaitsRegistrations(now)) kept = MostlyUnconfirmedServices();
   for (auto it = members_.begin(); it != members_.end();) {
     const auto& until = it->second.unconfirmed_until;
-    if (!until || now < *until) {
+    const bool due = until && now >= *until;
+    if (!due || kept.contains(it->second.entry.service)) {
       ++it;
       continue;
     }
-    changes.push_back({Kind::kRemoved, it->first});
+    changes.push_back({Kind::kRemoved, it->first, {}});
     RememberRemoved({it->first, it->second.entry.incarnation});
     it = members_.erase(it);
   }
--- a/test/gateway/slow_table_read_test.cc
+++ b/test/gateway/slow_table_read_test.cc
@@ -41,7 +41,7 @@
                    const std::vector<MirrorRow>& /*changes*/) override {}
   void OnTableRestored(const std::string& /*table*/,
                        const std::vector<MirrorRow>& /*changes*/) override {}
-  void OnTableUnavailable(const std::string& /*table*/,
+  void OnTableUnavailable(const std::string& /*table*/, TimePoint /*sent_at*/,
                           std::string_view /*reason*/) override {}
   void OnTableAnswered(const std::string& /*table*/) override {}
   void OnTableChecked(const std::string& /*table*/,
--- a/test/upstream_roster_test.cc
+++ b/test/upstream_roster_test.cc
@@ -79,7 +79,8 @@
   const UpstreamEntry entry = Entry("a");
   roster.OnEntry(entry, kStart);
   roster.OnListRestored(kStart);
-  roster.OnListUnavailable(kStart + milliseconds(10));
+  roster.OnListUnavailable(kStart + milliseconds(10),
+                           kStart + milliseconds(10));
   CHECK(roster.OnRemoved(entry.id, kStart + milliseconds(20))->kind ==
         Kind::kUnconfirmed);
 }
@@ -169,7 +170,7 @@
   UpstreamRoster roster;
   roster.OnEntry(Entry("a"), kStart);
   roster.OnEntry(Entry("b"), kStart);
-  roster.OnListUnavailable(kStart);
+  roster.OnListUnavailable(kStart, kStart);
   const TimePoint back = kStart + milliseconds(5'000);
   roster.OnListAvailable(back);
   CHECK(roster.OnRemoved(UpstreamId("a"), back)->kind == Kind::kUnconfirmed);
@@ -185,7 +186,7 @@
 TEST_CASE("A removal after a short outage of the list is final") {
   UpstreamRoster roster;
   roster.OnEntry(Entry("a"), kStart);
-  roster.OnListUnavailable(kStart);
+  roster.OnListUnavailable(kStart, kStart);
   roster.OnListAvailable(kStart + milliseconds(200));
   CHECK(roster.OnRemoved(UpstreamId("a"), kStart + milliseconds(250))->kind ==
         Kind::kRemoved);
@@ -196,7 +197,7 @@
   UpstreamEntry entry = Entry("a");
   entry.leaving = true;
   roster.OnEntry(entry, kStart);
-  roster.OnListUnavailable(kStart);
+  roster.OnListUnavailable(kStart, kStart);
   CHECK(roster.OnRemoved(entry.id, kStart + milliseconds(4'000))->kind ==
         Kind::kRemoved);
 }
@@ -205,7 +206,7 @@
   UpstreamRoster roster;
   roster.OnEntry(Entry("a"), kStart);
   roster.OnEntry(Entry("b"), kStart);
-  roster.OnListUnavailable(kStart);
+  roster.OnListUnavailable(kStart, kStart);
   const TimePoint back = kStart + milliseconds(1'300);
   roster.OnListAvailable(back);
   const TimePoint removed_at = back + milliseconds(2'100);
@@ -218,11 +219,11 @@
   UpstreamRoster roster;
   roster.OnEntry(Entry("a"), kStart);
   roster.OnEntry(Entry("b"), kStart);
-  roster.OnListUnavailable(kStart);
+  roster.OnListUnavailable(kStart, kStart);
   const TimePoint back = kStart + milliseconds(5'000);
   roster.OnListAvailable(back);
   roster.OnRemoved(UpstreamId("a"), back);
-  roster.OnListUnavailable(back + milliseconds(500));
+  roster.OnListUnavailable(back + milliseconds(500), back + milliseconds(500));
   roster.OnTick(back + milliseconds(2'500));
   CHECK(roster.FindUsable(UpstreamId("a")) == nullptr);
   CHECK(roster.FindUsable(UpstreamId("b")) != nullptr);
