Let a second outage extend no upstream's time

Cause: while the list is unavailable no time limit of a missing entry ended. The limit is a promise that holds in an outage, too.

Now it ends then as well, unless most upstreams of the service are missing: these stay until the list has answered for 2.2 s.

Before: "An unconfirmed upstream is removed in a second outage, too" failed. After: it passes, and "Expired entries of a whole service outlast a second outage" does.

--- a/src/upstream_roster.cc
+++ b/src/upstream_roster.cc
@@ -202,7 +202,6 @@
 
 std::vector<RosterChange> UpstreamRoster::OnTick(TimePoint now) {
   std::vector<RosterChange> changes;
-  if (outage_since_) return changes;
   std::set<ServiceId> kept;
   if (AwaitsRegistrations(now)) kept = MostlyUnconfirmedServices();
   for (auto it = members_.begin(); it != members_.end();) {
--- a/test/upstream_roster_test.cc
+++ b/test/upstream_roster_test.cc
@@ -229,6 +229,23 @@
   CHECK(roster.FindUsable(UpstreamId("b")) != nullptr);
 }
 
+TEST_CASE("Expired entries of a whole service outlast a second outage") {
+  UpstreamRoster roster;
+  for (const char* id : {"a", "b"}) roster.OnEntry(Entry(id), kStart);
+  roster.OnListUnavailable(kStart, kStart);
+  const TimePoint back = kStart + milliseconds(5'000);
+  roster.OnListAvailable(back);
+  for (const char* id : {"a", "b"}) roster.OnRemoved(UpstreamId(id), back);
+  const TimePoint lost = back + milliseconds(500);
+  roster.OnListUnavailable(lost, lost);
+  CHECK(roster.OnTick(lost + milliseconds(9'000)).empty());
+  CHECK(roster.Usable(kService).size() == 2);
+  const TimePoint back_again = lost + milliseconds(10'000);
+  roster.OnListAvailable(back_again);
+  CHECK(roster.OnTick(back_again + milliseconds(2'000)).empty());
+  CHECK(roster.OnTick(back_again + milliseconds(2'300)).size() == 2);
+}
+
 TEST_CASE("The newest of too many leaving upstreams are remembered") {
   RosterOptions options;
   options.max_leaving_runs = 2;
