Forget the oldest leaving and removed upstreams first

Cause: the bound was kept by the order of ids, though the promise depends on the newest marks.

RecentUpstreams drops the one that was put first. It serves leaving and removed upstreams alike.

Before: "The newest of too many leaving upstreams are remembered" failed. After: it passes.

--- a/include/yuccapick/upstream_roster.h
+++ b/include/yuccapick/upstream_roster.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "yuccapick/ids.h"
+#include "yuccapick/recent_upstreams.h"
 
 namespace yuccapick {
 
@@ -86,11 +87,14 @@
 /// for its whole incarnation.
 class UpstreamRoster {
  public:
-  explicit UpstreamRoster(RosterOptions options = {}) : options_(options) {}
+  explicit UpstreamRoster(RosterOptions options = {})
+      : options_(options),
+        leaving_runs_(options.max_leaving_runs),
+        removed_runs_(options.max_removed_runs) {}
 
   // Commands.
 
-  /// Applies to removals from now on.
+  /// Applies to removals from now on. What is remembered keeps its limits.
   void SetOptions(const RosterOptions& options) { options_ = options; }
   /// An entry was added to the list or changed.
   /// @return nothing if nothing changed
@@ -166,9 +170,9 @@
   std::map<UpstreamId, Member> members_;
   /// Newest incarnation that left. Kept when the entry goes, since the list may
   /// bring it back.
-  std::map<UpstreamId, Incarnation> leaving_runs_;
+  RecentUpstreams<Incarnation> leaving_runs_;
   /// Newest incarnation that was removed.
-  std::map<UpstreamId, Incarnation> removed_runs_;
+  RecentUpstreams<Incarnation> removed_runs_;
   std::optional<TimePoint> outage_since_;
   std::optional<TimePoint> reregistration_until_;
   /// When the list was last known to be unavailable, and to be as known here.
--- a/src/upstream_roster.cc
+++ b/src/upstream_roster.cc
@@ -25,29 +25,16 @@
   return "unknown";
 }
 
-namespace {
-
-using Runs = std::map<UpstreamId, Incarnation>;
-
-/// Adds a run to bounded ones, unless a newer one is known.
-void Remember(Runs& runs, std::size_t limit, const UpstreamRun& run) {
-  const auto it = runs.find(run.id);
-  if (it != runs.end()) {
-    it->second = std::max(it->second, run.incarnation);
-    return;
-  }
-  if (runs.size() >= limit) runs.erase(runs.begin());
-  runs[run.id] = run.incarnation;
-}
-
-}  // namespace
-
 void UpstreamRoster::RememberLeaving(const UpstreamRun& run) {
-  Remember(leaving_runs_, options_.max_leaving_runs, run);
+  const Incarnation* known = leaving_runs_.Find(run.id);
+  if (known != nullptr && *known >= run.incarnation) return;
+  leaving_runs_.Put(run.id, run.incarnation);
 }
 
 void UpstreamRoster::RememberRemoved(const UpstreamRun& run) {
-  Remember(removed_runs_, options_.max_removed_runs, run);
+  const Incarnation* known = removed_runs_.Find(run.id);
+  if (known != nullptr && *known >= run.incarnation) return;
+  removed_runs_.Put(run.id, run.incarnation);
 }
 
 bool UpstreamRoster::MayHaveExpired(TimePoint now) const {
@@ -95,8 +82,8 @@
 
 std::optional<RosterChange> UpstreamRoster::OnRestoredEntry(
     const UpstreamEntry& listed, TimePoint now) {
-  const auto removed = removed_runs_.find(listed.id);
-  if (removed != removed_runs_.end() && removed->second >= listed.incarnation) {
+  const Incarnation* removed = removed_runs_.Find(listed.id);
+  if (removed != nullptr && *removed >= listed.incarnation) {
     return std::nullopt;
   }
   const auto it = members_.find(listed.id);
@@ -109,10 +96,8 @@
 
 std::optional<RosterChange> UpstreamRoster::OnLeavingSeen(
     const UpstreamRun& run) {
-  const auto seen = leaving_runs_.find(run.id);
-  if (seen != leaving_runs_.end() && seen->second >= run.incarnation) {
-    return std::nullopt;
-  }
+  const Incarnation* seen = leaving_runs_.Find(run.id);
+  if (seen != nullptr && *seen >= run.incarnation) return std::nullopt;
   RememberLeaving(run);
   const auto it = members_.find(run.id);
   if (it == members_.end()) return std::nullopt;
@@ -127,12 +112,10 @@
 std::optional<RosterChange> UpstreamRoster::OnEntry(const UpstreamEntry& listed,
                                                     TimePoint /*now*/) {
   UpstreamEntry entry = listed;
-  const auto seen = leaving_runs_.find(entry.id);
-  if (seen != leaving_runs_.end() && seen->second >= entry.incarnation) {
-    entry.leaving = true;
-  }
+  const Incarnation* seen = leaving_runs_.Find(entry.id);
+  if (seen != nullptr && *seen >= entry.incarnation) entry.leaving = true;
   if (entry.leaving) RememberLeaving({entry.id, entry.incarnation});
-  removed_runs_.erase(entry.id);
+  removed_runs_.Erase(entry.id);
   const auto it = members_.find(entry.id);
   if (it == members_.end()) {
     members_.emplace(entry.id, Member{entry, std::nullopt});
