Credit a leaving mark to the run that gave it

Cause: the mark was credited to the incarnation that the gateway's row named, and lost as soon as the new one's row came.

The mark's time is kept now. A later incarnation counts as leaving if its row may have been written before: the store's versions and times bound that. An answer is credited to the newest incarnation that is known when it arrives, and peers hear of the later one.

--- a/include/yuccapick/upstream_roster.h
+++ b/include/yuccapick/upstream_roster.h
@@ -97,9 +97,10 @@
   /// Applies to removals from now on. What is remembered keeps its limits.
   void SetOptions(const RosterOptions& options) { options_ = options; }
   /// An entry was added to the list or changed.
+  /// @param written_after a time at which it was not written yet
   /// @return nothing if nothing changed
   std::optional<RosterChange> OnEntry(const UpstreamEntry& listed,
-                                      TimePoint now);
+                                      TimePoint written_after);
   /// An entry was removed from the list or expired. In an outage of the list of
   /// at least `min_outage`, and for `reregistration_time` after it, the
   /// upstream stays usable as unconfirmed unless it is leaving: until the end
@@ -123,9 +124,12 @@
   bool OnWeightsSeen(const UpstreamId& id, const ModelId& model,
                      WeightVersionNumber weights);
   /// An answer of the upstream says that it leaves. Its entry may follow later,
-  /// or never.
+  /// or never. A later incarnation counts as leaving, too, if its entry may
+  /// have been written by then: the answer may have been its own.
+  /// @param run newest known incarnation
   /// @return nothing if that is known
-  std::optional<RosterChange> OnLeavingSeen(const UpstreamRun& run);
+  std::optional<RosterChange> OnLeavingSeen(const UpstreamRun& run,
+                                            TimePoint seen_at);
   /// The list did not answer a call.
   /// @param sent_at when the call was sent; it may have been lost at once
   void OnListUnavailable(TimePoint now, TimePoint sent_at);
@@ -150,6 +154,12 @@
   std::vector<const UpstreamEntry*> All() const;
 
  private:
+  /// An incarnation that leaves.
+  struct LeavingRun {
+    Incarnation incarnation;
+    /// When an answer said so; nullopt if only the entry did.
+    std::optional<TimePoint> seen_at;
+  };
   struct Member {
     UpstreamEntry entry;
     std::optional<TimePoint> unconfirmed_until;
@@ -163,14 +173,17 @@
   TimePoint UnconfirmedUntil(TimePoint now) const;
   /// @return services most of whose upstreams are unconfirmed
   std::set<ServiceId> MostlyUnconfirmedServices() const;
-  void RememberLeaving(const UpstreamRun& run);
+  void RememberLeaving(const UpstreamRun& run,
+                       std::optional<TimePoint> seen_at);
+  /// True if the entry's incarnation is known to leave, or may have said so.
+  bool IsLeaving(const UpstreamEntry& listed, TimePoint written_after) const;
   void RememberRemoved(const UpstreamRun& run);
 
   RosterOptions options_;
   std::map<UpstreamId, Member> members_;
   /// Newest incarnation that left. Kept when the entry goes, since the list may
   /// bring it back.
-  RecentUpstreams<Incarnation> leaving_runs_;
+  RecentUpstreams<LeavingRun> leaving_runs_;
   /// Newest incarnation that was removed.
   RecentUpstreams<Incarnation> removed_runs_;
   std::optional<TimePoint> outage_since_;
--- a/src/gateway/freshness_sync.cc
+++ b/src/gateway/freshness_sync.cc
@@ -99,18 +99,11 @@
   freshness_.OnPollEnded(WatchedTableOf(table));
 }
 
-std::optional<TimePoint> FreshnessSync::LocalTime(StoreTime time,
-                                                  TimePoint now) const {
-  const std::optional<StoreTime> store_now = state_.StoreNow();
-  if (!store_now) return std::nullopt;
-  return now - std::max(milliseconds(0), *store_now - time);
-}
-
 void FreshnessSync::OnTableCurrent(const std::string& table,
                                    const TableAnswer& answer) {
   const WatchedTable watched = WatchedTableOf(table);
-  const TimePoint at =
-      LocalTime(answer.store_time, state_.Now()).value_or(answer.sent_at);
+  const TimePoint at = state_.LocalTime(answer.store_time, state_.Now())
+                           .value_or(answer.sent_at);
   freshness_.OnCurrent(watched, WatchOf(watched).mirror().as_of(),
                        std::max(at, answer.sent_at));
 }
@@ -156,7 +149,7 @@
   // Versions of different generations can't be compared.
   const StoreGeneration own = operator_watch_.mirror().generation();
   if (!InOneGeneration() || confirmation.generation != own) return;
-  const std::optional<TimePoint> at = LocalTime(confirmation.as_of, now);
+  const std::optional<TimePoint> at = state_.LocalTime(confirmation.as_of, now);
   if (!at || !freshness_.OnConfirmation(confirmation, *at, now)) return;
   bool all_current = true;
   for (const WatchedTable table : kWatchedTables) {
--- a/src/gateway/freshness_sync.h
+++ b/src/gateway/freshness_sync.h
@@ -75,9 +75,6 @@
   void Renew(const RenewPoll& renewal, TimePoint now);
   void Schedule();
   void LogBelief(TimePoint now);
-  /// @return the local time of a time of the store, at most `now`; nullopt if
-  ///   the store's clock isn't known
-  std::optional<TimePoint> LocalTime(StoreTime time, TimePoint now) const;
 
   GatewayState& state_;
   PeerExchange& exchange_;
--- a/src/gateway/gateway_process.h
+++ b/src/gateway/gateway_process.h
@@ -129,6 +129,8 @@
   void ApplyUpstreamRows(const std::vector<MirrorRow>& changes,
                          UpstreamRowSource source);
   void ApplyUpstreamRow(const MirrorRow& row, UpstreamRowSource source);
+  /// @return a time at which the upstream's row was not written yet
+  TimePoint WrittenAfter(const MirrorRow& row, TimePoint now) const;
   void ApplyConfig(const MirrorRow& row);
   void LogUnconfirmed(const RosterChange& change);
   void ApplyRosterChange(const RosterChange& change);
--- a/src/gateway/gateway_process_peers.cc
+++ b/src/gateway/gateway_process_peers.cc
@@ -38,7 +38,7 @@
   state_.load.OnPeerReport(report.instance, report.work, now);
   limit_sync_->OnLimits(report.limits);
   for (const UpstreamRun& run : report.leaving_upstreams) {
-    if (const auto change = state_.roster.OnLeavingSeen(run)) {
+    if (const auto change = state_.roster.OnLeavingSeen(run, now)) {
       ApplyRosterChange(*change);
     }
   }
--- a/src/gateway/gateway_process_tables.cc
+++ b/src/gateway/gateway_process_tables.cc
@@ -164,12 +164,18 @@
   } else if (source == UpstreamRowSource::kCopy) {
     change = state_.roster.OnRestoredEntry(*entry, now);
   } else {
-    change = state_.roster.OnEntry(*entry, now);
+    change = state_.roster.OnEntry(*entry, WrittenAfter(row, now));
   }
   if (entry) {
     state_.stream_origins.OnListed({entry->service, entry->software}, now);
   }
   if (change) ApplyRosterChange(*change);
+  const UpstreamEntry* known = state_.roster.Find(id);
+  const bool learnt = entry && !entry->leaving && known && known->leaving;
+  // Peers may have heard of an earlier incarnation's leaving only.
+  if (learnt && change && change->kind == RosterChange::Kind::kRestarted) {
+    state_.unreported_leaving.push_back({id, known->incarnation});
+  }
 }
 
 void GatewayProcess::LogUnconfirmed(const RosterChange& change) {
@@ -185,6 +191,14 @@
                    count(now - state_.roster.unavailable_at()));
 }
 
+TimePoint GatewayProcess::WrittenAfter(const MirrorRow& row,
+                                       TimePoint now) const {
+  const std::optional<StoreTime> time = state_.store_times.rows.WrittenAfter(
+      {upstream_watch_->mirror().generation(), row.version});
+  if (!time) return TimePoint::min();
+  return state_.LocalTime(*time, now).value_or(TimePoint::min());
+}
+
 void GatewayProcess::ApplyRosterChange(const RosterChange& change) {
   using Kind = RosterChange::Kind;
   if (change.kind == Kind::kUnconfirmed) LogUnconfirmed(change);
--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -74,8 +74,19 @@
   }
 }
 
-void GatewayState::RecordLeaving(const UpstreamRun& run) {
-  if (!roster.OnLeavingSeen(run)) return;
+std::optional<TimePoint> GatewayState::LocalTime(StoreTime time,
+                                                 TimePoint now) const {
+  const std::optional<StoreTime> store_now = StoreNow();
+  if (!store_now) return std::nullopt;
+  return now - std::max(std::chrono::milliseconds(0), *store_now - time);
+}
+
+void GatewayState::RecordLeaving(UpstreamRun run) {
+  const UpstreamEntry* listed = roster.Find(run.id);
+  if (listed != nullptr) {
+    run.incarnation = std::max(run.incarnation, listed->incarnation);
+  }
+  if (!roster.OnLeavingSeen(run, Now())) return;
   unreported_leaving.push_back(run);
   log.Write(LogKind::kStateChange, Now(),
             "event=upstream_changed upstream={} change={} source=answer",
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -59,11 +59,15 @@
                 std::string_view source);
   /// An answer says that the upstream leaves. Peers learn it with the next
   /// report.
-  void RecordLeaving(const UpstreamRun& run);
+  /// @param run incarnation to which the request was sent
+  void RecordLeaving(UpstreamRun run);
   /// Number of live gateways, including this one.
   std::size_t LiveGateways() const { return live_peers.size() + 1; }
   /// @return a random time below `spread`
   std::chrono::milliseconds RandomDelay(std::chrono::milliseconds spread);
+  /// @return the local time of a time of the store, at most `now`; nullopt if
+  ///   the store's clock isn't known
+  std::optional<TimePoint> LocalTime(StoreTime time, TimePoint now) const;
   TimePoint Now() const { return std::chrono::steady_clock::now(); }
   /// @return nullopt before the store's time is known
   std::optional<StoreTime> StoreNow() const;
--- a/src/upstream_roster.cc
+++ b/src/upstream_roster.cc
@@ -25,10 +25,24 @@
   return "unknown";
 }
 
-void UpstreamRoster::RememberLeaving(const UpstreamRun& run) {
-  const Incarnation* known = leaving_runs_.Find(run.id);
-  if (known != nullptr && *known >= run.incarnation) return;
-  leaving_runs_.Put(run.id, run.incarnation);
+void UpstreamRoster::RememberLeaving(const UpstreamRun& run,
+                                     std::optional<TimePoint> seen_at) {
+  const LeavingRun* known = leaving_runs_.Find(run.id);
+  if (known != nullptr && known->incarnation > run.incarnation) return;
+  if (known != nullptr && !seen_at) seen_at = known->seen_at;
+  leaving_runs_.Put(run.id, {run.incarnation, seen_at});
+}
+
+bool UpstreamRoster::IsLeaving(const UpstreamEntry& listed,
+                               TimePoint written_after) const {
+  if (listed.leaving) return true;
+  const LeavingRun* seen = leaving_runs_.Find(listed.id);
+  if (seen == nullptr) return false;
+  if (seen->incarnation >= listed.incarnation) return true;
+  const auto it = members_.find(listed.id);
+  const bool known = it != members_.end() &&
+                     it->second.entry.incarnation == listed.incarnation;
+  return !known && seen->seen_at && written_after < *seen->seen_at;
 }
 
 void UpstreamRoster::RememberRemoved(const UpstreamRun& run) {
@@ -91,14 +105,16 @@
   if (known && it->second.entry.incarnation > listed.incarnation) {
     return OnRemoved(listed.id, now);
   }
-  return OnEntry(listed, now);
+  return OnEntry(listed, TimePoint::min());
 }
 
 std::optional<RosterChange> UpstreamRoster::OnLeavingSeen(
-    const UpstreamRun& run) {
-  const Incarnation* seen = leaving_runs_.Find(run.id);
-  if (seen != nullptr && *seen >= run.incarnation) return std::nullopt;
-  RememberLeaving(run);
+    const UpstreamRun& run, TimePoint seen_at) {
+  const LeavingRun* seen = leaving_runs_.Find(run.id);
+  if (seen != nullptr && seen->incarnation > run.incarnation) {
+    return std::nullopt;
+  }
+  RememberLeaving(run, seen_at);
   const auto it = members_.find(run.id);
   if (it == members_.end()) return std::nullopt;
   UpstreamEntry& entry = it->second.entry;
@@ -110,11 +126,12 @@
 }
 
 std::optional<RosterChange> UpstreamRoster::OnEntry(const UpstreamEntry& listed,
-                                                    TimePoint /*now*/) {
+                                                    TimePoint written_after) {
   UpstreamEntry entry = listed;
-  const Incarnation* seen = leaving_runs_.Find(entry.id);
-  if (seen != nullptr && *seen >= entry.incarnation) entry.leaving = true;
-  if (entry.leaving) RememberLeaving({entry.id, entry.incarnation});
+  entry.leaving = IsLeaving(listed, written_after);
+  if (entry.leaving) {
+    RememberLeaving({entry.id, entry.incarnation}, std::nullopt);
+  }
   removed_runs_.Erase(entry.id);
   const auto it = members_.find(entry.id);
   if (it == members_.end()) {
--- a/test/upstream_roster_test.cc
+++ b/test/upstream_roster_test.cc
@@ -42,8 +42,8 @@
   const UpstreamEntry entry = Entry("a");
   const UpstreamRun run{entry.id, entry.incarnation};
   roster.OnEntry(entry, kStart);
-  CHECK(roster.OnLeavingSeen(run)->kind == Kind::kLeaving);
-  CHECK_FALSE(roster.OnLeavingSeen(run));
+  CHECK(roster.OnLeavingSeen(run, kStart)->kind == Kind::kLeaving);
+  CHECK_FALSE(roster.OnLeavingSeen(run, kStart));
   CHECK(roster.Usable(kService).empty());
   // The list still says that it is ready.
   roster.OnEntry(entry, kStart);
@@ -144,17 +144,43 @@
   UpstreamEntry entry = Entry("a");
   entry.incarnation = Incarnation(6);
   roster.OnEntry(entry, kStart);
-  CHECK_FALSE(roster.OnLeavingSeen({entry.id, Incarnation(5)}));
+  CHECK_FALSE(roster.OnLeavingSeen({entry.id, Incarnation(5)}, kStart));
   CHECK(roster.Usable(kService).size() == 1);
 }
 
+TEST_CASE("A run leaves whose entry may be older than its leaving mark") {
+  UpstreamRoster roster;
+  UpstreamEntry entry = Entry("a");
+  roster.OnEntry(entry, kStart);
+  const TimePoint seen_at = kStart + milliseconds(500);
+  roster.OnLeavingSeen({entry.id, entry.incarnation}, seen_at);
+  entry.incarnation = Incarnation(6);
+  SECTION("It may have been written before") {
+    roster.OnEntry(entry, seen_at - milliseconds(1));
+    CHECK(roster.Usable(kService).empty());
+    // Later changes of the same run don't bring it back.
+    entry.slots = 2;
+    roster.OnEntry(entry, seen_at + milliseconds(900));
+    CHECK(roster.Usable(kService).empty());
+  }
+  SECTION("It was written after") {
+    roster.OnEntry(entry, seen_at);
+    CHECK(roster.Usable(kService).size() == 1);
+    // Its next change may reach the gateway in an older copy.
+    entry.slots = 2;
+    roster.OnRestoredEntry(entry, seen_at + milliseconds(900));
+    CHECK(roster.Usable(kService).size() == 1);
+  }
+}
+
 TEST_CASE("The leaving of an upstream that is not listed yet is remembered") {
   RosterOptions options;
   options.max_leaving_runs = 2;
   UpstreamRoster roster(options);
   const UpstreamEntry entry = Entry("z");
   for (const char* id : {"a", "b", "z"}) {
-    CHECK_FALSE(roster.OnLeavingSeen({UpstreamId(id), entry.incarnation}));
+    CHECK_FALSE(
+        roster.OnLeavingSeen({UpstreamId(id), entry.incarnation}, kStart));
   }
   CHECK(roster.OnEntry(entry, kStart)->kind == Kind::kLeaving);
 }
@@ -252,7 +278,7 @@
   UpstreamRoster roster(options);
   const UpstreamEntry entry = Entry("a");
   for (const char* id : {"z", "y", "a", "x"}) {
-    roster.OnLeavingSeen({UpstreamId(id), entry.incarnation});
+    roster.OnLeavingSeen({UpstreamId(id), entry.incarnation}, kStart);
   }
   CHECK(roster.OnEntry(entry, kStart)->kind == Kind::kLeaving);
 }
