Send nothing to an upstream whose entry can't be read

An upstream whose row became unreadable (an unknown state, a field missing) went on getting requests by its former entry: all of 20 in a test. Cause: such a row was ignored, though it names no upstream to use.

It is unusable until the row can be read again; its cache and load are kept.

--- a/include/yuccapick/upstream_roster.h
+++ b/include/yuccapick/upstream_roster.h
@@ -52,12 +52,13 @@
     kUpdated,
     kLeaving,
     kUnconfirmed,  ///< Its entry expired in an outage of the list.
+    kUnreadable,   ///< Its entry names no upstream at present.
     kRemoved,
   };
   Kind kind;
   UpstreamId id;
   /// Until when an unconfirmed upstream may register again.
-  TimePoint until;
+  TimePoint until{};
 };
 
 /// Returns the name of the kind for log lines.
@@ -108,6 +109,9 @@
   /// stays only while most upstreams of its service are unconfirmed, since
   /// these can't all have left.
   std::optional<RosterChange> OnRemoved(const UpstreamId& id, TimePoint now);
+  /// An entry can't be read. It names no upstream until it can be read again.
+  /// @return nothing if nothing changed
+  std::optional<RosterChange> OnUnreadable(const UpstreamId& id);
   /// The known entries were all in the list at a time.
   void OnListCurrent(TimePoint at);
   /// The list came back from an older copy. For `reregistration_time`,
@@ -163,6 +167,9 @@
   struct Member {
     UpstreamEntry entry;
     std::optional<TimePoint> unconfirmed_until;
+    bool unreadable = false;
+
+    bool IsUsable() const { return !entry.leaving && !unreadable; }
   };
 
   /// True if a missing entry may have expired in an outage of the list.
--- a/src/gateway/gateway_process_tables.cc
+++ b/src/gateway/gateway_process_tables.cc
@@ -153,9 +153,12 @@
   std::optional<UpstreamEntry> entry;
   if (!row.removed) entry = platform::DecodeUpstreamEntry(row.key, row.value);
   if (!row.removed && !entry) {
-    state_.log.Write(LogKind::kStateChange, now,
-                     "event=upstream_entry_ignored upstream={} row_version={}",
-                     row.key, row.version);
+    state_.log.Write(
+        LogKind::kStateChange, now,
+        "event=upstream_entry_unreadable upstream={} row_version={}", row.key,
+        row.version);
+    const auto change = state_.roster.OnUnreadable(id);
+    if (change) ApplyRosterChange(*change);
     return;
   }
   std::optional<RosterChange> change;
--- a/src/upstream_roster.cc
+++ b/src/upstream_roster.cc
@@ -19,6 +19,8 @@
       return "leaving";
     case Kind::kUnconfirmed:
       return "unconfirmed";
+    case Kind::kUnreadable:
+      return "unreadable";
     case Kind::kRemoved:
       return "removed";
   }
@@ -73,7 +75,7 @@
 std::set<ServiceId> UpstreamRoster::MostlyUnconfirmedServices() const {
   std::map<ServiceId, int> surplus;
   for (const auto& [id, member] : members_) {
-    if (member.entry.leaving) continue;
+    if (!member.IsUsable()) continue;
     surplus[member.entry.service] += member.unconfirmed_until ? 1 : -1;
   }
   std::set<ServiceId> services;
@@ -122,7 +124,7 @@
     return std::nullopt;
   }
   entry.leaving = true;
-  return RosterChange{Kind::kLeaving, run.id, {}};
+  return RosterChange{Kind::kLeaving, run.id};
 }
 
 std::optional<RosterChange> UpstreamRoster::OnEntry(const UpstreamEntry& listed,
@@ -135,16 +137,18 @@
   removed_runs_.Erase(entry.id);
   const auto it = members_.find(entry.id);
   if (it == members_.end()) {
-    members_.emplace(entry.id, Member{entry, std::nullopt});
+    members_.emplace(entry.id, Member{entry, std::nullopt, false});
     const Kind kind = entry.leaving ? Kind::kLeaving : Kind::kAdded;
-    return RosterChange{kind, entry.id, {}};
+    return RosterChange{kind, entry.id};
   }
   Member& member = it->second;
-  const bool was_unconfirmed = member.unconfirmed_until.has_value();
+  const bool was_unsure =
+      member.unconfirmed_until.has_value() || member.unreadable;
   member.unconfirmed_until.reset();
+  member.unreadable = false;
   const UpstreamEntry before = std::exchange(member.entry, entry);
   if (before.incarnation != entry.incarnation) {
-    return RosterChange{Kind::kRestarted, entry.id, {}};
+    return RosterChange{Kind::kRestarted, entry.id};
   }
   member.entry.leaving |= before.leaving;
   // Within one incarnation weight versions only rise, but the entry may lag
@@ -155,10 +159,10 @@
     held->second = std::max(held->second, weights);
   }
   if (member.entry.leaving && !before.leaving) {
-    return RosterChange{Kind::kLeaving, entry.id, {}};
+    return RosterChange{Kind::kLeaving, entry.id};
   }
-  if (before == member.entry && !was_unconfirmed) return std::nullopt;
-  return RosterChange{Kind::kUpdated, entry.id, {}};
+  if (before == member.entry && !was_unsure) return std::nullopt;
+  return RosterChange{Kind::kUpdated, entry.id};
 }
 
 std::optional<RosterChange> UpstreamRoster::OnRemoved(const UpstreamId& id,
@@ -173,7 +177,14 @@
   }
   RememberRemoved({id, member.entry.incarnation});
   members_.erase(it);
-  return RosterChange{Kind::kRemoved, id, {}};
+  return RosterChange{Kind::kRemoved, id};
+}
+
+std::optional<RosterChange> UpstreamRoster::OnUnreadable(const UpstreamId& id) {
+  const auto it = members_.find(id);
+  if (it == members_.end() || it->second.unreadable) return std::nullopt;
+  it->second.unreadable = true;
+  return RosterChange{Kind::kUnreadable, id};
 }
 
 bool UpstreamRoster::OnWeightsSeen(const UpstreamId& id, const ModelId& model,
@@ -211,7 +222,7 @@
       ++it;
       continue;
     }
-    changes.push_back({Kind::kRemoved, it->first, {}});
+    changes.push_back({Kind::kRemoved, it->first});
     RememberRemoved({it->first, it->second.entry.incarnation});
     it = members_.erase(it);
   }
@@ -219,8 +230,9 @@
 }
 
 const UpstreamEntry* UpstreamRoster::FindUsable(const UpstreamId& id) const {
-  const UpstreamEntry* entry = Find(id);
-  return entry != nullptr && !entry->leaving ? entry : nullptr;
+  const auto it = members_.find(id);
+  const bool usable = it != members_.end() && it->second.IsUsable();
+  return usable ? &it->second.entry : nullptr;
 }
 
 const UpstreamEntry* UpstreamRoster::Find(const UpstreamId& id) const {
@@ -232,7 +244,7 @@
     const ServiceId& service) const {
   std::vector<const UpstreamEntry*> usable;
   for (const auto& [id, member] : members_) {
-    if (member.entry.leaving || member.entry.service != service) continue;
+    if (!member.IsUsable() || member.entry.service != service) continue;
     usable.push_back(&member.entry);
   }
   return usable;
--- a/test/upstream_roster_test.cc
+++ b/test/upstream_roster_test.cc
@@ -185,6 +185,19 @@
   CHECK(roster.OnEntry(entry, kStart)->kind == Kind::kLeaving);
 }
 
+TEST_CASE("An unreadable entry names no upstream until it is readable again") {
+  UpstreamRoster roster;
+  const UpstreamEntry entry = Entry("a");
+  CHECK_FALSE(roster.OnUnreadable(entry.id));
+  roster.OnEntry(entry, kStart);
+  CHECK(roster.OnUnreadable(entry.id)->kind == Kind::kUnreadable);
+  CHECK_FALSE(roster.OnUnreadable(entry.id));
+  CHECK(roster.Usable(kService).empty());
+  CHECK(roster.FindUsable(entry.id) == nullptr);
+  CHECK(roster.OnEntry(entry, kStart)->kind == Kind::kUpdated);
+  CHECK(roster.Usable(kService).size() == 1);
+}
+
 TEST_CASE("A removed entry stops new work at once while the list answers") {
   UpstreamRoster roster;
   roster.OnEntry(Entry("a"), kStart);
