--- a/test/gateway/gateway_fixture.cc
+++ b/test/gateway/gateway_fixture.cc
@@ -81,6 +81,13 @@
   store.Put("servers", upstream.id(), entry.dump());
 }
 
+void GatewayFixture::RegisterRun(const FakeUpstream& upstream,
+                                 const std::string& service, int born) {
+  Json entry = UpstreamRow(upstream, service);
+  entry["born"] = born;
+  store.Put("servers", upstream.id(), entry.dump());
+}
+
 void GatewayFixture::RegisterSoftware(const FakeUpstream& upstream,
                                       const std::string& service,
                                       const std::string& software,
--- a/test/gateway/gateway_fixture.h
+++ b/test/gateway/gateway_fixture.h
@@ -57,6 +57,10 @@
   /// Puts an upstream's row into the store.
   void Register(const FakeUpstream& upstream, const std::string& service,
                 const std::string& state = "ready");
+  /// Puts the row of an incarnation of an upstream.
+  /// @param born start of the incarnation
+  void RegisterRun(const FakeUpstream& upstream, const std::string& service,
+                   int born);
   /// Puts the row of an upstream that runs a software version.
   void RegisterSoftware(const FakeUpstream& upstream,
                         const std::string& service, const std::string& software,
