Name the crash quarantine after what it does

PartQuarantine becomes CrashQuarantine, and its messages speak of suspects: requests are to be judged by the same mechanism as parts of prompts. Names and files only; the messages between gateways keep their form, and no check of a test changes.

--- a/include/yuccapick/part_quarantine.h
+++ b/include/yuccapick/crash_quarantine.h
@@ -1,5 +1,5 @@
-#ifndef YUCCAPICK_PART_QUARANTINE_H_
-#define YUCCAPICK_PART_QUARANTINE_H_
+#ifndef YUCCAPICK_CRASH_QUARANTINE_H_
+#define YUCCAPICK_CRASH_QUARANTINE_H_
 
 /// @file
 /// Finds prompt parts under which upstreams crash, and blocks them.
@@ -26,49 +26,49 @@
 
 /// An upstream closed its connection before an answer to a request with the
 /// part had gone on for long.
-struct PartCrash {
+struct SuspectCrash {
   PartId part;
   UpstreamRunId upstream;
   StoreTime at;
 
-  bool operator==(const PartCrash&) const = default;
+  bool operator==(const SuspectCrash&) const = default;
 };
 
 /// An upstream answered a request with the part.
-struct PartSurvival {
+struct SuspectSurvival {
   PartId part;
   StoreTime began_at;  ///< When the answer began.
 
-  bool operator==(const PartSurvival&) const = default;
+  bool operator==(const SuspectSurvival&) const = default;
 };
 
 /// What a gateway has observed. May be lost or repeated.
-struct PartReport {
-  std::vector<PartCrash> crashes;
-  std::vector<PartSurvival> survivals;
+struct SuspectReport {
+  std::vector<SuspectCrash> crashes;
+  std::vector<SuspectSurvival> survivals;
 
   bool empty() const { return crashes.empty() && survivals.empty(); }
 };
 
 /// A report and the gateway that should get it.
-struct AddressedPartReport {
+struct AddressedSuspectReport {
   InstanceId to;
-  PartReport report;
+  SuspectReport report;
 };
 
 /// Whether a part is blocked. Of several decisions the latest one counts.
-struct PartDecision {
+struct SuspectDecision {
   PartId part;
   bool blocked = false;
   StoreTime decided_at;
   StoreTime until;           ///< Requests are refused until then.
   std::uint32_t blocks = 0;  ///< How often it was blocked in succession.
 
-  bool operator==(const PartDecision&) const = default;
+  bool operator==(const SuspectDecision&) const = default;
 };
 
 /// A request that must not be sent, because of one of its parts.
-struct PartRefusal {
+struct SuspectRefusal {
   PartId part;
   std::chrono::milliseconds retry_after{0};
 };
@@ -82,7 +82,7 @@
 /// gateways refuse requests with a blocked part. When the block ends, the first
 /// coordinator tries one request at a time; an answer clears the part, a crash
 /// blocks it for twice as long.
-class PartQuarantine {
+class CrashQuarantine {
  public:
   struct Options {
     /// Crashed upstreams, without an answer since the first, that block a part.
@@ -99,9 +99,9 @@
     std::size_t max_parts = 4'096;
   };
 
-  explicit PartQuarantine(InstanceId own)
-      : PartQuarantine(std::move(own), {}) {}
-  PartQuarantine(InstanceId own, Options options);
+  explicit CrashQuarantine(InstanceId own)
+      : CrashQuarantine(std::move(own), {}) {}
+  CrashQuarantine(InstanceId own, Options options);
 
   // Commands.
 
@@ -109,25 +109,25 @@
   void SetPeers(const std::vector<InstanceId>& peers) {
     gateways_.SetPeers(peers);
   }
-  /// An own attempt ended as described for `PartCrash`.
+  /// An own attempt ended as described for `SuspectCrash`.
   void OnCrash(const std::vector<PartId>& parts, UpstreamRunId upstream,
                StoreTime now);
   /// An own attempt was answered.
   void OnSurvived(const std::vector<PartId>& parts, StoreTime began_at,
                   StoreTime now);
-  void OnReport(const PartReport& report, StoreTime now);
+  void OnReport(const SuspectReport& report, StoreTime now);
   /// A decision of another gateway, or one that was saved.
   /// @return false if one that is not older is known
-  bool OnDecision(const PartDecision& decision);
+  bool OnDecision(const SuspectDecision& decision);
   void OnTick(StoreTime now);
   /// Decides on a request, immediately before it is sent.
   /// @return nothing if it may be sent
-  std::optional<PartRefusal> Admit(const std::vector<PartId>& parts,
-                                   StoreTime now);
+  std::optional<SuspectRefusal> Admit(const std::vector<PartId>& parts,
+                                      StoreTime now);
   /// Returns observations that other gateways need.
-  std::vector<AddressedPartReport> TakeReports();
+  std::vector<AddressedSuspectReport> TakeReports();
   /// Returns decisions that all gateways need, and that are to be saved.
-  std::vector<PartDecision> TakeDecisions();
+  std::vector<SuspectDecision> TakeDecisions();
 
   // Queries.
 
@@ -138,7 +138,7 @@
   /// True if this gateway is one of the part's coordinators.
   bool IsCoordinator(PartId part) const;
   /// Returns the decisions in force, for a gateway that starts.
-  std::vector<PartDecision> Decisions() const;
+  std::vector<SuspectDecision> Decisions() const;
   /// Parts of which evidence is kept.
   std::size_t suspect_count() const { return suspects_.size(); }
 
@@ -154,19 +154,19 @@
     StoreTime updated_at;
   };
   struct Block {
-    PartDecision decision;
+    SuspectDecision decision;
     StoreTime trial_until;
   };
 
   bool IsFirstCoordinator(PartId part) const;
   /// True if this coordinator counts a crash for the part before `time`.
   bool HasCrashBefore(PartId part, StoreTime time) const;
-  void Report(const PartCrash& crash, StoreTime now);
-  void Report(const PartSurvival& survival, StoreTime now);
-  void AddCrash(const PartCrash& crash, StoreTime now);
-  void AddSurvival(const PartSurvival& survival, StoreTime now);
+  void Report(const SuspectCrash& crash, StoreTime now);
+  void Report(const SuspectSurvival& survival, StoreTime now);
+  void AddCrash(const SuspectCrash& crash, StoreTime now);
+  void AddSurvival(const SuspectSurvival& survival, StoreTime now);
   Suspect& FindOrAddSuspect(PartId part, StoreTime now);
-  void Decide(const PartDecision& decision);
+  void Decide(const SuspectDecision& decision);
   void BlockAgain(const Block& block, StoreTime now);
   void BlockIfSettled(PartId part, StoreTime now);
   /// Clears blocks that nobody has asked for long after their end.
@@ -180,10 +180,10 @@
   /// Parts of own broken attempts, and when they broke. The next answer to a
   /// request with one of them is reported.
   std::map<PartId, StoreTime> awaiting_answer_;
-  std::map<InstanceId, PartReport> reports_;
-  std::vector<PartDecision> decisions_;
+  std::map<InstanceId, SuspectReport> reports_;
+  std::vector<SuspectDecision> decisions_;
 };
 
 }  // namespace yuccapick
 
-#endif  // YUCCAPICK_PART_QUARANTINE_H_
+#endif  // YUCCAPICK_CRASH_QUARANTINE_H_
--- a/src/part_quarantine.cc
+++ b/src/crash_quarantine.cc
@@ -1,4 +1,4 @@
-#include "yuccapick/part_quarantine.h"
+#include "yuccapick/crash_quarantine.h"
 
 #include <xxhash.h>
 
@@ -29,11 +29,13 @@
 }
 
 /// One crash breaks several requests with the same part.
-bool IsSame(const PartCrash& a, const PartCrash& b) {
+bool IsSame(const SuspectCrash& a, const SuspectCrash& b) {
   return a.part == b.part && a.upstream == b.upstream;
 }
 
-bool IsSame(const PartSurvival& a, const PartSurvival& b) { return a == b; }
+bool IsSame(const SuspectSurvival& a, const SuspectSurvival& b) {
+  return a == b;
+}
 
 /// Appends an observation unless the list is full or has the same one.
 template <typename T>
@@ -52,28 +54,28 @@
                                             incarnation.value));
 }
 
-PartQuarantine::PartQuarantine(InstanceId own, Options options)
+CrashQuarantine::CrashQuarantine(InstanceId own, Options options)
     : options_(options), gateways_(std::move(own)) {}
 
-bool PartQuarantine::IsFirstCoordinator(PartId part) const {
+bool CrashQuarantine::IsFirstCoordinator(PartId part) const {
   return gateways_.IsOwnPicked(part.value, 1);
 }
 
-bool PartQuarantine::IsCoordinator(PartId part) const {
+bool CrashQuarantine::IsCoordinator(PartId part) const {
   return gateways_.IsOwnPicked(part.value, kCoordinatorsPerPart);
 }
 
-void PartQuarantine::OnCrash(const std::vector<PartId>& parts,
-                             UpstreamRunId upstream, StoreTime now) {
+void CrashQuarantine::OnCrash(const std::vector<PartId>& parts,
+                              UpstreamRunId upstream, StoreTime now) {
   for (const PartId part : parts) {
     MakeRoom(awaiting_answer_, options_.max_parts,
              [](StoreTime since) { return since; });
     awaiting_answer_[part] = now;
-    Report(PartCrash{part, upstream, now}, now);
+    Report(SuspectCrash{part, upstream, now}, now);
   }
 }
 
-void PartQuarantine::Report(const PartCrash& crash, StoreTime now) {
+void CrashQuarantine::Report(const SuspectCrash& crash, StoreTime now) {
   for (const InstanceId& to :
        gateways_.Pick(crash.part.value, kCoordinatorsPerPart)) {
     if (to == gateways_.own()) {
@@ -84,8 +86,8 @@
   }
 }
 
-void PartQuarantine::OnSurvived(const std::vector<PartId>& parts,
-                                StoreTime began_at, StoreTime now) {
+void CrashQuarantine::OnSurvived(const std::vector<PartId>& parts,
+                                 StoreTime began_at, StoreTime now) {
   for (const PartId part : parts) {
     const auto awaiting = awaiting_answer_.find(part);
     const bool awaited =
@@ -94,17 +96,17 @@
       continue;
     }
     if (awaited) awaiting_answer_.erase(awaiting);
-    Report(PartSurvival{part, began_at}, now);
+    Report(SuspectSurvival{part, began_at}, now);
   }
 }
 
-bool PartQuarantine::HasCrashBefore(PartId part, StoreTime time) const {
+bool CrashQuarantine::HasCrashBefore(PartId part, StoreTime time) const {
   const auto it = suspects_.find(part);
   if (it == suspects_.end() || it->second.crashes.empty()) return false;
   return it->second.crashes.front().at < time;
 }
 
-void PartQuarantine::Report(const PartSurvival& survival, StoreTime now) {
+void CrashQuarantine::Report(const SuspectSurvival& survival, StoreTime now) {
   for (const InstanceId& to :
        gateways_.Pick(survival.part.value, kCoordinatorsPerPart)) {
     if (to == gateways_.own()) {
@@ -115,13 +117,13 @@
   }
 }
 
-void PartQuarantine::OnReport(const PartReport& report, StoreTime now) {
-  for (const PartCrash& crash : report.crashes) AddCrash(crash, now);
-  for (const PartSurvival& it : report.survivals) AddSurvival(it, now);
+void CrashQuarantine::OnReport(const SuspectReport& report, StoreTime now) {
+  for (const SuspectCrash& crash : report.crashes) AddCrash(crash, now);
+  for (const SuspectSurvival& it : report.survivals) AddSurvival(it, now);
 }
 
-PartQuarantine::Suspect& PartQuarantine::FindOrAddSuspect(PartId part,
-                                                          StoreTime now) {
+CrashQuarantine::Suspect& CrashQuarantine::FindOrAddSuspect(PartId part,
+                                                            StoreTime now) {
   if (!suspects_.contains(part)) {
     MakeRoom(suspects_, options_.max_parts,
              [](const Suspect& it) { return it.updated_at; });
@@ -131,7 +133,7 @@
   return suspect;
 }
 
-void PartQuarantine::AddCrash(const PartCrash& crash, StoreTime now) {
+void CrashQuarantine::AddCrash(const SuspectCrash& crash, StoreTime now) {
   const auto block = blocks_.find(crash.part);
   if (block != blocks_.end() && block->second.decision.blocked) {
     const bool is_trial = crash.at >= block->second.decision.until;
@@ -150,7 +152,8 @@
   suspect.crashes.insert(place, {crash.upstream, crash.at});
 }
 
-void PartQuarantine::AddSurvival(const PartSurvival& survival, StoreTime now) {
+void CrashQuarantine::AddSurvival(const SuspectSurvival& survival,
+                                  StoreTime now) {
   Suspect& suspect = FindOrAddSuspect(survival.part, now);
   suspect.survived_at = std::max(suspect.survived_at, survival.began_at);
   std::erase_if(suspect.crashes,
@@ -161,11 +164,11 @@
   Decide({survival.part, false, now, now, 0});
 }
 
-void PartQuarantine::Decide(const PartDecision& decision) {
+void CrashQuarantine::Decide(const SuspectDecision& decision) {
   if (OnDecision(decision)) decisions_.push_back(decision);
 }
 
-bool PartQuarantine::OnDecision(const PartDecision& decision) {
+bool CrashQuarantine::OnDecision(const SuspectDecision& decision) {
   const auto it = blocks_.find(decision.part);
   if (it != blocks_.end() &&
       decision.decided_at <= it->second.decision.decided_at) {
@@ -180,8 +183,8 @@
   return true;
 }
 
-void PartQuarantine::BlockAgain(const Block& block, StoreTime now) {
-  PartDecision decision = block.decision;
+void CrashQuarantine::BlockAgain(const Block& block, StoreTime now) {
+  SuspectDecision decision = block.decision;
   const std::chrono::milliseconds last = decision.until - decision.decided_at;
   decision.decided_at = now;
   decision.until = now + std::min(last * 2, options_.longest_block);
@@ -189,7 +192,7 @@
   Decide(decision);
 }
 
-void PartQuarantine::BlockIfSettled(PartId part, StoreTime now) {
+void CrashQuarantine::BlockIfSettled(PartId part, StoreTime now) {
   const std::vector<Crash>& crashes = suspects_.at(part).crashes;
   if (crashes.size() < options_.crashes_to_block) return;
   const StoreTime enough_at = crashes[options_.crashes_to_block - 1].at;
@@ -197,7 +200,7 @@
   Decide({part, true, now, now + options_.first_block, 1});
 }
 
-void PartQuarantine::OnTick(StoreTime now) {
+void CrashQuarantine::OnTick(StoreTime now) {
   DropExpired(now);
   std::vector<PartId> parts;
   for (const auto& [part, suspect] : suspects_) parts.push_back(part);
@@ -205,10 +208,10 @@
   ClearUnusedBlocks(now);
 }
 
-void PartQuarantine::ClearUnusedBlocks(StoreTime now) {
+void CrashQuarantine::ClearUnusedBlocks(StoreTime now) {
   std::vector<PartId> unused;
   for (const auto& [part, block] : blocks_) {
-    const PartDecision& decision = block.decision;
+    const SuspectDecision& decision = block.decision;
     if (!decision.blocked) continue;
     if (now < decision.until + options_.longest_block) continue;
     if (IsFirstCoordinator(part)) unused.push_back(part);
@@ -216,7 +219,7 @@
   for (const PartId part : unused) Decide({part, false, now, now, 0});
 }
 
-void PartQuarantine::DropExpired(StoreTime now) {
+void CrashQuarantine::DropExpired(StoreTime now) {
   std::erase_if(suspects_, [&](const auto& entry) {
     return now - entry.second.updated_at >= options_.evidence_lifetime;
   });
@@ -224,12 +227,12 @@
     return now - entry.second >= options_.evidence_lifetime;
   });
   std::erase_if(blocks_, [&](const auto& entry) {
-    const PartDecision& decision = entry.second.decision;
+    const SuspectDecision& decision = entry.second.decision;
     return !decision.blocked && now - decision.decided_at >= kClearedLifetime;
   });
 }
 
-std::optional<PartRefusal> PartQuarantine::Admit(
+std::optional<SuspectRefusal> CrashQuarantine::Admit(
     const std::vector<PartId>& parts, StoreTime now) {
   if (blocks_.empty()) return std::nullopt;
   for (const PartId part : parts) {
@@ -237,40 +240,40 @@
     if (it == blocks_.end() || !it->second.decision.blocked) continue;
     Block& block = it->second;
     const StoreTime open_at = std::max(block.decision.until, block.trial_until);
-    if (now < open_at) return PartRefusal{part, open_at - now};
+    if (now < open_at) return SuspectRefusal{part, open_at - now};
     if (!IsFirstCoordinator(part)) {
-      return PartRefusal{part, options_.trial_timeout};
+      return SuspectRefusal{part, options_.trial_timeout};
     }
     block.trial_until = now + options_.trial_timeout;
   }
   return std::nullopt;
 }
 
-std::vector<AddressedPartReport> PartQuarantine::TakeReports() {
-  std::vector<AddressedPartReport> taken;
+std::vector<AddressedSuspectReport> CrashQuarantine::TakeReports() {
+  std::vector<AddressedSuspectReport> taken;
   for (auto& [to, report] : reports_) taken.push_back({to, std::move(report)});
   reports_.clear();
   return taken;
 }
 
-std::vector<PartDecision> PartQuarantine::TakeDecisions() {
+std::vector<SuspectDecision> CrashQuarantine::TakeDecisions() {
   return std::exchange(decisions_, {});
 }
 
-bool PartQuarantine::IsBlocked(PartId part) const {
+bool CrashQuarantine::IsBlocked(PartId part) const {
   const auto it = blocks_.find(part);
   return it != blocks_.end() && it->second.decision.blocked;
 }
 
-std::vector<PartDecision> PartQuarantine::Decisions() const {
-  std::vector<PartDecision> decisions;
+std::vector<SuspectDecision> CrashQuarantine::Decisions() const {
+  std::vector<SuspectDecision> decisions;
   for (const auto& [part, block] : blocks_) {
     decisions.push_back(block.decision);
   }
   return decisions;
 }
 
-std::size_t PartQuarantine::blocked_count() const {
+std::size_t CrashQuarantine::blocked_count() const {
   return static_cast<std::size_t>(std::count_if(
       blocks_.begin(), blocks_.end(),
       [](const auto& entry) { return entry.second.decision.blocked; }));
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -110,7 +110,7 @@
   state_.on_limit_changed = [this] { limit_sync_->Schedule(); };
   store_->SetOnChange(
       [this](StoreGeneration generation) { OnStoreGeneration(generation); });
-  state_.on_part_observed = [this] { quarantine_sync_->Schedule(); };
+  state_.on_suspect_observed = [this] { quarantine_sync_->Schedule(); };
   options.table = platform::kOperator;
   operator_watch_ = std::make_shared<TableWatch>(
       loop, *store_, state_.store_times, options, watch_handler);
--- a/src/gateway/gateway_process.h
+++ b/src/gateway/gateway_process.h
@@ -85,10 +85,11 @@
 
   void OnPeerReport(const PeerReport& report) override;
   void OnStreamOrigins(const std::vector<StreamOriginReport>& origins) override;
-  void OnPartReport(const PartReport& report) override {
+  void OnSuspectReport(const SuspectReport& report) override {
     quarantine_sync_->OnReport(report);
   }
-  void OnPartDecisions(const std::vector<PartDecision>& decisions) override {
+  void OnSuspectDecisions(
+      const std::vector<SuspectDecision>& decisions) override {
     quarantine_sync_->OnDecisions(decisions);
   }
   void OnNamedLimits(const std::vector<NamedLimit>& limits) override {
--- a/src/gateway/gateway_process_peers.cc
+++ b/src/gateway/gateway_process_peers.cc
@@ -108,7 +108,7 @@
   }
   upstream_watch_->OnPeerSnapshot(tables.upstream_rows);
   freshness_sync_->OnPeerRows();
-  quarantine_sync_->OnDecisions(tables.part_decisions);
+  quarantine_sync_->OnDecisions(tables.suspect_decisions);
 }
 
 PeerTables GatewayProcess::TablesForPeers() const {
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -18,12 +18,12 @@
 #include "gateway/http_connection.h"
 #include "gateway/log_sink.h"
 #include "gateway/store_times.h"
+#include "yuccapick/crash_quarantine.h"
 #include "yuccapick/direct_placement.h"
 #include "yuccapick/gateway_config.h"
 #include "yuccapick/latency_estimate.h"
 #include "yuccapick/load_shedder.h"
 #include "yuccapick/part_directory.h"
-#include "yuccapick/part_quarantine.h"
 #include "yuccapick/peer_report.h"
 #include "yuccapick/request_metrics.h"
 #include "yuccapick/retry_budget.h"
@@ -91,9 +91,9 @@
   std::uint64_t unknown_stream_origins = 0;
   /// Called when peers should be told where a stream began.
   std::function<void()> on_stream_began = [] {};
-  PartQuarantine quarantine;
+  CrashQuarantine quarantine;
   /// Called when `quarantine` may have something to tell peers.
-  std::function<void()> on_part_observed = [] {};
+  std::function<void()> on_suspect_observed = [] {};
   /// Requests refused, or not retried, because of a blocked part.
   std::uint64_t requests_with_blocked_part = 0;
   UpstreamLimits limits;
--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -82,21 +82,21 @@
     auto operator()(yuccapick::PeerTables& v) const {
       return msgpack::type::make_define_array(v.operator_rows, v.upstream_rows,
                                               v.target_set_times, v.store_time,
-                                              v.part_decisions, v.config);
+                                              v.suspect_decisions, v.config);
     }
   };
-  struct PartCrashFields {
-    auto operator()(yuccapick::PartCrash& v) const {
+  struct SuspectCrashFields {
+    auto operator()(yuccapick::SuspectCrash& v) const {
       return msgpack::type::make_define_array(v.part, v.upstream, v.at);
     }
   };
-  struct PartSurvivalFields {
-    auto operator()(yuccapick::PartSurvival& v) const {
+  struct SuspectSurvivalFields {
+    auto operator()(yuccapick::SuspectSurvival& v) const {
       return msgpack::type::make_define_array(v.part, v.began_at);
     }
   };
-  struct PartReportFields {
-    auto operator()(yuccapick::PartReport& v) const {
+  struct SuspectReportFields {
+    auto operator()(yuccapick::SuspectReport& v) const {
       return msgpack::type::make_define_array(v.crashes, v.survivals);
     }
   };
@@ -117,8 +117,8 @@
                                               v.upstream_rows, v.generation);
     }
   };
-  struct PartDecisionFields {
-    auto operator()(yuccapick::PartDecision& v) const {
+  struct SuspectDecisionFields {
+    auto operator()(yuccapick::SuspectDecision& v) const {
       return msgpack::type::make_define_array(v.part, v.blocked, v.decided_at,
                                               v.until, v.blocks);
     }
@@ -208,29 +208,29 @@
   struct pack<yuccapick::TargetSetTime>
       : PackAsArray<yuccapick::TargetSetTime, TargetSetTimeFields> {};
   template <>
-  struct convert<yuccapick::PartCrash>
-      : PackAsArray<yuccapick::PartCrash, PartCrashFields> {};
+  struct convert<yuccapick::SuspectCrash>
+      : PackAsArray<yuccapick::SuspectCrash, SuspectCrashFields> {};
   template <>
-  struct pack<yuccapick::PartCrash>
-      : PackAsArray<yuccapick::PartCrash, PartCrashFields> {};
+  struct pack<yuccapick::SuspectCrash>
+      : PackAsArray<yuccapick::SuspectCrash, SuspectCrashFields> {};
   template <>
-  struct convert<yuccapick::PartSurvival>
-      : PackAsArray<yuccapick::PartSurvival, PartSurvivalFields> {};
+  struct convert<yuccapick::SuspectSurvival>
+      : PackAsArray<yuccapick::SuspectSurvival, SuspectSurvivalFields> {};
   template <>
-  struct pack<yuccapick::PartSurvival>
-      : PackAsArray<yuccapick::PartSurvival, PartSurvivalFields> {};
+  struct pack<yuccapick::SuspectSurvival>
+      : PackAsArray<yuccapick::SuspectSurvival, SuspectSurvivalFields> {};
   template <>
-  struct convert<yuccapick::PartReport>
-      : PackAsArray<yuccapick::PartReport, PartReportFields> {};
+  struct convert<yuccapick::SuspectReport>
+      : PackAsArray<yuccapick::SuspectReport, SuspectReportFields> {};
   template <>
-  struct pack<yuccapick::PartReport>
-      : PackAsArray<yuccapick::PartReport, PartReportFields> {};
+  struct pack<yuccapick::SuspectReport>
+      : PackAsArray<yuccapick::SuspectReport, SuspectReportFields> {};
   template <>
-  struct convert<yuccapick::PartDecision>
-      : PackAsArray<yuccapick::PartDecision, PartDecisionFields> {};
+  struct convert<yuccapick::SuspectDecision>
+      : PackAsArray<yuccapick::SuspectDecision, SuspectDecisionFields> {};
   template <>
-  struct pack<yuccapick::PartDecision>
-      : PackAsArray<yuccapick::PartDecision, PartDecisionFields> {};
+  struct pack<yuccapick::SuspectDecision>
+      : PackAsArray<yuccapick::SuspectDecision, SuspectDecisionFields> {};
   template <>
   struct convert<yuccapick::NamedLimit>
       : PackAsArray<yuccapick::NamedLimit, NamedLimitFields> {};
@@ -259,8 +259,8 @@
 
 // First bytes of datagrams: MessagePack numbers, which no report begins with.
 constexpr char kStreamOriginsTag = 1;
-constexpr char kPartReportTag = 2;
-constexpr char kPartDecisionsTag = 3;
+constexpr char kSuspectReportTag = 2;
+constexpr char kSuspectDecisionsTag = 3;
 constexpr char kNamedLimitsTag = 4;
 constexpr char kStoreConfirmationTag = 5;
 
@@ -312,21 +312,23 @@
                                                        kStreamOriginsTag);
 }
 
-std::string EncodePartReport(const PartReport& report) {
-  return kPartReportTag + Encode(report);
+std::string EncodeSuspectReport(const SuspectReport& report) {
+  return kSuspectReportTag + Encode(report);
 }
 
-std::optional<PartReport> DecodePartReport(std::string_view bytes) {
-  return DecodeTagged<PartReport>(bytes, kPartReportTag);
+std::optional<SuspectReport> DecodeSuspectReport(std::string_view bytes) {
+  return DecodeTagged<SuspectReport>(bytes, kSuspectReportTag);
 }
 
-std::string EncodePartDecisions(const std::vector<PartDecision>& decisions) {
-  return kPartDecisionsTag + Encode(decisions);
+std::string EncodeSuspectDecisions(
+    const std::vector<SuspectDecision>& decisions) {
+  return kSuspectDecisionsTag + Encode(decisions);
 }
 
-std::optional<std::vector<PartDecision>> DecodePartDecisions(
+std::optional<std::vector<SuspectDecision>> DecodeSuspectDecisions(
     std::string_view bytes) {
-  return DecodeTagged<std::vector<PartDecision>>(bytes, kPartDecisionsTag);
+  return DecodeTagged<std::vector<SuspectDecision>>(bytes,
+                                                    kSuspectDecisionsTag);
 }
 
 std::string EncodeNamedLimits(const std::vector<NamedLimit>& limits) {
--- a/src/gateway/peer_codec.h
+++ b/src/gateway/peer_codec.h
@@ -9,7 +9,7 @@
 #include <string_view>
 #include <vector>
 
-#include "yuccapick/part_quarantine.h"
+#include "yuccapick/crash_quarantine.h"
 #include "yuccapick/peer_report.h"
 #include "yuccapick/store_clock.h"
 #include "yuccapick/stream_origins.h"
@@ -28,7 +28,7 @@
   std::vector<TargetSetTime> target_set_times;
   /// The store's time when this was sent, as far as the sender knows it.
   std::optional<StoreTime> store_time;
-  std::vector<PartDecision> part_decisions;
+  std::vector<SuspectDecision> suspect_decisions;
   /// The operator's configuration in force, which the tables may lack while the
   /// store comes back from an older copy. Empty if there is none.
   std::string config;
@@ -46,13 +46,14 @@
 std::optional<std::vector<StreamOriginReport>> DecodeStreamOrigins(
     std::string_view bytes);
 
-std::string EncodePartReport(const PartReport& report);
+std::string EncodeSuspectReport(const SuspectReport& report);
 /// @return nullopt if the bytes are malformed or hold another message
-std::optional<PartReport> DecodePartReport(std::string_view bytes);
+std::optional<SuspectReport> DecodeSuspectReport(std::string_view bytes);
 
-std::string EncodePartDecisions(const std::vector<PartDecision>& decisions);
+std::string EncodeSuspectDecisions(
+    const std::vector<SuspectDecision>& decisions);
 /// @return nullopt if the bytes are malformed or hold another message
-std::optional<std::vector<PartDecision>> DecodePartDecisions(
+std::optional<std::vector<SuspectDecision>> DecodeSuspectDecisions(
     std::string_view bytes);
 
 std::string EncodeNamedLimits(const std::vector<NamedLimit>& limits);
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -60,11 +60,11 @@
   if (const auto origins = DecodeStreamOrigins(bytes)) {
     return handler_.OnStreamOrigins(*origins);
   }
-  if (const auto report = DecodePartReport(bytes)) {
-    return handler_.OnPartReport(*report);
+  if (const auto report = DecodeSuspectReport(bytes)) {
+    return handler_.OnSuspectReport(*report);
   }
-  if (const auto decisions = DecodePartDecisions(bytes)) {
-    return handler_.OnPartDecisions(*decisions);
+  if (const auto decisions = DecodeSuspectDecisions(bytes)) {
+    return handler_.OnSuspectDecisions(*decisions);
   }
   if (const auto limits = DecodeNamedLimits(bytes)) {
     return handler_.OnNamedLimits(*limits);
@@ -86,14 +86,15 @@
   if (!targets.empty()) SendDatagram(EncodeStreamOrigins(origins), targets);
 }
 
-void PeerExchange::Send(const PartReport& report,
+void PeerExchange::Send(const SuspectReport& report,
                         const std::vector<std::string>& targets) {
-  if (!targets.empty()) SendDatagram(EncodePartReport(report), targets);
+  if (!targets.empty()) SendDatagram(EncodeSuspectReport(report), targets);
 }
 
-void PeerExchange::Send(const std::vector<PartDecision>& decisions,
+void PeerExchange::Send(const std::vector<SuspectDecision>& decisions,
                         const std::vector<std::string>& targets) {
-  if (!targets.empty()) SendDatagram(EncodePartDecisions(decisions), targets);
+  if (!targets.empty())
+    SendDatagram(EncodeSuspectDecisions(decisions), targets);
 }
 
 void PeerExchange::Send(const std::vector<NamedLimit>& limits,
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -28,8 +28,9 @@
   virtual void OnPeerReport(const PeerReport& report) = 0;
   virtual void OnStreamOrigins(
       const std::vector<StreamOriginReport>& origins) = 0;
-  virtual void OnPartReport(const PartReport& report) = 0;
-  virtual void OnPartDecisions(const std::vector<PartDecision>& decisions) = 0;
+  virtual void OnSuspectReport(const SuspectReport& report) = 0;
+  virtual void OnSuspectDecisions(
+      const std::vector<SuspectDecision>& decisions) = 0;
   virtual void OnNamedLimits(const std::vector<NamedLimit>& limits) = 0;
   virtual void OnStoreConfirmation(const StoreConfirmation& confirmation) = 0;
   /// A peer's copy of the tables was fetched.
@@ -53,9 +54,10 @@
   void Send(const std::vector<StreamOriginReport>& origins,
             const std::vector<std::string>& targets);
   /// Tells every target what was observed of prompt parts.
-  void Send(const PartReport& report, const std::vector<std::string>& targets);
+  void Send(const SuspectReport& report,
+            const std::vector<std::string>& targets);
   /// Tells every target which prompt parts are blocked.
-  void Send(const std::vector<PartDecision>& decisions,
+  void Send(const std::vector<SuspectDecision>& decisions,
             const std::vector<std::string>& targets);
   /// Tells every target which limits upstreams name.
   void Send(const std::vector<NamedLimit>& limits,
--- a/src/gateway/proxied_request_answers.cc
+++ b/src/gateway/proxied_request_answers.cc
@@ -146,7 +146,7 @@
   state_.quarantine.OnCrash(shared_parts_,
                             UpstreamRunIdOf(upstream.id, upstream.incarnation),
                             *store_now);
-  if (state_.quarantine.HasNews()) state_.on_part_observed();
+  if (state_.quarantine.HasNews()) state_.on_suspect_observed();
 }
 
 void ProxiedRequest::RecordSurvival(TimePoint now) {
@@ -156,7 +156,7 @@
   const milliseconds age = std::chrono::duration_cast<milliseconds>(
       now - answer_began_at_.value_or(now));
   state_.quarantine.OnSurvived(shared_parts_, *store_now - age, *store_now);
-  if (state_.quarantine.HasNews()) state_.on_part_observed();
+  if (state_.quarantine.HasNews()) state_.on_suspect_observed();
 }
 
 void ProxiedRequest::RecordStreamOrigin(TimePoint now) {
--- a/src/gateway/proxied_request_end.cc
+++ b/src/gateway/proxied_request_end.cc
@@ -42,7 +42,7 @@
 bool ProxiedRequest::StopAtBlockedPart(TimePoint now) {
   const std::optional<StoreTime> store_now = state_.StoreNow();
   if (!store_now) return false;
-  const std::optional<PartRefusal> refusal =
+  const std::optional<SuspectRefusal> refusal =
       state_.quarantine.Admit(shared_parts_, *store_now);
   if (!refusal) return false;
   retry_after_ = refusal->retry_after;
--- a/src/gateway/quarantine_sync.cc
+++ b/src/gateway/quarantine_sync.cc
@@ -30,14 +30,14 @@
 
 std::int64_t Count(StoreTime time) { return time.time_since_epoch().count(); }
 
-std::string FormatValue(const PartDecision& decision) {
+std::string FormatValue(const SuspectDecision& decision) {
   return fmt::format("{} {} {}", Count(decision.decided_at),
                      Count(decision.until), decision.blocks);
 }
 
 /// Parses a row that `FormatKey` and `FormatValue` have written.
-std::optional<PartDecision> ParseRow(const MirrorRow& row) {
-  PartDecision decision;
+std::optional<SuspectDecision> ParseRow(const MirrorRow& row) {
+  SuspectDecision decision;
   if (!absl::SimpleHexAtoi(row.key, &decision.part.value)) return std::nullopt;
   if (row.removed) return decision;
   const std::vector<std::string> words = absl::StrSplit(row.value, ' ');
@@ -92,14 +92,14 @@
 }
 
 void QuarantineSync::Send(TimePoint now) {
-  std::vector<AddressedPartReport> reports = state_.quarantine.TakeReports();
+  std::vector<AddressedSuspectReport> reports = state_.quarantine.TakeReports();
   SendReports(reports);
   repeated_reports_.insert(repeated_reports_.end(),
                            std::make_move_iterator(reports.begin()),
                            std::make_move_iterator(reports.end()));
-  std::vector<PartDecision> decisions = state_.quarantine.TakeDecisions();
+  std::vector<SuspectDecision> decisions = state_.quarantine.TakeDecisions();
   if (decisions.empty()) return;
-  for (const PartDecision& decision : decisions) {
+  for (const SuspectDecision& decision : decisions) {
     Log(decision, "own");
     unsaved_[decision.part] = decision;
   }
@@ -108,8 +108,8 @@
 }
 
 void QuarantineSync::SendReports(
-    const std::vector<AddressedPartReport>& reports) {
-  for (const AddressedPartReport& it : reports) {
+    const std::vector<AddressedSuspectReport>& reports) {
+  for (const AddressedSuspectReport& it : reports) {
     const std::string endpoint = peers_.EndpointOf(it.to, state_.Now());
     if (!endpoint.empty()) exchange_.Send(it.report, {endpoint});
   }
@@ -126,15 +126,16 @@
   });
 }
 
-void QuarantineSync::OnReport(const PartReport& report) {
+void QuarantineSync::OnReport(const SuspectReport& report) {
   const auto now = state_.StoreNow();
   if (!now) return;
   state_.quarantine.OnReport(report, *now);
   if (state_.quarantine.HasNews()) Schedule();
 }
 
-void QuarantineSync::OnDecisions(const std::vector<PartDecision>& decisions) {
-  for (const PartDecision& decision : decisions) Apply(decision, "peer");
+void QuarantineSync::OnDecisions(
+    const std::vector<SuspectDecision>& decisions) {
+  for (const SuspectDecision& decision : decisions) Apply(decision, "peer");
 }
 
 void QuarantineSync::OnTableRows(const std::string& /*table*/,
@@ -156,11 +157,11 @@
 }
 
 void QuarantineSync::SaveMissing() {
-  std::map<PartId, PartDecision> saved;
+  std::map<PartId, SuspectDecision> saved;
   for (const MirrorRow& row : watch_->mirror().Snapshot().rows) {
     if (const auto decision = ParseRow(row)) saved[decision->part] = *decision;
   }
-  for (const PartDecision& known : state_.quarantine.Decisions()) {
+  for (const SuspectDecision& known : state_.quarantine.Decisions()) {
     if (!state_.quarantine.IsCoordinator(known.part)) continue;
     const auto it = saved.find(known.part);
     const bool is_saved = it != saved.end() && it->second == known;
@@ -172,7 +173,7 @@
 }
 
 void QuarantineSync::ApplyRow(const MirrorRow& row) {
-  std::optional<PartDecision> decision = ParseRow(row);
+  std::optional<SuspectDecision> decision = ParseRow(row);
   if (!decision) {
     state_.log.Write(LogKind::kStateChange, state_.Now(),
                      "event=blocked_part_ignored key={} row_version={}",
@@ -188,12 +189,12 @@
   Apply(*decision, "store");
 }
 
-void QuarantineSync::Apply(const PartDecision& decision,
+void QuarantineSync::Apply(const SuspectDecision& decision,
                            std::string_view source) {
   if (state_.quarantine.OnDecision(decision)) Log(decision, source);
 }
 
-void QuarantineSync::Log(const PartDecision& decision,
+void QuarantineSync::Log(const SuspectDecision& decision,
                          std::string_view source) {
   state_.log.Write(LogKind::kStateChange, state_.Now(),
                    "event={} part={} source={} decided_ms={} until_ms={} "
@@ -206,7 +207,7 @@
 
 void QuarantineSync::SaveNext(TimePoint now) {
   if (unsaved_.empty() || saving_ || now < next_save_) return;
-  const PartDecision decision = unsaved_.begin()->second;
+  const SuspectDecision decision = unsaved_.begin()->second;
   saving_ = true;
   next_save_ = now + kSaveRetryDelay;
   const std::string& store = state_.settings.table_endpoint;
@@ -221,7 +222,7 @@
                });
 }
 
-void QuarantineSync::OnSaved(const PartDecision& decision,
+void QuarantineSync::OnSaved(const SuspectDecision& decision,
                              const absl::StatusOr<StoreAnswer>& answer) {
   saving_ = false;
   const int status = answer.ok() ? answer->status : 0;
--- a/src/gateway/quarantine_sync.h
+++ b/src/gateway/quarantine_sync.h
@@ -17,7 +17,7 @@
 #include "gateway/peer_exchange.h"
 #include "gateway/store_client.h"
 #include "gateway/table_watch.h"
-#include "yuccapick/part_quarantine.h"
+#include "yuccapick/crash_quarantine.h"
 
 namespace yuccapick {
 
@@ -39,13 +39,13 @@
   void CatchUpWith(StoreGeneration generation) {
     watch_->CatchUpWith(generation);
   }
-  void OnReport(const PartReport& report);
-  void OnDecisions(const std::vector<PartDecision>& decisions);
+  void OnReport(const SuspectReport& report);
+  void OnDecisions(const std::vector<SuspectDecision>& decisions);
 
  private:
   /// Decisions that are sent several times, since datagrams may be lost.
   struct RepeatedDecisions {
-    std::vector<PartDecision> decisions;
+    std::vector<SuspectDecision> decisions;
     int copies_left = 0;
   };
 
@@ -60,17 +60,17 @@
   void OnTableAnswered(const std::string& /*table*/) override {}
 
   void Send(TimePoint now);
-  void SendReports(const std::vector<AddressedPartReport>& reports);
+  void SendReports(const std::vector<AddressedSuspectReport>& reports);
   void Repeat(TimePoint now);
   void ApplyRow(const MirrorRow& row);
-  void Apply(const PartDecision& decision, std::string_view source);
-  void Log(const PartDecision& decision, std::string_view source);
+  void Apply(const SuspectDecision& decision, std::string_view source);
+  void Log(const SuspectDecision& decision, std::string_view source);
   /// Makes the decisions of the parts that this gateway coordinates unsaved,
   /// unless their rows are in the table.
   void SaveMissing();
   /// Writes one unsaved decision, unless a write is under way.
   void SaveNext(TimePoint now);
-  void OnSaved(const PartDecision& decision,
+  void OnSaved(const SuspectDecision& decision,
                const absl::StatusOr<StoreAnswer>& answer);
 
   GatewayState& state_;
@@ -79,9 +79,9 @@
   const PeerRegistry& peers_;
   std::shared_ptr<TableWatch> watch_;
   DelayedCall send_;
-  std::vector<AddressedPartReport> repeated_reports_;
+  std::vector<AddressedSuspectReport> repeated_reports_;
   std::vector<RepeatedDecisions> repeated_decisions_;
-  std::map<PartId, PartDecision> unsaved_;
+  std::map<PartId, SuspectDecision> unsaved_;
   bool saving_ = false;
   TimePoint next_save_;
 };
--- a/test/part_quarantine_test.cc
+++ b/test/crash_quarantine_test.cc
@@ -1,4 +1,4 @@
-#include "yuccapick/part_quarantine.h"
+#include "yuccapick/crash_quarantine.h"
 
 #include <fmt/format.h>
 #include <rapidcheck.h>
@@ -39,10 +39,10 @@
     SetPeers();
   }
 
-  PartQuarantine& operator[](std::size_t n) { return gateways_[n]; }
+  CrashQuarantine& operator[](std::size_t n) { return gateways_[n]; }
   std::size_t size() const { return gateways_.size(); }
   StoreTime now() const { return now_; }
-  const std::vector<PartDecision>& saved() const { return saved_; }
+  const std::vector<SuspectDecision>& saved() const { return saved_; }
   std::size_t datagrams() const { return datagrams_; }
 
   /// A crash breaks requests with `parts` at the first `reporters` gateways,
@@ -63,21 +63,21 @@
   void Pass(milliseconds time) {
     for (milliseconds passed{0}; passed < time; passed += kTick) {
       now_ += kTick;
-      for (PartQuarantine& gateway : gateways_) gateway.OnTick(now_);
+      for (CrashQuarantine& gateway : gateways_) gateway.OnTick(now_);
       Exchange();
     }
   }
 
   /// Replaces a gateway by one that knows only what was saved.
   void Restart(std::size_t n) {
-    gateways_[n] = PartQuarantine(GatewayName(n));
-    for (const PartDecision& it : saved_) gateways_[n].OnDecision(it);
+    gateways_[n] = CrashQuarantine(GatewayName(n));
+    for (const SuspectDecision& it : saved_) gateways_[n].OnDecision(it);
     SetPeers();
   }
 
   std::size_t RefusingCount(PartId part) {
     std::size_t n = 0;
-    for (PartQuarantine& gateway : gateways_) {
+    for (CrashQuarantine& gateway : gateways_) {
       if (gateway.Admit({part}, now_)) ++n;
     }
     return n;
@@ -105,7 +105,7 @@
   /// Delivers reports twice and decisions three times, unless lost.
   void Exchange() {
     for (std::size_t i = 0; i < size(); ++i) {
-      for (const AddressedPartReport& it : gateways_[i].TakeReports()) {
+      for (const AddressedSuspectReport& it : gateways_[i].TakeReports()) {
         for (int copy = 0; copy < 2; ++copy) {
           ++datagrams_;
           if (!Lost()) gateways_[IndexOf(it.to)].OnReport(it.report, now_);
@@ -113,14 +113,14 @@
       }
     }
     for (std::size_t i = 0; i < size(); ++i) {
-      for (const PartDecision& decision : gateways_[i].TakeDecisions()) {
+      for (const SuspectDecision& decision : gateways_[i].TakeDecisions()) {
         saved_.push_back(decision);
         Publish(i, decision);
       }
     }
   }
 
-  void Publish(std::size_t from, const PartDecision& decision) {
+  void Publish(std::size_t from, const SuspectDecision& decision) {
     for (std::size_t i = 0; i < size(); ++i) {
       if (i == from) continue;
       for (int copy = 0; copy < 3; ++copy) {
@@ -132,9 +132,9 @@
 
   double loss_;
   std::mt19937_64 random_;
-  std::vector<PartQuarantine> gateways_;
+  std::vector<CrashQuarantine> gateways_;
   StoreTime now_ = At(1'000'000);
-  std::vector<PartDecision> saved_;
+  std::vector<SuspectDecision> saved_;
   std::size_t datagrams_ = 0;
 };
 
@@ -171,7 +171,7 @@
     group.Pass(milliseconds(2'000));
     RC_ASSERT(!group.saved().empty());
     for (std::size_t i = 0; i < n; ++i) {
-      for (const PartDecision& it : group.saved()) group[i].OnDecision(it);
+      for (const SuspectDecision& it : group.saved()) group[i].OnDecision(it);
     }
     RC_ASSERT(group.RefusingCount(kBad) == n);
     RC_ASSERT(group.RefusingCount(kShared) == 0U);
@@ -239,16 +239,16 @@
   GatewayGroup group(8, 0.0, 7);
   for (std::uint64_t n = 1; n <= 3; ++n) group.Crash(Run(n), {kBad}, n, 1);
   group.Pass(kLimit);
-  group.Pass(PartQuarantine::Options().first_block);
+  group.Pass(CrashQuarantine::Options().first_block);
   REQUIRE(group.RefusingCount(kBad) == 7);
   CHECK(group.RefusingCount(kBad) == 8);
 
   SECTION("a crash blocks it again, for twice as long") {
     group.Crash(Run(4), {kBad}, 0, 8);
-    const PartDecision& again = group.saved().back();
+    const SuspectDecision& again = group.saved().back();
     CHECK(again.blocked);
     CHECK(again.until - again.decided_at ==
-          PartQuarantine::Options().first_block * 2);
+          CrashQuarantine::Options().first_block * 2);
     CHECK(group.RefusingCount(kBad) == 8);
   }
   SECTION("an answer clears it") {
@@ -258,8 +258,8 @@
 }
 
 TEST_CASE("A late copy of a block does not undo its end") {
-  PartQuarantine quarantine(GatewayName(0));
-  const PartDecision block{kBad, true, At(10), At(9'000), 1};
+  CrashQuarantine quarantine(GatewayName(0));
+  const SuspectDecision block{kBad, true, At(10), At(9'000), 1};
   REQUIRE(quarantine.OnDecision(block));
   REQUIRE(quarantine.OnDecision({kBad, false, At(20), At(20), 0}));
   CHECK_FALSE(quarantine.OnDecision(block));
@@ -267,9 +267,9 @@
 }
 
 TEST_CASE("Evidence and blocks are bounded and end") {
-  PartQuarantine::Options options;
+  CrashQuarantine::Options options;
   options.max_parts = 50;
-  PartQuarantine quarantine(GatewayName(0), options);
+  CrashQuarantine quarantine(GatewayName(0), options);
   for (std::uint64_t part = 1; part <= 500; ++part) {
     quarantine.OnCrash({PartId(part)}, Run(part),
                        At(static_cast<std::int64_t>(part)));
--- a/test/peer_report_test.cc
+++ b/test/peer_report_test.cc
@@ -201,24 +201,25 @@
 }
 
 TEST_CASE("Decoding returns the encoded observations and decisions of parts") {
-  const PartReport report{
+  const SuspectReport report{
       {{PartId(1), UpstreamRunId(2), StoreTime(milliseconds(3))}},
       {{PartId(4), StoreTime(milliseconds(5))}}};
-  const auto decoded = DecodePartReport(EncodePartReport(report));
+  const auto decoded = DecodeSuspectReport(EncodeSuspectReport(report));
   REQUIRE(decoded.has_value());
   CHECK(decoded->crashes == report.crashes);
   CHECK(decoded->survivals == report.survivals);
 
-  const std::vector<PartDecision> decisions{{PartId(7), true,
-                                             StoreTime(milliseconds(8)),
-                                             StoreTime(milliseconds(9)), 2}};
-  CHECK(DecodePartDecisions(EncodePartDecisions(decisions)) == decisions);
+  const std::vector<SuspectDecision> decisions{{PartId(7), true,
+                                                StoreTime(milliseconds(8)),
+                                                StoreTime(milliseconds(9)), 2}};
+  CHECK(DecodeSuspectDecisions(EncodeSuspectDecisions(decisions)) == decisions);
 
-  CHECK_FALSE(DecodePartReport(EncodePartDecisions(decisions)).has_value());
-  CHECK_FALSE(DecodePartDecisions(EncodePartReport(report)).has_value());
-  CHECK_FALSE(DecodePeerReport(EncodePartReport(report)).has_value());
-  CHECK_FALSE(DecodePartReport("").has_value());
-  CHECK_FALSE(DecodePartReport("\x02garbage").has_value());
+  CHECK_FALSE(
+      DecodeSuspectReport(EncodeSuspectDecisions(decisions)).has_value());
+  CHECK_FALSE(DecodeSuspectDecisions(EncodeSuspectReport(report)).has_value());
+  CHECK_FALSE(DecodePeerReport(EncodeSuspectReport(report)).has_value());
+  CHECK_FALSE(DecodeSuspectReport("").has_value());
+  CHECK_FALSE(DecodeSuspectReport("\x02garbage").has_value());
 }
 
 TEST_CASE("Decoding returns the encoded limits") {
@@ -227,7 +228,7 @@
       {UpstreamId("b"), Incarnation(2), std::nullopt,
        StoreTime(milliseconds(4))}};
   CHECK(DecodeNamedLimits(EncodeNamedLimits(limits)) == limits);
-  CHECK_FALSE(DecodePartDecisions(EncodeNamedLimits(limits)).has_value());
+  CHECK_FALSE(DecodeSuspectDecisions(EncodeNamedLimits(limits)).has_value());
   CHECK_FALSE(DecodeNamedLimits("\x04garbage").has_value());
 }
 
