--- a/include/yuccapick/crash_quarantine.h
+++ b/include/yuccapick/crash_quarantine.h
@@ -2,7 +2,8 @@
 #define YUCCAPICK_CRASH_QUARANTINE_H_
 
 /// @file
-/// Finds prompt parts under which upstreams crash, and blocks them.
+/// Finds requests and prompt parts under which upstreams crash, and blocks
+/// them.
 
 #include <chrono>
 #include <cstddef>
@@ -14,8 +15,8 @@
 
 #include "yuccapick/gateway_ring.h"
 #include "yuccapick/ids.h"
-#include "yuccapick/part_directory.h"
 #include "yuccapick/store_clock.h"
+#include "yuccapick/suspect.h"
 
 namespace yuccapick {
 
@@ -25,29 +26,51 @@
 UpstreamRunId UpstreamRunIdOf(const UpstreamId& id, Incarnation incarnation);
 
 /// An upstream closed its connection before an answer to a request with the
-/// part had gone on for long.
+/// suspect had gone on for long.
 struct SuspectCrash {
-  PartId part;
+  SuspectId suspect;
   UpstreamRunId upstream;
   StoreTime at;
 
   bool operator==(const SuspectCrash&) const = default;
 };
 
-/// An upstream answered a request with the part.
+/// An upstream answered a request with the suspect.
 struct SuspectSurvival {
-  PartId part;
+  SuspectId suspect;
   StoreTime began_at;  ///< When the answer began.
 
   bool operator==(const SuspectSurvival&) const = default;
 };
 
-/// What a gateway has observed. May be lost or repeated.
+/// How the trial of a blocked suspect ended.
+enum class TrialOutcome : std::uint8_t {
+  kUnused,    ///< No request was sent.
+  kFailed,    ///< The upstream crashed, or the request was given up.
+  kAnswered,  ///< The suspect is sound.
+};
+
+/// Told by the gateway that was to try the suspect.
+struct TrialResult {
+  SuspectId suspect;
+  TrialOutcome outcome = TrialOutcome::kUnused;
+
+  bool operator==(const TrialResult&) const = default;
+};
+
+/// What a gateway has observed, and what it asks for. May be lost or repeated.
 struct SuspectReport {
   std::vector<SuspectCrash> crashes;
   std::vector<SuspectSurvival> survivals;
+  /// Blocked suspects that the gateway would try.
+  std::vector<SuspectId> wanted_trials;
+  std::vector<TrialResult> trial_results;
+  InstanceId from;
 
-  bool empty() const { return crashes.empty() && survivals.empty(); }
+  bool empty() const {
+    return crashes.empty() && survivals.empty() && wanted_trials.empty() &&
+           trial_results.empty();
+  }
 };
 
 /// A report and the gateway that should get it.
@@ -56,51 +79,75 @@
   SuspectReport report;
 };
 
-/// Whether a part is blocked. Of several decisions the latest one counts.
+/// Whether a suspect is blocked. Of several decisions the latest one counts.
 struct SuspectDecision {
-  PartId part;
+  SuspectId suspect;
   bool blocked = false;
   StoreTime decided_at;
   StoreTime until;           ///< Requests are refused until then.
   std::uint32_t blocks = 0;  ///< How often it was blocked in succession.
+  /// The gateway that may send one request as a trial until `until`; empty if
+  /// none may.
+  InstanceId trial_by;
 
   bool operator==(const SuspectDecision&) const = default;
 };
 
-/// A request that must not be sent, because of one of its parts.
+/// A request that must not be sent now, because of a suspect.
 struct SuspectRefusal {
-  PartId part;
+  SuspectId suspect;
   std::chrono::milliseconds retry_after{0};
+  /// The request may be admitted as a trial shortly.
+  bool trial_wanted = false;
+};
+
+/// When a suspect is blocked, and for how long.
+struct BlockPolicy {
+  /// Crashed upstreams, without an answer since the first, that block it.
+  std::size_t crashes_to_block;
+  /// Time after the last of these crashes in which an answer may show that the
+  /// suspect is sound.
+  std::chrono::milliseconds settle_time;
+  std::chrono::milliseconds first_block;
+  /// Each block is longer than the one before by this factor.
+  int growth;
 };
 
-/// One gateway's share of the search for parts under which upstreams crash.
+/// One gateway's share of the search for what upstreams crash on.
 ///
 /// A crash breaks many requests, most of which are sound. Gateways report the
-/// parts of all of them to two coordinators for each part, which rendezvous
-/// hashing picks. A coordinator blocks a part for which several upstreams have
-/// crashed and no answer has begun since the first of these crashes. All
-/// gateways refuse requests with a blocked part. When the block ends, the first
-/// coordinator tries one request at a time; an answer clears the part, a crash
-/// blocks it for twice as long.
+/// requests and the prompt parts of all of them to two coordinators for each,
+/// which rendezvous hashing picks. A coordinator blocks a suspect for which
+/// several upstreams have crashed and no answer has begun since the first of
+/// these crashes. All gateways refuse requests with a blocked suspect. When the
+/// block ends, the first coordinator lets one gateway try one request; an
+/// answer clears the suspect, a crash blocks it for longer.
+///
+/// A request is blocked for a short time at first: sound ones that are always
+/// under way look guilty, too, if all upstreams of a service crash together.
 class CrashQuarantine {
  public:
   struct Options {
-    /// Crashed upstreams, without an answer since the first, that block a part.
-    std::size_t crashes_to_block = 3;
-    /// Time after the last of these crashes in which an answer may show that
-    /// the part is sound.
-    std::chrono::milliseconds settle_time{1'000};
+    BlockPolicy part{3, std::chrono::milliseconds(1'000),
+                     std::chrono::milliseconds(600'000), 2};
+    BlockPolicy request{3, std::chrono::milliseconds(300),
+                        std::chrono::milliseconds(2'000), 8};
+    /// The second coordinator decides so much later, unless the first one has.
+    std::chrono::milliseconds second_delay{300};
     std::chrono::milliseconds evidence_lifetime{600'000};
-    std::chrono::milliseconds first_block{600'000};
     std::chrono::milliseconds longest_block{86'400'000};
-    /// A request that tries a part has ended after this time.
+    /// A request that tries a suspect has ended after this time.
     std::chrono::milliseconds trial_timeout{30'000};
-    /// Parts of which evidence is kept, and parts that are blocked.
-    std::size_t max_parts = 4'096;
+    /// A trial that is not begun within this time is given back.
+    std::chrono::milliseconds trial_begin_timeout{1'000};
+    /// Delay after which a caller should come back while a trial decides.
+    std::chrono::milliseconds trial_retry_after{500};
+    /// Suspects of which evidence is kept, and suspects that are blocked.
+    std::size_t max_suspects = 4'096;
   };
 
   explicit CrashQuarantine(InstanceId own)
-      : CrashQuarantine(std::move(own), {}) {}
+      : CrashQuarantine(std::move(own), Options()) {}
   CrashQuarantine(InstanceId own, Options options);
 
   // Commands.
@@ -110,20 +157,29 @@
     gateways_.SetPeers(peers);
   }
   /// An own attempt ended as described for `SuspectCrash`.
-  void OnCrash(const std::vector<PartId>& parts, UpstreamRunId upstream,
+  void OnCrash(const std::vector<SuspectId>& suspects, UpstreamRunId upstream,
                StoreTime now);
   /// An own attempt was answered.
-  void OnSurvived(const std::vector<PartId>& parts, StoreTime began_at,
+  void OnSurvived(const std::vector<SuspectId>& suspects, StoreTime began_at,
                   StoreTime now);
   void OnReport(const SuspectReport& report, StoreTime now);
   /// A decision of another gateway, or one that was saved.
   /// @return false if one that is not older is known
   bool OnDecision(const SuspectDecision& decision);
   void OnTick(StoreTime now);
-  /// Decides on a request, immediately before it is sent.
+  /// Decides on a request, immediately before it is sent. May ask the
+  /// coordinator for a trial.
   /// @return nothing if it may be sent
-  std::optional<SuspectRefusal> Admit(const std::vector<PartId>& parts,
+  std::optional<SuspectRefusal> Admit(const std::vector<SuspectId>& suspects,
                                       StoreTime now);
+  /// A request that was admitted is sent. If it is a trial, it is the only one.
+  /// @return true if it is a trial
+  bool OnSent(const std::vector<SuspectId>& suspects);
+  /// The request that was sent last was rejected, or failed without a crash. A
+  /// trial may be sent again.
+  void OnInconclusive(const std::vector<SuspectId>& suspects);
+  /// The request that was sent last was given up.
+  void OnGivenUp(const std::vector<SuspectId>& suspects);
   /// Returns observations that other gateways need.
   std::vector<AddressedSuspectReport> TakeReports();
   /// Returns decisions that all gateways need, and that are to be saved.
@@ -133,13 +189,13 @@
 
   /// True if `TakeReports` or `TakeDecisions` would return something.
   bool HasNews() const { return !reports_.empty() || !decisions_.empty(); }
-  bool IsBlocked(PartId part) const;
-  std::size_t blocked_count() const;
-  /// True if this gateway is one of the part's coordinators.
-  bool IsCoordinator(PartId part) const;
+  bool IsBlocked(const SuspectId& suspect) const;
+  std::size_t blocked_count(SuspectKind kind) const;
+  /// True if this gateway is one of the suspect's coordinators.
+  bool IsCoordinator(const SuspectId& suspect) const;
   /// Returns the decisions in force, for a gateway that starts.
   std::vector<SuspectDecision> Decisions() const;
-  /// Parts of which evidence is kept.
+  /// Suspects of which evidence is kept.
   std::size_t suspect_count() const { return suspects_.size(); }
 
  private:
@@ -147,39 +203,70 @@
     UpstreamRunId upstream;
     StoreTime at;
   };
-  /// A coordinator's evidence about a part.
-  struct Suspect {
+  /// A coordinator's evidence about a suspect.
+  struct Evidence {
     std::vector<Crash> crashes;  ///< Since the last answer, oldest first.
     StoreTime survived_at;       ///< Latest beginning of an answer.
     StoreTime updated_at;
   };
+  /// This gateway's trial of a blocked suspect.
+  enum class TrialState : std::uint8_t { kNotSent, kSent, kEnded };
   struct Block {
     SuspectDecision decision;
-    StoreTime trial_until;
+    TrialState trial = TrialState::kNotSent;
+    TrialOutcome outcome = TrialOutcome::kUnused;  ///< If `kEnded`.
   };
+  /// What the blocks say of one suspect of a request.
+  enum class Verdict : std::uint8_t { kFree, kTrial, kOpen, kRefused };
 
-  bool IsFirstCoordinator(PartId part) const;
-  /// True if this coordinator counts a crash for the part before `time`.
-  bool HasCrashBefore(PartId part, StoreTime time) const;
+  const BlockPolicy& PolicyOf(const SuspectId& suspect) const;
+  bool IsFirstCoordinator(const SuspectId& suspect) const;
+  Verdict Judge(const SuspectId& suspect, StoreTime now) const;
+  SuspectRefusal RefusalOf(const SuspectId& suspect, StoreTime now) const;
+  /// True if a trial of any suspect may be under way.
+  bool IsTrialRunning(StoreTime now) const;
+  /// True if this gateway may send one request with the suspect.
+  bool HoldsTrial(const Block& block) const;
+  void WantTrial(const SuspectId& suspect, StoreTime now);
+  /// As the first coordinator, lets a gateway try the suspect if none does.
+  void GrantTrial(const SuspectId& suspect, const InstanceId& to,
+                  StoreTime now);
+  /// As a coordinator, decides on the suspect after its trial.
+  void OnTrialResult(const TrialResult& result, const InstanceId& from,
+                     StoreTime now);
+  /// Sets the state of this gateway's trials of the suspects.
+  void ChangeTrials(const std::vector<SuspectId>& suspects, TrialState from,
+                    TrialState to);
+  /// Ends this gateway's trials of the suspects, if they were sent.
+  void EndTrials(const std::vector<SuspectId>& suspects, TrialOutcome outcome);
+  /// Tells the coordinators of this gateway's trials until a decision follows.
+  void ReportTrials(StoreTime now);
+  void Report(const TrialResult& result, StoreTime now);
+  /// Ends the trials that have brought no result.
+  void EndOverdueTrials(StoreTime now);
+  /// True if this coordinator counts a crash for the suspect before `time`.
+  bool HasCrashBefore(const SuspectId& suspect, StoreTime time) const;
   void Report(const SuspectCrash& crash, StoreTime now);
   void Report(const SuspectSurvival& survival, StoreTime now);
   void AddCrash(const SuspectCrash& crash, StoreTime now);
   void AddSurvival(const SuspectSurvival& survival, StoreTime now);
-  Suspect& FindOrAddSuspect(PartId part, StoreTime now);
+  Evidence& FindOrAddEvidence(const SuspectId& suspect, StoreTime now);
   void Decide(const SuspectDecision& decision);
-  void BlockAgain(const Block& block, StoreTime now);
-  void BlockIfSettled(PartId part, StoreTime now);
+  void BlockAgain(const SuspectDecision& last, StoreTime now);
+  std::chrono::milliseconds BlockTime(const SuspectId& suspect,
+                                      std::uint32_t blocks) const;
+  void BlockIfSettled(const SuspectId& suspect, StoreTime now);
   /// Clears blocks that nobody has asked for long after their end.
   void ClearUnusedBlocks(StoreTime now);
   void DropExpired(StoreTime now);
 
   Options options_;
   GatewayRing gateways_;
-  std::map<PartId, Suspect> suspects_;
-  std::map<PartId, Block> blocks_;  ///< Cleared ones too, for a while.
-  /// Parts of own broken attempts, and when they broke. The next answer to a
+  std::map<SuspectId, Evidence> suspects_;
+  std::map<SuspectId, Block> blocks_;  ///< Cleared ones too, for a while.
+  /// Suspects of own broken attempts, and when they broke. The next answer to a
   /// request with one of them is reported.
-  std::map<PartId, StoreTime> awaiting_answer_;
+  std::map<SuspectId, StoreTime> awaiting_answer_;
   std::map<InstanceId, SuspectReport> reports_;
   std::vector<SuspectDecision> decisions_;
 };
--- a/src/crash_quarantine.cc
+++ b/src/crash_quarantine.cc
@@ -3,40 +3,47 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace yuccapick {
 namespace {
 
-constexpr std::size_t kCoordinatorsPerPart = 2;
-/// Crashes that are kept for each part.
+constexpr std::size_t kCoordinatorsPerSuspect = 2;
+/// Crashes that are kept for each suspect.
 constexpr std::size_t kMaxCrashes = 8;
 /// Limits the observations of each sort in one report, so that it fits a
 /// datagram.
 constexpr std::size_t kMaxReported = 200;
-/// A cleared part is remembered for this long, so that late copies of the block
-/// have no effect.
+/// A cleared suspect is remembered for this long, so that late copies of the
+/// block have no effect.
 constexpr std::chrono::milliseconds kClearedLifetime{60'000};
 
-/// Removes the entry with the least `time_of(entry)` if `map` is full.
-template <typename Map, typename TimeOf>
-void MakeRoom(Map& map, std::size_t max_size, TimeOf time_of) {
+/// Removes the entry with the least `rank(entry)` if `map` is full.
+template <typename Map, typename Rank>
+void MakeRoom(Map& map, std::size_t max_size, Rank rank) {
   if (map.size() < max_size) return;
   map.erase(std::min_element(map.begin(), map.end(),
                              [&](const auto& a, const auto& b) {
-                               return time_of(a.second) < time_of(b.second);
+                               return rank(a.second) < rank(b.second);
                              }));
 }
 
-/// One crash breaks several requests with the same part.
+/// One crash breaks several requests with the same suspect.
 bool IsSame(const SuspectCrash& a, const SuspectCrash& b) {
-  return a.part == b.part && a.upstream == b.upstream;
+  return a.suspect == b.suspect && a.upstream == b.upstream;
 }
 
-bool IsSame(const SuspectSurvival& a, const SuspectSurvival& b) {
+template <typename T>
+bool IsSame(const T& a, const T& b) {
   return a == b;
 }
 
+/// Of decisions with the same time the first one would count.
+StoreTime NextDecisionTime(const SuspectDecision& last, StoreTime now) {
+  return std::max(now, last.decided_at + std::chrono::milliseconds(1));
+}
+
 /// Appends an observation unless the list is full or has the same one.
 template <typename T>
 void AppendNew(std::vector<T>& list, const T& observation) {
@@ -57,27 +64,34 @@
 CrashQuarantine::CrashQuarantine(InstanceId own, Options options)
     : options_(options), gateways_(std::move(own)) {}
 
-bool CrashQuarantine::IsFirstCoordinator(PartId part) const {
-  return gateways_.IsOwnPicked(part.value, 1);
+const BlockPolicy& CrashQuarantine::PolicyOf(const SuspectId& suspect) const {
+  return suspect.kind == SuspectKind::kRequest ? options_.request
+                                               : options_.part;
+}
+
+bool CrashQuarantine::IsFirstCoordinator(const SuspectId& suspect) const {
+  return gateways_.IsOwnPicked(suspect.hash, 1);
 }
 
-bool CrashQuarantine::IsCoordinator(PartId part) const {
-  return gateways_.IsOwnPicked(part.value, kCoordinatorsPerPart);
+bool CrashQuarantine::IsCoordinator(const SuspectId& suspect) const {
+  return gateways_.IsOwnPicked(suspect.hash, kCoordinatorsPerSuspect);
 }
 
-void CrashQuarantine::OnCrash(const std::vector<PartId>& parts,
+void CrashQuarantine::OnCrash(const std::vector<SuspectId>& suspects,
                               UpstreamRunId upstream, StoreTime now) {
-  for (const PartId part : parts) {
-    MakeRoom(awaiting_answer_, options_.max_parts,
+  for (const SuspectId& suspect : suspects) {
+    MakeRoom(awaiting_answer_, options_.max_suspects,
              [](StoreTime since) { return since; });
-    awaiting_answer_[part] = now;
-    Report(SuspectCrash{part, upstream, now}, now);
+    awaiting_answer_[suspect] = now;
+    Report(SuspectCrash{suspect, upstream, now}, now);
   }
+  EndTrials(suspects, TrialOutcome::kFailed);
+  ReportTrials(now);
 }
 
 void CrashQuarantine::Report(const SuspectCrash& crash, StoreTime now) {
   for (const InstanceId& to :
-       gateways_.Pick(crash.part.value, kCoordinatorsPerPart)) {
+       gateways_.Pick(crash.suspect.hash, kCoordinatorsPerSuspect)) {
     if (to == gateways_.own()) {
       AddCrash(crash, now);
     } else {
@@ -86,29 +100,32 @@
   }
 }
 
-void CrashQuarantine::OnSurvived(const std::vector<PartId>& parts,
+void CrashQuarantine::OnSurvived(const std::vector<SuspectId>& suspects,
                                  StoreTime began_at, StoreTime now) {
-  for (const PartId part : parts) {
-    const auto awaiting = awaiting_answer_.find(part);
+  for (const SuspectId& suspect : suspects) {
+    const auto awaiting = awaiting_answer_.find(suspect);
     const bool awaited =
         awaiting != awaiting_answer_.end() && awaiting->second < began_at;
-    if (!awaited && !IsBlocked(part) && !HasCrashBefore(part, began_at)) {
+    if (!awaited && !IsBlocked(suspect) && !HasCrashBefore(suspect, began_at)) {
       continue;
     }
     if (awaited) awaiting_answer_.erase(awaiting);
-    Report(SuspectSurvival{part, began_at}, now);
+    Report(SuspectSurvival{suspect, began_at}, now);
   }
+  EndTrials(suspects, TrialOutcome::kAnswered);
+  ReportTrials(now);
 }
 
-bool CrashQuarantine::HasCrashBefore(PartId part, StoreTime time) const {
-  const auto it = suspects_.find(part);
+bool CrashQuarantine::HasCrashBefore(const SuspectId& suspect,
+                                     StoreTime time) const {
+  const auto it = suspects_.find(suspect);
   if (it == suspects_.end() || it->second.crashes.empty()) return false;
   return it->second.crashes.front().at < time;
 }
 
 void CrashQuarantine::Report(const SuspectSurvival& survival, StoreTime now) {
   for (const InstanceId& to :
-       gateways_.Pick(survival.part.value, kCoordinatorsPerPart)) {
+       gateways_.Pick(survival.suspect.hash, kCoordinatorsPerSuspect)) {
     if (to == gateways_.own()) {
       AddSurvival(survival, now);
     } else {
@@ -118,50 +135,56 @@
 }
 
 void CrashQuarantine::OnReport(const SuspectReport& report, StoreTime now) {
-  for (const SuspectCrash& crash : report.crashes) AddCrash(crash, now);
+  for (const SuspectCrash& it : report.crashes) AddCrash(it, now);
   for (const SuspectSurvival& it : report.survivals) AddSurvival(it, now);
+  for (const TrialResult& it : report.trial_results) {
+    OnTrialResult(it, report.from, now);
+  }
+  for (const SuspectId& it : report.wanted_trials) {
+    GrantTrial(it, report.from, now);
+  }
 }
 
-CrashQuarantine::Suspect& CrashQuarantine::FindOrAddSuspect(PartId part,
-                                                            StoreTime now) {
-  if (!suspects_.contains(part)) {
-    MakeRoom(suspects_, options_.max_parts,
-             [](const Suspect& it) { return it.updated_at; });
+CrashQuarantine::Evidence& CrashQuarantine::FindOrAddEvidence(
+    const SuspectId& suspect, StoreTime now) {
+  if (!suspects_.contains(suspect)) {
+    // A caller that sends ever new requests can't displace the repeated ones.
+    MakeRoom(suspects_, options_.max_suspects, [](const Evidence& it) {
+      return std::make_tuple(it.crashes.size(), it.updated_at);
+    });
   }
-  Suspect& suspect = suspects_[part];
-  suspect.updated_at = now;
-  return suspect;
+  Evidence& evidence = suspects_[suspect];
+  evidence.updated_at = now;
+  return evidence;
 }
 
 void CrashQuarantine::AddCrash(const SuspectCrash& crash, StoreTime now) {
-  const auto block = blocks_.find(crash.part);
-  if (block != blocks_.end() && block->second.decision.blocked) {
-    const bool is_trial = crash.at >= block->second.decision.until;
-    if (is_trial) BlockAgain(block->second, now);
-    return;
-  }
-  Suspect& suspect = FindOrAddSuspect(crash.part, now);
-  if (crash.at <= suspect.survived_at) return;
+  // Of a blocked suspect, only the outcome of its trial counts.
+  if (IsBlocked(crash.suspect)) return;
+  Evidence& evidence = FindOrAddEvidence(crash.suspect, now);
+  if (crash.at <= evidence.survived_at) return;
   const bool known = std::any_of(
-      suspect.crashes.begin(), suspect.crashes.end(),
+      evidence.crashes.begin(), evidence.crashes.end(),
       [&](const Crash& it) { return it.upstream == crash.upstream; });
-  if (known || suspect.crashes.size() >= kMaxCrashes) return;
+  if (known || evidence.crashes.size() >= kMaxCrashes) return;
   const auto place = std::upper_bound(
-      suspect.crashes.begin(), suspect.crashes.end(), crash.at,
+      evidence.crashes.begin(), evidence.crashes.end(), crash.at,
       [](StoreTime at, const Crash& it) { return at < it.at; });
-  suspect.crashes.insert(place, {crash.upstream, crash.at});
+  evidence.crashes.insert(place, {crash.upstream, crash.at});
 }
 
 void CrashQuarantine::AddSurvival(const SuspectSurvival& survival,
                                   StoreTime now) {
-  Suspect& suspect = FindOrAddSuspect(survival.part, now);
-  suspect.survived_at = std::max(suspect.survived_at, survival.began_at);
-  std::erase_if(suspect.crashes,
-                [&](const Crash& it) { return it.at <= suspect.survived_at; });
-  const auto block = blocks_.find(survival.part);
+  Evidence& evidence = FindOrAddEvidence(survival.suspect, now);
+  evidence.survived_at = std::max(evidence.survived_at, survival.began_at);
+  std::erase_if(evidence.crashes,
+                [&](const Crash& it) { return it.at <= evidence.survived_at; });
+  const auto block = blocks_.find(survival.suspect);
   if (block == blocks_.end() || !block->second.decision.blocked) return;
-  if (survival.began_at <= block->second.decision.decided_at) return;
-  Decide({survival.part, false, now, now, 0});
+  const SuspectDecision last = block->second.decision;
+  if (survival.began_at < last.decided_at) return;
+  const StoreTime at = NextDecisionTime(last, now);
+  Decide({survival.suspect, false, at, at, 0, InstanceId()});
 }
 
 void CrashQuarantine::Decide(const SuspectDecision& decision) {
@@ -169,54 +192,73 @@
 }
 
 bool CrashQuarantine::OnDecision(const SuspectDecision& decision) {
-  const auto it = blocks_.find(decision.part);
+  const auto it = blocks_.find(decision.suspect);
   if (it != blocks_.end() &&
       decision.decided_at <= it->second.decision.decided_at) {
     return false;
   }
   if (it == blocks_.end()) {
-    MakeRoom(blocks_, options_.max_parts,
-             [](const Block& block) { return block.decision.until; });
+    MakeRoom(blocks_, options_.max_suspects, [](const Block& block) {
+      return std::make_tuple(block.decision.blocked, block.decision.until);
+    });
   }
-  blocks_[decision.part] = {decision, StoreTime()};
-  if (decision.blocked) suspects_.erase(decision.part);
+  blocks_[decision.suspect] = {decision};
+  if (decision.blocked) suspects_.erase(decision.suspect);
   return true;
 }
 
-void CrashQuarantine::BlockAgain(const Block& block, StoreTime now) {
-  SuspectDecision decision = block.decision;
-  const std::chrono::milliseconds last = decision.until - decision.decided_at;
-  decision.decided_at = now;
-  decision.until = now + std::min(last * 2, options_.longest_block);
-  ++decision.blocks;
-  Decide(decision);
+std::chrono::milliseconds CrashQuarantine::BlockTime(
+    const SuspectId& suspect, std::uint32_t blocks) const {
+  const BlockPolicy& policy = PolicyOf(suspect);
+  std::chrono::milliseconds time = policy.first_block;
+  for (std::uint32_t i = 1; i < blocks; ++i) {
+    if (time >= options_.longest_block) break;
+    time *= policy.growth;
+  }
+  return std::min(time, options_.longest_block);
 }
 
-void CrashQuarantine::BlockIfSettled(PartId part, StoreTime now) {
-  const std::vector<Crash>& crashes = suspects_.at(part).crashes;
-  if (crashes.size() < options_.crashes_to_block) return;
-  const StoreTime enough_at = crashes[options_.crashes_to_block - 1].at;
-  if (now < enough_at + options_.settle_time) return;
-  Decide({part, true, now, now + options_.first_block, 1});
+void CrashQuarantine::BlockAgain(const SuspectDecision& last, StoreTime now) {
+  const std::uint32_t blocks = last.blocks + 1;
+  const StoreTime at = NextDecisionTime(last, now);
+  Decide({last.suspect, true, at, at + BlockTime(last.suspect, blocks), blocks,
+          InstanceId()});
+}
+
+void CrashQuarantine::BlockIfSettled(const SuspectId& suspect, StoreTime now) {
+  const std::vector<Crash>& crashes = suspects_.at(suspect).crashes;
+  const BlockPolicy& policy = PolicyOf(suspect);
+  if (crashes.size() < policy.crashes_to_block) return;
+  const StoreTime enough_at = crashes[policy.crashes_to_block - 1].at;
+  auto delay = policy.settle_time;
+  if (!IsFirstCoordinator(suspect)) delay += options_.second_delay;
+  if (now < enough_at + delay) return;
+  Decide({suspect, true, now, now + BlockTime(suspect, 1), 1, InstanceId()});
 }
 
 void CrashQuarantine::OnTick(StoreTime now) {
   DropExpired(now);
-  std::vector<PartId> parts;
-  for (const auto& [part, suspect] : suspects_) parts.push_back(part);
-  for (const PartId part : parts) BlockIfSettled(part, now);
+  std::vector<SuspectId> suspects;
+  for (const auto& [suspect, evidence] : suspects_) {
+    suspects.push_back(suspect);
+  }
+  for (const SuspectId& suspect : suspects) BlockIfSettled(suspect, now);
+  ReportTrials(now);
+  EndOverdueTrials(now);
   ClearUnusedBlocks(now);
 }
 
 void CrashQuarantine::ClearUnusedBlocks(StoreTime now) {
-  std::vector<PartId> unused;
-  for (const auto& [part, block] : blocks_) {
+  std::vector<SuspectId> unused;
+  for (const auto& [suspect, block] : blocks_) {
     const SuspectDecision& decision = block.decision;
     if (!decision.blocked) continue;
     if (now < decision.until + options_.longest_block) continue;
-    if (IsFirstCoordinator(part)) unused.push_back(part);
+    if (IsFirstCoordinator(suspect)) unused.push_back(suspect);
+  }
+  for (const SuspectId& suspect : unused) {
+    Decide({suspect, false, now, now, 0, InstanceId()});
   }
-  for (const PartId part : unused) Decide({part, false, now, now, 0});
 }
 
 void CrashQuarantine::DropExpired(StoreTime now) {
@@ -232,26 +274,173 @@
   });
 }
 
+bool CrashQuarantine::HoldsTrial(const Block& block) const {
+  return block.decision.trial_by == gateways_.own() &&
+         block.trial == TrialState::kNotSent;
+}
+
+CrashQuarantine::Verdict CrashQuarantine::Judge(const SuspectId& suspect,
+                                                StoreTime now) const {
+  const auto it = blocks_.find(suspect);
+  if (it == blocks_.end() || !it->second.decision.blocked) {
+    return Verdict::kFree;
+  }
+  const SuspectDecision& decision = it->second.decision;
+  if (now < decision.until) {
+    return HoldsTrial(it->second) ? Verdict::kTrial : Verdict::kRefused;
+  }
+  const bool overdue = !decision.trial_by.value.empty();
+  return overdue || IsTrialRunning(now) ? Verdict::kRefused : Verdict::kOpen;
+}
+
+bool CrashQuarantine::IsTrialRunning(StoreTime now) const {
+  return std::any_of(blocks_.begin(), blocks_.end(), [&](const auto& entry) {
+    const SuspectDecision& it = entry.second.decision;
+    return !it.trial_by.value.empty() &&
+           now < it.decided_at + options_.trial_begin_timeout;
+  });
+}
+
+SuspectRefusal CrashQuarantine::RefusalOf(const SuspectId& suspect,
+                                          StoreTime now) const {
+  const SuspectDecision& decision = blocks_.at(suspect).decision;
+  const bool in_force = decision.trial_by.value.empty() && now < decision.until;
+  return {suspect,
+          in_force ? decision.until - now : options_.trial_retry_after};
+}
+
 std::optional<SuspectRefusal> CrashQuarantine::Admit(
-    const std::vector<PartId>& parts, StoreTime now) {
+    const std::vector<SuspectId>& suspects, StoreTime now) {
   if (blocks_.empty()) return std::nullopt;
-  for (const PartId part : parts) {
-    const auto it = blocks_.find(part);
-    if (it == blocks_.end() || !it->second.decision.blocked) continue;
-    Block& block = it->second;
-    const StoreTime open_at = std::max(block.decision.until, block.trial_until);
-    if (now < open_at) return SuspectRefusal{part, open_at - now};
-    if (!IsFirstCoordinator(part)) {
-      return SuspectRefusal{part, options_.trial_timeout};
+  for (const SuspectId& suspect : suspects) {
+    if (Judge(suspect, now) == Verdict::kRefused) {
+      return RefusalOf(suspect, now);
     }
-    block.trial_until = now + options_.trial_timeout;
+  }
+  for (const SuspectId& suspect : suspects) {
+    if (Judge(suspect, now) != Verdict::kOpen) continue;
+    WantTrial(suspect, now);
+    if (Judge(suspect, now) == Verdict::kTrial) continue;
+    SuspectRefusal refusal = RefusalOf(suspect, now);
+    refusal.trial_wanted = true;
+    return refusal;
   }
   return std::nullopt;
 }
 
+void CrashQuarantine::WantTrial(const SuspectId& suspect, StoreTime now) {
+  for (const InstanceId& to : gateways_.Pick(suspect.hash, 1)) {
+    if (to == gateways_.own()) {
+      GrantTrial(suspect, to, now);
+    } else {
+      AppendNew(reports_[to].wanted_trials, suspect);
+    }
+  }
+}
+
+void CrashQuarantine::GrantTrial(const SuspectId& suspect, const InstanceId& to,
+                                 StoreTime now) {
+  if (!IsFirstCoordinator(suspect)) return;
+  if (Judge(suspect, now) != Verdict::kOpen) return;
+  const SuspectDecision last = blocks_.at(suspect).decision;
+  const StoreTime at = NextDecisionTime(last, now);
+  Decide({suspect, true, at, at + options_.trial_timeout, last.blocks, to});
+}
+
+void CrashQuarantine::OnTrialResult(const TrialResult& result,
+                                    const InstanceId& from, StoreTime now) {
+  const auto it = blocks_.find(result.suspect);
+  if (it == blocks_.end() || !IsCoordinator(result.suspect)) return;
+  const SuspectDecision last = it->second.decision;
+  if (!last.blocked || last.trial_by != from) return;
+  const StoreTime at = NextDecisionTime(last, now);
+  switch (result.outcome) {
+    case TrialOutcome::kUnused:
+      return Decide({last.suspect, true, at, at, last.blocks, InstanceId()});
+    case TrialOutcome::kFailed:
+      return BlockAgain(last, now);
+    case TrialOutcome::kAnswered:
+      return Decide({last.suspect, false, at, at, 0, InstanceId()});
+  }
+}
+
+void CrashQuarantine::ChangeTrials(const std::vector<SuspectId>& suspects,
+                                   TrialState from, TrialState to) {
+  for (const SuspectId& suspect : suspects) {
+    const auto it = blocks_.find(suspect);
+    if (it == blocks_.end() || it->second.trial != from) continue;
+    if (it->second.decision.trial_by == gateways_.own()) it->second.trial = to;
+  }
+}
+
+void CrashQuarantine::EndTrials(const std::vector<SuspectId>& suspects,
+                                TrialOutcome outcome) {
+  for (const SuspectId& suspect : suspects) {
+    const auto it = blocks_.find(suspect);
+    if (it == blocks_.end() || it->second.trial != TrialState::kSent) continue;
+    it->second.trial = TrialState::kEnded;
+    it->second.outcome = outcome;
+  }
+}
+
+void CrashQuarantine::ReportTrials(StoreTime now) {
+  std::vector<TrialResult> results;
+  for (auto& [suspect, block] : blocks_) {
+    const StoreTime limit =
+        block.decision.decided_at + options_.trial_begin_timeout;
+    if (HoldsTrial(block) && now >= limit) block.trial = TrialState::kEnded;
+    if (block.trial == TrialState::kEnded) {
+      results.push_back({suspect, block.outcome});
+    }
+  }
+  for (const TrialResult& it : results) Report(it, now);
+}
+
+void CrashQuarantine::Report(const TrialResult& result, StoreTime now) {
+  for (const InstanceId& to :
+       gateways_.Pick(result.suspect.hash, kCoordinatorsPerSuspect)) {
+    if (to == gateways_.own()) {
+      OnTrialResult(result, to, now);
+    } else {
+      AppendNew(reports_[to].trial_results, result);
+    }
+  }
+}
+
+void CrashQuarantine::EndOverdueTrials(StoreTime now) {
+  std::vector<SuspectDecision> overdue;
+  for (const auto& [suspect, block] : blocks_) {
+    const SuspectDecision& decision = block.decision;
+    if (decision.trial_by.value.empty() || now < decision.until) continue;
+    if (IsFirstCoordinator(suspect)) overdue.push_back(decision);
+  }
+  for (const SuspectDecision& it : overdue) BlockAgain(it, now);
+}
+
+bool CrashQuarantine::OnSent(const std::vector<SuspectId>& suspects) {
+  bool is_trial = false;
+  for (const SuspectId& suspect : suspects) {
+    const auto it = blocks_.find(suspect);
+    is_trial |= it != blocks_.end() && HoldsTrial(it->second);
+  }
+  ChangeTrials(suspects, TrialState::kNotSent, TrialState::kSent);
+  return is_trial;
+}
+
+void CrashQuarantine::OnInconclusive(const std::vector<SuspectId>& suspects) {
+  ChangeTrials(suspects, TrialState::kSent, TrialState::kNotSent);
+}
+
+void CrashQuarantine::OnGivenUp(const std::vector<SuspectId>& suspects) {
+  EndTrials(suspects, TrialOutcome::kFailed);
+}
+
 std::vector<AddressedSuspectReport> CrashQuarantine::TakeReports() {
   std::vector<AddressedSuspectReport> taken;
-  for (auto& [to, report] : reports_) taken.push_back({to, std::move(report)});
+  for (auto& [to, report] : reports_) {
+    report.from = gateways_.own();
+    taken.push_back({to, std::move(report)});
+  }
   reports_.clear();
   return taken;
 }
@@ -260,23 +449,25 @@
   return std::exchange(decisions_, {});
 }
 
-bool CrashQuarantine::IsBlocked(PartId part) const {
-  const auto it = blocks_.find(part);
+bool CrashQuarantine::IsBlocked(const SuspectId& suspect) const {
+  const auto it = blocks_.find(suspect);
   return it != blocks_.end() && it->second.decision.blocked;
 }
 
 std::vector<SuspectDecision> CrashQuarantine::Decisions() const {
   std::vector<SuspectDecision> decisions;
-  for (const auto& [part, block] : blocks_) {
+  for (const auto& [suspect, block] : blocks_) {
     decisions.push_back(block.decision);
   }
   return decisions;
 }
 
-std::size_t CrashQuarantine::blocked_count() const {
-  return static_cast<std::size_t>(std::count_if(
-      blocks_.begin(), blocks_.end(),
-      [](const auto& entry) { return entry.second.decision.blocked; }));
+std::size_t CrashQuarantine::blocked_count(SuspectKind kind) const {
+  return static_cast<std::size_t>(
+      std::count_if(blocks_.begin(), blocks_.end(), [kind](const auto& entry) {
+        const SuspectDecision& decision = entry.second.decision;
+        return decision.blocked && decision.suspect.kind == kind;
+      }));
 }
 
 }  // namespace yuccapick
--- a/src/gateway/gateway_process_metrics.cc
+++ b/src/gateway/gateway_process_metrics.cc
@@ -54,10 +54,17 @@
   gauge("yuccapick_paused_upstreams", state_.pauses.size());
   AppendMetric(out, "counter", "yuccapick_requests_held_back",
                state_.requests_held_back);
-  gauge("yuccapick_blocked_parts", state_.quarantine.blocked_count());
-  gauge("yuccapick_suspect_parts", state_.quarantine.suspect_count());
+  gauge("yuccapick_blocked_parts",
+        state_.quarantine.blocked_count(SuspectKind::kPart));
+  gauge("yuccapick_blocked_requests",
+        state_.quarantine.blocked_count(SuspectKind::kRequest));
+  gauge("yuccapick_suspects", state_.quarantine.suspect_count());
   AppendMetric(out, "counter", "yuccapick_requests_with_blocked_part",
                state_.requests_with_blocked_part);
+  AppendMetric(out, "counter", "yuccapick_blocked_requests_refused",
+               state_.blocked_requests_refused);
+  AppendMetric(out, "counter", "yuccapick_suspect_trials",
+               state_.suspect_trials);
   AppendMetric(out, "counter", "yuccapick_attempts_on_overdue_weights",
                state_.attempts_on_overdue_weights);
   AppendMetric(out, "counter", "yuccapick_log_lines_dropped",
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -94,8 +94,12 @@
   CrashQuarantine quarantine;
   /// Called when `quarantine` may have something to tell peers.
   std::function<void()> on_suspect_observed = [] {};
-  /// Requests refused, or not retried, because of a blocked part.
+  /// Requests refused, or not retried, because of a blocked part of a prompt.
   std::uint64_t requests_with_blocked_part = 0;
+  /// Requests refused, or not retried, because upstreams crash on them.
+  std::uint64_t blocked_requests_refused = 0;
+  /// Requests sent to try whether a suspect is still to be blocked.
+  std::uint64_t suspect_trials = 0;
   UpstreamLimits limits;
   /// Called when `limits` may have something to tell peers.
   std::function<void()> on_limit_changed = [] {};
--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -2,6 +2,9 @@
 
 #include "yuccapick/msgpack_types.h"
 
+MSGPACK_ADD_ENUM(yuccapick::SuspectKind)
+MSGPACK_ADD_ENUM(yuccapick::TrialOutcome)
+
 namespace msgpack {
 MSGPACK_API_VERSION_NAMESPACE(MSGPACK_DEFAULT_API_NS) {
   namespace adaptor {
@@ -85,19 +88,30 @@
                                               v.suspect_decisions, v.config);
     }
   };
+  struct SuspectIdFields {
+    auto operator()(yuccapick::SuspectId& v) const {
+      return msgpack::type::make_define_array(v.kind, v.hash);
+    }
+  };
+  struct TrialResultFields {
+    auto operator()(yuccapick::TrialResult& v) const {
+      return msgpack::type::make_define_array(v.suspect, v.outcome);
+    }
+  };
   struct SuspectCrashFields {
     auto operator()(yuccapick::SuspectCrash& v) const {
-      return msgpack::type::make_define_array(v.part, v.upstream, v.at);
+      return msgpack::type::make_define_array(v.suspect, v.upstream, v.at);
     }
   };
   struct SuspectSurvivalFields {
     auto operator()(yuccapick::SuspectSurvival& v) const {
-      return msgpack::type::make_define_array(v.part, v.began_at);
+      return msgpack::type::make_define_array(v.suspect, v.began_at);
     }
   };
   struct SuspectReportFields {
     auto operator()(yuccapick::SuspectReport& v) const {
-      return msgpack::type::make_define_array(v.crashes, v.survivals);
+      return msgpack::type::make_define_array(
+          v.crashes, v.survivals, v.wanted_trials, v.trial_results, v.from);
     }
   };
   struct UpstreamRunFields {
@@ -119,8 +133,8 @@
   };
   struct SuspectDecisionFields {
     auto operator()(yuccapick::SuspectDecision& v) const {
-      return msgpack::type::make_define_array(v.part, v.blocked, v.decided_at,
-                                              v.until, v.blocks);
+      return msgpack::type::make_define_array(
+          v.suspect, v.blocked, v.decided_at, v.until, v.blocks, v.trial_by);
     }
   };
 
@@ -208,6 +222,18 @@
   struct pack<yuccapick::TargetSetTime>
       : PackAsArray<yuccapick::TargetSetTime, TargetSetTimeFields> {};
   template <>
+  struct convert<yuccapick::SuspectId>
+      : PackAsArray<yuccapick::SuspectId, SuspectIdFields> {};
+  template <>
+  struct pack<yuccapick::SuspectId>
+      : PackAsArray<yuccapick::SuspectId, SuspectIdFields> {};
+  template <>
+  struct convert<yuccapick::TrialResult>
+      : PackAsArray<yuccapick::TrialResult, TrialResultFields> {};
+  template <>
+  struct pack<yuccapick::TrialResult>
+      : PackAsArray<yuccapick::TrialResult, TrialResultFields> {};
+  template <>
   struct convert<yuccapick::SuspectCrash>
       : PackAsArray<yuccapick::SuspectCrash, SuspectCrashFields> {};
   template <>
--- a/src/gateway/proxied_request.cc
+++ b/src/gateway/proxied_request.cc
@@ -43,16 +43,6 @@
   return std::chrono::duration_cast<milliseconds>(d).count();
 }
 
-/// The hashes of the parts as in the log and in the store, or "-".
-std::string FormatParts(const std::vector<PartId>& parts) {
-  std::string text;
-  for (const PartId part : parts) {
-    if (!text.empty()) text += ',';
-    text += fmt::format("{:016x}", part.value);
-  }
-  return text.empty() ? "-" : text;
-}
-
 std::uint32_t SharedTokens(const std::vector<PromptPart>& parts) {
   std::uint32_t tokens = 0;
   for (std::size_t i = 0; i + 1 < parts.size(); ++i) tokens += parts[i].tokens;
@@ -80,7 +70,7 @@
   splitter_.set_last_id(caller.last_event_id);
   service_ = PickService();
   query_.parts = caller.parts;
-  shared_parts_ = SharedPartIds(caller.parts);
+  suspects_ = MakeSuspects();
   query_.prompt_tokens = caller.prompt_tokens;
   query_.output_tokens =
       caller.expected_output_tokens.value_or(caller.max_output_tokens);
@@ -156,7 +146,7 @@
 void ProxiedRequest::TrySend() {
   const TimePoint now = state_.Now();
   if (now >= deadline_) return OnEnd(AttemptEnd::kTimedOut, "no time left");
-  if (StopAtBlockedPart(now)) return;
+  if (StopAtSuspect(now)) return;
   const std::optional<DirectPlacementDecision> choice = state_.placement.Choose(
       query_, Fleet(), state_.parts, state_.load, state_.health, now);
   if (!choice) return OnNoUpstream(now);
@@ -196,6 +186,7 @@
       admitted_.request.head, head, admitted_.request.body.size());
   request += admitted_.request.body;
 
+  if (state_.quarantine.OnSent(suspects_)) RecordTrial(upstream);
   Attempt attempt;
   attempt.upstream = upstream;
   attempt.sent_at = now;
@@ -260,6 +251,7 @@
 void ProxiedRequest::AbandonAttempt() {
   if (!attempt_) return;
   state_.load.End(attempt_->upstream.id, attempt_->amount);
+  state_.quarantine.OnGivenUp(suspects_);
   CloseConnection();
   attempt_.reset();
 }
@@ -308,13 +300,13 @@
       LogKind::kFailure, now,
       "event=attempt_ended id={} attempt={} upstream={} end={} reason=\"{}\" "
       "step={} delivered_attempts={} max_attempts={} left_ms={} begun_ms={} "
-      "parts={}",
+      "suspects={}",
       admitted_.caller.attempt_id, attempts_sent_,
       query_.tried.empty() ? "-" : query_.tried.back().value,
       AttemptEndName(end), reason, RetryDecisionName(decision),
       delivered_attempts_, admitted_.route->max_attempts, TimeLeft(now).count(),
       answer_began_at_ ? Milliseconds(now - *answer_began_at_) : -1,
-      FormatParts(shared_parts_));
+      FormatSuspects(suspects_));
   Execute(decision, reason);
 }
 
--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -127,13 +127,22 @@
 
   void HandleFirstEvent();
   void RecordStreamOrigin(TimePoint now);
-  /// Refuses the request, or doesn't retry it, if a part of its prompt is
-  /// blocked.
-  /// @return true if one is
-  bool StopAtBlockedPart(TimePoint now);
-  /// The upstream may have crashed on a part of the prompt.
+  /// What upstreams may crash on: the request, and the shared parts of its
+  /// prompt.
+  std::vector<SuspectId> MakeSuspects() const;
+  /// Refuses the request, or doesn't retry it, if it or a part of its prompt is
+  /// blocked. If it may be sent as a trial, waits for the coordinator's leave.
+  /// @return false if it may be sent
+  bool StopAtSuspect(TimePoint now);
+  /// Tries again shortly, unless that was done for long.
+  /// @return false if the request must be refused
+  bool AwaitTrial(TimePoint now);
+  void RefuseSuspect(const SuspectRefusal& refusal, TimePoint now);
+  /// The request is sent to learn whether upstreams still crash on it.
+  void RecordTrial(const UpstreamEntry& upstream);
+  /// The upstream may have crashed on the request or a part of its prompt.
   void RecordCrash(TimePoint now);
-  /// The upstream did not crash on the prompt.
+  /// The upstream did not crash on the request.
   void RecordSurvival(TimePoint now);
   void RecordCachedParts(TimePoint now);
   void BeginAnswer();
@@ -162,7 +171,9 @@
   TimePoint deadline_;
   asio::steady_timer timer_;
   PlacementQuery query_;
-  std::vector<PartId> shared_parts_;
+  std::vector<SuspectId> suspects_;
+  /// Until when the request waits to be sent as a trial.
+  std::optional<TimePoint> trial_wait_until_;
   /// No attempt may be made before this time has passed: a part of the prompt
   /// is blocked, or the upstreams take no more requests.
   std::optional<std::chrono::milliseconds> retry_after_;
--- a/src/gateway/proxied_request_answers.cc
+++ b/src/gateway/proxied_request_answers.cc
@@ -12,8 +12,8 @@
 /// Answers up to this size are buffered and sent when they are complete.
 constexpr std::size_t kMaxBufferedAnswerBytes = 262'144;
 
-/// An upstream that crashes on a part of a prompt does so within this time
-/// after it has begun the answer.
+/// An upstream that crashes on a request does so within this time after it has
+/// begun the answer.
 constexpr milliseconds kCrashWindow{500};
 
 }  // namespace
@@ -140,10 +140,10 @@
 
 void ProxiedRequest::RecordCrash(TimePoint now) {
   const std::optional<StoreTime> store_now = state_.StoreNow();
-  if (shared_parts_.empty() || !store_now) return;
+  if (!store_now) return;
   if (answer_began_at_ && now - *answer_began_at_ >= kCrashWindow) return;
   const UpstreamEntry& upstream = attempt_->upstream;
-  state_.quarantine.OnCrash(shared_parts_,
+  state_.quarantine.OnCrash(suspects_,
                             UpstreamRunIdOf(upstream.id, upstream.incarnation),
                             *store_now);
   if (state_.quarantine.HasNews()) state_.on_suspect_observed();
@@ -151,11 +151,11 @@
 
 void ProxiedRequest::RecordSurvival(TimePoint now) {
   const std::optional<StoreTime> store_now = state_.StoreNow();
-  if (survival_recorded_ || shared_parts_.empty() || !store_now) return;
+  if (survival_recorded_ || !store_now) return;
   survival_recorded_ = true;
   const milliseconds age = std::chrono::duration_cast<milliseconds>(
       now - answer_began_at_.value_or(now));
-  state_.quarantine.OnSurvived(shared_parts_, *store_now - age, *store_now);
+  state_.quarantine.OnSurvived(suspects_, *store_now - age, *store_now);
   if (state_.quarantine.HasNews()) state_.on_suspect_observed();
 }
 
@@ -198,12 +198,14 @@
   attempt_->amount = WorkAmount();
   if (end == ExchangeEnd::kNotSent) {
     state_.health.OnUnreachable(upstream, now);
+    state_.quarantine.OnInconclusive(suspects_);
     attempt_.reset();
     return OnEnd(AttemptEnd::kNotSent, reason);
   }
   ++delivered_attempts_;
   if (end != ExchangeEnd::kComplete) {
     if (end == ExchangeEnd::kBroken) RecordCrash(now);
+    state_.quarantine.OnGivenUp(suspects_);
     state_.health.OnFailure(upstream, now);
     may_have_run_ = true;
     attempt_.reset();
@@ -220,6 +222,7 @@
     const bool wrong = info.wrong_upstream;
     if (wrong) --delivered_attempts_;
     if (!wrong) state_.health.OnFailure(upstream, now);
+    state_.quarantine.OnInconclusive(suspects_);
     attempt_.reset();
     return OnEnd(wrong ? AttemptEnd::kWrongUpstream : AttemptEnd::kRejected,
                  wrong ? "other instance or weights" : "upstream is full");
@@ -233,6 +236,7 @@
     return OnEnd(AttemptEnd::kBroken, "stream ended within an event");
   }
   if (status >= kHttpFirstServerError) {
+    state_.quarantine.OnInconclusive(suspects_);
     state_.health.OnFailure(upstream, now);
     return OnEnd(AttemptEnd::kFailedStatus, "upstream failed");
   }
--- a/src/gateway/proxied_request_end.cc
+++ b/src/gateway/proxied_request_end.cc
@@ -11,6 +11,11 @@
 /// Range of the random delay that spreads the callers' retries.
 constexpr milliseconds kRetryAfterJitter{450};
 
+/// How long a request waits for leave to be sent as a trial, and how often it
+/// looks. A datagram to the coordinator and back may be lost once.
+constexpr milliseconds kMaxTrialWait{400};
+constexpr milliseconds kTrialPollInterval{30};
+
 /// Stands in the log for an answer that named no limit.
 constexpr double kNoLimit = -1.0;
 
@@ -39,22 +44,70 @@
   Finish("refused", kHttpUnavailable, reason);
 }
 
-bool ProxiedRequest::StopAtBlockedPart(TimePoint now) {
+std::vector<SuspectId> ProxiedRequest::MakeSuspects() const {
+  const HttpHead& head = admitted_.request.head;
+  const std::string* host = head.Find("Host");
+  RequestIdentity identity;
+  identity.method = head.method;
+  if (host != nullptr) identity.host = *host;
+  identity.target = head.target;
+  identity.caller = admitted_.caller.key;
+  identity.body = admitted_.request.body;
+  std::vector<SuspectId> suspects{SuspectOf(identity)};
+  for (const PartId part : SharedPartIds(admitted_.caller.parts)) {
+    suspects.push_back(SuspectOf(part));
+  }
+  return suspects;
+}
+
+bool ProxiedRequest::StopAtSuspect(TimePoint now) {
   const std::optional<StoreTime> store_now = state_.StoreNow();
   if (!store_now) return false;
   const std::optional<SuspectRefusal> refusal =
-      state_.quarantine.Admit(shared_parts_, *store_now);
+      state_.quarantine.Admit(suspects_, *store_now);
+  if (state_.quarantine.HasNews()) state_.on_suspect_observed();
   if (!refusal) return false;
-  retry_after_ = refusal->retry_after;
-  ++state_.requests_with_blocked_part;
+  if (!refusal->trial_wanted || !AwaitTrial(now)) RefuseSuspect(*refusal, now);
+  return true;
+}
+
+bool ProxiedRequest::AwaitTrial(TimePoint now) {
+  if (!trial_wait_until_) trial_wait_until_ = now + kMaxTrialWait;
+  const TimePoint next = now + kTrialPollInterval;
+  if (next > *trial_wait_until_ || next >= deadline_) return false;
+  timer_.expires_at(next);
+  std::weak_ptr<ProxiedRequest> weak = weak_from_this();
+  timer_.async_wait([weak](const asio::error_code& ec) {
+    const auto self = weak.lock();
+    if (!ec && self != nullptr && !self->done_) self->TrySend();
+  });
+  return true;
+}
+
+void ProxiedRequest::RecordTrial(const UpstreamEntry& upstream) {
+  ++state_.suspect_trials;
+  state_.log.Write(LogKind::kStateChange, state_.Now(),
+                   "event=suspect_tried id={} upstream={} suspects={}",
+                   admitted_.caller.attempt_id, upstream.id.value,
+                   FormatSuspects(suspects_));
+}
+
+void ProxiedRequest::RefuseSuspect(const SuspectRefusal& refusal,
+                                   TimePoint now) {
+  const bool is_part = refusal.suspect.kind == SuspectKind::kPart;
+  retry_after_ = refusal.retry_after;
+  ++(is_part ? state_.requests_with_blocked_part
+             : state_.blocked_requests_refused);
   state_.log.Write(LogKind::kFailure, now,
-                   "event=part_refused id={} route={} part={:016x} "
-                   "retry_after_ms={} blocked_parts={}",
+                   "event=suspect_refused id={} route={} suspect={} "
+                   "retry_after_ms={} blocked_parts={} blocked_requests={}",
                    admitted_.caller.attempt_id, admitted_.route->name,
-                   refusal->part.value, refusal->retry_after.count(),
-                   state_.quarantine.blocked_count());
-  OnEnd(AttemptEnd::kNotSent, "upstreams crash on a part of the prompt");
-  return true;
+                   FormatSuspect(refusal.suspect), refusal.retry_after.count(),
+                   state_.quarantine.blocked_count(SuspectKind::kPart),
+                   state_.quarantine.blocked_count(SuspectKind::kRequest));
+  OnEnd(AttemptEnd::kNotSent, is_part
+                                  ? "upstreams crash on a part of the prompt"
+                                  : "upstreams crash on the request");
 }
 
 void ProxiedRequest::Finish(std::string_view outcome, int status,
--- a/src/gateway/quarantine_sync.cc
+++ b/src/gateway/quarantine_sync.cc
@@ -24,8 +24,19 @@
 constexpr milliseconds kSaveTimeout{800};
 constexpr milliseconds kSaveRetryDelay{400};
 
-std::string FormatKey(PartId part) {
-  return fmt::format("{:016x}", part.value);
+/// Earlier versions of the program block parts only, and read their keys as a
+/// hash.
+std::string FormatKey(const SuspectId& suspect) {
+  if (suspect.kind == SuspectKind::kPart) {
+    return fmt::format("{:016x}", suspect.hash);
+  }
+  return FormatSuspect(suspect);
+}
+
+std::optional<SuspectId> ParseKey(const std::string& key) {
+  SuspectId suspect;
+  if (absl::SimpleHexAtoi(key, &suspect.hash)) return suspect;
+  return ParseSuspect(key);
 }
 
 std::int64_t Count(StoreTime time) { return time.time_since_epoch().count(); }
@@ -37,8 +48,10 @@
 
 /// Parses a row that `FormatKey` and `FormatValue` have written.
 std::optional<SuspectDecision> ParseRow(const MirrorRow& row) {
+  const std::optional<SuspectId> suspect = ParseKey(row.key);
+  if (!suspect) return std::nullopt;
   SuspectDecision decision;
-  if (!absl::SimpleHexAtoi(row.key, &decision.part.value)) return std::nullopt;
+  decision.suspect = *suspect;
   if (row.removed) return decision;
   const std::vector<std::string> words = absl::StrSplit(row.value, ' ');
   std::int64_t decided_ms = 0;
@@ -101,7 +114,7 @@
   if (decisions.empty()) return;
   for (const SuspectDecision& decision : decisions) {
     Log(decision, "own");
-    unsaved_[decision.part] = decision;
+    unsaved_[decision.suspect] = decision;
   }
   exchange_.Send(decisions, peers_.Targets(now));
   repeated_decisions_.push_back({std::move(decisions), kDecisionCopies - 1});
@@ -152,21 +165,22 @@
   const std::size_t before = unsaved_.size();
   SaveMissing();
   state_.log.Write(LogKind::kStateChange, state_.Now(),
-                   "event=blocked_parts_restored differing={} to_save={}",
+                   "event=blocked_suspects_restored differing={} to_save={}",
                    changes.size(), unsaved_.size() - before);
 }
 
 void QuarantineSync::SaveMissing() {
-  std::map<PartId, SuspectDecision> saved;
+  std::map<SuspectId, SuspectDecision> saved;
   for (const MirrorRow& row : watch_->mirror().Snapshot().rows) {
-    if (const auto decision = ParseRow(row)) saved[decision->part] = *decision;
+    if (const auto decision = ParseRow(row))
+      saved[decision->suspect] = *decision;
   }
   for (const SuspectDecision& known : state_.quarantine.Decisions()) {
-    if (!state_.quarantine.IsCoordinator(known.part)) continue;
-    const auto it = saved.find(known.part);
+    if (!state_.quarantine.IsCoordinator(known.suspect)) continue;
+    const auto it = saved.find(known.suspect);
     const bool is_saved = it != saved.end() && it->second == known;
     const bool is_absent = it == saved.end() && !known.blocked;
-    if (!is_saved && !is_absent) unsaved_[known.part] = known;
+    if (!is_saved && !is_absent) unsaved_[known.suspect] = known;
   }
   next_save_ = state_.Now() +
                state_.RandomDelay(StoreWriteSpread(state_.LiveGateways()));
@@ -176,13 +190,13 @@
   std::optional<SuspectDecision> decision = ParseRow(row);
   if (!decision) {
     state_.log.Write(LogKind::kStateChange, state_.Now(),
-                     "event=blocked_part_ignored key={} row_version={}",
+                     "event=blocked_suspect_ignored key={} row_version={}",
                      row.key, row.version);
     return;
   }
   if (row.removed) {
     const auto now = state_.StoreNow();
-    if (!now || !state_.quarantine.IsBlocked(decision->part)) return;
+    if (!now || !state_.quarantine.IsBlocked(decision->suspect)) return;
     decision->decided_at = *now;
     decision->until = *now;
   }
@@ -196,13 +210,15 @@
 
 void QuarantineSync::Log(const SuspectDecision& decision,
                          std::string_view source) {
-  state_.log.Write(LogKind::kStateChange, state_.Now(),
-                   "event={} part={} source={} decided_ms={} until_ms={} "
-                   "blocks={} store_time_ms={}",
-                   decision.blocked ? "part_blocked" : "part_cleared",
-                   FormatKey(decision.part), source, Count(decision.decided_at),
-                   Count(decision.until), decision.blocks,
-                   Count(state_.StoreNow().value_or(StoreTime())));
+  state_.log.Write(
+      LogKind::kStateChange, state_.Now(),
+      "event={} suspect={} source={} decided_ms={} until_ms={} "
+      "blocks={} trial_by={} store_time_ms={}",
+      decision.blocked ? "suspect_blocked" : "suspect_cleared",
+      FormatSuspect(decision.suspect), source, Count(decision.decided_at),
+      Count(decision.until), decision.blocks,
+      decision.trial_by.value.empty() ? "-" : decision.trial_by.value,
+      Count(state_.StoreNow().value_or(StoreTime())));
 }
 
 void QuarantineSync::SaveNext(TimePoint now) {
@@ -213,7 +229,7 @@
   const std::string& store = state_.settings.table_endpoint;
   platform::RowWrite write;
   write.table = kTable;
-  write.key = FormatKey(decision.part);
+  write.key = FormatKey(decision.suspect);
   if (decision.blocked) write.value = FormatValue(decision);
   store_->Call(store, platform::EncodeWrite(store, write), kSaveTimeout,
                [self = shared_from_this(),
@@ -226,16 +242,17 @@
                              const absl::StatusOr<StoreAnswer>& answer) {
   saving_ = false;
   const int status = answer.ok() ? answer->status : 0;
-  state_.log.Write(LogKind::kStateChange, state_.Now(),
-                   "event=blocked_part_saved part={} blocked={} status={}",
-                   FormatKey(decision.part), decision.blocked, status);
+  state_.log.Write(
+      LogKind::kStateChange, state_.Now(),
+      "event=blocked_suspect_saved suspect={} blocked={} status={}",
+      FormatSuspect(decision.suspect), decision.blocked, status);
   const bool refused = status >= kHttpBadRequest &&
                        status < kHttpFirstServerError &&
                        status != kHttpTooManyRequests;
   // A row that the store doesn't accept would be refused again.
   if (status != kHttpOk && !refused) return;
   next_save_ = TimePoint();
-  const auto it = unsaved_.find(decision.part);
+  const auto it = unsaved_.find(decision.suspect);
   if (it != unsaved_.end() && it->second == decision) unsaved_.erase(it);
 }
 
--- a/src/gateway/quarantine_sync.h
+++ b/src/gateway/quarantine_sync.h
@@ -2,8 +2,8 @@
 #define YUCCAPICK_GATEWAY_QUARANTINE_SYNC_H_
 
 /// @file
-/// Exchanges what gateways know of prompt parts that crash upstreams, and keeps
-/// the decisions in the store.
+/// Exchanges what gateways know of requests and prompt parts that crash
+/// upstreams, and keeps the decisions in the store.
 
 #include <asio.hpp>
 #include <map>
@@ -65,7 +65,7 @@
   void ApplyRow(const MirrorRow& row);
   void Apply(const SuspectDecision& decision, std::string_view source);
   void Log(const SuspectDecision& decision, std::string_view source);
-  /// Makes the decisions of the parts that this gateway coordinates unsaved,
+  /// Makes the decisions of the suspects that this gateway coordinates unsaved,
   /// unless their rows are in the table.
   void SaveMissing();
   /// Writes one unsaved decision, unless a write is under way.
@@ -81,7 +81,7 @@
   DelayedCall send_;
   std::vector<AddressedSuspectReport> repeated_reports_;
   std::vector<RepeatedDecisions> repeated_decisions_;
-  std::map<PartId, SuspectDecision> unsaved_;
+  std::map<SuspectId, SuspectDecision> unsaved_;
   bool saving_ = false;
   TimePoint next_save_;
 };
--- a/src/request_explanation.cc
+++ b/src/request_explanation.cc
@@ -67,11 +67,9 @@
           line.Field("route"), line.Field("begins_ms"), line.Field("target_ms"),
           line.Field("share"));
     }
-    if (line.Field("event") == "part_refused") {
-      return fmt::format(
-          "upstreams crash on part {} of its prompt, which is blocked for {} "
-          "ms",
-          line.Field("part"), line.Field("retry_after_ms"));
+    if (line.Field("event") == "suspect_refused") {
+      return fmt::format("upstreams crash on {}, which is blocked for {} ms",
+                         line.Field("suspect"), line.Field("retry_after_ms"));
     }
     if (line.Field("event") == "held_back") {
       return fmt::format(
--- a/test/crash_quarantine_test.cc
+++ b/test/crash_quarantine_test.cc
@@ -1,147 +1,32 @@
 #include "yuccapick/crash_quarantine.h"
 
-#include <fmt/format.h>
 #include <rapidcheck.h>
 #include <rapidcheck/catch.h>
 
-#include <algorithm>
 #include <catch2/catch.hpp>
-#include <random>
-#include <set>
+
+#include "test/quarantine_group.h"
 
 namespace yuccapick {
 namespace {
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds kTick{100};
 /// Time within which all gateways must act on the fifth crash.
 constexpr milliseconds kLimit{3'000};
 
 StoreTime At(std::int64_t ms) { return StoreTime(milliseconds(ms)); }
 
-InstanceId GatewayName(std::size_t n) {
-  return InstanceId(fmt::format("gateway-{}", n));
-}
-
 UpstreamRunId Run(std::uint64_t n) { return UpstreamRunId(n); }
 
-const PartId kBad = PartIdOf("bad0");
-const PartId kShared = PartIdOf("a0");
-const PartId kRare = PartIdOf("c0");
-
-/// Gateways that exchange datagrams, of which a share is lost.
-class GatewayGroup {
- public:
-  GatewayGroup(std::size_t n, double loss, std::uint64_t seed)
-      : loss_(loss), random_(seed) {
-    for (std::size_t i = 0; i < n; ++i) AddGateway(GatewayName(i));
-    SetPeers();
-  }
-
-  CrashQuarantine& operator[](std::size_t n) { return gateways_[n]; }
-  std::size_t size() const { return gateways_.size(); }
-  StoreTime now() const { return now_; }
-  const std::vector<SuspectDecision>& saved() const { return saved_; }
-  std::size_t datagrams() const { return datagrams_; }
-
-  /// A crash breaks requests with `parts` at the first `reporters` gateways,
-  /// counted from `from`.
-  void Crash(UpstreamRunId upstream, const std::vector<PartId>& parts,
-             std::size_t from, std::size_t reporters) {
-    for (std::size_t i = 0; i < reporters; ++i) {
-      gateways_[(from + i) % size()].OnCrash(parts, upstream, now_);
-    }
-    Exchange();
-  }
-
-  void Survive(std::size_t gateway, const std::vector<PartId>& parts) {
-    gateways_[gateway].OnSurvived(parts, now_, now_);
-    Exchange();
-  }
-
-  void Pass(milliseconds time) {
-    for (milliseconds passed{0}; passed < time; passed += kTick) {
-      now_ += kTick;
-      for (CrashQuarantine& gateway : gateways_) gateway.OnTick(now_);
-      Exchange();
-    }
-  }
-
-  /// Replaces a gateway by one that knows only what was saved.
-  void Restart(std::size_t n) {
-    gateways_[n] = CrashQuarantine(GatewayName(n));
-    for (const SuspectDecision& it : saved_) gateways_[n].OnDecision(it);
-    SetPeers();
-  }
-
-  std::size_t RefusingCount(PartId part) {
-    std::size_t n = 0;
-    for (CrashQuarantine& gateway : gateways_) {
-      if (gateway.Admit({part}, now_)) ++n;
-    }
-    return n;
-  }
-
- private:
-  void AddGateway(const InstanceId& name) { gateways_.emplace_back(name); }
-
-  void SetPeers() {
-    for (std::size_t i = 0; i < size(); ++i) {
-      std::vector<InstanceId> peers;
-      for (std::size_t k = 0; k < size(); ++k) {
-        if (k != i) peers.push_back(GatewayName(k));
-      }
-      gateways_[i].SetPeers(peers);
-    }
-  }
-
-  bool Lost() { return std::bernoulli_distribution(loss_)(random_); }
-
-  std::size_t IndexOf(const InstanceId& name) const {
-    return std::stoul(name.value.substr(name.value.find('-') + 1));
-  }
-
-  /// Delivers reports twice and decisions three times, unless lost.
-  void Exchange() {
-    for (std::size_t i = 0; i < size(); ++i) {
-      for (const AddressedSuspectReport& it : gateways_[i].TakeReports()) {
-        for (int copy = 0; copy < 2; ++copy) {
-          ++datagrams_;
-          if (!Lost()) gateways_[IndexOf(it.to)].OnReport(it.report, now_);
-        }
-      }
-    }
-    for (std::size_t i = 0; i < size(); ++i) {
-      for (const SuspectDecision& decision : gateways_[i].TakeDecisions()) {
-        saved_.push_back(decision);
-        Publish(i, decision);
-      }
-    }
-  }
-
-  void Publish(std::size_t from, const SuspectDecision& decision) {
-    for (std::size_t i = 0; i < size(); ++i) {
-      if (i == from) continue;
-      for (int copy = 0; copy < 3; ++copy) {
-        ++datagrams_;
-        if (!Lost()) gateways_[i].OnDecision(decision);
-      }
-    }
-  }
-
-  double loss_;
-  std::mt19937_64 random_;
-  std::vector<CrashQuarantine> gateways_;
-  StoreTime now_ = At(1'000'000);
-  std::vector<SuspectDecision> saved_;
-  std::size_t datagrams_ = 0;
-};
+const SuspectId kBad = SuspectOf(PartIdOf("bad0"));
+const SuspectId kShared = SuspectOf(PartIdOf("a0"));
+const SuspectId kRare = SuspectOf(PartIdOf("c0"));
 
 }  // namespace
 
 TEST_CASE("A part under which upstreams crash is blocked at 660 gateways") {
-  GatewayGroup group(660, 0.0, 1);
+  QuarantineGroup group(660, 0.0, 1);
   for (std::uint64_t n = 1; n <= 5; ++n) {
     // 32 requests run at each engine; one of them has the part.
     group.Crash(Run(n), {kShared, kBad}, n * 100, 1);
@@ -162,7 +47,7 @@
   rc::prop("blocked everywhere, or by the saved decision", [] {
     const auto n = *rc::gen::inRange<std::size_t>(2, 30);
     const auto seed = *rc::gen::arbitrary<std::uint64_t>();
-    GatewayGroup group(n, 0.05, seed);
+    QuarantineGroup group(n, 0.05, seed);
     for (std::uint64_t crash = 1; crash <= 5; ++crash) {
       group.Crash(Run(crash), {kShared, kBad}, (seed + crash * 7) % n, 1);
       group.Pass(milliseconds(100));
@@ -184,11 +69,11 @@
     const auto seed = *rc::gen::arbitrary<std::uint64_t>();
     const auto gaps =
         *rc::gen::container<std::vector<int>>(20, rc::gen::inRange(0, 10));
-    GatewayGroup group(n, 0.0, seed);
+    QuarantineGroup group(n, 0.0, seed);
     std::uint64_t run = 0;
     for (const int gap : gaps) {
       group.Crash(Run(++run), {kShared, kBad}, (seed + run) % n, n);
-      group.Pass(kTick * (1 + gap));
+      group.Pass(kQuarantineTick * (1 + gap));
       // Retried at another upstream, which answers.
       for (std::size_t i = 0; i < n; ++i) group.Survive(i, {kShared});
     }
@@ -199,7 +84,7 @@
 }
 
 TEST_CASE("A rare part in two crashes is not blocked") {
-  GatewayGroup group(8, 0.0, 3);
+  QuarantineGroup group(8, 0.0, 3);
   group.Crash(Run(1), {kRare}, 0, 1);
   group.Crash(Run(2), {kRare}, 0, 1);
   // The same crash again, as another gateway saw it.
@@ -209,7 +94,7 @@
 }
 
 TEST_CASE("An answer shortly after the last crash keeps a part usable") {
-  GatewayGroup group(8, 0.0, 4);
+  QuarantineGroup group(8, 0.0, 4);
   for (std::uint64_t n = 1; n <= 3; ++n) group.Crash(Run(n), {kRare}, n, 1);
   group.Pass(milliseconds(800));
   group.Survive(2, {kRare});
@@ -218,7 +103,7 @@
 }
 
 TEST_CASE("An answer that began after a wrong decision lifts the block") {
-  GatewayGroup group(8, 0.0, 5);
+  QuarantineGroup group(8, 0.0, 5);
   for (std::uint64_t n = 1; n <= 3; ++n) group.Crash(Run(n), {kRare}, n, 1);
   group.Pass(kLimit);
   REQUIRE(group.RefusingCount(kRare) == 8);
@@ -228,7 +113,7 @@
 }
 
 TEST_CASE("A restarted gateway knows blocked parts from the store") {
-  GatewayGroup group(8, 0.0, 6);
+  QuarantineGroup group(8, 0.0, 6);
   for (std::uint64_t n = 1; n <= 3; ++n) group.Crash(Run(n), {kBad}, n, 1);
   group.Pass(kLimit);
   for (std::size_t i = 0; i < 8; ++i) group.Restart(i);
@@ -236,10 +121,10 @@
 }
 
 TEST_CASE("After a block one gateway tries one request with the part") {
-  GatewayGroup group(8, 0.0, 7);
+  QuarantineGroup group(8, 0.0, 7);
   for (std::uint64_t n = 1; n <= 3; ++n) group.Crash(Run(n), {kBad}, n, 1);
   group.Pass(kLimit);
-  group.Pass(CrashQuarantine::Options().first_block);
+  group.Pass(CrashQuarantine::Options().part.first_block);
   REQUIRE(group.RefusingCount(kBad) == 7);
   CHECK(group.RefusingCount(kBad) == 8);
 
@@ -248,7 +133,7 @@
     const SuspectDecision& again = group.saved().back();
     CHECK(again.blocked);
     CHECK(again.until - again.decided_at ==
-          CrashQuarantine::Options().first_block * 2);
+          CrashQuarantine::Options().part.first_block * 2);
     CHECK(group.RefusingCount(kBad) == 8);
   }
   SECTION("an answer clears it") {
@@ -258,7 +143,7 @@
 }
 
 TEST_CASE("A late copy of a block does not undo its end") {
-  CrashQuarantine quarantine(GatewayName(0));
+  CrashQuarantine quarantine(QuarantineGatewayName(0));
   const SuspectDecision block{kBad, true, At(10), At(9'000), 1};
   REQUIRE(quarantine.OnDecision(block));
   REQUIRE(quarantine.OnDecision({kBad, false, At(20), At(20), 0}));
@@ -268,25 +153,25 @@
 
 TEST_CASE("Evidence and blocks are bounded and end") {
   CrashQuarantine::Options options;
-  options.max_parts = 50;
-  CrashQuarantine quarantine(GatewayName(0), options);
+  options.max_suspects = 50;
+  CrashQuarantine quarantine(QuarantineGatewayName(0), options);
   for (std::uint64_t part = 1; part <= 500; ++part) {
-    quarantine.OnCrash({PartId(part)}, Run(part),
+    quarantine.OnCrash({SuspectOf(PartId(part))}, Run(part),
                        At(static_cast<std::int64_t>(part)));
-    quarantine.OnDecision({PartId(1'000 + part), true, At(1),
+    quarantine.OnDecision({SuspectOf(PartId(1'000 + part)), true, At(1),
                            At(static_cast<std::int64_t>(1'000 + part)), 1});
   }
   CHECK(quarantine.suspect_count() == 50);
-  CHECK(quarantine.blocked_count() == 50);
+  CHECK(quarantine.blocked_count(SuspectKind::kPart) == 50);
   quarantine.OnTick(At(0) + options.evidence_lifetime + milliseconds(1'000));
   CHECK(quarantine.suspect_count() == 0);
   quarantine.OnTick(At(10'000) + options.longest_block);
-  CHECK(quarantine.blocked_count() == 0);
+  CHECK(quarantine.blocked_count(SuspectKind::kPart) == 0);
 }
 
 TEST_CASE("The last part of a prompt is never judged") {
   CHECK(SharedPartIds({{"a0", 1}, {"bad0", 2}, {"own", 3}}) ==
-        std::vector<PartId>{kShared, kBad});
+        std::vector<PartId>{PartIdOf("a0"), PartIdOf("bad0")});
   CHECK(SharedPartIds({{"own", 3}}).empty());
   CHECK(SharedPartIds({}).empty());
 }
--- a/test/gateway/crashing_request_test.cc
+++ b/test/gateway/crashing_request_test.cc
@@ -167,9 +167,8 @@
   while (!held_everywhere()) {
     callers.push_back(std::make_unique<FakeCaller>(
         deployment.fixture.loop, deployment.fixture.settings.caller_endpoint));
-    callers.back()->Send(
-        CallerRequest("GET", "/look/hot", "", "",
-                      fmt::format("hot-{}", callers.size())));
+    callers.back()->Send(CallerRequest("GET", "/look/hot", "", "",
+                                       fmt::format("hot-{}", callers.size())));
     deployment.fixture.Run(milliseconds(5));
   }
   for (const auto& app : deployment.apps) app->Crash();
--- a/test/peer_report_test.cc
+++ b/test/peer_report_test.cc
@@ -200,18 +200,27 @@
   CHECK(copy->store_time == now);
 }
 
-TEST_CASE("Decoding returns the encoded observations and decisions of parts") {
+TEST_CASE(
+    "Decoding returns the encoded observations and decisions of suspects") {
+  const SuspectId part = SuspectOf(PartId(1));
+  const SuspectId request{SuspectKind::kRequest, 4};
   const SuspectReport report{
-      {{PartId(1), UpstreamRunId(2), StoreTime(milliseconds(3))}},
-      {{PartId(4), StoreTime(milliseconds(5))}}};
+      {{part, UpstreamRunId(2), StoreTime(milliseconds(3))}},
+      {{request, StoreTime(milliseconds(5))}},
+      {part},
+      {{request, TrialOutcome::kAnswered}},
+      InstanceId("one")};
   const auto decoded = DecodeSuspectReport(EncodeSuspectReport(report));
   REQUIRE(decoded.has_value());
   CHECK(decoded->crashes == report.crashes);
   CHECK(decoded->survivals == report.survivals);
+  CHECK(decoded->wanted_trials == report.wanted_trials);
+  CHECK(decoded->trial_results == report.trial_results);
+  CHECK(decoded->from == report.from);
 
-  const std::vector<SuspectDecision> decisions{{PartId(7), true,
-                                                StoreTime(milliseconds(8)),
-                                                StoreTime(milliseconds(9)), 2}};
+  const std::vector<SuspectDecision> decisions{
+      {request, true, StoreTime(milliseconds(8)), StoreTime(milliseconds(9)), 2,
+       InstanceId("two")}};
   CHECK(DecodeSuspectDecisions(EncodeSuspectDecisions(decisions)) == decisions);
 
   CHECK_FALSE(
--- a/test/request_explanation_test.cc
+++ b/test/request_explanation_test.cc
@@ -76,16 +76,17 @@
         "connection; i-1 had sent nothing for 3150 ms.");
 }
 
-TEST_CASE("A refused request's explanation names the part that is blocked") {
+TEST_CASE("A refused request's explanation names the suspect that is blocked") {
   const auto lines =
-      Parse({"time=3 event=part_refused id=4 part=00ff retry_after_ms=9000",
+      Parse({"time=3 event=suspect_refused id=4 suspect=part:00ff "
+             "retry_after_ms=9000",
              "time=3 event=attempt_ended id=4 attempt=0 upstream=- "
              "end=not_sent reason=\"upstreams crash\" step=refuse",
              "time=3 event=request_done id=4 outcome=refused status=503 "
              "total_ms=1 reason=\"upstreams crash\""});
   CHECK(ExplainRequest(lines, "4").summary ==
-        "Ended as refused with status 503 after 1 ms: upstreams crash on part "
-        "00ff of its prompt, which is blocked for 9000 ms.");
+        "Ended as refused with status 503 after 1 ms: upstreams crash on "
+        "part:00ff, which is blocked for 9000 ms.");
 }
 
 TEST_CASE("A refused request's explanation names limits and pauses") {
