Show that unanswered orders hold up a rollout

The simulation of engines kept only the latest late order of an engine; it keeps all of them now, as the engines do.

No logic is changed here.

--- a/test/rollout_planner_test.cc
+++ b/test/rollout_planner_test.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <deque>
 #include <map>
 
 namespace yuccapick {
@@ -96,7 +97,7 @@
     std::uint64_t accepted = 0;
     std::optional<WeightVersionNumber> loading;
     TimePoint loaded_at;
-    std::optional<LateOrder> late;
+    std::deque<LateOrder> late;  ///< In the order of their times.
     std::size_t loads = 0;
     bool silent = false;
   };
@@ -113,9 +114,9 @@
   }
 
   void Advance(const UpstreamId& id, Engine& engine) {
-    if (engine.late && now >= engine.late->when) {
-      AcceptOrder(engine, engine.late->order);
-      engine.late.reset();
+    while (!engine.late.empty() && now >= engine.late.front().when) {
+      AcceptOrder(engine, engine.late.front().order);
+      engine.late.pop_front();
     }
     if (!engine.loading || now < engine.loaded_at) return;
     engine.weights = *engine.loading;
@@ -140,7 +141,7 @@
           AcceptOrder(engine, order);
           break;
         case OrderDelivery::kLate:
-          engine.late = LateOrder{order, now + milliseconds(4'000)};
+          engine.late.push_back({order, now + milliseconds(4'000)});
           break;
         case OrderDelivery::kLost:
           break;
@@ -275,6 +276,14 @@
   CHECK(simulation.Outdated(2) == 3);
 }
 
+TEST_CASE("New weights are in time though all orders are carried out late") {
+  RolloutSimulation simulation(18);
+  simulation.SetTarget(2);
+  const int steps = static_cast<int>(milliseconds(12'000) / kStep);
+  for (int i = 0; i < steps; ++i) simulation.Step(OrderDelivery::kLate);
+  CHECK(simulation.Outdated(2) == 0);
+}
+
 TEST_CASE("New weights are in time though all engines pause for a second") {
   const milliseconds limit(12'000);
   const milliseconds silence(1'000);
