Let unanswered orders hold up no other engine

Cause: an order without an answer kept its slot until it was given up for lost, and the planner then sent it to the same engine again. A third of the engines took all slots for 14 s, the others waited. The class of fault: a slot that is held by an unknown outcome.

Now such an order holds its slot until a status report shows that the engine has not begun, 0.2 s at least. The engine takes requests again; its turn comes after all that have no such order, the oldest order first, and no sooner than 0.9 s after it. The engine's count of orders keeps a second one from being carried out.

Before: "New weights are in time though all orders are carried out late" failed (10 of 18 engines after 12 s).

--- a/include/yuccapick/rollout_planner.h
+++ b/include/yuccapick/rollout_planner.h
@@ -93,6 +93,9 @@
   std::chrono::milliseconds query_interval{100};
   /// Delay before a rejected order is retried.
   std::chrono::milliseconds retry_delay{400};
+  /// An order without a response makes room for those of other upstreams after
+  /// this time, unless the upstream has begun to load.
+  std::chrono::milliseconds unanswered_order_hold{200};
   /// An order that the upstream has not started after this time is sent again.
   std::chrono::milliseconds lost_order_timeout{900};
   /// An upstream that leaves this many consecutive queries unanswered is
@@ -150,6 +153,7 @@
     TimePoint started_at;
     TimePoint stage_since;  ///< Start of the stage.
     TimePoint next_query_at;
+    bool unanswered_order = false;         ///< It may still be carried out.
     bool awaiting_answer = false;          ///< To an order or a query.
     std::uint32_t unanswered_queries = 0;  ///< Consecutive.
   };
@@ -161,6 +165,8 @@
     WeightVersionNumber weights;
     WeightVersionNumber held;  ///< Current weights of the upstream.
     WorkAmount work;
+    /// When its last order was sent, if that got no response.
+    std::optional<TimePoint> ordered_at;
   };
 
   static std::optional<Outdated> FindOutdatedModel(
@@ -200,6 +206,8 @@
   std::uint64_t tasks_started_ = 0;
   std::set<UpstreamId> excluded_;
   std::map<UpstreamId, TimePoint> skipped_until_;
+  /// When orders without a response were sent that may still be carried out.
+  std::map<UpstreamId, TimePoint> unanswered_orders_;
   std::size_t engines_ = 0;      ///< Except leaving ones.
   std::size_t max_loading_ = 1;  ///< Limit on concurrent loads.
   /// Shortest time from an accepted order to loaded weights; 0 if unknown.
--- a/src/rollout_planner.cc
+++ b/src/rollout_planner.cc
@@ -11,7 +11,7 @@
   for (const auto& [model, weights] : upstream.weights) {
     const auto it = targets.find(model);
     if (it != targets.end() && weights < it->second) {
-      return Outdated{&upstream, model, it->second, weights, {}};
+      return Outdated{&upstream, model, it->second, weights, {}, {}};
     }
   }
   return std::nullopt;
@@ -50,13 +50,21 @@
     if (skipped != skipped_until_.end() && now < skipped->second) continue;
     auto found = FindOutdatedModel(*upstream, targets);
     if (!found) continue;
+    const auto unanswered = unanswered_orders_.find(upstream->id);
+    if (unanswered != unanswered_orders_.end()) {
+      found->ordered_at = unanswered->second;
+      if (now - unanswered->second < options_.lost_order_timeout) continue;
+    }
     found->work = load.Total(upstream->id, now);
     outdated.push_back(*found);
   }
-  // Oldest weights first; among equals, the upstream with the least KV cache in
-  // use first.
+  // Upstreams whose orders may still be carried out last, then oldest weights
+  // first; among equals, the upstream with the least KV cache in use first.
   std::stable_sort(outdated.begin(), outdated.end(),
                    [](const Outdated& a, const Outdated& b) {
+                     if (a.ordered_at != b.ordered_at) {
+                       return a.ordered_at < b.ordered_at;
+                     }
                      if (a.held != b.held) return a.held < b.held;
                      return a.work.kv_tokens < b.work.kv_tokens;
                    });
@@ -199,6 +207,10 @@
     const std::map<ModelId, WeightVersionNumber>& targets,
     const UpstreamRoster& roster, const UpstreamLoad& load, TimePoint now) {
   RemoveFinishedTasks(targets, roster);
+  std::erase_if(unanswered_orders_, [&](const auto& entry) {
+    const UpstreamEntry* upstream = roster.FindUsable(entry.first);
+    return upstream == nullptr || !FindOutdatedModel(*upstream, targets);
+  });
   const bool idle = UpdateLoadLimit(roster, load, now);
   const std::vector<Outdated> outdated =
       FindOutdated(targets, roster, load, now);
@@ -233,8 +245,11 @@
           now + std::max(options_.first_query_delay,
                          min_load_time_ - options_.query_lead_time);
       return;
-    case RolloutOrderResult::kAlreadyLoaded:
     case RolloutOrderResult::kNone:
+      task.unanswered_order = true;
+      EnterStage(task, Stage::kLoading, now);
+      return;
+    case RolloutOrderResult::kAlreadyLoaded:
       EnterStage(task, Stage::kLoading, now);
       return;
     case RolloutOrderResult::kConflict:
@@ -272,7 +287,14 @@
   }
   if (task.stage != Stage::kLoading || report->busy) return;
   const bool carried_out = report->orders_accepted != task.orders_accepted;
-  if (carried_out || now - task.stage_since >= options_.lost_order_timeout) {
+  const auto age = now - task.stage_since;
+  if (task.unanswered_order && !carried_out &&
+      age >= options_.unanswered_order_hold) {
+    unanswered_orders_[upstream] = task.stage_since;
+    tasks_.erase(it);
+    return;
+  }
+  if (carried_out || age >= options_.lost_order_timeout) {
     EnterStage(task, Stage::kPaused, now);
   }
 }
@@ -280,6 +302,7 @@
 void RolloutPlanner::Reset() {
   tasks_.clear();
   skipped_until_.clear();
+  unanswered_orders_.clear();
 }
 
 std::set<UpstreamId> RolloutPlanner::Loading() const {
