Block sound parts of prompts for seconds, not minutes

Cause: the policy of parts had no way to tell such a part from a guilty one sooner. The class of fault is the trap of the reading for requests: a victim taken for the cause, with nothing that ends the mistake.

Parts are blocked for 6 s at first, then for 48 s and so on, each time until one request in the whole group of gateways was tried, as requests are (2 s).

Before: "A part under way when engines lose power is served again" failed (not served after 60 s). A guilty part is tried some 7 and 55 s after its third crash, within the few requests that the rule leaves after the fifth.

--- a/include/yuccapick/crash_quarantine.h
+++ b/include/yuccapick/crash_quarantine.h
@@ -103,14 +103,14 @@
 
 /// When a suspect is blocked, and for how long.
 struct BlockPolicy {
-  /// Crashed upstreams, without an answer since the first, that block it.
-  std::size_t crashes_to_block;
-  /// Time after the last of these crashes in which an answer may show that the
-  /// suspect is sound.
+  /// Time after the last crash that blocks the suspect, in which an answer may
+  /// show that it is sound.
   std::chrono::milliseconds settle_time;
   std::chrono::milliseconds first_block;
+  /// Crashed upstreams, without an answer since the first, that block it.
+  std::size_t crashes_to_block = 3;
   /// Each block is longer than the one before by this factor.
-  int growth;
+  int growth = 8;
 };
 
 /// One gateway's share of the search for what upstreams crash on.
@@ -123,15 +123,15 @@
 /// block ends, the first coordinator lets one gateway try one request; an
 /// answer clears the suspect, a crash blocks it for longer.
 ///
-/// A request is blocked for a short time at first: sound ones that are always
-/// under way look guilty, too, if all upstreams of a service crash together.
+/// A suspect is blocked for a short time at first: sound ones that are always
+/// under way look guilty, too, if several upstreams crash together.
 class CrashQuarantine {
  public:
   struct Options {
-    BlockPolicy part{3, std::chrono::milliseconds(1'000),
-                     std::chrono::milliseconds(600'000), 2};
-    BlockPolicy request{3, std::chrono::milliseconds(300),
-                        std::chrono::milliseconds(2'000), 8};
+    BlockPolicy part{std::chrono::milliseconds(1'000),
+                     std::chrono::milliseconds(6'000)};
+    BlockPolicy request{std::chrono::milliseconds(300),
+                        std::chrono::milliseconds(2'000)};
     /// The second coordinator decides so much later, unless the first one has.
     std::chrono::milliseconds second_delay{300};
     std::chrono::milliseconds evidence_lifetime{600'000};
--- a/test/crashing_request_test.cc
+++ b/test/crashing_request_test.cc
@@ -21,6 +21,8 @@
 constexpr std::size_t kTolerated = 3;
 /// Sound requests are refused no longer than this while upstreams are up.
 constexpr milliseconds kMaxRefusal{3'000};
+/// The same for requests with a part; more callers crash on one.
+constexpr milliseconds kMaxPartRefusal{5'000};
 /// A crashed upstream is back after this time.
 constexpr milliseconds kDownTime{3'200};
 
@@ -211,6 +213,27 @@
   });
 }
 
+TEST_CASE("A part under way when engines lose power is served again") {
+  rc::prop("three engines crash at the same moment", [] {
+    const auto n = *rc::gen::inRange<std::size_t>(1, 24);
+    const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+    const SuspectId part = SuspectOf(PartIdOf("c0"));
+    QuarantineGroup group(n, 0.02, seed);
+    Service service(group, seed);
+    service.CrashAll({part});
+    milliseconds refused{0};
+    group.Pass(milliseconds(2'000));
+    bool served = false;
+    for (int tick = 0; tick < 600 && !served; ++tick) {
+      group.Pass(kQuarantineTick);
+      if (service.IsUp()) refused += kQuarantineTick;
+      served = service.SendSound(part);
+    }
+    RC_ASSERT(served);
+    RC_ASSERT(refused <= kMaxPartRefusal);
+  });
+}
+
 TEST_CASE("A trial that isn't begun goes to another gateway") {
   QuarantineGroup group(8, 0.0, 3);
   for (std::uint64_t n = 1; n <= 3; ++n) {
