Keep status queries and orders from upstreams that ask for a pause

An upstream whose 503 asks for a pause wants nothing from that gateway for so long.

A rollout starts at no such upstream, and one that is under way there is left as if its queries had no answer.

--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -48,6 +48,12 @@
   return store_times.clock.Now(BootTimeNow());
 }
 
+std::chrono::milliseconds GatewayState::WaitForPause(
+    const UpstreamEntry& upstream) const {
+  if (pauses.size() == 0) return std::chrono::milliseconds(0);
+  return pauses.WaitFor(upstream.id, upstream.incarnation, Now());
+}
+
 std::chrono::milliseconds GatewayState::RandomDelay(
     std::chrono::milliseconds spread) {
   return std::chrono::milliseconds(
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -61,6 +61,8 @@
   /// report.
   /// @param run incarnation to which the request was sent
   void RecordLeaving(UpstreamRun run);
+  /// @return the rest of the pause that the upstream has asked for
+  std::chrono::milliseconds WaitForPause(const UpstreamEntry& upstream) const;
   /// Number of live gateways, including this one.
   std::size_t LiveGateways() const { return live_peers.size() + 1; }
   /// @return a random time below `spread`
--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -72,8 +72,6 @@
   bool IsOverdue(const UpstreamEntry& upstream) const;
   /// Time until the upstream's limit lets this gateway send it a request.
   std::chrono::milliseconds WaitForLimit(const UpstreamEntry& upstream) const;
-  /// Time until the pause ends that the upstream has asked for.
-  std::chrono::milliseconds WaitForPause(const UpstreamEntry& upstream) const;
   std::chrono::milliseconds WaitFor(const UpstreamEntry& upstream) const;
   /// Time until an upstream that is held back may get a request; nullopt if
   /// none is.
--- a/src/gateway/proxied_request_fleet.cc
+++ b/src/gateway/proxied_request_fleet.cc
@@ -118,13 +118,8 @@
   return state_.limits.WaitFor(upstream.id, upstream.incarnation, *now);
 }
 
-milliseconds ProxiedRequest::WaitForPause(const UpstreamEntry& upstream) const {
-  if (state_.pauses.size() == 0) return milliseconds(0);
-  return state_.pauses.WaitFor(upstream.id, upstream.incarnation, state_.Now());
-}
-
 milliseconds ProxiedRequest::WaitFor(const UpstreamEntry& upstream) const {
-  return std::max(WaitForLimit(upstream), WaitForPause(upstream));
+  return std::max(WaitForLimit(upstream), state_.WaitForPause(upstream));
 }
 
 std::optional<milliseconds> ProxiedRequest::TimeUntilRoom() const {
@@ -132,7 +127,7 @@
   double rate = 0;
   bool limited = false;
   for (const UpstreamEntry* upstream : state_.roster.Usable(service_)) {
-    const milliseconds pause = WaitForPause(*upstream);
+    const milliseconds pause = state_.WaitForPause(*upstream);
     if (pause > milliseconds(0)) {
       shortest_pause = std::min(pause, shortest_pause.value_or(pause));
     } else if (WaitForLimit(*upstream) > milliseconds(0)) {
--- a/src/gateway/rollout_controller.cc
+++ b/src/gateway/rollout_controller.cc
@@ -136,7 +136,7 @@
 
 void RolloutController::RunPlanner() {
   if (!MayOrder()) return;
-  planner_.SetExcludedUpstreams(orders_.BlockedByPredecessor(BootTimeNow()));
+  planner_.SetExcludedUpstreams(ExcludedUpstreams());
   for (const RolloutAction& action :
        planner_.OnTick(state_.target_weights.NewestOfAllModels(), state_.roster,
                        state_.load, state_.Now())) {
@@ -147,6 +147,19 @@
   RunLease();
 }
 
+bool RolloutController::IsPaused(const UpstreamEntry& upstream) const {
+  return state_.WaitForPause(upstream) > milliseconds(0);
+}
+
+std::set<UpstreamId> RolloutController::ExcludedUpstreams() const {
+  std::set<UpstreamId> excluded = orders_.BlockedByPredecessor(BootTimeNow());
+  if (state_.pauses.size() == 0) return excluded;
+  for (const UpstreamEntry* upstream : state_.roster.All()) {
+    if (IsPaused(*upstream)) excluded.insert(upstream->id);
+  }
+  return excluded;
+}
+
 void RolloutController::UpdateHeldFence() {
   const TimePoint now = BootTimeNow();
   const FencingToken fence = lease_.fence(now);
@@ -257,7 +270,7 @@
 void RolloutController::Execute(const RolloutOrder& order) {
   const UpstreamEntry* upstream = state_.roster.FindUsable(order.upstream);
   const TimePoint now = BootTimeNow();
-  if (upstream == nullptr || !MayOrder() ||
+  if (upstream == nullptr || IsPaused(*upstream) || !MayOrder() ||
       !orders_.MayOrder(order.upstream, now)) {
     return planner_.OnRolloutOrderResult(
         order.upstream, RolloutOrderResult::kRefused, state_.Now());
@@ -293,7 +306,7 @@
 
 void RolloutController::Execute(const RolloutStatusQuery& query) {
   const UpstreamEntry* upstream = state_.roster.FindUsable(query.upstream);
-  if (upstream == nullptr) {
+  if (upstream == nullptr || IsPaused(*upstream)) {
     return planner_.OnReport(query.upstream, std::nullopt, state_.Now());
   }
   calls_.Call(upstream->endpoint, platform::EncodeReportRequest(*upstream),
--- a/src/gateway/rollout_controller.h
+++ b/src/gateway/rollout_controller.h
@@ -62,6 +62,9 @@
   /// @return false if the times of its last orders are unknown
   bool TakeOverOrders(TimePoint now);
   bool MayOrder() const;
+  bool IsPaused(const UpstreamEntry& upstream) const;
+  /// Upstreams on which no rollout may start now.
+  std::set<UpstreamId> ExcludedUpstreams() const;
   void Execute(const RolloutOrder& order);
   void Execute(const RolloutStatusQuery& query);
   void OnRolloutOrderResult(const RolloutOrder& order,
--- a/test/gateway/fake_upstream.cc
+++ b/test/gateway/fake_upstream.cc
@@ -18,6 +18,9 @@
 
 void FakeUpstream::OnInput(Connection& connection) {
   while (auto request = TakeRequest(connection.input)) {
+    if (request->path() == "/report" || request->path() == "/order") {
+      ++rollout_calls_;
+    }
     if (request->path().starts_with("/kv-") || request->path() == "/report") {
       connection.Write("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
       continue;
--- a/test/gateway/fake_upstream.h
+++ b/test/gateway/fake_upstream.h
@@ -33,6 +33,8 @@
   const std::string& id() const { return id_; }
   /// Callers' requests, without status reports and cache event polls.
   const std::vector<ReceivedRequest>& received() const { return received_; }
+  /// Status reports and orders that were asked for.
+  std::size_t rollout_calls() const { return rollout_calls_; }
   ScriptedServer& server() { return server_; }
 
  private:
@@ -41,6 +43,7 @@
   std::string id_;
   Script script_;
   std::vector<ReceivedRequest> received_;
+  std::size_t rollout_calls_ = 0;
   ScriptedServer server_;
 };
 
--- a/test/gateway/paused_upstream_test.cc
+++ b/test/gateway/paused_upstream_test.cc
@@ -14,7 +14,10 @@
 
 constexpr char kRoutes[] = R"([
  {"name":"look","host":"crew.example","prefix":"/look/","kind":"idempotent",
-  "timeoutMs":3000,"targetLatencyMs":300,"service":"app","maxAttempts":2}])";
+  "timeoutMs":3000,"targetLatencyMs":300,"service":"app","maxAttempts":2},
+ {"name":"tell","host":"crew.example","prefix":"/tell/","kind":"streaming",
+  "timeoutMs":3000,"targetLatencyMs":300,"gapTargetMs":300,
+  "service":"engines","maxAttempts":3,"resumable":true}])";
 
 /// Requests that may reach an upstream within its pause.
 constexpr std::size_t kTolerated = 2;
@@ -63,6 +66,30 @@
   }));
 }
 
+TEST_CASE(
+    "An engine that asks for a pause gets no reports or orders meanwhile") {
+  GatewayFixture fixture;
+  FakeUpstream engine(
+      fixture.loop, "engine", [&](Connection& c, const ReceivedRequest& r) {
+        engine.Answer(c, r, 503, "",
+                      "X-Not-Executed: full\r\nRetry-After: 3\r\n");
+      });
+  fixture.settings.bounds.lease_handover_gap = milliseconds(100);
+  fixture.PutConfig(1, kRoutes);
+  fixture.RegisterEngine(engine, 1);
+  fixture.PutTargetWeights(2);
+  fixture.Start();
+  REQUIRE(fixture.RunUntilTrue([&] { return engine.rollout_calls() > 0; }));
+  fixture.Ask(CallerRequest("POST", "/tell/",
+                            "X-Model: m\r\nX-Token-Count: 10,10\r\n"));
+  REQUIRE(engine.received().size() == 1);
+  fixture.Run(milliseconds(500));
+  const std::size_t before = engine.rollout_calls();
+  fixture.Run(milliseconds(2'200));
+  CHECK(engine.rollout_calls() == before);
+  CHECK(fixture.RunUntilTrue([&] { return engine.rollout_calls() > before; }));
+}
+
 TEST_CASE("A pause that can't be read is none") {
   for (const char* text : {"soon", "-3", "nan", ""}) {
     BusyUpstream upstream(text);
