--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -93,8 +93,8 @@
 
 void PeerExchange::Send(const std::vector<SuspectDecision>& decisions,
                         const std::vector<std::string>& targets) {
-  if (!targets.empty())
-    SendDatagram(EncodeSuspectDecisions(decisions), targets);
+  if (targets.empty()) return;
+  SendDatagram(EncodeSuspectDecisions(decisions), targets);
 }
 
 void PeerExchange::Send(const std::vector<NamedLimit>& limits,
--- a/src/gateway/quarantine_sync.cc
+++ b/src/gateway/quarantine_sync.cc
@@ -172,8 +172,7 @@
 void QuarantineSync::SaveMissing() {
   std::map<SuspectId, SuspectDecision> saved;
   for (const MirrorRow& row : watch_->mirror().Snapshot().rows) {
-    if (const auto decision = ParseRow(row))
-      saved[decision->suspect] = *decision;
+    if (const auto it = ParseRow(row)) saved[it->suspect] = *it;
   }
   for (const SuspectDecision& known : state_.quarantine.Decisions()) {
     if (!state_.quarantine.IsCoordinator(known.suspect)) continue;
