--- a/src/crash_quarantine.cc
+++ b/src/crash_quarantine.cc
@@ -6,15 +6,18 @@
 #include <tuple>
 #include <utility>
 
+#include "crash_quarantine_impl.h"
+
 namespace yuccapick {
+
+using detail::AppendNew;
+using detail::kCoordinatorsPerSuspect;
+using detail::NextDecisionTime;
+
 namespace {
 
-constexpr std::size_t kCoordinatorsPerSuspect = 2;
 /// Crashes that are kept for each suspect.
 constexpr std::size_t kMaxCrashes = 8;
-/// Limits the observations of each sort in one report, so that it fits a
-/// datagram.
-constexpr std::size_t kMaxReported = 200;
 /// A cleared suspect is remembered for this long, so that late copies of the
 /// block have no effect.
 constexpr std::chrono::milliseconds kClearedLifetime{60'000};
@@ -29,31 +32,6 @@
                              }));
 }
 
-/// One crash breaks several requests with the same suspect.
-bool IsSame(const SuspectCrash& a, const SuspectCrash& b) {
-  return a.suspect == b.suspect && a.upstream == b.upstream;
-}
-
-template <typename T>
-bool IsSame(const T& a, const T& b) {
-  return a == b;
-}
-
-/// Of decisions with the same time the first one would count.
-StoreTime NextDecisionTime(const SuspectDecision& last, StoreTime now) {
-  return std::max(now, last.decided_at + std::chrono::milliseconds(1));
-}
-
-/// Appends an observation unless the list is full or has the same one.
-template <typename T>
-void AppendNew(std::vector<T>& list, const T& observation) {
-  if (list.size() >= kMaxReported) return;
-  const bool known = std::any_of(list.begin(), list.end(), [&](const T& it) {
-    return IsSame(it, observation);
-  });
-  if (!known) list.push_back(observation);
-}
-
 }  // namespace
 
 UpstreamRunId UpstreamRunIdOf(const UpstreamId& id, Incarnation incarnation) {
@@ -274,167 +252,6 @@
   });
 }
 
-bool CrashQuarantine::HoldsTrial(const Block& block) const {
-  return block.decision.trial_by == gateways_.own() &&
-         block.trial == TrialState::kNotSent;
-}
-
-CrashQuarantine::Verdict CrashQuarantine::Judge(const SuspectId& suspect,
-                                                StoreTime now) const {
-  const auto it = blocks_.find(suspect);
-  if (it == blocks_.end() || !it->second.decision.blocked) {
-    return Verdict::kFree;
-  }
-  const SuspectDecision& decision = it->second.decision;
-  if (now < decision.until) {
-    return HoldsTrial(it->second) ? Verdict::kTrial : Verdict::kRefused;
-  }
-  const bool overdue = !decision.trial_by.value.empty();
-  return overdue || IsTrialRunning(now) ? Verdict::kRefused : Verdict::kOpen;
-}
-
-bool CrashQuarantine::IsTrialRunning(StoreTime now) const {
-  return std::any_of(blocks_.begin(), blocks_.end(), [&](const auto& entry) {
-    const SuspectDecision& it = entry.second.decision;
-    return !it.trial_by.value.empty() &&
-           now < it.decided_at + options_.trial_begin_timeout;
-  });
-}
-
-SuspectRefusal CrashQuarantine::RefusalOf(const SuspectId& suspect,
-                                          StoreTime now) const {
-  const SuspectDecision& decision = blocks_.at(suspect).decision;
-  const bool in_force = decision.trial_by.value.empty() && now < decision.until;
-  return {suspect,
-          in_force ? decision.until - now : options_.trial_retry_after};
-}
-
-std::optional<SuspectRefusal> CrashQuarantine::Admit(
-    const std::vector<SuspectId>& suspects, StoreTime now) {
-  if (blocks_.empty()) return std::nullopt;
-  for (const SuspectId& suspect : suspects) {
-    if (Judge(suspect, now) == Verdict::kRefused) {
-      return RefusalOf(suspect, now);
-    }
-  }
-  for (const SuspectId& suspect : suspects) {
-    if (Judge(suspect, now) != Verdict::kOpen) continue;
-    WantTrial(suspect, now);
-    if (Judge(suspect, now) == Verdict::kTrial) continue;
-    SuspectRefusal refusal = RefusalOf(suspect, now);
-    refusal.trial_wanted = true;
-    return refusal;
-  }
-  return std::nullopt;
-}
-
-void CrashQuarantine::WantTrial(const SuspectId& suspect, StoreTime now) {
-  for (const InstanceId& to : gateways_.Pick(suspect.hash, 1)) {
-    if (to == gateways_.own()) {
-      GrantTrial(suspect, to, now);
-    } else {
-      AppendNew(reports_[to].wanted_trials, suspect);
-    }
-  }
-}
-
-void CrashQuarantine::GrantTrial(const SuspectId& suspect, const InstanceId& to,
-                                 StoreTime now) {
-  if (!IsFirstCoordinator(suspect)) return;
-  if (Judge(suspect, now) != Verdict::kOpen) return;
-  const SuspectDecision last = blocks_.at(suspect).decision;
-  const StoreTime at = NextDecisionTime(last, now);
-  Decide({suspect, true, at, at + options_.trial_timeout, last.blocks, to});
-}
-
-void CrashQuarantine::OnTrialResult(const TrialResult& result,
-                                    const InstanceId& from, StoreTime now) {
-  const auto it = blocks_.find(result.suspect);
-  if (it == blocks_.end() || !IsCoordinator(result.suspect)) return;
-  const SuspectDecision last = it->second.decision;
-  if (!last.blocked || last.trial_by != from) return;
-  const StoreTime at = NextDecisionTime(last, now);
-  switch (result.outcome) {
-    case TrialOutcome::kUnused:
-      return Decide({last.suspect, true, at, at, last.blocks, InstanceId()});
-    case TrialOutcome::kFailed:
-      return BlockAgain(last, now);
-    case TrialOutcome::kAnswered:
-      return Decide({last.suspect, false, at, at, 0, InstanceId()});
-  }
-}
-
-void CrashQuarantine::ChangeTrials(const std::vector<SuspectId>& suspects,
-                                   TrialState from, TrialState to) {
-  for (const SuspectId& suspect : suspects) {
-    const auto it = blocks_.find(suspect);
-    if (it == blocks_.end() || it->second.trial != from) continue;
-    if (it->second.decision.trial_by == gateways_.own()) it->second.trial = to;
-  }
-}
-
-void CrashQuarantine::EndTrials(const std::vector<SuspectId>& suspects,
-                                TrialOutcome outcome) {
-  for (const SuspectId& suspect : suspects) {
-    const auto it = blocks_.find(suspect);
-    if (it == blocks_.end() || it->second.trial != TrialState::kSent) continue;
-    it->second.trial = TrialState::kEnded;
-    it->second.outcome = outcome;
-  }
-}
-
-void CrashQuarantine::ReportTrials(StoreTime now) {
-  std::vector<TrialResult> results;
-  for (auto& [suspect, block] : blocks_) {
-    const StoreTime limit =
-        block.decision.decided_at + options_.trial_begin_timeout;
-    if (HoldsTrial(block) && now >= limit) block.trial = TrialState::kEnded;
-    if (block.trial == TrialState::kEnded) {
-      results.push_back({suspect, block.outcome});
-    }
-  }
-  for (const TrialResult& it : results) Report(it, now);
-}
-
-void CrashQuarantine::Report(const TrialResult& result, StoreTime now) {
-  for (const InstanceId& to :
-       gateways_.Pick(result.suspect.hash, kCoordinatorsPerSuspect)) {
-    if (to == gateways_.own()) {
-      OnTrialResult(result, to, now);
-    } else {
-      AppendNew(reports_[to].trial_results, result);
-    }
-  }
-}
-
-void CrashQuarantine::EndOverdueTrials(StoreTime now) {
-  std::vector<SuspectDecision> overdue;
-  for (const auto& [suspect, block] : blocks_) {
-    const SuspectDecision& decision = block.decision;
-    if (decision.trial_by.value.empty() || now < decision.until) continue;
-    if (IsFirstCoordinator(suspect)) overdue.push_back(decision);
-  }
-  for (const SuspectDecision& it : overdue) BlockAgain(it, now);
-}
-
-bool CrashQuarantine::OnSent(const std::vector<SuspectId>& suspects) {
-  bool is_trial = false;
-  for (const SuspectId& suspect : suspects) {
-    const auto it = blocks_.find(suspect);
-    is_trial |= it != blocks_.end() && HoldsTrial(it->second);
-  }
-  ChangeTrials(suspects, TrialState::kNotSent, TrialState::kSent);
-  return is_trial;
-}
-
-void CrashQuarantine::OnInconclusive(const std::vector<SuspectId>& suspects) {
-  ChangeTrials(suspects, TrialState::kSent, TrialState::kNotSent);
-}
-
-void CrashQuarantine::OnGivenUp(const std::vector<SuspectId>& suspects) {
-  EndTrials(suspects, TrialOutcome::kFailed);
-}
-
 std::vector<AddressedSuspectReport> CrashQuarantine::TakeReports() {
   std::vector<AddressedSuspectReport> taken;
   for (auto& [to, report] : reports_) {
