Check refusals again where a guilty part may be tried

The check now also counts the refusals: all gateways but the one that may send the trial, and all of them once the trial was sent.

--- a/test/crash_quarantine_test.cc
+++ b/test/crash_quarantine_test.cc
@@ -81,6 +81,8 @@
     RC_ASSERT(group.RefusingCount(kShared) == 0U);
     // One request is tried from time to time.
     for (std::size_t i = 0; i < n; ++i) RC_ASSERT(group[i].IsBlocked(kBad));
+    RC_ASSERT(group.RefusingCount(kBad) + 1 >= n);
+    RC_ASSERT(group.RefusingCount(kBad) == n);
   });
 }
 
