Ask the owner of a shared part which engines hold it

Cause: with more gateways than an engine lets watch its cache, two watch and one reports, and it passes on only parts that it has seen in a request itself.

Now each shared part has one owner among the gateways, by rendezvous hashing. Gateways tell it when they send a request with the part and when the engine has it, watchers tell it of evictions, and a request asks it before it is placed, for 15 ms at most. What a gateway sends and gets doesn't grow with the number of gateways: a query, an answer and two updates a long prompt. A lost message costs the knowledge for one request; an owner that ends, that of its parts once.

--- a/include/yuccapick/part_directory.h
+++ b/include/yuccapick/part_directory.h
@@ -12,6 +12,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "yuccapick/ids.h"
+#include "yuccapick/part_messages.h"
 
 namespace yuccapick {
 
@@ -91,6 +92,13 @@
   /// now.
   void OnUsed(const PartChain& chain, const UpstreamId& upstream,
               TimePoint now);
+  /// A peer told what an engine holds of a part.
+  void OnHolderUpdate(const HolderUpdate& update, TimePoint now);
+  /// The owner of the last part of `chain` told which engines hold that part.
+  /// An engine keeps a part no longer than the parts before it.
+  void OnHoldersLearned(const PartChain& chain,
+                        const std::vector<HolderRecord>& holders,
+                        TimePoint now);
   /// A request has exported the parts of `chain` to the KV store.
   void OnExported(const PartChain& chain, TimePoint now);
   /// The upstream lost its cache, for example in a restart.
@@ -107,8 +115,10 @@
   /// Returns the upstreams that hold or are computing the chain's first part,
   /// sorted by the tokens that can be imported and then by most recent use.
   std::vector<PartHolder> Holders(const PartChain& chain, TimePoint now) const;
-  /// True if the part was a shared part of any request.
-  bool IsShared(std::uint64_t part_hash) const;
+  /// Returns what is known of the engines that hold, compute or have lately
+  /// evicted a part.
+  std::vector<HolderRecord> HoldersOf(std::uint64_t part_hash,
+                                      TimePoint now) const;
   /// Returns how many tokens from the chain's beginning the KV store holds.
   std::uint32_t TokensInStore(const PartChain& chain, TimePoint now) const;
   std::size_t size() const { return parts_.size(); }
@@ -116,20 +126,27 @@
  private:
   struct Holder {
     UpstreamId upstream;
-    std::uint32_t tokens = 0;
+    std::uint32_t tokens = 0;  ///< 0 if evicted.
     TimePoint known_at;
     bool pending = false;  ///< Being computed.
   };
   struct KnownPart {
     std::vector<Holder> holders;
-    bool shared = false;  ///< Was a shared part of a request.
     std::uint32_t store_tokens = 0;
     TimePoint in_store_at;  ///< Last export or report; zero if not in it.
     TimePoint used_at;      ///< Last use or report.
   };
 
+  static Holder* FindHolder(KnownPart& part, const UpstreamId& upstream);
   static void RecordHolder(KnownPart& part, const UpstreamId& upstream,
                            std::uint32_t tokens, TimePoint now);
+  /// Records the holder unless something newer is known of it. What is held
+  /// stays held while another request that uses it is computed.
+  static void MergeHolder(KnownPart& part, const Holder& learned);
+  std::chrono::milliseconds LifetimeOf(const Holder& holder) const {
+    return holder.pending ? options_.pending_lifetime
+                          : options_.engine_lifetime;
+  }
   /// Whether parts that are being computed count as held.
   enum class Include : std::uint8_t { kComputed, kComputedAndPending };
 
--- a/include/yuccapick/peer_report.h
+++ b/include/yuccapick/peer_report.h
@@ -54,7 +54,7 @@
   std::vector<UpstreamId> loading;       ///< If it holds the rollout lease.
   std::vector<ObservedWeights> weights;  ///< New since the previous report.
   PartChain exported;                    ///< Parts saved to the kept-KV store.
-  std::vector<PartUpdate> parts;         ///< In caches that the sender watches.
+  std::vector<PartUpdate> parts;         ///< Sent by older versions only.
   /// Tokens whose KV cache the sender's requests transferred over the kept-KV
   /// store's link since its previous report.
   std::uint64_t kv_store_tokens = 0;
--- a/src/gateway/cache_watch.cc
+++ b/src/gateway/cache_watch.cc
@@ -25,8 +25,6 @@
 /// Number of watchers of a cache that not all gateways may watch: one spare, so
 /// that one can fail. The first of them reports changes to its peers.
 constexpr std::size_t kMinWatchers = 2;
-/// Limits the part updates in one report, so that it fits a datagram.
-constexpr std::size_t kMaxPendingPartUpdates = 96;
 
 }  // namespace
 
@@ -53,13 +51,10 @@
   return WatcherRank(name) < kMinWatchers;
 }
 
-void CacheWatch::QueueForPeers(const Target& target,
-                               const CacheChange& change) {
-  if (!target.reports_to_peers) return;
-  if (!state_.parts.IsShared(change.part_hash)) return;
-  if (state_.unreported_part_updates.size() >= kMaxPendingPartUpdates) return;
-  state_.unreported_part_updates.push_back(
-      {target.upstream, change.part_hash, change.tokens});
+void CacheWatch::TellEviction(const Target& target, const CacheChange& change) {
+  if (!target.reports_to_peers || change.held) return;
+  state_.tell_part_owner(
+      {change.part_hash, {target.upstream, change.tokens, false, {}}});
 }
 
 void CacheWatch::OnTick(TimePoint now) {
@@ -73,17 +68,18 @@
     wanted[kKvStoreTarget] = true;
     SetTarget(kKvStoreTarget, store->kv_store_endpoint, UpstreamId(), false);
   }
+  state_.watches_all_caches = true;
   for (const UpstreamEntry* upstream : state_.roster.All()) {
     if (upstream->leaving || upstream->weights.empty()) continue;
     const GatewayService* service =
         state_.config->FindService(upstream->service);
     if (service == nullptr || !service->engine) continue;
     const std::string& name = upstream->id.value;
+    const bool all_watch = AllMayWatch(service->engine->max_cache_watchers);
+    if (!all_watch) state_.watches_all_caches = false;
     if (!MayWatch(name, service->engine->max_cache_watchers)) continue;
     wanted[name] = true;
-    const bool reports_to_peers =
-        !AllMayWatch(service->engine->max_cache_watchers) &&
-        WatcherRank(name) == 0;
+    const bool reports_to_peers = !all_watch && WatcherRank(name) == 0;
     SetTarget(name, upstream->endpoint, upstream->id, reports_to_peers);
   }
   RemoveUnwantedTargets(wanted);
@@ -193,7 +189,7 @@
       state_.parts.OnStoreChange(change, now);
     } else {
       state_.parts.OnEngineChange(target.upstream, change, now);
-      QueueForPeers(target, change);
+      TellEviction(target, change);
     }
   }
   target.since = events.next;
--- a/src/gateway/cache_watch.h
+++ b/src/gateway/cache_watch.h
@@ -51,9 +51,10 @@
   std::size_t WatcherRank(const std::string& name) const;
   bool AllMayWatch(std::uint32_t max_watchers) const;
   bool MayWatch(const std::string& name, std::uint32_t max_watchers) const;
-  /// Adds a change to the next report to peers if they don't all watch the
-  /// cache themselves.
-  void QueueForPeers(const Target& target, const CacheChange& change);
+  /// Tells the part's owner of an eviction if not all gateways watch the cache
+  /// themselves. What engines add it learns from the gateways that send them
+  /// requests.
+  void TellEviction(const Target& target, const CacheChange& change);
   void Poll(const std::string& name, Target& target);
   void OnAnswer(const std::string& name, std::uint64_t generation,
                 const absl::StatusOr<CallAnswer>& answer);
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -94,6 +94,7 @@
       quarantine_sync_(
           std::make_shared<QuarantineSync>(state_, store_, exchange_, peers_)),
       limit_sync_(std::make_unique<LimitSync>(state_, exchange_, peers_)),
+      part_sharing_(std::make_unique<PartSharing>(state_, exchange_, peers_)),
       rollout_(std::make_shared<RolloutController>(state_, table_calls_, store_,
                                                    incarnation)),
       target_set_times_(std::make_shared<TargetSetTimes>(state_, store_)),
@@ -108,6 +109,13 @@
   options.endpoint = state_.settings.table_endpoint;
   state_.on_stream_began = [this] { send_stream_origins_.Schedule(); };
   state_.on_limit_changed = [this] { limit_sync_->Schedule(); };
+  state_.ask_part_owner = [this](const PartChain& chain,
+                                 std::function<void()> done) {
+    return part_sharing_->Ask(chain, std::move(done));
+  };
+  state_.tell_part_owner = [this](const HolderUpdate& update) {
+    part_sharing_->Tell(update);
+  };
   store_->SetOnChange(
       [this](StoreGeneration generation) { OnStoreGeneration(generation); });
   state_.on_suspect_observed = [this] { quarantine_sync_->Schedule(); };
@@ -131,6 +139,7 @@
   upstream_watch_->Stop();
   quarantine_sync_->Stop();
   limit_sync_->Stop();
+  part_sharing_->Stop();
 }
 
 absl::Status GatewayProcess::Start() {
@@ -244,6 +253,7 @@
   freshness_sync_->OnTick(now);
   quarantine_sync_->OnTick(now);
   limit_sync_->OnTick(now);
+  part_sharing_->OnTick(now);
   state_.pauses.OnTick(now);
   state_.loading = peers_.Loading(now);
   const std::set<UpstreamId> own_loading = rollout_->Loading();
--- a/src/gateway/gateway_process.h
+++ b/src/gateway/gateway_process.h
@@ -21,6 +21,7 @@
 #include "gateway/gateway_state.h"
 #include "gateway/ingress_session.h"
 #include "gateway/limit_sync.h"
+#include "gateway/part_sharing.h"
 #include "gateway/peer_exchange.h"
 #include "gateway/quarantine_sync.h"
 #include "gateway/rollout_controller.h"
@@ -99,6 +100,15 @@
     OnPeerGeneration(confirmation.generation);
     freshness_sync_->OnConfirmation(confirmation);
   }
+  void OnHoldersQuery(const HoldersQuery& query) override {
+    part_sharing_->OnQuery(query);
+  }
+  void OnHoldersAnswer(const HoldersAnswer& answer) override {
+    part_sharing_->OnAnswer(answer);
+  }
+  void OnHolderUpdates(const std::vector<HolderUpdate>& updates) override {
+    part_sharing_->OnUpdates(updates);
+  }
   void OnPeerTables(const PeerTables& tables) override;
   PeerTables TablesForPeers() const override;
 
@@ -158,6 +168,7 @@
   std::unique_ptr<FreshnessSync> freshness_sync_;
   std::shared_ptr<QuarantineSync> quarantine_sync_;
   std::unique_ptr<LimitSync> limit_sync_;
+  std::unique_ptr<PartSharing> part_sharing_;
   std::shared_ptr<RolloutController> rollout_;
   std::shared_ptr<TargetSetTimes> target_set_times_;
   CacheWatch cache_watch_;
--- a/src/gateway/gateway_process_metrics.cc
+++ b/src/gateway/gateway_process_metrics.cc
@@ -44,6 +44,12 @@
   gauge("yuccapick_peers_live", peers_.LiveCount(now));
   gauge("yuccapick_rollout_lease_held", rollout_->holds() ? 1 : 0);
   gauge("yuccapick_known_prompt_parts", state_.parts.size());
+  AppendMetric(out, "counter", "yuccapick_part_queries_sent",
+               state_.part_counters.queries_sent);
+  AppendMetric(out, "counter", "yuccapick_part_queries_answered",
+               state_.part_counters.queries_answered);
+  AppendMetric(out, "counter", "yuccapick_part_updates_sent",
+               state_.part_counters.updates_sent);
   gauge("yuccapick_caller_connections", ingress_server_->session_count());
   gauge("yuccapick_requests_under_way", ingress_server_->busy_count());
   AppendMetric(out, "counter", "yuccapick_process_pauses", pauses_);
--- a/src/gateway/gateway_process_peers.cc
+++ b/src/gateway/gateway_process_peers.cc
@@ -249,7 +249,6 @@
   report.loading.assign(loading.begin(), loading.end());
   report.leaving_upstreams = std::exchange(state_.unreported_leaving, {});
   report.weights = std::exchange(state_.unreported_weights, {});
-  report.parts = std::exchange(state_.unreported_part_updates, {});
   report.kv_store_tokens = std::exchange(state_.unreported_kv_store_tokens, 0);
   const std::size_t n =
       std::min(state_.unreported_exports.size(), kMaxExportedPartsPerReport);
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -24,6 +24,7 @@
 #include "yuccapick/latency_estimate.h"
 #include "yuccapick/load_shedder.h"
 #include "yuccapick/part_directory.h"
+#include "yuccapick/part_messages.h"
 #include "yuccapick/peer_report.h"
 #include "yuccapick/request_metrics.h"
 #include "yuccapick/retry_budget.h"
@@ -123,8 +124,23 @@
   std::uint64_t unreported_kv_store_tokens = 0;
   /// Parts exported to the KV store and not yet reported to peers.
   PartChain unreported_exports;
-  /// Changes of watched caches, not yet reported to peers.
-  std::vector<PartUpdate> unreported_part_updates;
+  /// Asks the gateway that owns the chain's last part which engines hold it,
+  /// and calls the function when `parts` has learned the answer. Returns false
+  /// if there is nobody to ask.
+  std::function<bool(const PartChain&, std::function<void()>)> ask_part_owner =
+      [](const PartChain&, const std::function<void()>&) { return false; };
+  /// Tells the gateway that owns a part what an engine holds of it.
+  std::function<void(const HolderUpdate&)> tell_part_owner =
+      [](const HolderUpdate&) {};
+  /// False if the caches of some engines are watched by other gateways only.
+  bool watches_all_caches = true;
+  /// Messages about cached parts, between gateways.
+  struct PartCounters {
+    std::uint64_t queries_sent = 0;
+    std::uint64_t queries_answered = 0;
+    std::uint64_t updates_sent = 0;
+  };
+  PartCounters part_counters;
   /// Live peers, among which limited tasks are distributed.
   std::vector<InstanceId> live_peers;
   /// Upstreams that said that they leave, not yet reported to peers.
--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -43,6 +43,27 @@
                                               v.tokens);
     }
   };
+  struct HolderRecordFields {
+    auto operator()(yuccapick::HolderRecord& v) const {
+      return msgpack::type::make_define_array(v.upstream, v.tokens, v.pending,
+                                              v.age);
+    }
+  };
+  struct HoldersQueryFields {
+    auto operator()(yuccapick::HoldersQuery& v) const {
+      return msgpack::type::make_define_array(v.id, v.reply_to, v.part_hash);
+    }
+  };
+  struct HoldersAnswerFields {
+    auto operator()(yuccapick::HoldersAnswer& v) const {
+      return msgpack::type::make_define_array(v.id, v.holders);
+    }
+  };
+  struct HolderUpdateFields {
+    auto operator()(yuccapick::HolderUpdate& v) const {
+      return msgpack::type::make_define_array(v.part_hash, v.holder);
+    }
+  };
   struct ObservedWeightsFields {
     auto operator()(yuccapick::ObservedWeights& v) const {
       return msgpack::type::make_define_array(v.upstream, v.model, v.weights);
@@ -157,6 +178,30 @@
   struct pack<yuccapick::PartUpdate>
       : PackAsArray<yuccapick::PartUpdate, PartUpdateFields> {};
   template <>
+  struct convert<yuccapick::HolderRecord>
+      : PackAsArray<yuccapick::HolderRecord, HolderRecordFields> {};
+  template <>
+  struct pack<yuccapick::HolderRecord>
+      : PackAsArray<yuccapick::HolderRecord, HolderRecordFields> {};
+  template <>
+  struct convert<yuccapick::HoldersQuery>
+      : PackAsArray<yuccapick::HoldersQuery, HoldersQueryFields> {};
+  template <>
+  struct pack<yuccapick::HoldersQuery>
+      : PackAsArray<yuccapick::HoldersQuery, HoldersQueryFields> {};
+  template <>
+  struct convert<yuccapick::HoldersAnswer>
+      : PackAsArray<yuccapick::HoldersAnswer, HoldersAnswerFields> {};
+  template <>
+  struct pack<yuccapick::HoldersAnswer>
+      : PackAsArray<yuccapick::HoldersAnswer, HoldersAnswerFields> {};
+  template <>
+  struct convert<yuccapick::HolderUpdate>
+      : PackAsArray<yuccapick::HolderUpdate, HolderUpdateFields> {};
+  template <>
+  struct pack<yuccapick::HolderUpdate>
+      : PackAsArray<yuccapick::HolderUpdate, HolderUpdateFields> {};
+  template <>
   struct convert<yuccapick::ObservedWeights>
       : PackAsArray<yuccapick::ObservedWeights, ObservedWeightsFields> {};
   template <>
@@ -289,6 +334,9 @@
 constexpr char kSuspectDecisionsTag = 3;
 constexpr char kNamedLimitsTag = 4;
 constexpr char kStoreConfirmationTag = 5;
+constexpr char kHoldersQueryTag = 6;
+constexpr char kHoldersAnswerTag = 7;
+constexpr char kHolderUpdatesTag = 8;
 
 template <typename T>
 std::string Encode(const T& message) {
@@ -375,6 +423,31 @@
   return DecodeTagged<StoreConfirmation>(bytes, kStoreConfirmationTag);
 }
 
+std::string EncodeHoldersQuery(const HoldersQuery& query) {
+  return kHoldersQueryTag + Encode(query);
+}
+
+std::optional<HoldersQuery> DecodeHoldersQuery(std::string_view bytes) {
+  return DecodeTagged<HoldersQuery>(bytes, kHoldersQueryTag);
+}
+
+std::string EncodeHoldersAnswer(const HoldersAnswer& answer) {
+  return kHoldersAnswerTag + Encode(answer);
+}
+
+std::optional<HoldersAnswer> DecodeHoldersAnswer(std::string_view bytes) {
+  return DecodeTagged<HoldersAnswer>(bytes, kHoldersAnswerTag);
+}
+
+std::string EncodeHolderUpdates(const std::vector<HolderUpdate>& updates) {
+  return kHolderUpdatesTag + Encode(updates);
+}
+
+std::optional<std::vector<HolderUpdate>> DecodeHolderUpdates(
+    std::string_view bytes) {
+  return DecodeTagged<std::vector<HolderUpdate>>(bytes, kHolderUpdatesTag);
+}
+
 std::string EncodePeerTables(const PeerTables& tables) {
   return Encode(tables);
 }
--- a/src/gateway/peer_codec.h
+++ b/src/gateway/peer_codec.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "yuccapick/crash_quarantine.h"
+#include "yuccapick/part_messages.h"
 #include "yuccapick/peer_report.h"
 #include "yuccapick/store_clock.h"
 #include "yuccapick/stream_origins.h"
@@ -66,6 +67,19 @@
 std::optional<StoreConfirmation> DecodeStoreConfirmation(
     std::string_view bytes);
 
+std::string EncodeHoldersQuery(const HoldersQuery& query);
+/// @return nullopt if the bytes are malformed or hold another message
+std::optional<HoldersQuery> DecodeHoldersQuery(std::string_view bytes);
+
+std::string EncodeHoldersAnswer(const HoldersAnswer& answer);
+/// @return nullopt if the bytes are malformed or hold another message
+std::optional<HoldersAnswer> DecodeHoldersAnswer(std::string_view bytes);
+
+std::string EncodeHolderUpdates(const std::vector<HolderUpdate>& updates);
+/// @return nullopt if the bytes are malformed or hold another message
+std::optional<std::vector<HolderUpdate>> DecodeHolderUpdates(
+    std::string_view bytes);
+
 std::string EncodePeerTables(const PeerTables& tables);
 /// @return nullopt if the bytes are malformed
 std::optional<PeerTables> DecodePeerTables(std::string_view bytes);
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -50,13 +50,22 @@
   socket_.async_receive_from(
       asio::buffer(buf_), sender_,
       [this](const asio::error_code& ec, std::size_t n) {
-        if (!socket_.is_open() || ec == asio::error::operation_aborted) return;
+        if (ec == asio::error::operation_aborted || !socket_.is_open()) return;
         if (!ec) OnDatagram({buf_.data(), n});
         Receive();
       });
 }
 
 void PeerExchange::OnDatagram(std::string_view bytes) {
+  if (const auto query = DecodeHoldersQuery(bytes)) {
+    return handler_.OnHoldersQuery(*query);
+  }
+  if (const auto answer = DecodeHoldersAnswer(bytes)) {
+    return handler_.OnHoldersAnswer(*answer);
+  }
+  if (const auto updates = DecodeHolderUpdates(bytes)) {
+    return handler_.OnHolderUpdates(*updates);
+  }
   if (const auto origins = DecodeStreamOrigins(bytes)) {
     return handler_.OnStreamOrigins(*origins);
   }
@@ -109,6 +118,20 @@
   SendDatagram(EncodeStoreConfirmation(confirmation), targets);
 }
 
+void PeerExchange::Send(const HoldersQuery& query, const std::string& target) {
+  SendDatagram(EncodeHoldersQuery(query), {target});
+}
+
+void PeerExchange::Send(const HoldersAnswer& answer,
+                        const std::string& target) {
+  SendDatagram(EncodeHoldersAnswer(answer), {target});
+}
+
+void PeerExchange::Send(const std::vector<HolderUpdate>& updates,
+                        const std::string& target) {
+  SendDatagram(EncodeHolderUpdates(updates), {target});
+}
+
 void PeerExchange::SendDatagram(const std::string& bytes,
                                 const std::vector<std::string>& targets) {
   for (const std::string& target : targets) {
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -33,6 +33,9 @@
       const std::vector<SuspectDecision>& decisions) = 0;
   virtual void OnNamedLimits(const std::vector<NamedLimit>& limits) = 0;
   virtual void OnStoreConfirmation(const StoreConfirmation& confirmation) = 0;
+  virtual void OnHoldersQuery(const HoldersQuery& query) = 0;
+  virtual void OnHoldersAnswer(const HoldersAnswer& answer) = 0;
+  virtual void OnHolderUpdates(const std::vector<HolderUpdate>& updates) = 0;
   /// A peer's copy of the tables was fetched.
   virtual void OnPeerTables(const PeerTables& tables) = 0;
   virtual PeerTables TablesForPeers() const = 0;
@@ -65,6 +68,12 @@
   /// Tells every target how new the store's tables are.
   void Send(const StoreConfirmation& confirmation,
             const std::vector<std::string>& targets);
+  /// Asks a part's owner which engines hold the part.
+  void Send(const HoldersQuery& query, const std::string& target);
+  void Send(const HoldersAnswer& answer, const std::string& target);
+  /// Tells a parts' owner what engines hold of them.
+  void Send(const std::vector<HolderUpdate>& updates,
+            const std::string& target);
   /// Fetches the tables of a peer, unless another fetch is in progress.
   void FetchTables(const std::string& peer_endpoint);
   void CheckTimeouts(TimePoint now) { server_.CheckTimeouts(now); }
--- a/src/gateway/proxied_request.cc
+++ b/src/gateway/proxied_request.cc
@@ -79,7 +79,7 @@
   state_.RetryBudgetOf(service_).OnRequest();
   if (!origin_found) return RefuseUnknownStream();
   if (ShedLoad()) return;
-  TrySend();
+  if (!AwaitHolders()) TrySend();
 }
 
 bool ProxiedRequest::ShedLoad() {
@@ -208,6 +208,7 @@
   if (!choice.cache_scope.empty()) {
     chain = SharedChain(choice.cache_scope, query_.parts);
     state_.parts.OnSent(chain, upstream.id, now);
+    TellPartOwner(chain, upstream.id, /*pending=*/true);
   }
   if (choice.store_tokens > 0) {
     state_.kv_store_link.OnTransfer(choice.store_tokens, now);
@@ -230,13 +231,15 @@
       LogKind::kRequest, now,
       "event=request_sent id={} attempt={} route={} upstream={} software={} "
       "resumes={} cost_ms={:.1f} "
-      "prefix={:x} hit_tokens={} missing_tokens={} import_from={} export={} "
+      "prefix={:x} hit_tokens={} missing_tokens={} asked_ms={} import_from={} "
+      "export={} "
       "weights={} replaced_ms={} left_ms={} config={}",
       admitted_.caller.attempt_id, attempts_sent_, admitted_.route->name,
       upstream.id.value, upstream.software.value,
       admitted_.caller.resumes.empty() ? "-" : admitted_.caller.resumes,
       choice.cost.count(), chain.empty() ? 0 : chain.back().hash,
       choice.expected_cached_tokens, choice.missing_tokens,
+      holders_wait_.count(),
       choice.import_from.empty() ? "-" : choice.import_from,
       !choice.export_to.empty(), head.weights.value_or(0), replaced_for.count(),
       head.time_left.count(), admitted_.config->version().value);
--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -86,6 +86,17 @@
   /// Lets the request return to upstreams that were given up for silence, since
   /// they may be sound.
   void ReadmitSilentUpstreams();
+  /// The shared parts of the prompt within the scope of the newest weights that
+  /// an upstream has. Empty if they are too short to look for.
+  PartChain ChainToFind() const;
+  /// Asks the gateway that knows which engines hold the prompt's shared parts,
+  /// and sends the request when it answers or some milliseconds have passed.
+  /// @return false if there is nobody to ask
+  bool AwaitHolders();
+  void OnHoldersAwaited();
+  /// Tells the parts' owner that the upstream computes, or has cached, them.
+  void TellPartOwner(const PartChain& chain, const UpstreamId& upstream,
+                     bool pending) const;
   void TrySend();
   void Send(const DirectPlacementDecision& choice,
             const UpstreamEntry& upstream);
@@ -169,6 +180,9 @@
   TimePoint deadline_;
   asio::steady_timer timer_;
   PlacementQuery query_;
+  /// Since when the request waits for the holders of its prompt's parts.
+  std::optional<TimePoint> holders_asked_at_;
+  std::chrono::milliseconds holders_wait_{0};  ///< Time spent on it.
   std::vector<SuspectId> suspects_;
   /// Until when the request waits to be sent as a trial.
   std::optional<TimePoint> trial_wait_until_;
--- a/src/gateway/proxied_request_answers.cc
+++ b/src/gateway/proxied_request_answers.cc
@@ -177,6 +177,7 @@
   const PartChain chain = SharedChain(choice.cache_scope, query_.parts);
   if (chain.empty()) return;
   state_.parts.OnUsed(chain, attempt_->upstream.id, now);
+  TellPartOwner(chain, attempt_->upstream.id, /*pending=*/false);
   if (choice.export_to.empty()) return;
   state_.parts.OnExported(chain, now);
   state_.unreported_exports.insert(state_.unreported_exports.end(),
--- a/src/part_directory.cc
+++ b/src/part_directory.cc
@@ -48,16 +48,34 @@
   return part;
 }
 
+PartDirectory::Holder* PartDirectory::FindHolder(KnownPart& part,
+                                                 const UpstreamId& upstream) {
+  const auto it = std::find_if(
+      part.holders.begin(), part.holders.end(),
+      [&upstream](const Holder& h) { return h.upstream == upstream; });
+  return it == part.holders.end() ? nullptr : &*it;
+}
+
 void PartDirectory::RecordHolder(KnownPart& part, const UpstreamId& upstream,
                                  std::uint32_t tokens, TimePoint now) {
-  for (Holder& holder : part.holders) {
-    if (holder.upstream != upstream) continue;
-    holder.tokens = tokens;
-    holder.known_at = now;
-    holder.pending = false;
-    return;
+  const Holder recorded{upstream, tokens, now, false};
+  Holder* holder = FindHolder(part, upstream);
+  if (holder == nullptr) {
+    part.holders.push_back(recorded);
+  } else {
+    *holder = recorded;
+  }
+}
+
+void PartDirectory::MergeHolder(KnownPart& part, const Holder& learned) {
+  Holder* holder = FindHolder(part, learned.upstream);
+  if (holder == nullptr) {
+    part.holders.push_back(learned);
+  } else if (holder->known_at < learned.known_at) {
+    const bool held = !holder->pending && holder->tokens >= learned.tokens;
+    *holder = learned;
+    holder->pending = learned.pending && !held;
   }
-  part.holders.push_back({upstream, tokens, now, false});
 }
 
 void PartDirectory::OnEngineChange(const UpstreamId& upstream,
@@ -66,11 +84,9 @@
     return RecordHolder(FindOrAdd(change.part_hash, now), upstream,
                         change.tokens, now);
   }
+  // The eviction is kept, so that peers' older knowledge doesn't replace it.
   const auto it = parts_.find(change.part_hash);
-  if (it == parts_.end()) return;
-  std::erase_if(it->second.holders, [&upstream](const Holder& holder) {
-    return holder.upstream == upstream;
-  });
+  if (it != parts_.end()) RecordHolder(it->second, upstream, 0, now);
 }
 
 void PartDirectory::OnStoreChange(const CacheChange& change, TimePoint now) {
@@ -83,14 +99,13 @@
                            TimePoint now) {
   for (const PartKey& key : chain) {
     KnownPart& part = FindOrAdd(key.hash, now);
-    part.shared = true;
-    const auto it = std::find_if(
-        part.holders.begin(), part.holders.end(),
-        [&upstream](const Holder& h) { return h.upstream == upstream; });
-    if (it == part.holders.end()) {
-      part.holders.push_back({upstream, key.tokens, now, true});
-    } else if (it->pending || now - it->known_at >= options_.engine_lifetime) {
-      *it = {upstream, key.tokens, now, true};
+    const Holder sent{upstream, key.tokens, now, true};
+    Holder* holder = FindHolder(part, upstream);
+    if (holder == nullptr) {
+      part.holders.push_back(sent);
+    } else if (holder->pending || holder->tokens == 0 ||
+               now - holder->known_at >= options_.engine_lifetime) {
+      *holder = sent;
     }
   }
 }
@@ -102,6 +117,30 @@
   }
 }
 
+void PartDirectory::OnHolderUpdate(const HolderUpdate& update, TimePoint now) {
+  const HolderRecord& holder = update.holder;
+  if (holder.pending) {
+    return OnSent({{update.part_hash, holder.tokens}}, holder.upstream, now);
+  }
+  OnEngineChange(holder.upstream,
+                 {update.part_hash, holder.tokens > 0, holder.tokens}, now);
+}
+
+void PartDirectory::OnHoldersLearned(const PartChain& chain,
+                                     const std::vector<HolderRecord>& holders,
+                                     TimePoint now) {
+  if (chain.empty()) return;
+  for (const HolderRecord& it : holders) {
+    MergeHolder(FindOrAdd(chain.back().hash, now),
+                {it.upstream, it.tokens, now - it.age, it.pending});
+    if (it.tokens == 0) continue;
+    for (std::size_t i = 0; i + 1 < chain.size(); ++i) {
+      MergeHolder(FindOrAdd(chain[i].hash, now),
+                  {it.upstream, chain[i].tokens, now - it.age, it.pending});
+    }
+  }
+}
+
 void PartDirectory::OnExported(const PartChain& chain, TimePoint now) {
   for (const PartKey& key : chain) {
     KnownPart& part = FindOrAdd(key.hash, now);
@@ -125,9 +164,18 @@
   }
 }
 
-bool PartDirectory::IsShared(std::uint64_t part_hash) const {
+std::vector<HolderRecord> PartDirectory::HoldersOf(std::uint64_t part_hash,
+                                                   TimePoint now) const {
   const auto it = parts_.find(part_hash);
-  return it != parts_.end() && it->second.shared;
+  if (it == parts_.end()) return {};
+  std::vector<HolderRecord> found;
+  for (const Holder& holder : it->second.holders) {
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+        now - holder.known_at);
+    if (age >= LifetimeOf(holder)) continue;
+    found.push_back({holder.upstream, holder.tokens, holder.pending, age});
+  }
+  return found;
 }
 
 std::uint32_t PartDirectory::HeldTokens(const PartKey& key,
@@ -138,9 +186,7 @@
   for (const Holder& holder : it->second.holders) {
     if (holder.upstream != upstream) continue;
     if (holder.pending && include == Include::kComputed) return 0;
-    const auto lifetime =
-        holder.pending ? options_.pending_lifetime : options_.engine_lifetime;
-    if (now - holder.known_at >= lifetime) return 0;
+    if (now - holder.known_at >= LifetimeOf(holder)) return 0;
     return CoversPart(holder.tokens, key.tokens)
                ? key.tokens
                : std::min(holder.tokens, key.tokens);
--- a/test/peer_report_test.cc
+++ b/test/peer_report_test.cc
@@ -241,6 +241,20 @@
   CHECK_FALSE(DecodeNamedLimits("\x04garbage").has_value());
 }
 
+TEST_CASE("Messages about holders of parts are decoded as they were encoded") {
+  const HolderRecord held{UpstreamId("a"), 3'800, false, milliseconds(7)};
+  const HolderRecord pending{UpstreamId("b"), 3'800, true, milliseconds(0)};
+  const HoldersQuery query{5, "10.1.0.30:7340", 0xFEDC'BA98'7654'3210ULL};
+  const HoldersAnswer answer{5, {held, pending}};
+  const std::vector<HolderUpdate> updates{{query.part_hash, held},
+                                          {17, pending}};
+  CHECK(DecodeHoldersQuery(EncodeHoldersQuery(query)) == query);
+  CHECK(DecodeHoldersAnswer(EncodeHoldersAnswer(answer)) == answer);
+  CHECK(DecodeHolderUpdates(EncodeHolderUpdates(updates)) == updates);
+  CHECK_FALSE(DecodeHoldersAnswer(EncodeHoldersQuery(query)).has_value());
+  CHECK_FALSE(DecodePeerReport(EncodeHoldersQuery(query)).has_value());
+}
+
 TEST_CASE("A peer's endpoint is known while it is live") {
   PeerRegistry peers;
   const PeerReport report = Report("one", 1);
