Resume no stream at another version after a power loss

Cause: a gateway that has just started takes the only software version that it lists for the one that began an unknown stream. If the servers of another version have just left when all gateways lose power, the stream goes on at a version that didn't begin it, and the text is joined from two.

The store now has a row for each version that a service had within the lifetime of streams, written by a few gateways when the version is listed and removed when it wasn't for that time. A gateway that starts reads it, and until then refuses unknown streams, which have not run.

Where one version was in use streams are resumed as before.

Left: a version that is listed, used and gone before any gateway could write its row.

--- a/include/yuccapick/stream_origins.h
+++ b/include/yuccapick/stream_origins.h
@@ -55,6 +55,9 @@
 
   /// An upstream of this group is listed.
   void OnListed(const SoftwareGroup& group, TimePoint now);
+  /// These groups were listed lately, as the store's record says; any that were
+  /// listed before this process began to listen are among them.
+  void OnHistory(const std::vector<SoftwareGroup>& recorded, TimePoint now);
   /// This process passed on the first event of a stream.
   /// @param split its route has several services, so that peers need its origin
   ///   even if each service has one version
@@ -68,12 +71,15 @@
 
   // Queries.
 
+  /// Returns the groups that were listed within `lifetime`.
+  std::vector<SoftwareGroup> Listed(TimePoint now) const;
   /// True if the service had several software versions within `lifetime`.
   bool IsMixed(const ServiceId& service, TimePoint now) const;
   /// @return nullopt if it is not known
   std::optional<SoftwareGroup> Find(StreamId stream) const;
   /// @return the only software version that the service had within `lifetime`;
-  ///   nullopt if there are several
+  ///   nullopt if there are several, or if it isn't known yet which ones were
+  ///   listed before this process started
   std::optional<SoftwareGroup> OnlyGroup(const ServiceId& service,
                                          TimePoint now) const;
   std::size_t size() const { return current_.size() + previous_.size(); }
@@ -88,6 +94,8 @@
     TimePoint began_at;
   };
 
+  /// True if no group is unknown that was listed within `lifetime`.
+  bool KnowsListed(TimePoint now) const;
   GroupIndex IndexOf(const SoftwareGroup& group);
   void Add(StreamId stream, GroupIndex group, TimePoint now);
   void Expire(TimePoint now);
@@ -95,6 +103,8 @@
   Options options_;
   std::vector<SoftwareGroup> groups_;
   std::map<SoftwareGroup, TimePoint> listed_at_;
+  std::optional<TimePoint> listening_since_;
+  bool history_known_ = false;
   TimePoint current_since_;
   Streams current_;
   Streams previous_;
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -98,6 +98,7 @@
       rollout_(std::make_shared<RolloutController>(state_, table_calls_, store_,
                                                    incarnation)),
       target_set_times_(std::make_shared<TargetSetTimes>(state_, store_)),
+      software_record_(std::make_shared<SoftwareRecord>(state_, store_)),
       cache_watch_(state_, table_calls_),
       send_stream_origins_(loop, kStreamOriginsDelay,
                            [this] { SendStreamOrigins(); }),
@@ -156,6 +157,7 @@
   operator_watch_->Start();
   upstream_watch_->Start();
   quarantine_sync_->Start();
+  software_record_->Load();
   for (const std::string& seed : state_.settings.seed_endpoints) {
     const std::string ip = seed.substr(0, seed.rfind(':'));
     peers_.OnEndpoint(fmt::format("{}:{}", ip, state_.settings.peer_port),
@@ -268,6 +270,7 @@
     state_.upstream_connections.DropExpired(now);
     table_calls_.DropExpired(now);
     RecordListedSoftware(now);
+    software_record_->OnTick(now);
     status_pages_->CheckTimeouts(now);
   }
   if (draining_) CheckDrained(now);
--- a/src/gateway/gateway_process.h
+++ b/src/gateway/gateway_process.h
@@ -25,6 +25,7 @@
 #include "gateway/peer_exchange.h"
 #include "gateway/quarantine_sync.h"
 #include "gateway/rollout_controller.h"
+#include "gateway/software_record.h"
 #include "gateway/store_client.h"
 #include "gateway/table_watch.h"
 #include "gateway/target_set_times.h"
@@ -171,6 +172,7 @@
   std::unique_ptr<PartSharing> part_sharing_;
   std::shared_ptr<RolloutController> rollout_;
   std::shared_ptr<TargetSetTimes> target_set_times_;
+  std::shared_ptr<SoftwareRecord> software_record_;
   CacheWatch cache_watch_;
   std::uint64_t reports_sent_ = 0;
   DelayedCall send_stream_origins_;
--- a/src/gateway/gateway_process_peers.cc
+++ b/src/gateway/gateway_process_peers.cc
@@ -154,6 +154,7 @@
   if (store_catch_up_.TakeRewrite(now)) {
     quarantine_sync_->CatchUpWith(store_catch_up_.newest());
     target_set_times_->SaveMissing();
+    software_record_->Load();
     RegisterEndpointIfMissing();
   }
 }
--- /dev/null
+++ b/src/gateway/software_record.h
@@ -0,0 +1,63 @@
+#ifndef YUCCAPICK_GATEWAY_SOFTWARE_RECORD_H_
+#define YUCCAPICK_GATEWAY_SOFTWARE_RECORD_H_
+
+/// @file
+/// Stores which software versions services had lately, for gateways that start
+/// after a version has left.
+
+#include <asio.hpp>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "gateway/gateway_state.h"
+#include "gateway/store_client.h"
+#include "platform/table_calls.h"
+#include "yuccapick/stream_origins.h"
+
+namespace yuccapick {
+
+/// Keeps one row in the store for each software version that a service had
+/// within the lifetime of streams. Without it, gateways that all lost power
+/// could take the version that they find for the only one, and continue streams
+/// of another at it. Used on one event loop.
+class SoftwareRecord : public std::enable_shared_from_this<SoftwareRecord> {
+ public:
+  SoftwareRecord(GatewayState& state, std::shared_ptr<StoreClient> store)
+      : state_(state), store_(std::move(store)), retry_timer_(state.loop) {}
+
+  /// Reads the record, until the store answers, and passes it on to
+  /// `GatewayState::stream_origins`.
+  void Load();
+  /// Writes the versions that the record lacks, and removes those that were not
+  /// listed for the lifetime of streams. A few of the gateways do it.
+  void OnTick(TimePoint now);
+
+ private:
+  void RetryLoad();
+  void OnLoaded(const absl::StatusOr<StoreAnswer>& answer);
+  void WriteMissing(const std::vector<SoftwareGroup>& listed);
+  void RemoveForgotten(const std::vector<SoftwareGroup>& listed);
+  /// Removes the row unless it was written since it was read here.
+  void Remove(const std::string& key);
+  void OnReadToRemove(const std::string& key,
+                      const absl::StatusOr<StoreAnswer>& answer);
+  void Write(const std::string& key);
+  void Call(const platform::RowWrite& write);
+  void OnWritten(const platform::RowWrite& write,
+                 const absl::StatusOr<StoreAnswer>& answer);
+
+  GatewayState& state_;
+  std::shared_ptr<StoreClient> store_;
+  asio::steady_timer retry_timer_;  ///< For `Load`.
+  bool loading_ = false;
+  bool loaded_ = false;
+  /// Keys of the record's rows, as far as this gateway knows.
+  std::set<std::string> keys_;
+};
+
+}  // namespace yuccapick
+
+#endif  // YUCCAPICK_GATEWAY_SOFTWARE_RECORD_H_
--- a/src/gateway/target_set_times.cc
+++ b/src/gateway/target_set_times.cc
@@ -7,10 +7,10 @@
 #include <string>
 #include <utility>
 
-#include "absl/random/random.h"
 #include "absl/strings/numbers.h"
 #include "gateway/boot_clock.h"
 #include "gateway/http_status.h"
+#include "gateway/store_writers.h"
 #include "gateway/stored_row_times.h"
 #include "platform/table_calls.h"
 
@@ -21,8 +21,6 @@
 
 constexpr char kTable[] = "yuccapick-weights";
 constexpr milliseconds kCallTimeout{800};
-/// Expected number of gateways that write a time.
-constexpr double kExpectedWriters = 12.0;
 constexpr milliseconds kRetryDelay{400};
 constexpr int kMaxWriteAttempts = 8;
 
@@ -52,14 +50,8 @@
 
 }  // namespace
 
-double TargetTimeWriterShare(std::size_t gateways) {
-  return std::min(1.0, kExpectedWriters / static_cast<double>(gateways));
-}
-
 void TargetSetTimes::Save(const TargetSetTime& target) {
-  const double share = TargetTimeWriterShare(state_.live_peers.size() + 1);
-  if (!absl::Bernoulli(state_.random, share)) return;
-  Write({target, 0});
+  if (IsChosenWriter(state_)) Write({target, 0});
 }
 
 void TargetSetTimes::SaveIfMissing(const TargetSetTime& target) {
--- a/src/gateway/target_set_times.h
+++ b/src/gateway/target_set_times.h
@@ -18,11 +18,6 @@
 
 namespace yuccapick {
 
-/// Probability with which a gateway writes a time, so that not all gateways
-/// call the store. The probability that none writes is below 1 in 100,000.
-/// @param gateways number of live gateways, including this one
-double TargetTimeWriterShare(std::size_t gateways);
-
 /// A target whose row was in the store before this process read it first.
 struct UndatedTarget {
   ModelId model;
@@ -36,7 +31,7 @@
   TargetSetTimes(GatewayState& state, std::shared_ptr<StoreClient> store)
       : state_(state), store_(std::move(store)), retry_timer_(state.loop) {}
 
-  /// Writes a time, with the probability `TargetTimeWriterShare`, unless
+  /// Writes a time, if it is chosen by `IsChosenWriter`, unless
   /// another gateway did. A failed write is retried a few times.
   void Save(const TargetSetTime& target);
   /// Saves a time after the next `Load`, unless the store has one.
--- a/src/stream_origins.cc
+++ b/src/stream_origins.cc
@@ -36,11 +36,32 @@
 }
 
 void StreamOrigins::OnListed(const SoftwareGroup& group, TimePoint now) {
+  if (!listening_since_) listening_since_ = now;
   listed_at_[group] = now;
 }
 
+void StreamOrigins::OnHistory(const std::vector<SoftwareGroup>& recorded,
+                              TimePoint now) {
+  for (const SoftwareGroup& group : recorded) OnListed(group, now);
+  history_known_ = true;
+}
+
+bool StreamOrigins::KnowsListed(TimePoint now) const {
+  if (history_known_) return true;
+  return listening_since_ && now - *listening_since_ >= options_.lifetime;
+}
+
+std::vector<SoftwareGroup> StreamOrigins::Listed(TimePoint now) const {
+  std::vector<SoftwareGroup> listed;
+  for (const auto& [group, listed_at] : listed_at_) {
+    if (now - listed_at < options_.lifetime) listed.push_back(group);
+  }
+  return listed;
+}
+
 void StreamOrigins::OnBegan(StreamId stream, const SoftwareGroup& group,
                             bool split, TimePoint now) {
+  OnListed(group, now);
   const GroupIndex index = IndexOf(group);
   Add(stream, index, now);
   unreported_.push_back({stream, index, split, now});
@@ -76,12 +97,11 @@
 }
 
 bool StreamOrigins::IsMixed(const ServiceId& service, TimePoint now) const {
-  int versions = 0;
-  for (const auto& [group, listed_at] : listed_at_) {
-    if (group.service != service) continue;
-    if (now - listed_at < options_.lifetime) ++versions;
-  }
-  return versions > 1;
+  const std::vector<SoftwareGroup> listed = Listed(now);
+  return std::count_if(listed.begin(), listed.end(),
+                       [&service](const SoftwareGroup& group) {
+                         return group.service == service;
+                       }) > 1;
 }
 
 std::optional<SoftwareGroup> StreamOrigins::Find(StreamId stream) const {
@@ -94,10 +114,10 @@
 
 std::optional<SoftwareGroup> StreamOrigins::OnlyGroup(const ServiceId& service,
                                                       TimePoint now) const {
+  if (!KnowsListed(now)) return std::nullopt;
   std::optional<SoftwareGroup> only;
-  for (const auto& [group, listed_at] : listed_at_) {
+  for (const SoftwareGroup& group : Listed(now)) {
     if (group.service != service) continue;
-    if (now - listed_at >= options_.lifetime) continue;
     if (only) return std::nullopt;
     only = group;
   }
--- a/test/gateway/fake_store.cc
+++ b/test/gateway/fake_store.cc
@@ -169,7 +169,9 @@
     }
     const std::string target = request->path();
     const std::string table = Parameter(target, "table");
-    if (target.starts_with("/rows-get")) {
+    if (target.starts_with("/rows-get") && refused_reads_[table]-- > 0) {
+      Reply(connection, 503, "");
+    } else if (target.starts_with("/rows-get")) {
       Reply(connection, 200, RowsAfter(table, 0, false));
     } else if (target.starts_with("/rows-feed")) {
       if (std::stoull(Parameter(target, "after")) > version_) {
--- a/test/gateway/fake_store.h
+++ b/test/gateway/fake_store.h
@@ -40,6 +40,10 @@
   void Remove(const std::string& table, const std::string& key);
   /// Answers the next `n` writes to `table` with 503.
   void RefuseWrites(const std::string& table, int n) { refused_[table] = n; }
+  /// Answers the next `n` reads of all rows of `table` with 503.
+  void RefuseReads(const std::string& table, int n) {
+    refused_reads_[table] = n;
+  }
   /// True if the row was written and not removed.
   bool Has(const std::string& table, const std::string& key) const;
   /// @return version of a row; 0 if there is none
@@ -93,7 +97,8 @@
   Tables tables_;
   std::uint64_t generation_ = 0;  ///< Not named if zero.
   std::optional<std::string> generation_text_;
-  std::map<std::string, int> refused_;  ///< Writes to refuse, by table.
+  std::map<std::string, int> refused_;        ///< Writes to refuse, by table.
+  std::map<std::string, int> refused_reads_;  ///< By table.
   std::uint64_t version_ = 0;
   std::chrono::milliseconds time_{1'000};
   std::optional<std::chrono::steady_clock::time_point> clock_runs_since_;
--- a/test/gateway/stream_software_test.cc
+++ b/test/gateway/stream_software_test.cc
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <optional>
 
+#include "test/gateway/ending_gateway.h"
 #include "test/gateway/gateway_fixture.h"
 
 namespace yuccapick {
@@ -17,6 +19,8 @@
 
 constexpr char kOwnDomain[] = "here";
 constexpr char kOtherDomain[] = "elsewhere";
+constexpr char kSoftwareTable[] = "yuccapick-software";
+constexpr int kAllReads = 1'000'000;
 constexpr char kEndOfStream[] = "\r\n0\r\n\r\n";
 
 bool Contains(const std::string& text, const std::string& part) {
@@ -260,6 +264,88 @@
   CHECK(versions.v1.HasResumed("id-2"));
 }
 
+/// A gateway that lists an upstream of software v1 and has recorded it, before
+/// all gateways lose power and another one starts.
+struct PowerLoss {
+  PowerLoss() : v1(fixture.loop, "v1"), v2(fixture.loop, "v2") {
+    fixture.PutConfig(1, kRoutes);
+    Register(v1.first, v1.software);
+    lost.emplace(fixture);
+    AwaitRecorded("app/v1");
+  }
+
+  void Register(const StreamUpstream& upstream, const std::string& software) {
+    fixture.RegisterSoftware(upstream.fake, "app", software);
+  }
+
+  void AwaitRecorded(const std::string& key) {
+    REQUIRE(lost->RunUntilTrue(
+        [&] { return fixture.store.Has(kSoftwareTable, key); }));
+  }
+
+  /// A stream of v1 breaks off when the gateways lose power.
+  void LoseStream(const std::string& attempt_id) {
+    FakeCaller caller(fixture.loop, lost->settings().caller_endpoint);
+    caller.Send(NewStream(attempt_id));
+    REQUIRE(lost->RunUntilTrue(
+        [&caller] { return Contains(caller.input(), Event(2)); }));
+  }
+
+  void StartAnother() {
+    lost->Unregister();
+    lost.reset();
+    fixture.Start();
+  }
+
+  /// Asks until the gateway knows which versions were in use.
+  std::string ResumeStream(const std::string& first_attempt) {
+    std::string answer;
+    int attempts = 0;
+    REQUIRE(fixture.RunUntilTrue([&] {
+      answer = fixture.Ask(
+          ResumedStream(fmt::format("again-{}", ++attempts), first_attempt));
+      return !IsRefusal(answer);
+    }));
+    return answer;
+  }
+
+  GatewayFixture fixture;
+  UpstreamPair v1;
+  UpstreamPair v2;
+  std::optional<EndingGateway> lost;
+};
+
+TEST_CASE("After a power loss no stream of a version that left is resumed") {
+  PowerLoss power_loss;
+  power_loss.LoseStream("id-1");
+  power_loss.Register(power_loss.v2.first, "v2");
+  power_loss.AwaitRecorded("app/v2");
+  power_loss.fixture.store.Remove("servers", power_loss.v1.first.fake.id());
+  power_loss.StartAnother();
+  power_loss.fixture.Run(std::chrono::milliseconds(200));
+  CHECK(IsRefusal(power_loss.fixture.Ask(ResumedStream("id-2", "id-1"))));
+  CHECK(power_loss.v2.ReceivedCount() == 0);
+}
+
+TEST_CASE("A stream is resumed after a power loss if one version was in use") {
+  PowerLoss power_loss;
+  power_loss.LoseStream("id-1");
+  power_loss.Register(power_loss.v1.second, "v1");
+  power_loss.StartAnother();
+  CHECK(HasRestOfStream(power_loss.ResumeStream("id-1")));
+}
+
+TEST_CASE("Without the record of versions no unknown stream is resumed") {
+  PowerLoss power_loss;
+  power_loss.LoseStream("id-1");
+  power_loss.fixture.store.RefuseReads(kSoftwareTable, kAllReads);
+  power_loss.StartAnother();
+  power_loss.fixture.Run(std::chrono::milliseconds(200));
+  CHECK(IsRefusal(power_loss.fixture.Ask(ResumedStream("id-2", "id-1"))));
+  power_loss.fixture.store.RefuseReads(kSoftwareTable, 0);
+  CHECK(HasRestOfStream(power_loss.ResumeStream("id-1")));
+}
+
 TEST_CASE("Every stream is resumed while upstreams of its software serve") {
   constexpr std::size_t kStreams = 12;
   TwoSoftwareVersions versions;
--- a/test/gateway/target_set_times_test.cc
+++ b/test/gateway/target_set_times_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <cmath>
 
+#include "gateway/store_writers.h"
 #include "platform/names.h"
 #include "test/gateway/gateway_fixture.h"
 
@@ -16,11 +17,11 @@
 TEST_CASE("With any number of gateways, at least one writes a target's time") {
   for (const std::size_t n : {1U, 2U, 7U, 8U, 13U, 38U, 100U, 660U}) {
     const double nobody =
-        std::pow(1.0 - TargetTimeWriterShare(n), static_cast<double>(n));
+        std::pow(1.0 - StoreWriterShare(n), static_cast<double>(n));
     CHECK(nobody < 1e-5);
   }
   // With many gateways, only a few write.
-  CHECK(TargetTimeWriterShare(660) * 660 < 20);
+  CHECK(StoreWriterShare(660) * 660 < 20);
 }
 
 TEST_CASE("A target's time that the store refuses is written again") {
--- a/test/stream_origins_test.cc
+++ b/test/stream_origins_test.cc
@@ -25,6 +25,7 @@
 
 TEST_CASE("Of an unknown stream the only software version of late is assumed") {
   StreamOrigins origins(kOptions);
+  origins.OnHistory({}, kStart);
   CHECK_FALSE(origins.OnlyGroup(kService, kStart));
   origins.OnListed(kOld, kStart);
   origins.OnListed({ServiceId("other"), SoftwareVersion("v7")}, kStart);
@@ -35,6 +36,25 @@
   CHECK(origins.OnlyGroup(kService, kStart + kOptions.lifetime) == kNew);
 }
 
+TEST_CASE("No version is assumed while an earlier one may be unknown") {
+  StreamOrigins origins(kOptions);
+  origins.OnListed(kNew, kStart);
+  const TimePoint last_doubt = kStart + kOptions.lifetime - milliseconds(1);
+  origins.OnListed(kNew, last_doubt);
+  CHECK_FALSE(origins.OnlyGroup(kService, last_doubt));
+  CHECK(origins.OnlyGroup(kService, kStart + kOptions.lifetime) == kNew);
+}
+
+TEST_CASE("A version that left before this process started counts") {
+  StreamOrigins origins(kOptions);
+  origins.OnListed(kNew, kStart);
+  origins.OnHistory({kOld, kNew}, kStart);
+  CHECK(origins.IsMixed(kService, kStart));
+  CHECK_FALSE(origins.OnlyGroup(kService, kStart));
+  origins.OnListed(kNew, kStart + kOptions.lifetime);
+  CHECK(origins.OnlyGroup(kService, kStart + kOptions.lifetime) == kNew);
+}
+
 TEST_CASE("Peers are told of streams while there are several versions") {
   StreamOrigins origins(kOptions);
   origins.OnListed(kOld, kStart);
