--- a/include/yuccapick/direct_placement.h
+++ b/include/yuccapick/direct_placement.h
@@ -74,6 +74,9 @@
   /// Fixed cost of importing cached parts, by source.
   Cost import_from_engine{25.0};
   Cost import_from_store{20.0};  ///< Plus the time on its link.
+  /// Shared parts of fewer tokens are not exported: engines compute them sooner
+  /// than they import them.
+  std::uint32_t min_export_tokens = 1'024;
   /// Parts are not exported to the KV store while its transfers wait longer.
   Cost max_export_wait{60.0};
   /// Penalty for a request that is certain to fail; multiplied by the failure
@@ -99,6 +102,11 @@
   std::string cache_scope;
   std::uint32_t expected_cached_tokens = 0;
   std::uint32_t missing_tokens = 0;
+  /// Shared tokens that any engine, or the KV store, is known to have cached or
+  /// to be computing.
+  std::uint32_t known_tokens = 0;
+  bool at_home = false;  ///< The upstream is the shared parts' home.
+  std::string kv_store;  ///< Of the fleet, or empty.
   /// Expected to be imported and exported over the KV store's link.
   std::uint32_t store_tokens = 0;
   PlacementCosts::Cost cost{0};
--- a/include/yuccapick/gateway_config.h
+++ b/include/yuccapick/gateway_config.h
@@ -110,11 +110,12 @@
   /// @return the team that the API key `key` belongs to, or null
   const GatewayTeam* FindTeam(std::string_view key) const;
   const GatewayService* FindService(const ServiceId& id) const;
-  /// Time that the kept-KV store's link takes to transfer one token's KV cache,
+  /// Time that a kept-KV store's link takes to transfer one token's KV cache,
   /// for the engine with the largest tokens; zero if unknown.
-  std::chrono::duration<double, std::milli> KvStoreTimePerToken() const;
-  /// @return the kept-KV store, or null if there is none
-  const GatewayService* FindKvStore() const;
+  std::chrono::duration<double, std::milli> KvStoreTimePerToken(
+      const GatewayService& store) const;
+  /// @return the kept-KV stores
+  std::vector<const GatewayService*> KvStores() const;
 
   /// Returns a key that separates cached prefixes that must not be shared: by
   /// weight version, by isolated team, and by the set of isolated teams, since
--- a/include/yuccapick/part_directory.h
+++ b/include/yuccapick/part_directory.h
@@ -82,7 +82,9 @@
 
   void OnEngineChange(const UpstreamId& upstream, const CacheChange& change,
                       TimePoint now);
-  void OnStoreChange(const CacheChange& change, TimePoint now);
+  /// @param store endpoint of the KV store
+  void OnStoreChange(const std::string& store, const CacheChange& change,
+                     TimePoint now);
   /// A request that will compute the parts of `chain` was sent to `upstream`.
   /// Later requests to it find them, but other upstreams cannot import them
   /// yet.
@@ -99,12 +101,13 @@
   void OnHoldersLearned(const PartChain& chain,
                         const std::vector<HolderRecord>& holders,
                         TimePoint now);
-  /// A request has exported the parts of `chain` to the KV store.
-  void OnExported(const PartChain& chain, TimePoint now);
+  /// A request has exported the parts of `chain` to a KV store.
+  void OnExported(const PartChain& chain, const std::string& store,
+                  TimePoint now);
   /// The upstream lost its cache, for example in a restart.
   void OnEngineLost(const UpstreamId& upstream);
   /// The KV store lost its contents.
-  void OnStoreLost();
+  void OnStoreLost(const std::string& store);
 
   // Queries.
 
@@ -119,8 +122,9 @@
   /// evicted a part.
   std::vector<HolderRecord> HoldersOf(std::uint64_t part_hash,
                                       TimePoint now) const;
-  /// Returns how many tokens from the chain's beginning the KV store holds.
-  std::uint32_t TokensInStore(const PartChain& chain, TimePoint now) const;
+  /// Returns how many tokens from the chain's beginning a KV store holds.
+  std::uint32_t TokensInStore(const PartChain& chain, const std::string& store,
+                              TimePoint now) const;
   std::size_t size() const { return parts_.size(); }
 
  private:
@@ -131,18 +135,21 @@
     bool pending = false;  ///< Being computed.
   };
   struct KnownPart {
-    std::vector<Holder> holders;
-    std::uint32_t store_tokens = 0;
-    TimePoint in_store_at;  ///< Last export or report; zero if not in it.
-    TimePoint used_at;      ///< Last use or report.
+    std::vector<Holder> holders;  ///< Engines.
+    std::vector<Holder> stores;   ///< KV stores, by endpoint.
+    TimePoint used_at;            ///< Last use or report.
   };
 
-  static Holder* FindHolder(KnownPart& part, const UpstreamId& upstream);
-  static void RecordHolder(KnownPart& part, const UpstreamId& upstream,
-                           std::uint32_t tokens, TimePoint now);
+  static Holder* FindHolder(std::vector<Holder>& holders,
+                            const UpstreamId& upstream);
+  static void RecordHolder(std::vector<Holder>& holders,
+                           const UpstreamId& upstream, std::uint32_t tokens,
+                           TimePoint now);
   /// Records the holder unless something newer is known of it. What is held
   /// stays held while another request that uses it is computed.
-  static void MergeHolder(KnownPart& part, const Holder& learned);
+  static void MergeHolder(std::vector<Holder>& holders, const Holder& learned);
+  static void EraseHolder(std::vector<Holder>& holders,
+                          const UpstreamId& upstream);
   std::chrono::milliseconds LifetimeOf(const Holder& holder) const {
     return holder.pending ? options_.pending_lifetime
                           : options_.engine_lifetime;
--- a/include/yuccapick/part_messages.h
+++ b/include/yuccapick/part_messages.h
@@ -14,13 +14,14 @@
 
 namespace yuccapick {
 
-/// What is known of one engine and one prompt part.
+/// What is known of one engine, or KV store, and one prompt part.
 struct HolderRecord {
-  UpstreamId upstream;
+  UpstreamId upstream;       ///< A KV store has its endpoint as id.
   std::uint32_t tokens = 0;  ///< From the part's beginning; 0 if evicted.
   bool pending = false;      ///< Being computed.
   /// How old the knowledge was when the record was sent.
   std::chrono::milliseconds age{0};
+  bool kv_store = false;  ///< The holder is a KV store.
 
   bool operator==(const HolderRecord&) const = default;
 };
@@ -46,6 +47,9 @@
 struct HolderUpdate {
   std::uint64_t part_hash = 0;
   HolderRecord holder;
+  /// The cache itself reported it. Such updates are ignored if the part is
+  /// unknown: most of them are about parts that only one request has.
+  bool from_cache = false;
 
   bool operator==(const HolderUpdate&) const = default;
 };
--- a/include/yuccapick/part_owners.h
+++ b/include/yuccapick/part_owners.h
@@ -28,6 +28,8 @@
 
   /// @return the endpoint of the part's owner; empty if this gateway owns it
   const std::string& EndpointOf(std::uint64_t part_hash) const;
+  /// Number of gateways that own parts, including this one.
+  std::size_t size() const { return members_.size(); }
 
  private:
   struct Member {
--- a/include/yuccapick/peer_report.h
+++ b/include/yuccapick/peer_report.h
@@ -36,6 +36,18 @@
   std::uint32_t tokens = 0;  ///< Cached now.
 };
 
+/// What a gateway tells of a KV store, by its endpoint.
+struct KvStoreReport {
+  std::string endpoint;
+  Incarnation incarnation;  ///< 0 unless the sender watches the store.
+  bool lost = false;        ///< Watched by the sender, and silent.
+  /// Tokens whose KV cache the sender's requests transferred over the store's
+  /// link since its previous report.
+  std::uint64_t transferred_tokens = 0;
+  /// Parts that the sender's requests saved to it.
+  PartChain exported;
+};
+
 /// Report of one gateway. Reports may be lost, duplicated or late, so each one
 /// is complete in itself except where noted.
 struct PeerReport {
@@ -49,22 +61,21 @@
   std::uint64_t upstream_rows = 0;
   bool holds_rollout_lease = false;
   bool leaving = false;
-  bool kv_store_lost = false;  ///< Watched by the sender, and silent.
+  bool kv_store_lost = false;  ///< Sent by older versions only.
   std::vector<WorkReport> work;
   std::vector<UpstreamId> loading;       ///< If it holds the rollout lease.
   std::vector<ObservedWeights> weights;  ///< New since the previous report.
-  PartChain exported;                    ///< Parts saved to the kept-KV store.
+  PartChain exported;                    ///< Sent by older versions only.
   std::vector<PartUpdate> parts;         ///< Sent by older versions only.
-  /// Tokens whose KV cache the sender's requests transferred over the kept-KV
-  /// store's link since its previous report.
-  std::uint64_t kv_store_tokens = 0;
-  LeaseWrite rollout_lease;  ///< If it holds the rollout lease.
+  std::uint64_t kv_store_tokens = 0;     ///< Sent by older versions only.
+  LeaseWrite rollout_lease;              ///< If it holds the rollout lease.
   /// Upstreams that said that they leave, new since the previous report.
   std::vector<UpstreamRun> leaving_upstreams;
   /// Of the upstreams whose limits the sender coordinates.
   std::vector<NamedLimit> limits;
   /// Of `operator_rows` and `upstream_rows`.
   StoreGeneration store_generation;
+  std::vector<KvStoreReport> kv_stores;
 };
 
 /// How new the tables and the configuration of a gateway are.
@@ -113,7 +124,8 @@
   std::size_t LiveCount(TimePoint now) const;
   std::vector<InstanceId> LiveInstances(TimePoint now) const;
   bool AnyPeerHoldsRolloutLease(TimePoint now) const;
-  bool AnyPeerLostKvStore(TimePoint now) const;
+  /// @param endpoint of the KV store
+  bool AnyPeerLostKvStore(const std::string& endpoint, TimePoint now) const;
   /// Upstreams that holders of the rollout lease report as loading.
   std::set<UpstreamId> Loading(TimePoint now) const;
   /// True if a live peer that can reach the store has this version active.
--- a/src/direct_placement.cc
+++ b/src/direct_placement.cc
@@ -48,7 +48,8 @@
   sources.chain = SharedChain(scope, query.parts);
   for (const PartKey& key : sources.chain) sources.shared_tokens += key.tokens;
   if (!fleet.kv_store_endpoint.empty()) {
-    sources.store_tokens = directory.TokensInStore(sources.chain, now);
+    sources.store_tokens =
+        directory.TokensInStore(sources.chain, fleet.kv_store_endpoint, now);
   }
   sources.known_tokens = sources.store_tokens;
   for (const PartHolder& holder : directory.Holders(sources.chain, now)) {
@@ -141,10 +142,13 @@
   const TransferLink* link = fleet.kv_store_link;
   const bool store_free =
       link == nullptr || link->Wait(now) <= costs_.max_export_wait;
-  if (sources.shared_tokens > 0 && !in_store && store_free) {
+  const bool long_enough = sources.shared_tokens >= costs_.min_export_tokens;
+  if (long_enough && !in_store && store_free) {
     choice.export_to = fleet.kv_store_endpoint;
     choice.store_tokens += query.prompt_tokens;
   }
+  choice.known_tokens = sources.known_tokens;
+  choice.at_home = &candidate == home;
   choice.expected_cached_tokens = import.tokens;
   choice.missing_tokens =
       query.prompt_tokens - std::min(query.prompt_tokens, import.tokens);
@@ -208,6 +212,7 @@
     }
     DirectPlacementDecision choice;
     choice.upstream = candidate.upstream->id;
+    choice.kv_store = fleet.kv_store_endpoint;
     choice.cache_scope = candidate.cache_scope;
     choice.cost = ExpectedWait(*candidate.upstream, query,
                                fleet.kv_capacity_tokens, load, now);
--- a/src/gateway/cache_watch.cc
+++ b/src/gateway/cache_watch.cc
@@ -19,7 +19,6 @@
 /// Delay between two calls, so that one answer carries several events.
 constexpr milliseconds kPollInterval{150};
 constexpr milliseconds kRetryDelay{700};
-constexpr char kKvStoreTarget[] = "kv-store";
 /// Share of a cache's watcher limit that the gateways use.
 constexpr double kUsableWatcherShare = 0.75;
 /// Number of watchers of a cache that not all gateways may watch: one spare, so
@@ -51,23 +50,33 @@
   return WatcherRank(name) < kMinWatchers;
 }
 
-void CacheWatch::TellEviction(const Target& target, const CacheChange& change) {
-  if (!target.reports_to_peers || change.held) return;
-  state_.tell_part_owner(
-      {change.part_hash, {target.upstream, change.tokens, false, {}}});
+void CacheWatch::TellOwner(const Target& target, const CacheChange& change) {
+  if (!target.reports_to_peers) return;
+  HolderRecord holder{target.upstream, change.tokens, false, {}, false};
+  if (target.upstream.empty()) {
+    holder.upstream = UpstreamId(target.endpoint);
+    holder.kv_store = true;
+  }
+  state_.tell_part_owner({change.part_hash, holder, /*from_cache=*/true});
 }
 
-void CacheWatch::OnTick(TimePoint now) {
-  if (state_.config == nullptr) return;
-  std::map<std::string, bool> wanted;
-  const GatewayService* store = state_.config->FindKvStore();
-  watches_kv_store_ =
-      store != nullptr && MayWatch(kKvStoreTarget, store->kv_store_watchers);
-  if (!watches_kv_store_) state_.kv_store_usable = !state_.peers_lost_kv_store;
-  if (watches_kv_store_) {
-    wanted[kKvStoreTarget] = true;
-    SetTarget(kKvStoreTarget, store->kv_store_endpoint, UpstreamId(), false);
+void CacheWatch::WatchKvStores(std::map<std::string, bool>& wanted) {
+  for (const GatewayService* service : state_.config->KvStores()) {
+    const std::string& endpoint = service->kv_store_endpoint;
+    const std::uint32_t max_watchers = service->kv_store_watchers;
+    KvStoreState& store = state_.kv_stores[endpoint];
+    store.watched = MayWatch(endpoint, max_watchers);
+    if (!store.watched) {
+      store.usable = !store.lost_by_peers;
+      continue;
+    }
+    wanted[endpoint] = true;
+    SetTarget(endpoint, endpoint, UpstreamId(),
+              !AllMayWatch(max_watchers) && WatcherRank(endpoint) == 0);
   }
+}
+
+void CacheWatch::WatchEngines(std::map<std::string, bool>& wanted) {
   state_.watches_all_caches = true;
   for (const UpstreamEntry* upstream : state_.roster.All()) {
     if (upstream->leaving || upstream->weights.empty()) continue;
@@ -79,9 +88,16 @@
     if (!all_watch) state_.watches_all_caches = false;
     if (!MayWatch(name, service->engine->max_cache_watchers)) continue;
     wanted[name] = true;
-    const bool reports_to_peers = !all_watch && WatcherRank(name) == 0;
-    SetTarget(name, upstream->endpoint, upstream->id, reports_to_peers);
+    SetTarget(name, upstream->endpoint, upstream->id,
+              !all_watch && WatcherRank(name) == 0);
   }
+}
+
+void CacheWatch::OnTick(TimePoint now) {
+  if (state_.config == nullptr) return;
+  std::map<std::string, bool> wanted;
+  WatchKvStores(wanted);
+  WatchEngines(wanted);
   RemoveUnwantedTargets(wanted);
   for (auto& [name, target] : targets_) {
     if (target.polling || now < target.next_call) continue;
@@ -164,35 +180,42 @@
   const TimePoint now = state_.Now();
   ++target.failures;
   target.next_call = now + kRetryDelay;
-  if (!target.upstream.empty() || !state_.kv_store_usable) return;
-  state_.kv_store_usable = false;
+  if (!target.upstream.empty() || !StoreOf(target).usable) return;
+  StoreOf(target).usable = false;
   state_.log.Write(LogKind::kLifecycle, now,
                    "event=kv_store_lost endpoint={} reason=\"{}\"",
                    target.endpoint, reason);
 }
 
 void CacheWatch::Apply(Target& target, const CacheEvents& events) {
-  const TimePoint now = state_.Now();
-  const bool is_store = target.upstream.empty();
-  if (is_store && !state_.kv_store_usable) {
-    state_.kv_store_usable = true;
-    state_.log.Write(LogKind::kLifecycle, now,
-                     "event=kv_store_regained endpoint={}", target.endpoint);
-  }
   const bool restarted = target.incarnation != Incarnation() &&
                          target.incarnation != events.incarnation;
   target.incarnation = events.incarnation;
-  if (restarted && is_store) state_.parts.OnStoreLost();
-  if (restarted && !is_store) state_.parts.OnEngineLost(target.upstream);
+  if (target.upstream.empty()) {
+    ApplyStoreAnswer(target, restarted);
+  } else if (restarted) {
+    state_.parts.OnEngineLost(target.upstream);
+  }
+  const TimePoint now = state_.Now();
   for (const CacheChange& change : events.changes) {
-    if (is_store) {
-      state_.parts.OnStoreChange(change, now);
+    if (target.upstream.empty()) {
+      state_.parts.OnStoreChange(target.endpoint, change, now);
     } else {
       state_.parts.OnEngineChange(target.upstream, change, now);
-      TellEviction(target, change);
     }
+    TellOwner(target, change);
   }
   target.since = events.next;
 }
 
+void CacheWatch::ApplyStoreAnswer(const Target& target, bool restarted) {
+  KvStoreState& store = StoreOf(target);
+  store.incarnation = target.incarnation;
+  if (restarted) state_.parts.OnStoreLost(target.endpoint);
+  if (store.usable) return;
+  store.usable = true;
+  state_.log.Write(LogKind::kLifecycle, state_.Now(),
+                   "event=kv_store_regained endpoint={}", target.endpoint);
+}
+
 }  // namespace yuccapick
--- a/src/gateway/cache_watch.h
+++ b/src/gateway/cache_watch.h
@@ -25,13 +25,11 @@
   /// Starts and stops polling according to the upstream list and the
   /// configuration.
   void OnTick(TimePoint now);
-  /// True if this gateway itself polls the KV store's events.
-  bool watches_kv_store() const { return watches_kv_store_; }
 
  private:
   struct Target {
     std::string endpoint;
-    UpstreamId upstream;            ///< Empty for the KV store.
+    UpstreamId upstream;            ///< Empty for a KV store.
     Incarnation incarnation;        ///< Of the cache.
     std::uint64_t since = 0;        ///< Number of the last event seen.
     std::uint64_t generation = 0;   ///< Answers to older targets are dropped.
@@ -51,10 +49,17 @@
   std::size_t WatcherRank(const std::string& name) const;
   bool AllMayWatch(std::uint32_t max_watchers) const;
   bool MayWatch(const std::string& name, std::uint32_t max_watchers) const;
-  /// Tells the part's owner of an eviction if not all gateways watch the cache
-  /// themselves. What engines add it learns from the gateways that send them
-  /// requests.
-  void TellEviction(const Target& target, const CacheChange& change);
+  /// Watches the KV stores that this gateway may watch.
+  /// @param wanted gets their names
+  void WatchKvStores(std::map<std::string, bool>& wanted);
+  /// Watches the engines that this gateway may watch.
+  void WatchEngines(std::map<std::string, bool>& wanted);
+  /// Tells the part's owner of a change if not all gateways watch the cache
+  /// themselves.
+  void TellOwner(const Target& target, const CacheChange& change);
+  KvStoreState& StoreOf(const Target& target) {
+    return state_.kv_stores[target.endpoint];
+  }
   void Poll(const std::string& name, Target& target);
   void OnAnswer(const std::string& name, std::uint64_t generation,
                 const absl::StatusOr<CallAnswer>& answer);
@@ -63,12 +68,14 @@
   void OnSilence(Target& target);
   void OnFailure(Target& target, std::string_view reason);
   void Apply(Target& target, const CacheEvents& events);
+  /// A KV store answered.
+  /// @param restarted it lost its contents since its last answer
+  void ApplyStoreAnswer(const Target& target, bool restarted);
 
   GatewayState& state_;
   CallClient& calls_;
   std::map<std::string, Target> targets_;
   std::uint64_t generations_ = 0;
-  bool watches_kv_store_ = false;
 };
 
 }  // namespace yuccapick
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -263,7 +263,9 @@
   if (state_.config != nullptr) {
     rollout_->OnTick(peers_.AnyPeerHoldsRolloutLease(now));
   }
-  state_.peers_lost_kv_store = peers_.AnyPeerLostKvStore(now);
+  for (auto& [endpoint, store] : state_.kv_stores) {
+    store.lost_by_peers = peers_.AnyPeerLostKvStore(endpoint, now);
+  }
   cache_watch_.OnTick(now);
   ingress_server_->CheckTimeouts(now);
   if (++ticks_ % kTicksBetweenSweeps == 0) {
--- a/src/gateway/gateway_process.h
+++ b/src/gateway/gateway_process.h
@@ -128,6 +128,9 @@
                          const absl::StatusOr<StoreAnswer>& answer);
   void FetchPeerList();
   PeerReport MakeReport();
+  static KvStoreReport MakeKvStoreReport(const std::string& endpoint,
+                                         KvStoreState& store);
+  void ApplyKvStoreReport(const KvStoreReport& report, TimePoint now);
   void ExchangeWithPeers(TimePoint now);
   /// Tells peers of the streams that began lately.
   void SendStreamOrigins();
--- a/src/gateway/gateway_process_metrics.cc
+++ b/src/gateway/gateway_process_metrics.cc
@@ -44,6 +44,7 @@
   gauge("yuccapick_peers_live", peers_.LiveCount(now));
   gauge("yuccapick_rollout_lease_held", rollout_->holds() ? 1 : 0);
   gauge("yuccapick_known_prompt_parts", state_.parts.size());
+  gauge("yuccapick_part_owners", part_sharing_->owner_count());
   AppendMetric(out, "counter", "yuccapick_part_queries_sent",
                state_.part_counters.queries_sent);
   AppendMetric(out, "counter", "yuccapick_part_queries_answered",
--- a/src/gateway/gateway_process_peers.cc
+++ b/src/gateway/gateway_process_peers.cc
@@ -43,8 +43,9 @@
     }
   }
   if (report.holds_rollout_lease) rollout_->OnPeerLease(report.rollout_lease);
-  state_.parts.OnExported(report.exported, now);
-  state_.kv_store_link.OnTransfer(report.kv_store_tokens, now);
+  for (const KvStoreReport& store : report.kv_stores) {
+    ApplyKvStoreReport(store, now);
+  }
   for (const PartUpdate& update : report.parts) {
     state_.parts.OnEngineChange(
         update.upstream, {update.part_hash, update.tokens > 0, update.tokens},
@@ -243,23 +244,47 @@
   if (report.holds_rollout_lease) report.rollout_lease = rollout_->last_write();
   report.leaving = draining_;
   report.limits = state_.limits.CoordinatedLimits();
-  report.kv_store_lost =
-      !state_.kv_store_usable && cache_watch_.watches_kv_store();
   report.work = state_.load.OwnReports();
   const std::set<UpstreamId> loading = rollout_->Loading();
   report.loading.assign(loading.begin(), loading.end());
   report.leaving_upstreams = std::exchange(state_.unreported_leaving, {});
   report.weights = std::exchange(state_.unreported_weights, {});
-  report.kv_store_tokens = std::exchange(state_.unreported_kv_store_tokens, 0);
-  const std::size_t n =
-      std::min(state_.unreported_exports.size(), kMaxExportedPartsPerReport);
-  const auto end =
-      state_.unreported_exports.begin() + static_cast<std::ptrdiff_t>(n);
-  report.exported.assign(state_.unreported_exports.begin(), end);
-  state_.unreported_exports.erase(state_.unreported_exports.begin(), end);
+  for (auto& [endpoint, store] : state_.kv_stores) {
+    report.kv_stores.push_back(MakeKvStoreReport(endpoint, store));
+  }
+  return report;
+}
+
+KvStoreReport GatewayProcess::MakeKvStoreReport(const std::string& endpoint,
+                                                KvStoreState& store) {
+  KvStoreReport report;
+  report.endpoint = endpoint;
+  if (store.watched) report.incarnation = store.incarnation;
+  report.lost = store.watched && !store.usable;
+  report.transferred_tokens = std::exchange(store.unreported_tokens, 0);
+  PartChain& exports = store.unreported_exports;
+  const std::size_t n = std::min(exports.size(), kMaxExportedPartsPerReport);
+  const auto end = exports.begin() + static_cast<std::ptrdiff_t>(n);
+  report.exported.assign(exports.begin(), end);
+  exports.erase(exports.begin(), end);
   return report;
 }
 
+void GatewayProcess::ApplyKvStoreReport(const KvStoreReport& report,
+                                        TimePoint now) {
+  const auto it = state_.kv_stores.find(report.endpoint);
+  if (it == state_.kv_stores.end()) return;
+  KvStoreState& store = it->second;
+  store.link.OnTransfer(report.transferred_tokens, now);
+  if (!store.watched && report.incarnation != Incarnation()) {
+    const bool restarted = store.incarnation != Incarnation() &&
+                           store.incarnation != report.incarnation;
+    store.incarnation = report.incarnation;
+    if (restarted) state_.parts.OnStoreLost(report.endpoint);
+  }
+  state_.parts.OnExported(report.exported, report.endpoint, now);
+}
+
 void GatewayProcess::ExchangeWithPeers(TimePoint now) {
   if (now >= next_peer_list_) {
     next_peer_list_ = now + kPeerListRetryDelay;
--- a/src/gateway/gateway_process_tables.cc
+++ b/src/gateway/gateway_process_tables.cc
@@ -140,7 +140,7 @@
   }
   state_.config = *config;
   config_in_force_ = row.value;
-  state_.kv_store_link.SetRate(state_.config->KvStoreTimePerToken());
+  state_.ListKvStores();
   state_.log.Write(LogKind::kStateChange, state_.Now(),
                    "event=config_in_force version={} row_version={}",
                    state_.config->version().value, row.version);
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -50,6 +50,8 @@
   /// How long requests are still accepted after a stop signal: the load
   /// balancer sends new callers until two health checks have failed.
   std::chrono::milliseconds listen_after_drain{2'800};
+  /// How long a request waits to learn which engines hold its prompt's parts.
+  std::chrono::milliseconds max_holders_wait{15};
   GatewayBounds bounds;
 };
 
--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "gateway/boot_clock.h"
+#include "yuccapick/rendezvous.h"
 
 namespace yuccapick {
 namespace {
@@ -48,6 +49,34 @@
   return store_times.clock.Now(BootTimeNow());
 }
 
+void GatewayState::ListKvStores() {
+  std::map<std::string, KvStoreState> listed;
+  for (const GatewayService* store : config->KvStores()) {
+    KvStoreState& state = listed[store->kv_store_endpoint];
+    const auto known = kv_stores.find(store->kv_store_endpoint);
+    if (known != kv_stores.end()) state = std::move(known->second);
+    state.link.SetRate(config->KvStoreTimePerToken(*store));
+  }
+  kv_stores = std::move(listed);
+}
+
+std::string GatewayState::KvStoreFor(
+    const std::vector<PromptPart>& parts) const {
+  const PartChain chain = SharedChain("", parts);
+  if (chain.empty()) return {};
+  std::string chosen;
+  std::uint64_t best = 0;
+  for (const auto& [endpoint, store] : kv_stores) {
+    if (!store.usable) continue;
+    const std::uint64_t score =
+        RendezvousScore(chain.back().hash, RendezvousNodeHash(endpoint));
+    if (!chosen.empty() && score <= best) continue;
+    chosen = endpoint;
+    best = score;
+  }
+  return chosen;
+}
+
 std::chrono::milliseconds GatewayState::WaitForPause(
     const UpstreamEntry& upstream) const {
   if (pauses.size() == 0) return std::chrono::milliseconds(0);
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -16,6 +16,7 @@
 #include "absl/random/random.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/http_connection.h"
+#include "gateway/kv_store_state.h"
 #include "gateway/log_sink.h"
 #include "gateway/store_times.h"
 #include "yuccapick/crash_quarantine.h"
@@ -74,6 +75,11 @@
   TimePoint Now() const { return std::chrono::steady_clock::now(); }
   /// @return nullopt before the store's time is known
   std::optional<StoreTime> StoreNow() const;
+  /// Takes over the KV stores of the configuration.
+  void ListKvStores();
+  /// Returns the KV store, of those that answer, for a prompt with these parts;
+  /// empty if there is none. All gateways choose the same.
+  std::string KvStoreFor(const std::vector<PromptPart>& parts) const;
 
   asio::io_context& loop;
   GatewaySettings settings;
@@ -115,15 +121,7 @@
   TargetWeightsHistory target_weights;
   /// Attempts sent although the upstream's weights were too old.
   std::uint64_t attempts_on_overdue_weights = 0;
-  /// False while the KV store doesn't answer.
-  bool kv_store_usable = true;
-  /// A peer that watches the KV store reports that it doesn't answer.
-  bool peers_lost_kv_store = false;
-  TransferLink kv_store_link;
-  /// Tokens sent over the link and not yet reported to peers.
-  std::uint64_t unreported_kv_store_tokens = 0;
-  /// Parts exported to the KV store and not yet reported to peers.
-  PartChain unreported_exports;
+  std::map<std::string, KvStoreState> kv_stores;  ///< By endpoint.
   /// Asks the gateway that owns the chain's last part which engines hold it,
   /// and calls the function when `parts` has learned the answer. Returns false
   /// if there is nobody to ask.
--- a/src/gateway/part_sharing.cc
+++ b/src/gateway/part_sharing.cc
@@ -26,7 +26,7 @@
 
 void PartSharing::OnTick(TimePoint now) {
   std::vector<PartOwner> members;
-  for (const InstanceId& peer : state_.live_peers) {
+  for (const InstanceId& peer : peers_.LiveInstances(now)) {
     std::string endpoint = peers_.EndpointOf(peer, now);
     if (!endpoint.empty()) members.push_back({peer, std::move(endpoint)});
   }
--- a/src/gateway/part_sharing.h
+++ b/src/gateway/part_sharing.h
@@ -27,6 +27,8 @@
   PartSharing(GatewayState& state, PeerExchange& exchange,
               const PeerRegistry& peers);
 
+  /// Number of gateways that own parts, including this one.
+  std::size_t owner_count() const { return owners_.size(); }
   void Stop() { send_updates_.Cancel(); }
   void OnTick(TimePoint now);
   /// Asks the owner of the chain's last part which engines hold it.
--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -46,7 +46,7 @@
   struct HolderRecordFields {
     auto operator()(yuccapick::HolderRecord& v) const {
       return msgpack::type::make_define_array(v.upstream, v.tokens, v.pending,
-                                              v.age);
+                                              v.age, v.kv_store);
     }
   };
   struct HoldersQueryFields {
@@ -61,7 +61,8 @@
   };
   struct HolderUpdateFields {
     auto operator()(yuccapick::HolderUpdate& v) const {
-      return msgpack::type::make_define_array(v.part_hash, v.holder);
+      return msgpack::type::make_define_array(v.part_hash, v.holder,
+                                              v.from_cache);
     }
   };
   struct ObservedWeightsFields {
@@ -77,7 +78,13 @@
           v.leaving, v.kv_store_lost, v.work, v.loading, v.weights, v.exported,
           v.parts, v.kv_store_tokens, v.rollout_lease.fence,
           v.rollout_lease.write, v.limits, v.leaving_upstreams,
-          v.store_generation);
+          v.store_generation, v.kv_stores);
+    }
+  };
+  struct KvStoreReportFields {
+    auto operator()(yuccapick::KvStoreReport& v) const {
+      return msgpack::type::make_define_array(v.endpoint, v.incarnation, v.lost,
+                                              v.transferred_tokens, v.exported);
     }
   };
   struct MirrorRowFields {
@@ -214,6 +221,12 @@
   struct pack<yuccapick::UpstreamRun>
       : PackAsArray<yuccapick::UpstreamRun, UpstreamRunFields> {};
   template <>
+  struct convert<yuccapick::KvStoreReport>
+      : PackAsArray<yuccapick::KvStoreReport, KvStoreReportFields> {};
+  template <>
+  struct pack<yuccapick::KvStoreReport>
+      : PackAsArray<yuccapick::KvStoreReport, KvStoreReportFields> {};
+  template <>
   struct convert<yuccapick::PeerReport>
       : PackAsArray<yuccapick::PeerReport, PeerReportFields> {};
   template <>
--- a/src/gateway/proxied_request.cc
+++ b/src/gateway/proxied_request.cc
@@ -210,9 +210,10 @@
     state_.parts.OnSent(chain, upstream.id, now);
     TellPartOwner(chain, upstream.id, /*pending=*/true);
   }
-  if (choice.store_tokens > 0) {
-    state_.kv_store_link.OnTransfer(choice.store_tokens, now);
-    state_.unreported_kv_store_tokens += choice.store_tokens;
+  const auto store = state_.kv_stores.find(choice.kv_store);
+  if (choice.store_tokens > 0 && store != state_.kv_stores.end()) {
+    store->second.link.OnTransfer(choice.store_tokens, now);
+    store->second.unreported_tokens += choice.store_tokens;
   }
   const milliseconds replaced_for = WeightsReplacedFor(upstream);
   if (replaced_for >= state_.settings.bounds.stale_weights_limit) {
@@ -231,15 +232,15 @@
       LogKind::kRequest, now,
       "event=request_sent id={} attempt={} route={} upstream={} software={} "
       "resumes={} cost_ms={:.1f} "
-      "prefix={:x} hit_tokens={} missing_tokens={} asked_ms={} import_from={} "
-      "export={} "
+      "prefix={:x} hit_tokens={} missing_tokens={} known_tokens={} "
+      "shared_tokens={} at_home={} asked_ms={} import_from={} export={} "
       "weights={} replaced_ms={} left_ms={} config={}",
       admitted_.caller.attempt_id, attempts_sent_, admitted_.route->name,
       upstream.id.value, upstream.software.value,
       admitted_.caller.resumes.empty() ? "-" : admitted_.caller.resumes,
       choice.cost.count(), chain.empty() ? 0 : chain.back().hash,
-      choice.expected_cached_tokens, choice.missing_tokens,
-      holders_wait_.count(),
+      choice.expected_cached_tokens, choice.missing_tokens, choice.known_tokens,
+      shared, choice.at_home, holders_wait_.count(),
       choice.import_from.empty() ? "-" : choice.import_from,
       !choice.export_to.empty(), head.weights.value_or(0), replaced_for.count(),
       head.time_left.count(), admitted_.config->version().value);
--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -86,17 +86,20 @@
   /// Lets the request return to upstreams that were given up for silence, since
   /// they may be sound.
   void ReadmitSilentUpstreams();
-  /// The shared parts of the prompt within the scope of the newest weights that
-  /// an upstream has. Empty if they are too short to look for.
-  PartChain ChainToFind() const;
-  /// Asks the gateway that knows which engines hold the prompt's shared parts,
-  /// and sends the request when it answers or some milliseconds have passed.
+  /// The shared parts of the prompt within the scopes of the newest weights
+  /// that upstreams have. Empty if they are too short to look for.
+  std::vector<PartChain> ChainsToFind() const;
+  /// Asks the gateways that know which engines hold the prompt's shared parts,
+  /// and sends the request when they answer or some milliseconds have passed.
   /// @return false if there is nobody to ask
   bool AwaitHolders();
-  void OnHoldersAwaited();
+  void OnHoldersLearned();
+  void SendAfterQueries();
   /// Tells the parts' owner that the upstream computes, or has cached, them.
   void TellPartOwner(const PartChain& chain, const UpstreamId& upstream,
                      bool pending) const;
+  /// Tells peers that the parts are in a KV store.
+  void TellExport(const PartChain& chain, const std::string& store) const;
   void TrySend();
   void Send(const DirectPlacementDecision& choice,
             const UpstreamEntry& upstream);
@@ -182,6 +185,7 @@
   PlacementQuery query_;
   /// Since when the request waits for the holders of its prompt's parts.
   std::optional<TimePoint> holders_asked_at_;
+  int unanswered_queries_ = 0;
   std::chrono::milliseconds holders_wait_{0};  ///< Time spent on it.
   std::vector<SuspectId> suspects_;
   /// Until when the request waits to be sent as a trial.
--- a/src/gateway/proxied_request_answers.cc
+++ b/src/gateway/proxied_request_answers.cc
@@ -179,9 +179,8 @@
   state_.parts.OnUsed(chain, attempt_->upstream.id, now);
   TellPartOwner(chain, attempt_->upstream.id, /*pending=*/false);
   if (choice.export_to.empty()) return;
-  state_.parts.OnExported(chain, now);
-  state_.unreported_exports.insert(state_.unreported_exports.end(),
-                                   chain.begin(), chain.end());
+  state_.parts.OnExported(chain, choice.export_to, now);
+  TellExport(chain, choice.export_to);
 }
 
 void ProxiedRequest::BeginAnswer() {
--- a/src/gateway/proxied_request_fleet.cc
+++ b/src/gateway/proxied_request_fleet.cc
@@ -38,10 +38,10 @@
   const GatewayService* service = config.FindService(service_);
   if (service == nullptr || !service->engine) return fleet;
   fleet.kv_capacity_tokens = service->engine->kv_capacity_tokens;
-  const GatewayService* store = config.FindKvStore();
-  if (store == nullptr || !state_.kv_store_usable) return fleet;
-  fleet.kv_store_endpoint = store->kv_store_endpoint;
-  fleet.kv_store_link = &state_.kv_store_link;
+  fleet.kv_store_endpoint = state_.KvStoreFor(query_.parts);
+  const auto store = state_.kv_stores.find(fleet.kv_store_endpoint);
+  if (store != state_.kv_stores.end())
+    fleet.kv_store_link = &store->second.link;
   return fleet;
 }
 
--- a/src/gateway_config.cc
+++ b/src/gateway_config.cc
@@ -76,23 +76,23 @@
   return nullptr;
 }
 
-const GatewayService* GatewayConfig::FindKvStore() const {
+std::vector<const GatewayService*> GatewayConfig::KvStores() const {
+  std::vector<const GatewayService*> stores;
   for (const GatewayService& service : services_) {
-    if (!service.kv_store_endpoint.empty()) return &service;
+    if (!service.kv_store_endpoint.empty()) stores.push_back(&service);
   }
-  return nullptr;
+  return stores;
 }
 
-std::chrono::duration<double, std::milli> GatewayConfig::KvStoreTimePerToken()
-    const {
+std::chrono::duration<double, std::milli> GatewayConfig::KvStoreTimePerToken(
+    const GatewayService& store) const {
   using Time = std::chrono::duration<double, std::milli>;
-  const GatewayService* store = FindKvStore();
-  if (store == nullptr || store->kv_store_bits_per_ms <= 0) return Time(0);
+  if (store.kv_store_bits_per_ms <= 0) return Time(0);
   double bits = 0;
   for (const GatewayService& service : services_) {
     if (service.engine) bits = std::max(bits, service.engine->kv_token_bits);
   }
-  return Time(bits / store->kv_store_bits_per_ms);
+  return Time(bits / store.kv_store_bits_per_ms);
 }
 
 std::string GatewayConfig::CacheScopeOf(const GatewayTeam* team,
--- a/src/part_directory.cc
+++ b/src/part_directory.cc
@@ -48,29 +48,38 @@
   return part;
 }
 
-PartDirectory::Holder* PartDirectory::FindHolder(KnownPart& part,
+PartDirectory::Holder* PartDirectory::FindHolder(std::vector<Holder>& holders,
                                                  const UpstreamId& upstream) {
   const auto it = std::find_if(
-      part.holders.begin(), part.holders.end(),
+      holders.begin(), holders.end(),
       [&upstream](const Holder& h) { return h.upstream == upstream; });
-  return it == part.holders.end() ? nullptr : &*it;
+  return it == holders.end() ? nullptr : &*it;
 }
 
-void PartDirectory::RecordHolder(KnownPart& part, const UpstreamId& upstream,
+void PartDirectory::EraseHolder(std::vector<Holder>& holders,
+                                const UpstreamId& upstream) {
+  std::erase_if(holders, [&upstream](const Holder& holder) {
+    return holder.upstream == upstream;
+  });
+}
+
+void PartDirectory::RecordHolder(std::vector<Holder>& holders,
+                                 const UpstreamId& upstream,
                                  std::uint32_t tokens, TimePoint now) {
   const Holder recorded{upstream, tokens, now, false};
-  Holder* holder = FindHolder(part, upstream);
+  Holder* holder = FindHolder(holders, upstream);
   if (holder == nullptr) {
-    part.holders.push_back(recorded);
+    holders.push_back(recorded);
   } else {
     *holder = recorded;
   }
 }
 
-void PartDirectory::MergeHolder(KnownPart& part, const Holder& learned) {
-  Holder* holder = FindHolder(part, learned.upstream);
+void PartDirectory::MergeHolder(std::vector<Holder>& holders,
+                                const Holder& learned) {
+  Holder* holder = FindHolder(holders, learned.upstream);
   if (holder == nullptr) {
-    part.holders.push_back(learned);
+    holders.push_back(learned);
   } else if (holder->known_at < learned.known_at) {
     const bool held = !holder->pending && holder->tokens >= learned.tokens;
     *holder = learned;
@@ -81,18 +90,18 @@
 void PartDirectory::OnEngineChange(const UpstreamId& upstream,
                                    const CacheChange& change, TimePoint now) {
   if (change.held || change.tokens > 0) {
-    return RecordHolder(FindOrAdd(change.part_hash, now), upstream,
+    return RecordHolder(FindOrAdd(change.part_hash, now).holders, upstream,
                         change.tokens, now);
   }
   // The eviction is kept, so that peers' older knowledge doesn't replace it.
   const auto it = parts_.find(change.part_hash);
-  if (it != parts_.end()) RecordHolder(it->second, upstream, 0, now);
+  if (it != parts_.end()) RecordHolder(it->second.holders, upstream, 0, now);
 }
 
-void PartDirectory::OnStoreChange(const CacheChange& change, TimePoint now) {
-  KnownPart& part = FindOrAdd(change.part_hash, now);
-  part.store_tokens = change.tokens;
-  part.in_store_at = change.tokens > 0 ? now : TimePoint();
+void PartDirectory::OnStoreChange(const std::string& store,
+                                  const CacheChange& change, TimePoint now) {
+  RecordHolder(FindOrAdd(change.part_hash, now).stores, UpstreamId(store),
+               change.tokens, now);
 }
 
 void PartDirectory::OnSent(const PartChain& chain, const UpstreamId& upstream,
@@ -100,7 +109,7 @@
   for (const PartKey& key : chain) {
     KnownPart& part = FindOrAdd(key.hash, now);
     const Holder sent{upstream, key.tokens, now, true};
-    Holder* holder = FindHolder(part, upstream);
+    Holder* holder = FindHolder(part.holders, upstream);
     if (holder == nullptr) {
       part.holders.push_back(sent);
     } else if (holder->pending || holder->tokens == 0 ||
@@ -113,17 +122,21 @@
 void PartDirectory::OnUsed(const PartChain& chain, const UpstreamId& upstream,
                            TimePoint now) {
   for (const PartKey& key : chain) {
-    RecordHolder(FindOrAdd(key.hash, now), upstream, key.tokens, now);
+    RecordHolder(FindOrAdd(key.hash, now).holders, upstream, key.tokens, now);
   }
 }
 
 void PartDirectory::OnHolderUpdate(const HolderUpdate& update, TimePoint now) {
+  if (update.from_cache && !parts_.contains(update.part_hash)) return;
   const HolderRecord& holder = update.holder;
-  if (holder.pending) {
-    return OnSent({{update.part_hash, holder.tokens}}, holder.upstream, now);
+  const CacheChange change{update.part_hash, holder.tokens > 0, holder.tokens};
+  if (holder.kv_store) {
+    OnStoreChange(holder.upstream.value, change, now);
+  } else if (holder.pending) {
+    OnSent({{update.part_hash, holder.tokens}}, holder.upstream, now);
+  } else {
+    OnEngineChange(holder.upstream, change, now);
   }
-  OnEngineChange(holder.upstream,
-                 {update.part_hash, holder.tokens > 0, holder.tokens}, now);
 }
 
 void PartDirectory::OnHoldersLearned(const PartChain& chain,
@@ -131,49 +144,54 @@
                                      TimePoint now) {
   if (chain.empty()) return;
   for (const HolderRecord& it : holders) {
-    MergeHolder(FindOrAdd(chain.back().hash, now),
-                {it.upstream, it.tokens, now - it.age, it.pending});
+    const auto merge = [&](const PartKey& key, std::uint32_t tokens) {
+      KnownPart& part = FindOrAdd(key.hash, now);
+      MergeHolder(it.kv_store ? part.stores : part.holders,
+                  {it.upstream, tokens, now - it.age, it.pending});
+    };
+    merge(chain.back(), it.tokens);
     if (it.tokens == 0) continue;
     for (std::size_t i = 0; i + 1 < chain.size(); ++i) {
-      MergeHolder(FindOrAdd(chain[i].hash, now),
-                  {it.upstream, chain[i].tokens, now - it.age, it.pending});
+      merge(chain[i], chain[i].tokens);
     }
   }
 }
 
-void PartDirectory::OnExported(const PartChain& chain, TimePoint now) {
+void PartDirectory::OnExported(const PartChain& chain, const std::string& store,
+                               TimePoint now) {
   for (const PartKey& key : chain) {
-    KnownPart& part = FindOrAdd(key.hash, now);
-    part.store_tokens = key.tokens;
-    part.in_store_at = now;
+    RecordHolder(FindOrAdd(key.hash, now).stores, UpstreamId(store), key.tokens,
+                 now);
   }
 }
 
 void PartDirectory::OnEngineLost(const UpstreamId& upstream) {
-  for (auto& [hash, part] : parts_) {
-    std::erase_if(part.holders, [&upstream](const Holder& holder) {
-      return holder.upstream == upstream;
-    });
-  }
+  for (auto& [hash, part] : parts_) EraseHolder(part.holders, upstream);
 }
 
-void PartDirectory::OnStoreLost() {
-  for (auto& [hash, part] : parts_) {
-    part.store_tokens = 0;
-    part.in_store_at = TimePoint();
-  }
+void PartDirectory::OnStoreLost(const std::string& store) {
+  for (auto& [hash, part] : parts_) EraseHolder(part.stores, UpstreamId(store));
 }
 
 std::vector<HolderRecord> PartDirectory::HoldersOf(std::uint64_t part_hash,
                                                    TimePoint now) const {
+  using std::chrono::milliseconds;
   const auto it = parts_.find(part_hash);
   if (it == parts_.end()) return {};
   std::vector<HolderRecord> found;
+  const auto add = [&](const Holder& holder, milliseconds lifetime,
+                       bool kv_store) {
+    const auto age =
+        std::chrono::duration_cast<milliseconds>(now - holder.known_at);
+    if (age >= lifetime) return;
+    found.push_back(
+        {holder.upstream, holder.tokens, holder.pending, age, kv_store});
+  };
   for (const Holder& holder : it->second.holders) {
-    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
-        now - holder.known_at);
-    if (age >= LifetimeOf(holder)) continue;
-    found.push_back({holder.upstream, holder.tokens, holder.pending, age});
+    add(holder, LifetimeOf(holder), false);
+  }
+  for (const Holder& holder : it->second.stores) {
+    add(holder, options_.store_lifetime, true);
   }
   return found;
 }
@@ -238,15 +256,19 @@
 }
 
 std::uint32_t PartDirectory::TokensInStore(const PartChain& chain,
+                                           const std::string& store,
                                            TimePoint now) const {
   std::uint32_t tokens = 0;
   for (const PartKey& key : chain) {
     const auto it = parts_.find(key.hash);
     if (it == parts_.end()) break;
-    const KnownPart& part = it->second;
-    if (part.in_store_at == TimePoint()) break;
-    if (now - part.in_store_at >= options_.store_lifetime) break;
-    if (!CoversPart(part.store_tokens, key.tokens)) break;
+    const auto& stores = it->second.stores;
+    const auto holder = std::find_if(
+        stores.begin(), stores.end(),
+        [&store](const Holder& h) { return h.upstream.value == store; });
+    if (holder == stores.end()) break;
+    if (now - holder->known_at >= options_.store_lifetime) break;
+    if (!CoversPart(holder->tokens, key.tokens)) break;
     tokens += key.tokens;
   }
   return tokens;
--- a/src/peer_report.cc
+++ b/src/peer_report.cc
@@ -117,9 +117,13 @@
   return false;
 }
 
-bool PeerRegistry::AnyPeerLostKvStore(TimePoint now) const {
+bool PeerRegistry::AnyPeerLostKvStore(const std::string& endpoint,
+                                      TimePoint now) const {
   for (const auto& [instance, peer] : peers_) {
-    if (peer.report.kv_store_lost && Live(peer, now)) return true;
+    if (!Live(peer, now)) continue;
+    for (const KvStoreReport& store : peer.report.kv_stores) {
+      if (store.lost && store.endpoint == endpoint) return true;
+    }
   }
   return false;
 }
--- a/test/direct_placement_test.cc
+++ b/test/direct_placement_test.cc
@@ -93,7 +93,7 @@
   Fleet fleet(3);
   const PartChain chain = SharedChain("v1", Query("x").parts);
   CHECK(fleet.Choose(Query("x"))->export_to == fleet.fleet.kv_store_endpoint);
-  fleet.directory.OnExported(chain, kStart);
+  fleet.directory.OnExported(chain, fleet.fleet.kv_store_endpoint, kStart);
   const auto choice = fleet.Choose(Query("x"));
   CHECK(choice->import_from == fleet.fleet.kv_store_endpoint);
   CHECK(choice->export_to.empty());
@@ -110,7 +110,7 @@
     CHECK(fleet.Choose(Query("y"))->import_from == holder.endpoint);
   }
   SECTION("from the KV store") {
-    fleet.directory.OnExported(cached, kStart);
+    fleet.directory.OnExported(cached, fleet.fleet.kv_store_endpoint, kStart);
     const auto choice = fleet.Choose(Query("y"));
     CHECK(choice->import_from == fleet.fleet.kv_store_endpoint);
     CHECK(choice->export_to == fleet.fleet.kv_store_endpoint);
--- a/test/gateway/cache_watch_test.cc
+++ b/test/gateway/cache_watch_test.cc
@@ -37,6 +37,8 @@
     state.config = ConfigWithKvStore("127.0.0.1:1");
   }
 
+  KvStoreState& store_state() { return state.kv_stores["127.0.0.1:1"]; }
+
   asio::io_context loop;
   GatewayState state;
   CallClient calls;
@@ -70,9 +72,13 @@
     });
   }
 
+  KvStoreState& store_state() {
+    return state.kv_stores[LoopbackEndpoint(store.port())];
+  }
+
   void Tick() {
     watch.OnTick(state.Now());
-    if (!state.kv_store_usable) ++ticks_lost;
+    if (!store_state().usable) ++ticks_lost;
     tick.expires_after(kTick);
     tick.async_wait([this](asio::error_code ec) {
       if (!ec) Tick();
@@ -113,11 +119,10 @@
   REQUIRE(RunUntil(fixture.loop, [&] { return fixture.answers == 1; }));
   fixture.silent = true;
   REQUIRE(
-      RunUntil(fixture.loop, [&] { return !fixture.state.kv_store_usable; }));
+      RunUntil(fixture.loop, [&] { return !fixture.store_state().usable; }));
   fixture.silent = false;
   const TimePoint spoke_at = fixture.state.Now();
-  REQUIRE(
-      RunUntil(fixture.loop, [&] { return fixture.state.kv_store_usable; }));
+  REQUIRE(RunUntil(fixture.loop, [&] { return fixture.store_state().usable; }));
   // The next check is due, and the answer to it arrives, within this time.
   CHECK(fixture.state.Now() - spoke_at < milliseconds(1'200));
 }
@@ -125,28 +130,28 @@
 TEST_CASE("A watched KV store that refuses connections becomes unusable") {
   RefusingKvStoreFixture fixture;
   fixture.watch.OnTick(fixture.state.Now());
-  CHECK(RunUntil(fixture.loop, [&] { return !fixture.state.kv_store_usable; }));
+  CHECK(RunUntil(fixture.loop, [&] { return !fixture.store_state().usable; }));
 }
 
 TEST_CASE("A gateway that stops watching the KV store forgets its failure") {
   RefusingKvStoreFixture fixture;
   fixture.watch.OnTick(fixture.state.Now());
   REQUIRE(
-      RunUntil(fixture.loop, [&] { return !fixture.state.kv_store_usable; }));
+      RunUntil(fixture.loop, [&] { return !fixture.store_state().usable; }));
   fixture.state.SetGatewayCount(38);
   fixture.watch.OnTick(fixture.state.Now());
-  CHECK(fixture.state.kv_store_usable);
+  CHECK(fixture.store_state().usable);
 }
 
 TEST_CASE("A gateway that does not watch the KV store follows peers' reports") {
   RefusingKvStoreFixture fixture;
   fixture.state.SetGatewayCount(38);
-  fixture.state.peers_lost_kv_store = true;
+  fixture.store_state().lost_by_peers = true;
   fixture.watch.OnTick(fixture.state.Now());
-  CHECK_FALSE(fixture.state.kv_store_usable);
-  fixture.state.peers_lost_kv_store = false;
+  CHECK_FALSE(fixture.store_state().usable);
+  fixture.store_state().lost_by_peers = false;
   fixture.watch.OnTick(fixture.state.Now());
-  CHECK(fixture.state.kv_store_usable);
+  CHECK(fixture.store_state().usable);
 }
 
 }  // namespace
--- a/test/gateway/part_sharing_test.cc
+++ b/test/gateway/part_sharing_test.cc
@@ -44,10 +44,16 @@
 /// Two gateways of which neither is allowed to watch the engines' caches.
 struct TwoGateways {
   TwoGateways() : first(fixture.loop, "first"), second(fixture.loop, "second") {
+    fixture.settings.max_holders_wait = kTestTimeout;
     fixture.PutConfig(1, kRoutes);
     fixture.RegisterEngine(first.fake, 1);
     fixture.Start();
     fixture.StartPeer();
+    REQUIRE(fixture.RunUntilTrue([this] {
+      return fixture.HasMetric(fixture.settings, "yuccapick_part_owners 2") &&
+             fixture.HasMetric(fixture.peer_settings,
+                               "yuccapick_part_owners 2");
+    }));
   }
 
   GatewayFixture fixture;
@@ -73,6 +79,21 @@
   CHECK(gateways.first.fake.received().size() == 2 * kDocuments);
 }
 
+TEST_CASE("What engines with replaced weights hold is known to all gateways") {
+  TwoGateways gateways;
+  GatewayFixture& fixture = gateways.fixture;
+  for (int i = 0; i < kDocuments; ++i) {
+    fixture.Ask(Stream(i, fmt::format("1{:x}", i)));
+  }
+  fixture.Run(milliseconds(100));
+  fixture.RegisterEngine(gateways.second.fake, 2);
+  REQUIRE(fixture.AwaitListed(2));
+  for (int i = 0; i < kDocuments; ++i) {
+    fixture.AskPeer(Stream(i, fmt::format("2{:x}", i)));
+  }
+  CHECK(gateways.second.fake.received().empty());
+}
+
 /// A gateway whose only peer has ended without notice.
 struct GatewayWithEndedPeer {
   GatewayWithEndedPeer() : engine(fixture.loop, "first") {
@@ -81,7 +102,7 @@
     EndingGateway ending(fixture);
     fixture.Start();
     REQUIRE(ending.RunUntilTrue([this] {
-      return fixture.HasMetric(fixture.settings, "yuccapick_peers_live 1");
+      return fixture.HasMetric(fixture.settings, "yuccapick_part_owners 2");
     }));
   }
 
--- a/test/part_sharing_group_test.cc
+++ b/test/part_sharing_group_test.cc
@@ -47,8 +47,8 @@
     const bool known = own.TokensAt(chain, engine, now) > 0;
     own.OnUsed(chain, engine, now);
     if (!Lost()) {
-      owner.OnHolderUpdate({part, {engine, chain.back().tokens, false, {}}},
-                           now);
+      owner.OnHolderUpdate(
+          {part, {engine, chain.back().tokens, false, {}, false}, false}, now);
     }
     return known;
   }
--- a/test/peer_report_test.cc
+++ b/test/peer_report_test.cc
@@ -45,18 +45,18 @@
   PeerRegistry peers;
   PeerReport report = Report("one", 1);
   report.holds_rollout_lease = true;
-  report.kv_store_lost = true;
+  report.kv_stores = {{"10.0.1.1:80", Incarnation(3), true, 0, {}}};
   report.loading = {UpstreamId("a")};
   peers.OnReport(report, kStart);
   CHECK(peers.AnyPeerHoldsRolloutLease(kStart));
-  CHECK(peers.AnyPeerLostKvStore(kStart));
+  CHECK(peers.AnyPeerLostKvStore("10.0.1.1:80", kStart));
   CHECK(peers.Loading(kStart).contains(UpstreamId("a")));
   CHECK(peers.AnyPeerConfirms(ConfigVersion(4), kStart));
   CHECK_FALSE(peers.AnyPeerConfirms(ConfigVersion(3), kStart));
   const TimePoint later = kStart + milliseconds(1'600);
   CHECK_FALSE(peers.AnyPeerHoldsRolloutLease(later));
   CHECK(peers.Loading(later).empty());
-  CHECK_FALSE(peers.AnyPeerLostKvStore(later));
+  CHECK_FALSE(peers.AnyPeerLostKvStore("10.0.1.1:80", later));
   CHECK_FALSE(peers.AnyPeerConfirms(ConfigVersion(4), later));
   CHECK(peers.LiveCount(later) == 0);
 }
@@ -170,9 +170,9 @@
   PeerReport report = Report("one", 3);
   report.work = {{UpstreamId("a"), {1, 2, 3}}};
   report.weights = {{UpstreamId("a"), ModelId("m"), 4}};
-  report.exported = {{77, 120}};
+  report.kv_stores = {
+      {"10.0.1.1:80", Incarnation(3), false, 9'200, {{77, 120}}}};
   report.parts = {{UpstreamId("a"), 99, 640}};
-  report.kv_store_tokens = 9'200;
   report.leaving_upstreams = {{UpstreamId("b"), Incarnation(7)}};
   report.limits = {
       {UpstreamId("a"), Incarnation(1), 1.5, StoreTime(milliseconds(3))}};
@@ -181,9 +181,9 @@
   CHECK(decoded->instance == report.instance);
   CHECK(decoded->work[0].amount == WorkAmount{1, 2, 3});
   CHECK(decoded->weights[0].weights == 4);
-  CHECK(decoded->exported[0].hash == 77);
+  CHECK(decoded->kv_stores.at(0).exported.at(0).hash == 77);
   CHECK(decoded->parts[0].tokens == 640);
-  CHECK(decoded->kv_store_tokens == 9'200);
+  CHECK(decoded->kv_stores.at(0).transferred_tokens == 9'200);
   CHECK(decoded->limits == report.limits);
   CHECK(decoded->leaving_upstreams == report.leaving_upstreams);
 
@@ -242,12 +242,14 @@
 }
 
 TEST_CASE("Messages about holders of parts are decoded as they were encoded") {
-  const HolderRecord held{UpstreamId("a"), 3'800, false, milliseconds(7)};
-  const HolderRecord pending{UpstreamId("b"), 3'800, true, milliseconds(0)};
+  const HolderRecord held{UpstreamId("a"), 3'800, false, milliseconds(7),
+                          false};
+  const HolderRecord pending{UpstreamId("b"), 3'800, true, milliseconds(0),
+                             true};
   const HoldersQuery query{5, "10.1.0.30:7340", 0xFEDC'BA98'7654'3210ULL};
   const HoldersAnswer answer{5, {held, pending}};
-  const std::vector<HolderUpdate> updates{{query.part_hash, held},
-                                          {17, pending}};
+  const std::vector<HolderUpdate> updates{{query.part_hash, held, false},
+                                          {17, pending, true}};
   CHECK(DecodeHoldersQuery(EncodeHoldersQuery(query)) == query);
   CHECK(DecodeHoldersAnswer(EncodeHoldersAnswer(answer)) == answer);
   CHECK(DecodeHolderUpdates(EncodeHolderUpdates(updates)) == updates);
--- a/test/platform/messages_test.cc
+++ b/test/platform/messages_test.cc
@@ -57,7 +57,7 @@
   const GatewayService* engines = (*config)->FindService(ServiceId("s1"));
   CHECK(engines->engine->kv_capacity_tokens == 106'560);
   CHECK(engines->engine->max_cache_watchers == 12);
-  CHECK((*config)->FindKvStore()->kv_store_endpoint == "172.20.0.2:8781");
+  CHECK((*config)->KvStores().at(0)->kv_store_endpoint == "172.20.0.2:8781");
   CHECK((*config)->FindTeam("k2")->isolated);
   CHECK((*config)->limits().max_body_bytes == 200);
 }
