Compare a few drawn engines for each request instead of all

Cause: what a gateway knows of the load at engines is up to 250 ms old.

Now two engines of the own failure domain and two of others are drawn by a hash of the request's id; they are compared with the home, the holders of the last shared part, and a few that hold as much as any of the parts before it. Plain services are compared as before: they answer within milliseconds.

'A burst on one hot prefix spreads over all engines' draws for each request now, as requests have different ids; its bounds are as before.

--- a/include/yuccapick/direct_placement.h
+++ b/include/yuccapick/direct_placement.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,8 @@
   std::uint32_t output_tokens = 0;  ///< Expected.
   std::size_t body_bytes = 0;
   std::vector<UpstreamId> tried;  ///< Excluded from the choice.
+  /// Determines which engines are drawn; differs between requests.
+  std::uint64_t random = 0;
 };
 
 /// One upstream that may be chosen.
@@ -74,9 +77,15 @@
   /// Fixed cost of importing cached parts, by source.
   Cost import_from_engine{25.0};
   Cost import_from_store{20.0};  ///< Plus the time on its link.
-  /// Shared parts of fewer tokens are not exported: engines compute them sooner
-  /// than they import them.
-  std::uint32_t min_export_tokens = 1'024;
+  /// Engines of the own failure domain, and as many of others, that are drawn
+  /// for a request and compared with its home and the holders of its shared
+  /// parts. Knowledge of the load is some hundred milliseconds old: if all
+  /// gateways compared all engines, they would send all requests of that time
+  /// to the same few.
+  std::size_t drawn_engines = 2;
+  /// Shared parts of fewer tokens are neither exported nor a reason to compare
+  /// an engine: engines compute them sooner than they import them.
+  std::uint32_t min_shared_tokens = 1'024;
   /// Parts are not exported to the KV store while its transfers wait longer.
   Cost max_export_wait{60.0};
   /// Penalty for a request that is certain to fail; multiplied by the failure
@@ -112,7 +121,8 @@
   PlacementCosts::Cost cost{0};
 };
 
-/// Places each request at the lowest expected cost, which covers missing
+/// Places each request at the lowest expected cost among the engines that it
+/// compares, which covers missing
 /// prefill, work in flight, memory, failures and distance. All processes
 /// compute the same rendezvous home for a shared prefix, so that a process
 /// without cache information still finds the cached parts.
@@ -142,9 +152,12 @@
   struct PartSources {
     PartChain chain;
     std::uint32_t shared_tokens = 0;
+    std::uint32_t tokens_before_last = 0;  ///< Of the last shared part.
     std::vector<PartSource> engines;  ///< Those with the most tokens first.
     std::uint32_t store_tokens = 0;   ///< In the KV store.
-    std::uint32_t known_tokens = 0;   ///< Cached or being computed somewhere.
+    /// Cached or being computed at the engine that has most of them.
+    std::uint32_t most_held_tokens = 0;
+    std::uint32_t known_tokens = 0;  ///< Cached or being computed somewhere.
   };
   /// Where missing parts come from.
   struct PartImport {
@@ -188,6 +201,23 @@
                          const PlacementCandidate* home,
                          const PartDirectory& directory, TimePoint now,
                          DirectPlacementDecision& choice) const;
+  using SourcesByScope = std::map<std::string, PartSources>;
+
+  /// Returns the engines that can take the request now, in an order that
+  /// depends on `PlacementQuery::random`.
+  static std::vector<const PlacementCandidate*> RankEngines(
+      const PlacementQuery& query, const PlacementFleet& fleet,
+      const UpstreamHealth& health, TimePoint now);
+  /// True for an engine that holds some of the last shared part, or no less of
+  /// the shared parts than any other.
+  bool IsHolder(const PartSources& sources, std::uint32_t held_tokens) const;
+  /// Returns the first engines of `ranked`, all that hold some of the last
+  /// shared part, and the first of those that hold as much as any of the parts
+  /// before it; none if `ranked` is empty.
+  std::set<const PlacementCandidate*> DrawEngines(
+      const std::vector<const PlacementCandidate*>& ranked,
+      const SourcesByScope& sources, const PartDirectory& directory,
+      TimePoint now) const;
   Cost ExpectedWait(const UpstreamEntry& upstream, const PlacementQuery& query,
                     std::uint64_t kv_capacity, const UpstreamLoad& load,
                     TimePoint now) const;
--- a/src/direct_placement.cc
+++ b/src/direct_placement.cc
@@ -46,22 +46,26 @@
     TimePoint now) const {
   PartSources sources;
   sources.chain = SharedChain(scope, query.parts);
-  for (const PartKey& key : sources.chain) sources.shared_tokens += key.tokens;
+  for (const PartKey& key : sources.chain) {
+    sources.tokens_before_last = sources.shared_tokens;
+    sources.shared_tokens += key.tokens;
+  }
   if (!fleet.kv_store_endpoint.empty()) {
     sources.store_tokens =
         directory.TokensInStore(sources.chain, fleet.kv_store_endpoint, now);
   }
-  sources.known_tokens = sources.store_tokens;
   for (const PartHolder& holder : directory.Holders(sources.chain, now)) {
     for (const PlacementCandidate& engine : fleet.candidates) {
       if (engine.upstream->id != holder.upstream || engine.loading) continue;
       if (engine.cache_scope != scope) continue;
       sources.engines.push_back(
           {engine.upstream->endpoint, holder.importable_tokens});
-      sources.known_tokens =
-          std::max(sources.known_tokens, holder.expected_tokens);
+      sources.most_held_tokens =
+          std::max(sources.most_held_tokens, holder.expected_tokens);
     }
   }
+  sources.known_tokens =
+      std::max(sources.store_tokens, sources.most_held_tokens);
   return sources;
 }
 
@@ -142,7 +146,7 @@
   const TransferLink* link = fleet.kv_store_link;
   const bool store_free =
       link == nullptr || link->Wait(now) <= costs_.max_export_wait;
-  const bool long_enough = sources.shared_tokens >= costs_.min_export_tokens;
+  const bool long_enough = sources.shared_tokens >= costs_.min_shared_tokens;
   if (long_enough && !in_store && store_free) {
     choice.export_to = fleet.kv_store_endpoint;
     choice.store_tokens += query.prompt_tokens;
@@ -192,24 +196,84 @@
   return cost;
 }
 
+std::vector<const PlacementCandidate*> DirectPlacement::RankEngines(
+    const PlacementQuery& query, const PlacementFleet& fleet,
+    const UpstreamHealth& health, TimePoint now) {
+  std::vector<std::pair<std::uint64_t, const PlacementCandidate*>> ranked;
+  for (const PlacementCandidate& node : fleet.candidates) {
+    const UpstreamId& id = node.upstream->id;
+    if (node.held_back || node.loading || health.Paused(id, now)) continue;
+    if (WasTried(query, id)) continue;
+    const std::uint64_t node_hash = RendezvousNodeHash(id.value);
+    ranked.emplace_back(RendezvousScore(query.random, node_hash), &node);
+  }
+  std::sort(ranked.begin(), ranked.end());
+  std::vector<const PlacementCandidate*> engines;
+  engines.reserve(ranked.size());
+  for (const auto& [score, engine] : ranked) engines.push_back(engine);
+  return engines;
+}
+
+bool DirectPlacement::IsHolder(const PartSources& sources,
+                               std::uint32_t held_tokens) const {
+  if (sources.most_held_tokens < costs_.min_shared_tokens) return false;
+  return held_tokens > sources.tokens_before_last ||
+         held_tokens >= sources.most_held_tokens;
+}
+
+std::set<const PlacementCandidate*> DirectPlacement::DrawEngines(
+    const std::vector<const PlacementCandidate*>& ranked,
+    const SourcesByScope& sources, const PartDirectory& directory,
+    TimePoint now) const {
+  const std::size_t most = costs_.drawn_engines;
+  std::set<const PlacementCandidate*> drawn;
+  std::size_t near = 0;
+  std::size_t far = 0;
+  for (const PlacementCandidate* engine : ranked) {
+    std::size_t& n = engine->upstream->domain == own_domain_ ? near : far;
+    if (++n <= most) drawn.insert(engine);
+  }
+  // Some fleets have too few engines in one of the two groups.
+  for (const PlacementCandidate* engine : ranked) {
+    if (drawn.size() >= 2 * most) break;
+    drawn.insert(engine);
+  }
+  std::size_t holders = 0;
+  for (const PlacementCandidate* engine : ranked) {
+    const PartSources& found = sources.at(engine->cache_scope);
+    const std::uint32_t held =
+        directory.TokensAt(found.chain, engine->upstream->id, now);
+    if (!IsHolder(found, held)) continue;
+    const bool has_last_part = held > found.tokens_before_last;
+    if (!has_last_part && ++holders > 2 * most) continue;
+    drawn.insert(engine);
+  }
+  return drawn;
+}
+
 std::optional<DirectPlacementDecision> DirectPlacement::Choose(
     const PlacementQuery& query, const PlacementFleet& fleet,
     const PartDirectory& directory, const UpstreamLoad& load,
     const UpstreamHealth& health, TimePoint now) const {
   const PlacementCandidate* home = FindHome(query, fleet, health, now);
-  std::map<std::string, PartSources> sources;
+  SourcesByScope sources;
+  for (const PlacementCandidate& it : fleet.candidates) {
+    if (sources.contains(it.cache_scope)) continue;
+    sources[it.cache_scope] =
+        FindPartSources(it.cache_scope, query, fleet, directory, now);
+  }
+  std::set<const PlacementCandidate*> drawn;
+  if (fleet.kv_capacity_tokens > 0) {
+    drawn = DrawEngines(RankEngines(query, fleet, health, now), sources,
+                        directory, now);
+  }
   std::optional<DirectPlacementDecision> best;
   for (const PlacementCandidate& candidate : fleet.candidates) {
     if (candidate.held_back) continue;
     if (WasTried(query, candidate.upstream->id)) continue;
-    auto found = sources.find(candidate.cache_scope);
-    if (found == sources.end()) {
-      found = sources
-                  .emplace(candidate.cache_scope,
-                           FindPartSources(candidate.cache_scope, query, fleet,
-                                           directory, now))
-                  .first;
-    }
+    const bool compared =
+        drawn.empty() || drawn.contains(&candidate) || &candidate == home;
+    if (!compared) continue;
     DirectPlacementDecision choice;
     choice.upstream = candidate.upstream->id;
     choice.kv_store = fleet.kv_store_endpoint;
@@ -217,8 +281,9 @@
     choice.cost = ExpectedWait(*candidate.upstream, query,
                                fleet.kv_capacity_tokens, load, now);
     choice.cost += FailureCost(candidate, health, now);
-    choice.cost += PlanPartTransfers(found->second, query, fleet, candidate,
-                                     home, directory, now, choice);
+    choice.cost +=
+        PlanPartTransfers(sources.at(candidate.cache_scope), query, fleet,
+                          candidate, home, directory, now, choice);
     if (!best || choice.cost < best->cost) best = std::move(choice);
   }
   return best;
--- a/src/gateway/proxied_request.cc
+++ b/src/gateway/proxied_request.cc
@@ -75,6 +75,8 @@
   query_.output_tokens =
       caller.expected_output_tokens.value_or(caller.max_output_tokens);
   query_.body_bytes = admitted_.request.body.size();
+  query_.random =
+      XXH3_64bits(caller.attempt_id.data(), caller.attempt_id.size());
   const bool origin_found = FindStreamOrigin();
   state_.RetryBudgetOf(service_).OnRequest();
   if (!origin_found) return RefuseUnknownStream();
--- a/test/direct_placement_test.cc
+++ b/test/direct_placement_test.cc
@@ -6,6 +6,8 @@
 #include <deque>
 #include <map>
 
+#include "yuccapick/rendezvous.h"
+
 namespace yuccapick {
 namespace {
 
@@ -202,7 +204,8 @@
   Fleet fleet(6);
   std::map<UpstreamId, int> placed;
   for (int i = 0; i < 120; ++i) {
-    const PlacementQuery query = Query("hot");
+    PlacementQuery query = Query("hot");
+    query.random = RendezvousNodeHash(std::to_string(i));
     const auto choice = fleet.Choose(query);
     const PartChain chain = SharedChain("v1", query.parts);
     fleet.directory.OnUsed(chain, choice->upstream, fleet.now);
@@ -233,5 +236,78 @@
   });
 }
 
+/// A fleet as many gateways see it at the same moment: one engine has just
+/// become idle, the others run some requests.
+struct FleetWithIdleEngine {
+  static constexpr int kEngines = 60;
+  static constexpr int kGateways = 33;
+
+  FleetWithIdleEngine() : fleet(kEngines), idle(fleet.entries[17].id) {
+    for (const UpstreamEntry& entry : fleet.entries) {
+      if (entry.id != idle) fleet.load.Begin(entry.id, {6, 30'000, 4'000});
+    }
+  }
+
+  /// Lets each gateway place `n` requests before it learns of the others'.
+  /// @return requests placed, by engine
+  std::map<UpstreamId, int> Place(PlacementQuery query, int n) const {
+    std::map<UpstreamId, int> placed;
+    for (int i = 0; i < kGateways * n; ++i) {
+      query.random = RendezvousNodeHash(std::to_string(i));
+      ++placed[fleet.Choose(query)->upstream];
+    }
+    return placed;
+  }
+
+  Fleet fleet;
+  UpstreamId idle;
+};
+
+TEST_CASE("Gateways with equally old knowledge don't all choose one engine") {
+  const FleetWithIdleEngine many;
+  PlacementQuery query;
+  query.prompt_tokens = 800;
+  query.output_tokens = 50;
+  const auto placed = many.Place(query, 4);
+  CHECK(placed.size() > FleetWithIdleEngine::kEngines / 2);
+  for (const auto& [upstream, n] : placed) {
+    CHECK(n <= FleetWithIdleEngine::kGateways);
+  }
+  // An idle engine still gets more than the others.
+  CHECK(placed.at(many.idle) >= 4);
+}
+
+TEST_CASE("A document's holder is compared though it isn't drawn") {
+  FleetWithIdleEngine many;
+  const UpstreamId& holder = many.fleet.entries[40].id;
+  many.fleet.directory.OnUsed(SharedChain("v1", Query("x").parts), holder,
+                              kStart);
+  const auto placed = many.Place(Query("x"), 4);
+  CHECK(placed.at(holder) > 3 * FleetWithIdleEngine::kGateways);
+}
+
+TEST_CASE("Engines that load, are paused or were tried are not drawn") {
+  Fleet fleet(12);
+  PlacementQuery query;
+  query.prompt_tokens = 800;
+  for (int i = 0; i < 9; ++i) {
+    fleet.fleet.candidates[static_cast<std::size_t>(i)].loading = true;
+  }
+  fleet.health.OnUnreachable(fleet.entries[9].id, kStart);
+  query.tried = {fleet.entries[10].id};
+  for (std::uint64_t i = 0; i < 50; ++i) {
+    query.random = i;
+    CHECK(fleet.Choose(query)->upstream == fleet.entries[11].id);
+  }
+}
+
+TEST_CASE("If no engine can take a request now all are compared") {
+  Fleet fleet(6);
+  PlacementQuery query;
+  query.prompt_tokens = 800;
+  for (PlacementCandidate& it : fleet.fleet.candidates) it.loading = true;
+  CHECK(fleet.Choose(query).has_value());
+}
+
 }  // namespace
 }  // namespace yuccapick
