--- a/src/gateway/proxied_request_fleet.cc
+++ b/src/gateway/proxied_request_fleet.cc
@@ -40,8 +40,9 @@
   fleet.kv_capacity_tokens = service->engine->kv_capacity_tokens;
   fleet.kv_store_endpoint = state_.KvStoreFor(query_.parts);
   const auto store = state_.kv_stores.find(fleet.kv_store_endpoint);
-  if (store != state_.kv_stores.end())
+  if (store != state_.kv_stores.end()) {
     fleet.kv_store_link = &store->second.link;
+  }
   return fleet;
 }
 
--- a/test/gateway/part_sharing_test.cc
+++ b/test/gateway/part_sharing_test.cc
@@ -76,7 +76,8 @@
               .starts_with("HTTP/1.1 200"));
   }
   CHECK(gateways.second.fake.received().empty());
-  CHECK(gateways.first.fake.received().size() == 2 * kDocuments);
+  CHECK(gateways.first.fake.received().size() ==
+        static_cast<std::size_t>(2 * kDocuments));
 }
 
 TEST_CASE("What engines with replaced weights hold is known to all gateways") {
