Decode the store's answers to reads of rows in one place

The same lines stood in the record of software versions, in the times at which weights were set, and in the gateway's registration.

--- a/include/yuccapick/direct_placement.h
+++ b/include/yuccapick/direct_placement.h
@@ -115,17 +115,17 @@
   /// to be computing.
   std::uint32_t known_tokens = 0;
   bool at_home = false;  ///< The upstream is the shared parts' home.
-  std::string kv_store;  ///< Of the fleet, or empty.
+  std::string kv_store;  ///< `PlacementFleet::kv_store_endpoint`.
   /// Expected to be imported and exported over the KV store's link.
   std::uint32_t store_tokens = 0;
   PlacementCosts::Cost cost{0};
 };
 
-/// Places each request at the lowest expected cost among the engines that it
-/// compares, which covers missing
-/// prefill, work in flight, memory, failures and distance. All processes
-/// compute the same rendezvous home for a shared prefix, so that a process
-/// without cache information still finds the cached parts.
+/// Places each request at the lowest expected cost among the upstreams that it
+/// compares. The cost covers missing prefill, work in flight, memory, failures
+/// and distance. All processes compute the same rendezvous home for a shared
+/// prefix, so that a process without cache information still finds the cached
+/// parts.
 class DirectPlacement {
  public:
   DirectPlacement(FailureDomain own_domain, PlacementCosts costs)
--- a/include/yuccapick/part_directory.h
+++ b/include/yuccapick/part_directory.h
@@ -94,10 +94,10 @@
   /// now.
   void OnUsed(const PartChain& chain, const UpstreamId& upstream,
               TimePoint now);
-  /// A peer told what an engine holds of a part.
+  /// A peer told what an engine or KV store holds of a part.
   void OnHolderUpdate(const HolderUpdate& update, TimePoint now);
-  /// The owner of the last part of `chain` told which engines hold that part.
-  /// An engine keeps a part no longer than the parts before it.
+  /// The owner of the last part of `chain` told who holds that part. Its
+  /// holders are taken to hold the parts before it, which are used more often.
   void OnHoldersLearned(const PartChain& chain,
                         const std::vector<HolderRecord>& holders,
                         TimePoint now);
@@ -118,8 +118,8 @@
   /// Returns the upstreams that hold or are computing the chain's first part,
   /// sorted by the tokens that can be imported and then by most recent use.
   std::vector<PartHolder> Holders(const PartChain& chain, TimePoint now) const;
-  /// Returns what is known of the engines that hold, compute or have lately
-  /// evicted a part.
+  /// Returns what is known of the engines and KV stores that hold, compute or
+  /// have lately evicted a part.
   std::vector<HolderRecord> HoldersOf(std::uint64_t part_hash,
                                       TimePoint now) const;
   /// Returns how many tokens from the chain's beginning a KV store holds.
--- a/src/gateway/gateway_process_peers.cc
+++ b/src/gateway/gateway_process_peers.cc
@@ -5,6 +5,7 @@
 #include "gateway/boot_clock.h"
 #include "gateway/gateway_process.h"
 #include "gateway/http_status.h"
+#include "gateway/store_rows.h"
 #include "platform/names.h"
 
 namespace yuccapick {
@@ -182,9 +183,7 @@
 
 void GatewayProcess::OnOwnEndpointRead(
     const std::string& key, const absl::StatusOr<StoreAnswer>& answer) {
-  const bool answered = answer.ok() && answer->status == kHttpOk;
-  const auto rows = answered ? platform::DecodeRows(answer->body)
-                             : absl::UnavailableError("no answer");
+  const auto rows = RowsOf(answer);
   if (!rows.ok()) {
     store_catch_up_.RetryRewrite(state_.Now() + kPeerListRetryDelay);
     return;
@@ -217,8 +216,7 @@
   store_->Call(store, platform::EncodeReadRows(store, kGatewayTable, ""),
                kPeerListRetryDelay,
                [this](const absl::StatusOr<StoreAnswer>& answer) {
-                 if (!answer.ok() || answer->status != kHttpOk) return;
-                 const auto rows = platform::DecodeRows(answer->body);
+                 const auto rows = RowsOf(answer);
                  if (!rows.ok()) return;
                  next_peer_list_ = state_.Now() + kPeerListInterval;
                  for (const MirrorRow& row : rows->rows) {
--- a/src/gateway/software_record.cc
+++ b/src/gateway/software_record.cc
@@ -6,6 +6,7 @@
 #include <optional>
 
 #include "gateway/http_status.h"
+#include "gateway/store_rows.h"
 #include "gateway/store_writers.h"
 
 namespace yuccapick {
@@ -44,9 +45,7 @@
 
 void SoftwareRecord::OnLoaded(const absl::StatusOr<StoreAnswer>& answer) {
   loading_ = false;
-  const bool answered = answer.ok() && answer->status == kHttpOk;
-  const auto rows = answered ? platform::DecodeRows(answer->body)
-                             : absl::UnavailableError("no answer");
+  const auto rows = RowsOf(answer);
   if (!rows.ok()) {
     state_.log.Write(LogKind::kStateChange, state_.Now(),
                      "event=software_record_unknown reason=\"{}\"",
@@ -121,8 +120,7 @@
 
 void SoftwareRecord::OnReadToRemove(const std::string& key,
                                     const absl::StatusOr<StoreAnswer>& answer) {
-  if (!answer.ok() || answer->status != kHttpOk) return;
-  const auto rows = platform::DecodeRows(answer->body);
+  const auto rows = RowsOf(answer);
   if (!rows.ok()) return;
   const bool found = !rows->rows.empty() && rows->rows.front().key == key;
   // The version may have been listed again meanwhile.
--- a/src/gateway/target_set_times.cc
+++ b/src/gateway/target_set_times.cc
@@ -10,6 +10,7 @@
 #include "absl/strings/numbers.h"
 #include "gateway/boot_clock.h"
 #include "gateway/http_status.h"
+#include "gateway/store_rows.h"
 #include "gateway/store_writers.h"
 #include "gateway/stored_row_times.h"
 #include "platform/table_calls.h"
@@ -116,9 +117,7 @@
 
 void TargetSetTimes::OnLoaded(const absl::StatusOr<StoreAnswer>& answer) {
   loading_ = false;
-  const bool answered = answer.ok() && answer->status == kHttpOk;
-  const auto rows = answered ? platform::DecodeRows(answer->body)
-                             : absl::UnavailableError("no answer");
+  const auto rows = RowsOf(answer);
   if (!rows.ok()) {
     state_.log.Write(LogKind::kStateChange, state_.Now(),
                      "event=naming_times_unknown reason=\"{}\"",
@@ -180,9 +179,7 @@
 }
 
 void TargetSetTimes::OnRowTimes(const absl::StatusOr<StoreAnswer>& answer) {
-  const bool answered = answer.ok() && answer->status == kHttpOk;
-  const auto rows = answered ? platform::DecodeRows(answer->body)
-                             : absl::UnavailableError("no answer");
+  const auto rows = RowsOf(answer);
   if (!rows.ok()) {
     state_.log.Write(LogKind::kStateChange, state_.Now(),
                      "event=row_times_unknown reason=\"{}\"",
