Learn the engines' prefill rate from the first events of prompts

Each gateway now estimates the rate of each service from prompts that found no other one to compute at their engine: the slope of the median time to the first event over the tokens to compute. Until there are samples it reckons with 100.

--- a/include/yuccapick/direct_placement.h
+++ b/include/yuccapick/direct_placement.h
@@ -15,6 +15,7 @@
 
 #include "yuccapick/ids.h"
 #include "yuccapick/part_directory.h"
+#include "yuccapick/prefill_rate.h"
 #include "yuccapick/transfer_link.h"
 #include "yuccapick/upstream_health.h"
 #include "yuccapick/upstream_load.h"
@@ -51,6 +52,8 @@
   std::vector<PlacementCandidate> candidates;
   /// KV memory of one engine, in tokens; 0 for a plain service.
   std::uint64_t kv_capacity_tokens = 0;
+  /// Prompt tokens that an engine prefills per millisecond.
+  double prefill_tokens_per_ms = PrefillRateEstimate().tokens_per_ms();
   std::string kv_store_endpoint;  ///< `IP:PORT`; empty if there is none.
   /// Null if transfer times are to be ignored.
   const TransferLink* kv_store_link = nullptr;
@@ -61,8 +64,6 @@
 struct PlacementCosts {
   using Cost = std::chrono::duration<double, std::milli>;
 
-  /// Prompt tokens that an engine prefills per millisecond.
-  double prefill_tokens_per_ms = 90.0;
   /// Penalty for prefilling a thousand shared tokens that are cached elsewhere.
   Cost recompute_per_k_tokens{125.0};
   /// Penalty for prefilling a thousand shared tokens that are not known to be
@@ -219,7 +220,7 @@
       const SourcesByScope& sources, const PartDirectory& directory,
       TimePoint now) const;
   Cost ExpectedWait(const UpstreamEntry& upstream, const PlacementQuery& query,
-                    std::uint64_t kv_capacity, const UpstreamLoad& load,
+                    const PlacementFleet& fleet, const UpstreamLoad& load,
                     TimePoint now) const;
   Cost FailureCost(const PlacementCandidate& candidate,
                    const UpstreamHealth& health, TimePoint now) const;
--- a/src/direct_placement.cc
+++ b/src/direct_placement.cc
@@ -157,18 +157,20 @@
   choice.missing_tokens =
       query.prompt_tokens - std::min(query.prompt_tokens, import.tokens);
   return import.cost +
-         Cost(choice.missing_tokens / costs_.prefill_tokens_per_ms) +
+         Cost(choice.missing_tokens / fleet.prefill_tokens_per_ms) +
          RecomputeCost(sources, import.tokens, &candidate == home);
 }
 
 DirectPlacement::Cost DirectPlacement::ExpectedWait(
     const UpstreamEntry& upstream, const PlacementQuery& query,
-    std::uint64_t kv_capacity, const UpstreamLoad& load, TimePoint now) const {
+    const PlacementFleet& fleet, const UpstreamLoad& load,
+    TimePoint now) const {
   const WorkAmount work = load.Total(upstream.id, now);
   Cost wait = costs_.per_running_request * work.requests;
   wait += Cost(static_cast<double>(work.prefill_tokens) /
-               costs_.prefill_tokens_per_ms);
+               fleet.prefill_tokens_per_ms);
   double used_share = 0;
+  const std::uint64_t kv_capacity = fleet.kv_capacity_tokens;
   if (kv_capacity > 0) {
     const std::uint64_t tokens =
         work.kv_tokens + query.prompt_tokens + query.output_tokens;
@@ -278,8 +280,7 @@
     choice.upstream = candidate.upstream->id;
     choice.kv_store = fleet.kv_store_endpoint;
     choice.cache_scope = candidate.cache_scope;
-    choice.cost = ExpectedWait(*candidate.upstream, query,
-                               fleet.kv_capacity_tokens, load, now);
+    choice.cost = ExpectedWait(*candidate.upstream, query, fleet, load, now);
     choice.cost += FailureCost(candidate, health, now);
     choice.cost +=
         PlanPartTransfers(sources.at(candidate.cache_scope), query, fleet,
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -27,6 +27,7 @@
 #include "yuccapick/part_directory.h"
 #include "yuccapick/part_messages.h"
 #include "yuccapick/peer_report.h"
+#include "yuccapick/prefill_rate.h"
 #include "yuccapick/request_metrics.h"
 #include "yuccapick/retry_budget.h"
 #include "yuccapick/store_contact.h"
@@ -153,6 +154,7 @@
     LoadShedder shedder;
   };
   std::map<std::string, StreamLoad> stream_loads;  ///< By route.
+  std::map<ServiceId, PrefillRateEstimate> prefill_rates;
   std::size_t gateway_count;
 };
 
--- a/src/gateway/proxied_request.cc
+++ b/src/gateway/proxied_request.cc
@@ -205,6 +205,8 @@
       static_cast<std::uint64_t>(shared * kSharedMemoryShare) +
       query_.output_tokens;
   attempt.amount.prefill_tokens = choice.missing_tokens;
+  attempt.first_in_queue =
+      state_.load.Total(upstream.id, now).prefill_tokens == 0;
   state_.load.Begin(upstream.id, attempt.amount);
   PartChain chain;
   if (!choice.cache_scope.empty()) {
@@ -218,6 +220,7 @@
     store->second.unreported_tokens += choice.store_tokens;
   }
   const milliseconds replaced_for = WeightsReplacedFor(upstream);
+  const auto rate = state_.prefill_rates.find(service_);
   if (replaced_for >= state_.settings.bounds.stale_weights_limit) {
     ++state_.attempts_on_overdue_weights;
   }
@@ -235,7 +238,8 @@
       "event=request_sent id={} attempt={} route={} upstream={} software={} "
       "resumes={} cost_ms={:.1f} "
       "prefix={:x} hit_tokens={} missing_tokens={} known_tokens={} "
-      "shared_tokens={} at_home={} asked_ms={} import_from={} export={} "
+      "shared_tokens={} at_home={} asked_ms={} tokens_per_ms={:.0f} "
+      "import_from={} export={} "
       "weights={} replaced_ms={} left_ms={} config={}",
       admitted_.caller.attempt_id, attempts_sent_, admitted_.route->name,
       upstream.id.value, upstream.software.value,
@@ -243,6 +247,7 @@
       choice.cost.count(), chain.empty() ? 0 : chain.back().hash,
       choice.expected_cached_tokens, choice.missing_tokens, choice.known_tokens,
       shared, choice.at_home, holders_wait_.count(),
+      rate == state_.prefill_rates.end() ? 0 : rate->second.tokens_per_ms(),
       choice.import_from.empty() ? "-" : choice.import_from,
       !choice.export_to.empty(), head.weights.value_or(0), replaced_for.count(),
       head.time_left.count(), admitted_.config->version().value);
--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -57,6 +57,8 @@
     AnswerInfo info;
     DirectPlacementDecision choice;
     bool has_first_event = false;
+    /// The upstream had no other prompt to compute, as far as known.
+    bool first_in_queue = false;
   };
 
   ServiceId PickService();
@@ -136,6 +138,7 @@
   std::optional<TimePoint> WeightsExpireAt() const;
   void GiveUpOldWeights();
   void RecordFirstEventTime(TimePoint now);
+  void RecordPrefillRate(TimePoint now);
 
   void HandleFirstEvent();
   void RecordStreamOrigin(TimePoint now);
--- a/src/gateway/proxied_request_answers.cc
+++ b/src/gateway/proxied_request_answers.cc
@@ -129,6 +129,7 @@
   answer_began_at_ = now;
   if (first_event_at_ == TimePoint()) first_event_at_ = now;
   RecordFirstEventTime(now);
+  RecordPrefillRate(now);
   RecordStreamOrigin(now);
   WorkAmount prefill = attempt_->amount;
   prefill.requests = 0;
--- a/src/gateway/proxied_request_fleet.cc
+++ b/src/gateway/proxied_request_fleet.cc
@@ -38,6 +38,10 @@
   const GatewayService* service = config.FindService(service_);
   if (service == nullptr || !service->engine) return fleet;
   fleet.kv_capacity_tokens = service->engine->kv_capacity_tokens;
+  const auto rate = state_.prefill_rates.find(service_);
+  if (rate != state_.prefill_rates.end()) {
+    fleet.prefill_tokens_per_ms = rate->second.tokens_per_ms();
+  }
   fleet.kv_store_endpoint = state_.KvStoreFor(query_.parts);
   const auto store = state_.kv_stores.find(fleet.kv_store_endpoint);
   if (store != state_.kv_stores.end()) {
--- a/src/gateway/proxied_request_timing.cc
+++ b/src/gateway/proxied_request_timing.cc
@@ -179,6 +179,12 @@
       std::chrono::duration_cast<milliseconds>(now - attempt_->sent_at));
 }
 
+void ProxiedRequest::RecordPrefillRate(TimePoint now) {
+  if (!attempt_->first_in_queue || query_.prompt_tokens == 0) return;
+  state_.prefill_rates[service_].OnSample(attempt_->choice.missing_tokens,
+                                          now - attempt_->sent_at);
+}
+
 milliseconds ProxiedRequest::TimeLeft(TimePoint now) const {
   return std::max(milliseconds(0),
                   std::chrono::duration_cast<milliseconds>(deadline_ - now));
--- a/test/direct_placement_test.cc
+++ b/test/direct_placement_test.cc
@@ -286,6 +286,20 @@
   CHECK(placed.at(holder) > 3 * FleetWithIdleEngine::kGateways);
 }
 
+TEST_CASE("Parts move from a busy holder sooner if engines are slow") {
+  const auto upstream_at = [](double tokens_per_ms) {
+    Fleet fleet(2);
+    fleet.fleet.prefill_tokens_per_ms = tokens_per_ms;
+    const UpstreamEntry& holder = fleet.entries[0];
+    fleet.directory.OnUsed(SharedChain("v1", Query("x").parts), holder.id,
+                           kStart);
+    fleet.load.Begin(holder.id, {2, 0, 2'000});
+    return fleet.Choose(Query("x"))->upstream;
+  };
+  CHECK(upstream_at(30.0) == UpstreamId("engine-1"));
+  CHECK(upstream_at(400.0) == UpstreamId("engine-0"));
+}
+
 TEST_CASE("Engines that load, are paused or were tried are not drawn") {
   Fleet fleet(12);
   PlacementQuery query;
