--- a/include/yuccapick/rollout_planner.h
+++ b/include/yuccapick/rollout_planner.h
@@ -61,6 +61,9 @@
   /// `min_loading_limit`. More loads would slow each other down.
   double loading_share = 1.0 / 6.0;
   std::size_t min_loading_limit = 3;
+  /// While engines lack the weights of orders that got no response, this many
+  /// more may load at once, to make up for the time that was lost.
+  std::size_t catch_up_loads = 1;
   /// Time within which all engines must have new weights. As many engines are
   /// out of service at once as it takes to finish within `limit_fraction` of
   /// this time.
--- a/src/rollout_planner.cc
+++ b/src/rollout_planner.cc
@@ -128,6 +128,7 @@
   const double share = static_cast<double>(engines_) * options_.loading_share;
   max_loading_ = std::max(options_.min_loading_limit,
                           static_cast<std::size_t>(std::floor(share)));
+  if (!unanswered_orders_.empty()) max_loading_ += options_.catch_up_loads;
   return tokens <= options_.idle_prefill_tokens * engines_;
 }
 
--- a/test/rollout_planner_test.cc
+++ b/test/rollout_planner_test.cc
@@ -284,6 +284,17 @@
   CHECK(simulation.Outdated(2) == 0);
 }
 
+TEST_CASE("New weights are in time though orders are lost for seven seconds") {
+  RolloutSimulation simulation(18);
+  simulation.SetTarget(2);
+  const int lost_steps = static_cast<int>(milliseconds(7'000) / kStep);
+  for (int i = 0; i < lost_steps; ++i) simulation.Step(OrderDelivery::kLost);
+  const int steps = static_cast<int>(milliseconds(15'000) / kStep);
+  for (int i = lost_steps; i < steps; ++i) simulation.Step();
+  CHECK(simulation.Outdated(2) == 0);
+  CHECK(simulation.max_loading <= 4);
+}
+
 TEST_CASE("New weights are in time though all engines pause for a second") {
   const milliseconds limit(12'000);
   const milliseconds silence(1'000);
