Load the gateways' own tables in one place

TableLoader does it for both; a read that is asked for while one is under way now follows it for the record, too, so a change of the store's generation in that moment isn't missed.

--- a/src/gateway/software_record.cc
+++ b/src/gateway/software_record.cc
@@ -16,7 +16,6 @@
 
 constexpr char kTable[] = "yuccapick-software";
 constexpr milliseconds kCallTimeout{800};
-constexpr milliseconds kRetryDelay{400};
 
 std::string KeyOf(const SoftwareGroup& group) {
   return fmt::format("{}/{}", group.service.value, group.software.value);
@@ -32,29 +31,18 @@
 
 }  // namespace
 
-void SoftwareRecord::Load() {
-  if (loading_) return;
-  loading_ = true;
-  const std::string& store = state_.settings.table_endpoint;
-  store_->Call(
-      store, platform::EncodeReadRows(store, kTable, ""), kCallTimeout,
-      [self = shared_from_this()](const absl::StatusOr<StoreAnswer>& answer) {
-        self->OnLoaded(answer);
-      });
-}
+SoftwareRecord::SoftwareRecord(GatewayState& state,
+                               std::shared_ptr<StoreClient> store)
+    : state_(state),
+      store_(store),
+      loader_(std::make_shared<TableLoader>(
+          state, std::move(store), kTable,
+          [this](const platform::RowsAnswer& rows) { OnLoaded(rows); })) {}
 
-void SoftwareRecord::OnLoaded(const absl::StatusOr<StoreAnswer>& answer) {
-  loading_ = false;
-  const auto rows = RowsOf(answer);
-  if (!rows.ok()) {
-    state_.log.Write(LogKind::kStateChange, state_.Now(),
-                     "event=software_record_unknown reason=\"{}\"",
-                     rows.status().message().data());
-    return RetryLoad();
-  }
+void SoftwareRecord::OnLoaded(const platform::RowsAnswer& rows) {
   keys_.clear();
   std::vector<SoftwareGroup> recorded;
-  for (const MirrorRow& row : rows->rows) {
+  for (const MirrorRow& row : rows.rows) {
     const std::optional<SoftwareGroup> group = ParseKey(row.key);
     if (!group) continue;
     keys_.insert(row.key);
@@ -66,14 +54,6 @@
                    "event=software_record_loaded versions={}", recorded.size());
 }
 
-void SoftwareRecord::RetryLoad() {
-  retry_timer_.expires_after(kRetryDelay);
-  retry_timer_.async_wait(
-      [self = shared_from_this()](const asio::error_code& ec) {
-        if (!ec) self->Load();
-      });
-}
-
 void SoftwareRecord::OnTick(TimePoint now) {
   if (!loaded_) return;
   const std::vector<SoftwareGroup> listed = state_.stream_origins.Listed(now);
--- a/src/gateway/software_record.h
+++ b/src/gateway/software_record.h
@@ -5,7 +5,6 @@
 /// Stores which software versions services had lately, for gateways that start
 /// after a version has left.
 
-#include <asio.hpp>
 #include <memory>
 #include <set>
 #include <string>
@@ -14,6 +13,7 @@
 
 #include "gateway/gateway_state.h"
 #include "gateway/store_client.h"
+#include "gateway/table_loader.h"
 #include "platform/table_calls.h"
 #include "yuccapick/stream_origins.h"
 
@@ -25,19 +25,17 @@
 /// of another at it. Used on one event loop.
 class SoftwareRecord : public std::enable_shared_from_this<SoftwareRecord> {
  public:
-  SoftwareRecord(GatewayState& state, std::shared_ptr<StoreClient> store)
-      : state_(state), store_(std::move(store)), retry_timer_(state.loop) {}
+  SoftwareRecord(GatewayState& state, std::shared_ptr<StoreClient> store);
 
   /// Reads the record, until the store answers, and passes it on to
   /// `GatewayState::stream_origins`.
-  void Load();
+  void Load() { loader_->Load(); }
   /// Writes the versions that the record lacks, and removes those that were not
   /// listed for the lifetime of streams. A few of the gateways do it.
   void OnTick(TimePoint now);
 
  private:
-  void RetryLoad();
-  void OnLoaded(const absl::StatusOr<StoreAnswer>& answer);
+  void OnLoaded(const platform::RowsAnswer& rows);
   void WriteMissing(const std::vector<SoftwareGroup>& listed);
   void RemoveForgotten(const std::vector<SoftwareGroup>& listed);
   /// Removes the row unless it was written since it was read here.
@@ -51,8 +49,7 @@
 
   GatewayState& state_;
   std::shared_ptr<StoreClient> store_;
-  asio::steady_timer retry_timer_;  ///< For `Load`.
-  bool loading_ = false;
+  std::shared_ptr<TableLoader> loader_;
   bool loaded_ = false;
   /// Keys of the record's rows, as far as this gateway knows.
   std::set<std::string> keys_;
--- a/src/gateway/target_set_times.cc
+++ b/src/gateway/target_set_times.cc
@@ -51,6 +51,14 @@
 
 }  // namespace
 
+TargetSetTimes::TargetSetTimes(GatewayState& state,
+                               std::shared_ptr<StoreClient> store)
+    : state_(state),
+      store_(store),
+      loader_(std::make_shared<TableLoader>(
+          state, std::move(store), kTable,
+          [this](const platform::RowsAnswer& rows) { OnLoaded(rows); })) {}
+
 void TargetSetTimes::Save(const TargetSetTime& target) {
   if (IsChosenWriter(state_)) Write({target, 0});
 }
@@ -101,33 +109,10 @@
   Load();
 }
 
-void TargetSetTimes::Load() {
-  if (loading_) {
-    load_again_ = true;
-    return;
-  }
-  loading_ = true;
-  const std::string& store = state_.settings.table_endpoint;
-  store_->Call(
-      store, platform::EncodeReadRows(store, kTable, ""), kCallTimeout,
-      [self = shared_from_this()](const absl::StatusOr<StoreAnswer>& answer) {
-        self->OnLoaded(answer);
-      });
-}
-
-void TargetSetTimes::OnLoaded(const absl::StatusOr<StoreAnswer>& answer) {
-  loading_ = false;
-  const auto rows = RowsOf(answer);
-  if (!rows.ok()) {
-    state_.log.Write(LogKind::kStateChange, state_.Now(),
-                     "event=naming_times_unknown reason=\"{}\"",
-                     rows.status().message().data());
-    return RetryLoad();
-  }
-  state_.store_times.OnAnswer(*rows, answer->generation, BootTimeNow());
-  for (const MirrorRow& row : rows->rows) {
+void TargetSetTimes::OnLoaded(const platform::RowsAnswer& rows) {
+  for (const MirrorRow& row : rows.rows) {
     const std::optional<TargetSetTime> target = ParseRow(row);
-    if (!target || target->set_after > rows->store_time) continue;
+    if (!target || target->set_after > rows.store_time) continue;
     state_.target_weights.OnSetAfterKnown(target->model, target->weights,
                                           target->set_after);
     const auto is_same = [&target](const auto& it) {
@@ -139,15 +124,6 @@
   DateByRowVersion();
   if (!undated_.empty()) ReadRowTimes();
   for (const TargetSetTime& target : std::exchange(unsaved_, {})) Save(target);
-  if (std::exchange(load_again_, false)) Load();
-}
-
-void TargetSetTimes::RetryLoad() {
-  retry_timer_.expires_after(kRetryDelay);
-  retry_timer_.async_wait(
-      [self = shared_from_this()](const asio::error_code& ec) {
-        if (!ec) self->Load();
-      });
 }
 
 void TargetSetTimes::DateByRowVersion() {
@@ -184,7 +160,7 @@
     state_.log.Write(LogKind::kStateChange, state_.Now(),
                      "event=row_times_unknown reason=\"{}\"",
                      rows.status().message().data());
-    return RetryLoad();
+    return loader_->LoadLater();
   }
   state_.store_times.OnAnswer(*rows, answer->generation, BootTimeNow());
   ImportRowTimes(*rows, state_);
--- a/src/gateway/target_set_times.h
+++ b/src/gateway/target_set_times.h
@@ -14,6 +14,7 @@
 
 #include "gateway/gateway_state.h"
 #include "gateway/store_client.h"
+#include "gateway/table_loader.h"
 #include "yuccapick/target_weights.h"
 
 namespace yuccapick {
@@ -28,8 +29,7 @@
 
 class TargetSetTimes : public std::enable_shared_from_this<TargetSetTimes> {
  public:
-  TargetSetTimes(GatewayState& state, std::shared_ptr<StoreClient> store)
-      : state_(state), store_(std::move(store)), retry_timer_(state.loop) {}
+  TargetSetTimes(GatewayState& state, std::shared_ptr<StoreClient> store);
 
   /// Writes a time, if it is chosen by `IsChosenWriter`, unless
   /// another gateway did. A failed write is retried a few times.
@@ -44,7 +44,7 @@
   void SaveMissing();
   /// Reads all times and corrects `GatewayState::target_weights`. Retries while
   /// the store doesn't answer.
-  void Load();
+  void Load() { loader_->Load(); }
 
  private:
   /// A time that is to be written.
@@ -56,9 +56,7 @@
   void Write(PendingWrite pending);
   void OnWritten(PendingWrite pending,
                  const absl::StatusOr<StoreAnswer>& answer);
-  void OnLoaded(const absl::StatusOr<StoreAnswer>& answer);
-
-  void RetryLoad();
+  void OnLoaded(const platform::RowsAnswer& rows);
   /// Dates targets by the row versions and times that are known by now.
   void DateByRowVersion();
   void ReadRowTimes();
@@ -66,9 +64,7 @@
 
   GatewayState& state_;
   std::shared_ptr<StoreClient> store_;
-  asio::steady_timer retry_timer_;  ///< For `Load`.
-  bool loading_ = false;
-  bool load_again_ = false;  ///< A target is newer than the read under way.
+  std::shared_ptr<TableLoader> loader_;
   std::vector<UndatedTarget> undated_;
   std::vector<TargetSetTime> unsaved_;  ///< Saved if the store has no time.
 };
