Share the set-ups of crash tests and the reading of options

Cause: what stood twice. Two tests of crashing upstreams had the same deployment and the same loop while gateways learn; four files had the same check of a refusal; the stand-in and the load tool read their options alike.

CrashingDeployment, IsRefusal and ReadOptions have them once. Both programs print the same usage and errors, and end with the same codes, as before.

--- a/standin/options.cc
+++ b/standin/options.cc
@@ -1,19 +1,16 @@
 #include "standin/options.h"
 
 #include <fmt/format.h>
-#include <getopt.h>
 
 #include <array>
-#include <cstdio>
-#include <cstdlib>
 #include <functional>
 #include <string_view>
 
+#include "standin/command_line.h"
+
 namespace yuccapick::standin {
 namespace {
 
-constexpr int kExitUsage = 2;
-
 constexpr std::string_view kUsage =
     "Usage: yuccapick-standin ROLE --listen HOST:PORT [OPTIONS]\n"
     "\n"
@@ -71,12 +68,6 @@
   return !weights.model.empty() && !weights.version.empty();
 }
 
-bool ParseNumber(const std::string& text, double& value) {
-  char* end = nullptr;
-  value = std::strtod(text.c_str(), &end);
-  return !text.empty() && *end == '\0' && value >= 0;
-}
-
 std::chrono::milliseconds Milliseconds(double n) {
   return std::chrono::milliseconds(static_cast<long>(n));
 }
@@ -147,8 +138,7 @@
 
 /// Applies one option.
 /// @return false if its value is invalid
-bool ApplyOption(int code, const char* argument, Options& options) {
-  const std::string value = argument == nullptr ? "" : argument;
+bool ApplyOption(int code, const std::string& value, Options& options) {
   switch (code) {
     case kListen:
       return ParseAddress(value, options.host, options.port);
@@ -186,23 +176,11 @@
 
 std::optional<Options> ParseOptions(int argc, char** argv, int& exit_code) {
   Options options;
-  const std::vector<option> table = LongOptions();
-  exit_code = kExitUsage;
-  int code = 0;
-  while ((code = getopt_long(argc, argv, "", table.data(), nullptr)) != -1) {
-    if (code == kHelp) {
-      std::fwrite(kUsage.data(), 1, kUsage.size(), stdout);
-      exit_code = 0;
-      return std::nullopt;
-    }
-    if (code == '?') return std::nullopt;
-    if (!ApplyOption(code, optarg, options)) {
-      fmt::print(stderr,
-                 "yuccapick-standin: invalid option value '{}'; see --help\n",
-                 optarg);
-      return std::nullopt;
-    }
-  }
+  const CommandLine line{"yuccapick-standin", kUsage, LongOptions(), kHelp};
+  const auto apply = [&options](int code, const std::string& value) {
+    return ApplyOption(code, value, options);
+  };
+  if (!ReadOptions(line, argc, argv, apply, exit_code)) return std::nullopt;
   if (optind < argc) options.role = argv[optind];
   const std::string error = OptionError(options);
   if (error.empty()) return options;
--- a/test/gateway/crashing_part_test.cc
+++ b/test/gateway/crashing_part_test.cc
@@ -2,10 +2,9 @@
 
 #include <catch2/catch.hpp>
 #include <memory>
-#include <optional>
 #include <vector>
 
-#include "test/gateway/gateway_fixture.h"
+#include "test/gateway/crashing_deployment.h"
 
 namespace yuccapick {
 namespace {
@@ -21,14 +20,10 @@
 
 constexpr char kCrashingPart[] = "bad0";
 constexpr char kBlockedPartsTable[] = "yuccapick-blocked-parts";
-/// Crashes after which gateways must know the part, within `kTimeToLearn`.
-constexpr std::size_t kCrashesToLearn = 5;
-constexpr milliseconds kTimeToLearn{3'000};
+/// When gateways must know the part.
+constexpr CrashesToLearn kLearning{5, milliseconds(3'000), milliseconds(10)};
 /// Requests with the part that may reach engines after that.
 constexpr std::size_t kTolerated = 3;
-/// Pause between the requests of a test, at least.
-constexpr milliseconds kPause{10};
-
 bool HasCrashingPart(const ReceivedRequest& request) {
   return request.Field("X-Prompt-Prefix").find(kCrashingPart) !=
          std::string::npos;
@@ -68,66 +63,36 @@
 };
 
 /// Two gateways before six engines.
-class Deployment {
+class Deployment : public CrashingDeployment<CrashingEngine> {
  public:
-  Deployment() {
-    fixture.PutConfig(1, kRoutes);
-    for (int i = 1; i <= 6; ++i) {
-      engines_.push_back(
-          std::make_unique<CrashingEngine>(fixture, fmt::format("e{}", i)));
-    }
-    fixture.Start();
-    fixture.StartPeer();
-    REQUIRE(fixture.AwaitListed(engines_.size()));
-  }
-
-  std::size_t Crashes() const {
-    std::size_t n = 0;
-    for (const auto& engine : engines_) n += engine->crashes();
-    return n;
-  }
+  Deployment() { Start(6, kRoutes); }
 
   /// @return a new request with `kCrashingPart`
   std::string CrashingRequest() { return Request(kCrashingPart); }
   std::string AskCrashing(bool at_peer) {
-    const std::string request = CrashingRequest();
-    return at_peer ? fixture.AskPeer(request) : fixture.Ask(request);
+    return AskEither(at_peer, CrashingRequest());
   }
   /// @return true if a request that shares the first part is answered
   bool IsSoundServed(bool at_peer) {
-    const std::string request = Request("b0");
-    return IsComplete(at_peer ? fixture.AskPeer(request)
-                              : fixture.Ask(request));
+    return IsComplete(AskEither(at_peer, Request("b0")));
   }
 
-  /// Sends requests of both kinds to both gateways until `kTimeToLearn` after
-  /// `kCrashesToLearn` crashes.
+  /// Sends requests of both kinds to both gateways until they must have
+  /// learned.
   /// @return true if all sound requests were answered
   bool RunWhileGatewaysLearn() {
     bool sound = true;
-    std::optional<steady_clock::time_point> end;
-    while (!end || steady_clock::now() < *end) {
+    CrashingDeployment::RunWhileGatewaysLearn(kLearning, [&] {
       AskCrashing(false);
       AskCrashing(true);
       sound = IsSoundServed(false) && IsSoundServed(true) && sound;
-      if (!end && Crashes() >= kCrashesToLearn) {
-        end = steady_clock::now() + kTimeToLearn;
-      }
-      const auto next = steady_clock::now() + kPause;
-      fixture.RunUntilTrue([next] { return steady_clock::now() >= next; });
-    }
+    });
     return sound;
   }
 
   static bool IsComplete(const std::string& answer) {
     return answer.ends_with("data: yes\n\n\r\n0\r\n\r\n");
   }
-  static bool IsRefusal(const std::string& answer) {
-    return answer.starts_with("HTTP/1.1 503") &&
-           answer.find("Retry-After: ") != std::string::npos;
-  }
-
-  GatewayFixture fixture;
 
  private:
   /// @return a request with the shared parts "a0" and `part`
@@ -140,7 +105,6 @@
                          "", fmt::format("id-{}", requests_));
   }
 
-  std::vector<std::unique_ptr<CrashingEngine>> engines_;
   int requests_ = 0;
 };
 
@@ -153,7 +117,7 @@
   CHECK(deployment.RunWhileGatewaysLearn());
   const std::size_t crashes = deployment.Crashes();
   for (int i = 0; i < 20; ++i) {
-    CHECK(Deployment::IsRefusal(deployment.AskCrashing(i % 2 == 1)));
+    CHECK(IsRefusal(deployment.AskCrashing(i % 2 == 1)));
     CHECK(deployment.IsSoundServed(i % 2 == 1));
   }
   CHECK(deployment.Crashes() <= crashes + kTolerated);
@@ -165,8 +129,7 @@
   const std::size_t crashes = deployment.Crashes();
   deployment.fixture.StartLate();
   REQUIRE(deployment.fixture.AwaitListed(6));
-  CHECK(Deployment::IsRefusal(
-      deployment.fixture.AskLate(deployment.CrashingRequest())));
+  CHECK(IsRefusal(deployment.fixture.AskLate(deployment.CrashingRequest())));
   CHECK(deployment.Crashes() == crashes);
 }
 
@@ -174,8 +137,8 @@
   Deployment deployment;
   deployment.fixture.store.set_up(false);
   REQUIRE(deployment.RunWhileGatewaysLearn());
-  CHECK(Deployment::IsRefusal(deployment.AskCrashing(false)));
-  CHECK(Deployment::IsRefusal(deployment.AskCrashing(true)));
+  CHECK(IsRefusal(deployment.AskCrashing(false)));
+  CHECK(IsRefusal(deployment.AskCrashing(true)));
 }
 
 TEST_CASE("A block ends when its row is removed") {
@@ -207,14 +170,14 @@
   }
   fixture.Start();
   REQUIRE(fixture.AwaitListed(engines.size()));
-  const auto end = steady_clock::now() + kTimeToLearn;
+  const auto end = steady_clock::now() + kLearning.time;
   std::size_t sent = 0;
   while (steady_clock::now() < end) {
     fixture.Ask(CallerRequest("POST", "/tell/1",
                               "X-Model: m\r\nX-Token-Count: 130,10\r\n"
                               "X-Prompt-Prefix: a0:100,c0:10\r\n",
                               "", fmt::format("id-{}", ++sent)));
-    const auto next = steady_clock::now() + kPause;
+    const auto next = steady_clock::now() + kLearning.pause;
     fixture.RunUntilTrue([next] { return steady_clock::now() >= next; });
   }
   CHECK(received >= sent);
--- a/test/gateway/crashing_request_test.cc
+++ b/test/gateway/crashing_request_test.cc
@@ -2,10 +2,9 @@
 
 #include <catch2/catch.hpp>
 #include <memory>
-#include <optional>
 #include <vector>
 
-#include "test/gateway/gateway_fixture.h"
+#include "test/gateway/crashing_deployment.h"
 
 namespace yuccapick {
 namespace {
@@ -21,14 +20,10 @@
   "kind":"non_idempotent","timeoutMs":1500,"targetLatencyMs":300,
   "service":"app","maxAttempts":2}])";
 
-/// Crashes after which gateways must know the request, within `kTimeToLearn`.
-constexpr std::size_t kCrashesToLearn = 3;
-constexpr milliseconds kTimeToLearn{3'000};
+/// When gateways must know the request.
+constexpr CrashesToLearn kLearning{3, milliseconds(3'000), milliseconds(20)};
 /// Times that the request may reach upstreams after that.
 constexpr std::size_t kTolerated = 3;
-/// Pause between the requests of a test, at least.
-constexpr milliseconds kPause{20};
-
 /// An upstream that crashes as soon as it begins to run a request whose path
 /// ends with `bad`, and restarts at once. It answers all other requests.
 class CrashingApp {
@@ -74,24 +69,11 @@
 };
 
 /// Two gateways before a plain service of three upstreams.
-class Deployment {
+class Deployment : public CrashingDeployment<CrashingApp> {
  public:
   Deployment() {
     fixture.store.RunClock();
-    fixture.PutConfig(1, kRoutes);
-    for (int i = 1; i <= 3; ++i) {
-      apps.push_back(
-          std::make_unique<CrashingApp>(fixture, fmt::format("a{}", i)));
-    }
-    fixture.Start();
-    fixture.StartPeer();
-    REQUIRE(fixture.AwaitListed(apps.size()));
-  }
-
-  std::size_t Crashes() const {
-    std::size_t n = 0;
-    for (const auto& app : apps) n += app->crashes();
-    return n;
+    Start(3, kRoutes);
   }
 
   /// Sends a new attempt of the request.
@@ -99,26 +81,18 @@
                   const std::string& path, const std::string& body = "") {
     const std::string request =
         CallerRequest(method, path, "", body, fmt::format("id-{}", ++attempts));
-    return at_peer ? fixture.AskPeer(request) : fixture.Ask(request);
+    return AskEither(at_peer, request);
   }
 
-  /// Sends the request to both gateways until `kTimeToLearn` after
-  /// `kCrashesToLearn` crashes.
+  /// Sends the request to both gateways until they must have learned.
   void RunWhileGatewaysLearn(const std::string& method,
                              const std::string& path) {
-    std::optional<steady_clock::time_point> end;
-    while (!end || steady_clock::now() < *end) {
+    CrashingDeployment::RunWhileGatewaysLearn(kLearning, [&] {
       Ask(false, method, path);
       Ask(true, method, path);
-      if (!end && Crashes() >= kCrashesToLearn) {
-        end = steady_clock::now() + kTimeToLearn;
-      }
-      fixture.Run(kPause);
-    }
+    });
   }
 
-  GatewayFixture fixture;
-  std::vector<std::unique_ptr<CrashingApp>> apps;
   int attempts = 0;
 };
 
@@ -126,11 +100,6 @@
   return answer.starts_with("HTTP/1.1 200");
 }
 
-bool IsRefusal(const std::string& answer) {
-  return answer.starts_with("HTTP/1.1 503") &&
-         answer.find("Retry-After: ") != std::string::npos;
-}
-
 }  // namespace
 
 TEST_CASE("A request under which three upstreams ended reaches few more") {
@@ -146,7 +115,7 @@
       // Another caller's request, and the same path with another body.
       CHECK(IsServed(deployment.Ask(at_peer, "GET", "/look/1")));
     }
-    deployment.fixture.Run(kPause);
+    deployment.fixture.Run(kLearning.pause);
   }
   CHECK(IsRefusal(deployment.Ask(false, method, path)));
   CHECK(IsRefusal(deployment.Ask(true, method, path)));
@@ -156,10 +125,10 @@
 TEST_CASE("A request under way when a whole service lost power is served") {
   Deployment deployment;
   std::vector<std::unique_ptr<FakeCaller>> callers;
-  for (const auto& app : deployment.apps) app->set_holding(true);
+  for (const auto& app : deployment.upstreams) app->set_holding(true);
   // A hot request runs at all upstreams.
   const auto held_everywhere = [&] {
-    for (const auto& app : deployment.apps) {
+    for (const auto& app : deployment.upstreams) {
       if (app->held() == 0) return false;
     }
     return true;
@@ -171,14 +140,14 @@
                                        fmt::format("hot-{}", callers.size())));
     deployment.fixture.Run(milliseconds(5));
   }
-  for (const auto& app : deployment.apps) app->Crash();
+  for (const auto& app : deployment.upstreams) app->Crash();
   callers.clear();
-  for (const auto& app : deployment.apps) app->set_holding(false);
+  for (const auto& app : deployment.upstreams) app->set_holding(false);
   // It is blocked for a moment, then one request is tried.
   const auto end = steady_clock::now() + milliseconds(6'000);
   bool served = false;
   while (!served && steady_clock::now() < end) {
-    deployment.fixture.Run(kPause);
+    deployment.fixture.Run(kLearning.pause);
     served = IsServed(deployment.Ask(true, "GET", "/look/hot"));
   }
   CHECK(served);
--- a/test/gateway/gateway_fixture.cc
+++ b/test/gateway/gateway_fixture.cc
@@ -221,6 +221,11 @@
   return caller.input();
 }
 
+bool IsRefusal(const std::string& answer) {
+  return answer.starts_with("HTTP/1.1 503") &&
+         answer.find("Retry-After: ") != std::string::npos;
+}
+
 std::string CallerRequest(const std::string& method, const std::string& path,
                           const std::string& more_fields,
                           const std::string& body,
--- a/test/gateway/gateway_fixture.h
+++ b/test/gateway/gateway_fixture.h
@@ -115,6 +115,10 @@
   std::string AskAt(const std::string& endpoint, const std::string& request);
 };
 
+/// @return true if the answer says that the request was not run, and when to
+///   try again
+bool IsRefusal(const std::string& answer);
+
 /// @return a request for `path` with an attempt id and an API key
 std::string CallerRequest(const std::string& method, const std::string& path,
                           const std::string& more_fields = "",
--- a/test/gateway/stale_weights_test.cc
+++ b/test/gateway/stale_weights_test.cc
@@ -124,9 +124,7 @@
   engines.fixture.PutTargetWeights(2);
   engines.fixture.store.set_time(milliseconds(1'000) + kStaleWeightsLimit);
   AwaitNewConfig(engines.fixture);
-  const std::string answer = AskForStream(engines.fixture);
-  CHECK(answer.starts_with("HTTP/1.1 503"));
-  CHECK(answer.find("Retry-After: ") != std::string::npos);
+  CHECK(IsRefusal(AskForStream(engines.fixture)));
   CHECK(engines.old.received().empty());
 }
 
@@ -147,9 +145,7 @@
   // The gateway was in touch with the store for longer than the limit, too.
   engine.fixture.store.set_time(milliseconds(2'000) + kStaleWeightsLimit);
   AwaitNewConfig(engine.fixture);
-  const std::string answer = AskForStream(engine.fixture);
-  CHECK(answer.starts_with("HTTP/1.1 503"));
-  CHECK(answer.find("Retry-After: ") != std::string::npos);
+  CHECK(IsRefusal(AskForStream(engine.fixture)));
   CHECK(engine.old.received().empty());
 }
 
@@ -193,9 +189,7 @@
     return engine.fixture.store.Has(kSetTimesTable, "m/2") ||
            std::chrono::steady_clock::now() >= end;
   });
-  const std::string answer = AskForStream(engine.fixture);
-  CHECK(answer.starts_with("HTTP/1.1 503"));
-  CHECK(answer.find("Retry-After: ") != std::string::npos);
+  CHECK(IsRefusal(AskForStream(engine.fixture)));
   CHECK(engine.old.received().empty());
 }
 
--- a/test/gateway/stream_software_test.cc
+++ b/test/gateway/stream_software_test.cc
@@ -46,11 +46,6 @@
       attempt_id);
 }
 
-bool IsRefusal(const std::string& answer) {
-  return answer.starts_with("HTTP/1.1 503") &&
-         Contains(answer, "Retry-After: ");
-}
-
 /// Four events are a complete stream.
 bool HasRestOfStream(const std::string& answer) {
   return Contains(answer, Event(3)) && Contains(answer, Event(4)) &&
--- a/test/part_directory_test.cc
+++ b/test/part_directory_test.cc
@@ -95,12 +95,13 @@
   CHECK(directory.TokensInStore(chain, kStore, kStart) == 0);
 }
 
-TEST_CASE("An eviction of an unknown part is not recorded") {
+TEST_CASE("What caches tell of a request's own part is not recorded") {
   PartDirectory directory;
   const PartChain chain = SharedChain("v1", kPrompt);
   directory.OnSent(chain, kA, kStart);
   const std::size_t known = directory.size();
   const std::uint64_t own = PartHash("v1", "own");
+  directory.OnHolderUpdate({own, {kA, 2'900, false, {}, false}, true}, kStart);
   directory.OnHolderUpdate({own, {kA, 0, false, {}, false}, true}, kStart);
   CHECK(directory.size() == known);
   CHECK(directory.HoldersOf(own, kStart).empty());
--- a/util/detail/load_options.cc
+++ b/util/detail/load_options.cc
@@ -1,19 +1,16 @@
 #include "util/detail/load_options.h"
 
 #include <fmt/format.h>
-#include <getopt.h>
 
 #include <array>
-#include <cstdio>
-#include <cstdlib>
 #include <string_view>
 #include <utility>
 
+#include "standin/command_line.h"
+
 namespace yuccapick::load {
 namespace {
 
-constexpr int kExitUsage = 2;
-
 constexpr std::string_view kUsage =
     "Usage: yuccapick_load --target URL [OPTIONS]\n"
     "\n"
@@ -126,12 +123,6 @@
   return table;
 }
 
-bool ParseNumber(const std::string& text, double& value) {
-  char* end = nullptr;
-  value = std::strtod(text.c_str(), &end);
-  return !text.empty() && *end == '\0' && value >= 0;
-}
-
 bool AddTeam(const std::string& text, std::vector<Team>& teams) {
   const std::size_t equals = text.find('=');
   Team team{.name = text.substr(0, equals)};
@@ -143,8 +134,7 @@
   return true;
 }
 
-bool ApplyOption(int code, const char* argument, Options& options) {
-  const std::string value = argument == nullptr ? "" : argument;
+bool ApplyOption(int code, const std::string& value, Options& options) {
   if (code == kTeam) return AddTeam(value, options.teams);
   if (code == kDirect) options.direct = true;
   if (code == kCsv) options.csv = true;
@@ -163,23 +153,11 @@
 
 std::optional<Options> ParseOptions(int argc, char** argv, int& exit_code) {
   Options options;
-  const std::vector<option> table = LongOptions();
-  exit_code = kExitUsage;
-  int code = 0;
-  while ((code = getopt_long(argc, argv, "", table.data(), nullptr)) != -1) {
-    if (code == kHelp) {
-      std::fwrite(kUsage.data(), 1, kUsage.size(), stdout);
-      exit_code = 0;
-      return std::nullopt;
-    }
-    if (code == '?') return std::nullopt;
-    if (!ApplyOption(code, optarg, options)) {
-      fmt::print(stderr,
-                 "yuccapick_load: invalid option value '{}'; see --help\n",
-                 optarg);
-      return std::nullopt;
-    }
-  }
+  const CommandLine line{"yuccapick_load", kUsage, LongOptions(), kHelp};
+  const auto apply = [&options](int code, const std::string& value) {
+    return ApplyOption(code, value, options);
+  };
+  if (!ReadOptions(line, argc, argv, apply, exit_code)) return std::nullopt;
   if (options.targets.empty()) {
     fmt::print(stderr,
                "yuccapick_load: --target URL is required; see --help\n");
