Tell how far answers of the store and of peers have arrived

Every call now counts the bytes of its answer and their times. Large, slow and broken-off answers of the store are logged (store_answer_received), as are tables that a peer did not send (peer_tables_not_fetched; that error was dropped before) and copies that lack a known change (table_behind, table_caught_up, with how long its answer has been arriving). Metrics: yuccapick_config_behind_ms, yuccapick_config_arriving_ms, yuccapick_store_bytes_received, _answers_broken_off, _bytes_wasted, and yuccapick_peer_table_* with bytes unsent and sessions.

No decision changes.

--- a/src/gateway/cache_watch.cc
+++ b/src/gateway/cache_watch.cc
@@ -140,7 +140,8 @@
       platform::EncodeWatchCacheEvents(target.endpoint, target.since,
                                        failed ? kShortPollWait : kLongPollWait),
       failed ? kShortCallTimeout : kCallTimeout,
-      [this, name, generation](const absl::StatusOr<CallAnswer>& it) {
+      [this, name, generation](const absl::StatusOr<CallAnswer>& it,
+                               const CallProgress& /*progress*/) {
         OnAnswer(name, generation, it);
       });
 }
--- a/src/gateway/call_client.cc
+++ b/src/gateway/call_client.cc
@@ -1,10 +1,16 @@
 #include "gateway/call_client.h"
 
+#include <fmt/format.h>
+
 #include <utility>
 
 namespace yuccapick {
 namespace {
 
+std::int64_t Milliseconds(TimePoint::duration time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
 /// One call in flight; kept alive by its connection and its timer.
 class PendingCall : public ExchangeHandler,
                     public std::enable_shared_from_this<PendingCall> {
@@ -14,7 +20,9 @@
               CallClient::Done done)
       : timer_(loop),
         connections_(std::move(connections)),
-        done_(std::move(done)) {}
+        done_(std::move(done)) {
+    progress_->began_at = std::chrono::steady_clock::now();
+  }
 
   void StartTimer(std::chrono::milliseconds timeout) {
     timer_.expires_after(timeout);
@@ -27,13 +35,17 @@
     if (done_ != nullptr) connection_ = std::move(connection);
   }
 
+  CallProgressPtr progress() const { return progress_; }
+
   HeadDecision OnAnswerHead(const HttpHead& head) override {
+    RecordArrival(0);
     answer_.status = head.status;
     answer_.fields = head.fields;
     return HeadDecision::kAccept;
   }
 
   void OnAnswerBody(std::string_view bytes) override {
+    RecordArrival(bytes.size());
     answer_.body.append(bytes);
   }
 
@@ -51,34 +63,52 @@
   }
 
  private:
+  void RecordArrival(std::size_t body_bytes) {
+    const TimePoint now = std::chrono::steady_clock::now();
+    if (!progress_->first_byte_at) progress_->first_byte_at = now;
+    progress_->last_byte_at = now;
+    progress_->body_bytes += body_bytes;
+  }
+
   void OnTimeout() {
     if (connection_ != nullptr) connections_->GiveUp(connection_);
-    End(absl::DeadlineExceededError("call timed out"));
+    End(absl::DeadlineExceededError(TimeoutReason()));
+  }
+
+  std::string TimeoutReason() const {
+    if (!progress_->first_byte_at) return "call timed out";
+    return fmt::format("call timed out after {} bytes in {} ms",
+                       progress_->body_bytes,
+                       Milliseconds(progress_->ReceivingTime()));
   }
 
   void End(absl::StatusOr<CallAnswer> result) {
     timer_.cancel();
+    progress_->ended = true;
     connection_ = nullptr;
     const CallClient::Done done = std::exchange(done_, nullptr);
-    if (done != nullptr) done(std::move(result));
+    if (done != nullptr) done(std::move(result), *progress_);
   }
 
   asio::steady_timer timer_;
   std::shared_ptr<HttpConnectionPool> connections_;
   CallClient::Done done_;
   std::shared_ptr<HttpConnection> connection_;
+  std::shared_ptr<CallProgress> progress_ = std::make_shared<CallProgress>();
   CallAnswer answer_;
 };
 
 }  // namespace
 
-void CallClient::Call(const std::string& endpoint, std::string request,
-                      std::chrono::milliseconds timeout, Done done) {
+CallProgressPtr CallClient::Call(const std::string& endpoint,
+                                 std::string request,
+                                 std::chrono::milliseconds timeout, Done done) {
   auto call =
       std::make_shared<PendingCall>(loop_, connections_, std::move(done));
   call->StartTimer(timeout);
   call->set_connection(
       connections_->Start(endpoint, std::move(request), false, call));
+  return call->progress();
 }
 
 }  // namespace yuccapick
--- a/src/gateway/call_client.h
+++ b/src/gateway/call_client.h
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,28 @@
 
 namespace yuccapick {
 
+/// How far the answer to a call has arrived.
+struct CallProgress {
+  TimePoint began_at;
+  /// When the first and the last byte of the answer so far arrived; nullopt
+  /// before.
+  std::optional<TimePoint> first_byte_at;
+  std::optional<TimePoint> last_byte_at;
+  std::size_t body_bytes = 0;  ///< Of the answer.
+  bool ended = false;
+
+  /// True while the answer is being received.
+  bool IsArriving() const { return !ended && first_byte_at.has_value(); }
+  /// How long the answer has been arriving, up to its last byte so far.
+  TimePoint::duration ReceivingTime() const {
+    return first_byte_at ? *last_byte_at - *first_byte_at
+                         : TimePoint::duration(0);
+  }
+};
+
+/// Shared by a call and its maker; null if no call was made.
+using CallProgressPtr = std::shared_ptr<const CallProgress>;
+
 /// Status, header fields and body of an answer.
 struct CallAnswer {
   int status = 0;
@@ -29,7 +52,8 @@
 /// doesn't use a connection that may be as silent.
 class CallClient {
  public:
-  using Done = std::function<void(absl::StatusOr<CallAnswer>)>;
+  using Done =
+      std::function<void(absl::StatusOr<CallAnswer>, const CallProgress&)>;
 
   CallClient(asio::io_context& loop, HttpConnectionOptions options)
       : loop_(loop),
@@ -38,8 +62,9 @@
   /// @param done called exactly once, asynchronously, on the loop; Unavailable
   ///   if nothing was sent, DeadlineExceeded or Unknown if the call may have
   ///   taken effect
-  void Call(const std::string& endpoint, std::string request,
-            std::chrono::milliseconds timeout, Done done);
+  /// @return how far the answer has arrived
+  CallProgressPtr Call(const std::string& endpoint, std::string request,
+                       std::chrono::milliseconds timeout, Done done);
   void DropExpired(TimePoint now) { connections_->DropExpired(now); }
 
  private:
--- a/src/gateway/freshness_sync.cc
+++ b/src/gateway/freshness_sync.cc
@@ -177,8 +177,28 @@
   return oldest;
 }
 
+void FreshnessSync::LogBehind(WatchedTable table, TimePoint now) {
+  std::optional<TimePoint>& since =
+      behind_since_[static_cast<std::size_t>(table)];
+  const bool behind = freshness_.Behind(table);
+  if (behind == since.has_value()) return;
+  const TableWatch& watch = WatchOf(table);
+  const CallProgress* answer = watch.ArrivingAnswer();
+  state_.log.Write(
+      LogKind::kStateChange, now,
+      "event={} table={} behind_ms={} as_of={} arriving_bytes={} "
+      "arriving_ms={}",
+      behind ? "table_behind" : "table_caught_up", NameOf(table),
+      behind ? 0 : Milliseconds(now - *since).count(), watch.mirror().as_of(),
+      answer == nullptr ? 0 : answer->body_bytes,
+      answer == nullptr ? 0
+                        : Milliseconds(now - *answer->first_byte_at).count());
+  since = behind ? std::optional<TimePoint>(now) : std::nullopt;
+}
+
 void FreshnessSync::LogBelief(TimePoint now) {
   for (const WatchedTable table : kWatchedTables) {
+    LogBehind(table, now);
     bool& believed = believed_confirmed_[static_cast<std::size_t>(table)];
     const auto at = freshness_.ConfirmedAt(table);
     const bool confirmed = freshness_.Confirmed(table, now);
--- a/src/gateway/freshness_sync.h
+++ b/src/gateway/freshness_sync.h
@@ -64,6 +64,11 @@
   }
   /// @return the age of the oldest confirmation of a table; zero before any
   std::chrono::milliseconds Age(TimePoint now) const;
+  /// @return since when the copy is known to lack a change; nullopt if it is
+  ///   not
+  std::optional<TimePoint> BehindSince(WatchedTable table) const {
+    return behind_since_[static_cast<std::size_t>(table)];
+  }
   const Counters& counters() const { return counters_; }
 
  private:
@@ -75,6 +80,8 @@
   void Renew(const RenewPoll& renewal, TimePoint now);
   void Schedule();
   void LogBelief(TimePoint now);
+  /// Logs when a copy begins to lack a change, and when it has it.
+  void LogBehind(WatchedTable table, TimePoint now);
 
   GatewayState& state_;
   PeerExchange& exchange_;
@@ -85,6 +92,7 @@
   TableFreshness freshness_;
   asio::steady_timer timer_;
   std::array<bool, kWatchedTables.size()> believed_confirmed_{};
+  std::array<std::optional<TimePoint>, kWatchedTables.size()> behind_since_;
   Counters counters_;
 };
 
--- a/src/gateway/gateway_process.h
+++ b/src/gateway/gateway_process.h
@@ -110,7 +110,11 @@
   void OnHolderUpdates(const std::vector<HolderUpdate>& updates) override {
     part_sharing_->OnUpdates(updates);
   }
-  void OnPeerTables(const PeerTables& tables) override;
+  void OnPeerTables(const PeerTables& tables,
+                    const CallProgress& progress) override;
+  void OnPeerTablesFailed(const std::string& peer_endpoint,
+                          const CallProgress& progress,
+                          std::string_view reason) override;
   PeerTables TablesForPeers() const override;
 
   /// The store began a generation.
@@ -201,6 +205,8 @@
   std::optional<TimePoint> store_failing_since_;
   bool store_lost_ = false;
   std::uint64_t tables_from_peers_ = 0;
+  std::uint64_t peer_table_bytes_received_ = 0;
+  std::uint64_t peer_table_fetches_failed_ = 0;
 };
 
 }  // namespace yuccapick
--- a/src/gateway/gateway_process_metrics.cc
+++ b/src/gateway/gateway_process_metrics.cc
@@ -7,20 +7,35 @@
 
 using std::chrono::milliseconds;
 
+namespace {
+
+std::uint64_t Milliseconds(TimePoint::duration time) {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<milliseconds>(time).count());
+}
+
+}  // namespace
+
 std::string GatewayProcess::RenderMetrics() const {
   const TimePoint now = state_.Now();
   std::string out = state_.metrics.Render();
-  const auto age = std::chrono::duration_cast<milliseconds>(
-      now - operator_watch_->answered_at());
   const auto gauge = [&out](std::string_view name, std::uint64_t value) {
     AppendMetric(out, "gauge", name, value);
   };
   gauge("yuccapick_config_version",
         state_.config == nullptr ? 0 : state_.config->version().value);
-  gauge("yuccapick_config_age_ms", static_cast<std::uint64_t>(age.count()));
+  gauge("yuccapick_config_age_ms",
+        Milliseconds(now - operator_watch_->answered_at()));
   gauge("yuccapick_store_in_touch", operator_watch_->reachable() ? 1 : 0);
   gauge("yuccapick_tables_confirmation_age_ms",
         static_cast<std::uint64_t>(freshness_sync_->Age(now).count()));
+  const auto behind_since =
+      freshness_sync_->BehindSince(WatchedTable::kOperator);
+  gauge("yuccapick_config_behind_ms",
+        behind_since ? Milliseconds(now - *behind_since) : 0);
+  const CallProgress* arriving = operator_watch_->ArrivingAnswer();
+  gauge("yuccapick_config_arriving_ms",
+        arriving == nullptr ? 0 : Milliseconds(now - *arriving->first_byte_at));
   const FreshnessSync::Counters& checks = freshness_sync_->counters();
   AppendMetric(out, "counter", "yuccapick_table_checks_sent", checks.checks);
   AppendMetric(out, "counter", "yuccapick_table_checks_failed",
@@ -29,6 +44,21 @@
                checks.renewed_polls);
   AppendMetric(out, "counter", "yuccapick_tables_from_peers",
                tables_from_peers_);
+  AppendMetric(out, "counter", "yuccapick_peer_table_fetches_failed",
+               peer_table_fetches_failed_);
+  AppendMetric(out, "counter", "yuccapick_peer_table_bytes_received",
+               peer_table_bytes_received_);
+  AppendMetric(out, "counter", "yuccapick_peer_table_bytes_written",
+               exchange_.table_bytes_written());
+  gauge("yuccapick_peer_table_bytes_unsent", exchange_.unsent_bytes());
+  gauge("yuccapick_peer_table_sessions", exchange_.session_count());
+  const StoreClient::Counters& received = store_->counters();
+  AppendMetric(out, "counter", "yuccapick_store_bytes_received",
+               received.body_bytes);
+  AppendMetric(out, "counter", "yuccapick_store_answers_broken_off",
+               received.broken_off);
+  AppendMetric(out, "counter", "yuccapick_store_bytes_wasted",
+               received.wasted_bytes);
   const StoreGenerations& generations = store_->generations();
   gauge("yuccapick_store_generation", generations.current().value);
   AppendMetric(out, "counter", "yuccapick_store_generation_changes",
--- a/src/gateway/gateway_process_peers.cc
+++ b/src/gateway/gateway_process_peers.cc
@@ -92,10 +92,17 @@
   }
 }
 
-void GatewayProcess::OnPeerTables(const PeerTables& tables) {
-  state_.log.Write(LogKind::kStateChange, state_.Now(),
-                   "event=tables_from_peer operator_as_of={} upstream_as_of={}",
-                   tables.operator_rows.as_of, tables.upstream_rows.as_of);
+void GatewayProcess::OnPeerTables(const PeerTables& tables,
+                                  const CallProgress& progress) {
+  peer_table_bytes_received_ += progress.body_bytes;
+  state_.log.Write(
+      LogKind::kStateChange, state_.Now(),
+      "event=tables_from_peer operator_as_of={} upstream_as_of={} bytes={} "
+      "receiving_ms={}",
+      tables.operator_rows.as_of, tables.upstream_rows.as_of,
+      progress.body_bytes,
+      std::chrono::duration_cast<milliseconds>(progress.ReceivingTime())
+          .count());
   if (tables.store_time) {
     state_.store_times.clock.OnAnswer(*tables.store_time, BootTimeNow());
   }
@@ -113,6 +120,21 @@
   quarantine_sync_->OnDecisions(tables.suspect_decisions);
 }
 
+void GatewayProcess::OnPeerTablesFailed(const std::string& peer_endpoint,
+                                        const CallProgress& progress,
+                                        std::string_view reason) {
+  ++peer_table_fetches_failed_;
+  peer_table_bytes_received_ += progress.body_bytes;
+  state_.log.Write(
+      LogKind::kFailure, state_.Now(),
+      "event=peer_tables_not_fetched peer={} bytes={} receiving_ms={} "
+      "reason=\"{}\"",
+      peer_endpoint, progress.body_bytes,
+      std::chrono::duration_cast<milliseconds>(progress.ReceivingTime())
+          .count(),
+      reason);
+}
+
 PeerTables GatewayProcess::TablesForPeers() const {
   return {operator_watch_->mirror().Snapshot(),
           upstream_watch_->mirror().Snapshot(),
--- a/src/gateway/ingress_session.cc
+++ b/src/gateway/ingress_session.cc
@@ -365,6 +365,12 @@
   sessions_.clear();
 }
 
+std::size_t IngressServer::unsent_bytes() const {
+  std::size_t n = 0;
+  for (const auto& session : sessions_) n += session->unsent_bytes();
+  return n;
+}
+
 std::size_t IngressServer::busy_count() const {
   return static_cast<std::size_t>(
       std::count_if(sessions_.begin(), sessions_.end(), [](const auto& s) {
--- a/src/gateway/ingress_session.h
+++ b/src/gateway/ingress_session.h
@@ -152,6 +152,8 @@
   void CloseAll();
 
   std::size_t session_count() const { return sessions_.size(); }
+  /// Bytes of answers that are not yet written to the sockets.
+  std::size_t unsent_bytes() const;
   std::size_t busy_count() const;
 
  private:
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -150,7 +150,9 @@
     session->Respond(kHttpNotFound, {}, "");
     return nullptr;
   }
-  session->Respond(kHttpOk, {}, EncodePeerTables(handler_.TablesForPeers()));
+  const std::string tables = EncodePeerTables(handler_.TablesForPeers());
+  table_bytes_written_ += tables.size();
+  session->Respond(kHttpOk, {}, tables);
   return nullptr;
 }
 
@@ -160,12 +162,31 @@
   calls_.Call(peer_endpoint,
               fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\n\r\n", kTablesPath,
                           peer_endpoint),
-              kFetchTimeout, [this](const absl::StatusOr<CallAnswer>& answer) {
-                fetching_ = false;
-                if (!answer.ok() || answer->status != kHttpOk) return;
-                const auto tables = DecodePeerTables(answer->body);
-                if (tables) handler_.OnPeerTables(*tables);
+              kFetchTimeout,
+              [this, peer_endpoint](const absl::StatusOr<CallAnswer>& answer,
+                                    const CallProgress& progress) {
+                OnTablesAnswer(peer_endpoint, answer, progress);
               });
 }
 
+void PeerExchange::OnTablesAnswer(const std::string& peer_endpoint,
+                                  const absl::StatusOr<CallAnswer>& answer,
+                                  const CallProgress& progress) {
+  fetching_ = false;
+  if (!answer.ok()) {
+    return handler_.OnPeerTablesFailed(peer_endpoint, progress,
+                                       answer.status().message().data());
+  }
+  if (answer->status != kHttpOk) {
+    return handler_.OnPeerTablesFailed(
+        peer_endpoint, progress, fmt::format("status {}", answer->status));
+  }
+  const auto tables = DecodePeerTables(answer->body);
+  if (!tables) {
+    return handler_.OnPeerTablesFailed(peer_endpoint, progress,
+                                       "tables can't be decoded");
+  }
+  handler_.OnPeerTables(*tables, progress);
+}
+
 }  // namespace yuccapick
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -37,7 +37,12 @@
   virtual void OnHoldersAnswer(const HoldersAnswer& answer) = 0;
   virtual void OnHolderUpdates(const std::vector<HolderUpdate>& updates) = 0;
   /// A peer's copy of the tables was fetched.
-  virtual void OnPeerTables(const PeerTables& tables) = 0;
+  virtual void OnPeerTables(const PeerTables& tables,
+                            const CallProgress& progress) = 0;
+  /// A peer's copy of the tables could not be fetched.
+  virtual void OnPeerTablesFailed(const std::string& peer_endpoint,
+                                  const CallProgress& progress,
+                                  std::string_view reason) = 0;
   virtual PeerTables TablesForPeers() const = 0;
 };
 
@@ -79,6 +84,12 @@
   void CheckTimeouts(TimePoint now) { server_.CheckTimeouts(now); }
 
   const std::string& endpoint() const { return endpoint_; }
+  /// Connections of peers that fetch tables.
+  std::size_t session_count() const { return server_.session_count(); }
+  /// Bytes of tables that peers have not taken yet.
+  std::size_t unsent_bytes() const { return server_.unsent_bytes(); }
+  /// Bytes of tables that were written for peers since the start.
+  std::uint64_t table_bytes_written() const { return table_bytes_written_; }
 
  private:
   std::shared_ptr<PendingRequest> OnRequest(
@@ -88,6 +99,9 @@
   }
   CallerLimits limits() const override { return {}; }
 
+  void OnTablesAnswer(const std::string& peer_endpoint,
+                      const absl::StatusOr<CallAnswer>& answer,
+                      const CallProgress& progress);
   void Receive();
   void OnDatagram(std::string_view bytes);
   void SendDatagram(const std::string& bytes,
@@ -102,6 +116,7 @@
   std::array<char, 16'384> buf_{};
   IngressServer server_;
   bool fetching_ = false;
+  std::uint64_t table_bytes_written_ = 0;
 };
 
 }  // namespace yuccapick
--- a/src/gateway/rollout_controller.cc
+++ b/src/gateway/rollout_controller.cc
@@ -284,8 +284,9 @@
   load.expected_orders = order.expected_orders;
   calls_.Call(upstream->endpoint, platform::EncodeLoadOrder(*upstream, load),
               kOrderTimeout,
-              [self = shared_from_this(),
-               order](const absl::StatusOr<CallAnswer>& answer) {
+              [self = shared_from_this(), order](
+                  const absl::StatusOr<CallAnswer>& answer,
+                  const CallProgress& /*progress*/) {
                 self->OnRolloutOrderResult(order, answer);
               });
 }
@@ -311,8 +312,9 @@
   }
   calls_.Call(upstream->endpoint, platform::EncodeReportRequest(*upstream),
               kReportTimeout,
-              [self = shared_from_this(),
-               id = upstream->id](const absl::StatusOr<CallAnswer>& answer) {
+              [self = shared_from_this(), id = upstream->id](
+                  const absl::StatusOr<CallAnswer>& answer,
+                  const CallProgress& /*progress*/) {
                 self->OnReportAnswer(id, answer);
               });
 }
--- a/src/gateway/store_client.cc
+++ b/src/gateway/store_client.cc
@@ -7,15 +7,62 @@
 #include "platform/table_calls.h"
 
 namespace yuccapick {
+namespace {
 
-void StoreClient::Call(const std::string& endpoint, std::string request,
-                       std::chrono::milliseconds timeout, Done done) {
-  calls_.Call(endpoint, std::move(request), timeout,
-              [self = shared_from_this(), asked_in = generations_.current(),
-               done = std::move(done)](absl::StatusOr<CallAnswer> answer) {
-                if (self->stopped_) return;
-                done(self->Judge(std::move(answer), asked_in));
-              });
+using std::chrono::milliseconds;
+
+/// Answers that are larger, or take longer to arrive, are logged.
+constexpr std::size_t kLoggedBytes = 65'536;
+constexpr milliseconds kLoggedReceivingTime{100};
+
+/// @return the target in the request's first line
+std::string TargetOf(const std::string& request) {
+  const std::size_t from = request.find(' ') + 1;
+  return request.substr(from, request.find(' ', from) - from);
+}
+
+milliseconds Milliseconds(TimePoint::duration time) {
+  return std::chrono::duration_cast<milliseconds>(time);
+}
+
+}  // namespace
+
+CallProgressPtr StoreClient::Call(const std::string& endpoint,
+                                  std::string request, milliseconds timeout,
+                                  Done done) {
+  std::string target = TargetOf(request);
+  return calls_.Call(
+      endpoint, std::move(request), timeout,
+      [self = shared_from_this(), asked_in = generations_.current(),
+       target = std::move(target), done = std::move(done)](
+          absl::StatusOr<CallAnswer> answer, const CallProgress& progress) {
+        if (self->stopped_) return;
+        self->RecordCall(target, progress, answer);
+        done(self->Judge(std::move(answer), asked_in));
+      });
+}
+
+void StoreClient::RecordCall(const std::string& target,
+                             const CallProgress& progress,
+                             const absl::StatusOr<CallAnswer>& answer) {
+  counters_.body_bytes += progress.body_bytes;
+  const bool broken_off = !answer.ok() && progress.first_byte_at;
+  if (broken_off) {
+    ++counters_.broken_off;
+    counters_.wasted_bytes += progress.body_bytes;
+  }
+  const milliseconds receiving = Milliseconds(progress.ReceivingTime());
+  if (!broken_off && progress.body_bytes < kLoggedBytes &&
+      receiving < kLoggedReceivingTime) {
+    return;
+  }
+  const TimePoint now = std::chrono::steady_clock::now();
+  log_.Write(LogKind::kStateChange, now,
+             "event=store_answer_received target={} bytes={} receiving_ms={} "
+             "since_call_ms={} outcome=\"{}\"",
+             target, progress.body_bytes, receiving.count(),
+             Milliseconds(now - progress.began_at).count(),
+             answer.ok() ? "complete" : answer.status().message().data());
 }
 
 absl::StatusOr<StoreAnswer> StoreClient::Judge(
--- a/src/gateway/store_client.h
+++ b/src/gateway/store_client.h
@@ -40,12 +40,22 @@
   }
   /// Like `CallClient::Call`. An answer of an earlier generation, or without a
   /// sound one, becomes the error Unknown.
-  void Call(const std::string& endpoint, std::string request,
-            std::chrono::milliseconds timeout, Done done);
+  CallProgressPtr Call(const std::string& endpoint, std::string request,
+                       std::chrono::milliseconds timeout, Done done);
 
   const StoreGenerations& generations() const { return generations_; }
+  /// What was received since the start.
+  struct Counters {
+    std::uint64_t body_bytes = 0;    ///< Of all answers.
+    std::uint64_t broken_off = 0;    ///< Answers that ended in their middle.
+    std::uint64_t wasted_bytes = 0;  ///< Of the bodies of these.
+  };
+  const Counters& counters() const { return counters_; }
 
  private:
+  /// @param target of the request
+  void RecordCall(const std::string& target, const CallProgress& progress,
+                  const absl::StatusOr<CallAnswer>& answer);
   absl::StatusOr<StoreAnswer> Judge(absl::StatusOr<CallAnswer> answer,
                                     StoreGeneration asked_in);
 
@@ -53,6 +63,7 @@
   LogSink& log_;
   StoreGenerations generations_;
   std::function<void(StoreGeneration)> on_change_ = [](StoreGeneration) {};
+  Counters counters_;
   bool stopped_ = false;
 };
 
--- a/src/gateway/table_watch.cc
+++ b/src/gateway/table_watch.cc
@@ -62,11 +62,12 @@
   if (stopped_ || !poll_open_) return;
   const std::uint64_t call = ++calls_;
   EndPoll();
-  CallForChanges([self = shared_from_this(), call, after = Position(),
-                  sent_at = Now()](const absl::StatusOr<StoreAnswer>& answer) {
-    if (call != self->calls_) return;
-    self->OnRenewAnswer(after, answer, sent_at);
-  });
+  call_ = CallForChanges(
+      [self = shared_from_this(), call, after = Position(),
+       sent_at = Now()](const absl::StatusOr<StoreAnswer>& answer) {
+        if (call != self->calls_) return;
+        self->OnRenewAnswer(after, answer, sent_at);
+      });
 }
 
 void TableWatch::CatchUpWith(StoreGeneration generation) {
@@ -84,11 +85,16 @@
   if (Now() + delay < timer_.expiry()) ScheduleNextCall(delay);
 }
 
-void TableWatch::CallForChanges(StoreClient::Done done) {
-  client_.Call(options_.endpoint,
-               platform::EncodeWatchRows(options_.endpoint, options_.table,
-                                         mirror_.as_of(), milliseconds(0)),
-               options_.check_timeout, std::move(done));
+CallProgressPtr TableWatch::CallForChanges(StoreClient::Done done) {
+  return client_.Call(
+      options_.endpoint,
+      platform::EncodeWatchRows(options_.endpoint, options_.table,
+                                mirror_.as_of(), milliseconds(0)),
+      options_.check_timeout, std::move(done));
+}
+
+const CallProgress* TableWatch::ArrivingAnswer() const {
+  return call_ != nullptr && call_->IsArriving() ? call_.get() : nullptr;
 }
 
 void TableWatch::OnCheckAnswer(const TablePosition& after,
@@ -177,7 +183,7 @@
 void TableWatch::ReadAll(const std::string& from_key) {
   const std::uint64_t call = ++calls_;
   auto self = shared_from_this();
-  client_.Call(
+  call_ = client_.Call(
       options_.endpoint,
       platform::EncodeReadRows(options_.endpoint, options_.table, from_key),
       options_.read_timeout,
@@ -252,14 +258,15 @@
   poll_opened_at_ = Now();
   handler_.OnPollOpened(options_.table);
   auto self = shared_from_this();
-  client_.Call(options_.endpoint,
-               platform::EncodeWatchRows(options_.endpoint, options_.table,
-                                         after.version, options_.watch_wait),
-               options_.watch_wait + options_.answer_margin,
-               [self, call, after](const absl::StatusOr<StoreAnswer>& answer) {
-                 if (call != self->calls_) return;
-                 self->OnWatchAnswer(after, answer);
-               });
+  call_ = client_.Call(
+      options_.endpoint,
+      platform::EncodeWatchRows(options_.endpoint, options_.table,
+                                after.version, options_.watch_wait),
+      options_.watch_wait + options_.answer_margin,
+      [self, call, after](const absl::StatusOr<StoreAnswer>& answer) {
+        if (call != self->calls_) return;
+        self->OnWatchAnswer(after, answer);
+      });
 }
 
 void TableWatch::OnWatchAnswer(const TablePosition& after,
--- a/src/gateway/table_watch.h
+++ b/src/gateway/table_watch.h
@@ -116,6 +116,9 @@
   bool reachable() const { return reachable_; }
   TimePoint answered_at() const { return answered_at_; }
   TimePoint poll_opened_at() const { return poll_opened_at_; }
+  /// @return how far the answer that is being received has arrived; null if
+  ///   none is
+  const CallProgress* ArrivingAnswer() const;
 
  private:
   void StartNextCall();
@@ -126,7 +129,7 @@
   void OnWatchAnswer(const TablePosition& after,
                      const absl::StatusOr<StoreAnswer>& answer);
   /// Calls for the changes since the copy, without waiting for any.
-  void CallForChanges(StoreClient::Done done);
+  CallProgressPtr CallForChanges(StoreClient::Done done);
   void OnCheckAnswer(const TablePosition& after,
                      const absl::StatusOr<StoreAnswer>& answer,
                      TimePoint sent_at);
@@ -172,6 +175,7 @@
   TimePoint answered_at_;
   std::size_t gateway_count_ = 1;
   absl::InsecureBitGen random_;
+  CallProgressPtr call_;  ///< Poll, renewal or read under way, or the last one.
   bool poll_open_ = false;
   bool backing_off_ = false;  ///< Waits after a failure.
   TimePoint poll_opened_at_;
--- a/test/gateway/silent_connection_test.cc
+++ b/test/gateway/silent_connection_test.cc
@@ -63,7 +63,8 @@
   void Start(std::optional<absl::Status>& result) {
     calls.Call(LoopbackEndpoint(server.port()),
                "GET / HTTP/1.1\r\nHost: x\r\n\r\n", kCallTimeout,
-               [&result](const absl::StatusOr<CallAnswer>& answer) {
+               [&result](const absl::StatusOr<CallAnswer>& answer,
+                         const CallProgress& /*progress*/) {
                  result = answer.status();
                });
   }
