--- a/test/gateway/fake_store.cc
+++ b/test/gateway/fake_store.cc
@@ -24,12 +24,25 @@
 }  // namespace
 
 FakeStore::FakeStore(asio::io_context& loop)
-    : server_(loop, [this](ScriptedServer::Connection& c) { OnInput(c); }) {}
+    : server_(loop, [this](ScriptedServer::Connection& c) { OnInput(c); }),
+      slow_writer_(loop, kSlowLinkBytesPerSecond),
+      slow_server_(loop,
+                   [this](ScriptedServer::Connection& c) { OnInput(c); }) {}
 
 std::string FakeStore::endpoint() const {
   return LoopbackEndpoint(server_.port());
 }
 
+std::string FakeStore::slow_endpoint() const {
+  return LoopbackEndpoint(slow_server_.port());
+}
+
+bool FakeStore::IsSlow(const ScriptedServer::Connection& connection) const {
+  return std::any_of(
+      slow_server_.connections.begin(), slow_server_.connections.end(),
+      [&connection](const auto& slow) { return slow.get() == &connection; });
+}
+
 void FakeStore::Put(const std::string& table, const std::string& key,
                     const std::string& value) {
   tables_[table][key] = {value, ++version_, false};
@@ -130,9 +143,11 @@
   const std::string text = generation_text_.value_or(named);
   const std::string field =
       text.empty() ? "" : fmt::format("Store-Era: {}\r\n", text);
-  connection.Write(
+  const std::string answer =
       fmt::format("HTTP/1.1 {} X\r\n{}Content-Length: {}\r\n\r\n{}", status,
-                  field, body.size(), body));
+                  field, body.size(), body);
+  if (IsSlow(connection)) return slow_writer_.Write(connection, answer);
+  connection.Write(answer);
 }
 
 void FakeStore::Notify() {
--- a/test/gateway/fake_store.h
+++ b/test/gateway/fake_store.h
@@ -13,10 +13,13 @@
 #include <string>
 #include <vector>
 
+#include "test/gateway/paced_writer.h"
 #include "test/shell/scripted_server.h"
 
 namespace yuccapick {
 
+constexpr std::size_t kSlowLinkBytesPerSecond = 400'000;
+
 /// A store whose tables can be read, watched and written.
 class FakeStore {
   struct Row {
@@ -73,6 +76,8 @@
   /// True if a long poll of `table` waits for an answer.
   bool HasPoll(const std::string& table) const;
   std::string endpoint() const;
+  /// The same store behind a link of `kSlowLinkBytesPerSecond`.
+  std::string slow_endpoint() const;
 
  private:
   struct Watcher {
@@ -82,6 +87,7 @@
   };
 
   void OnInput(ScriptedServer::Connection& connection);
+  bool IsSlow(const ScriptedServer::Connection& connection) const;
   void Reply(ScriptedServer::Connection& connection, int status,
              const std::string& body);
   bool HasRowsAfter(const std::string& table, std::uint64_t after) const;
@@ -107,6 +113,8 @@
   std::size_t checks_ = 0;
   std::vector<Watcher> watchers_;
   ScriptedServer server_;
+  PacedWriter slow_writer_;
+  ScriptedServer slow_server_;
 };
 
 }  // namespace yuccapick
