Limit calls by the silence of their servers, not by the time of transfers

Cause: each call had one time limit for everything, though the size of its answer is up to others.

The time limit of a call now ends when its answer begins to arrive. From then on it fails if nothing more arrives for a second. An answer of more than 32 MB, or one that arrives for 30 s, counts as one without end; both had no limit before.

Excluded: longer limits, since an outage of the store must be known within a second.

--- a/src/gateway/call_client.cc
+++ b/src/gateway/call_client.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace yuccapick {
@@ -13,22 +14,23 @@
 
 /// One call in flight; kept alive by its connection and its timer.
 class PendingCall : public ExchangeHandler,
+                    public CallCancellation,
                     public std::enable_shared_from_this<PendingCall> {
  public:
-  PendingCall(asio::io_context& loop,
+  PendingCall(asio::io_context& loop, CallClientOptions options,
               std::shared_ptr<HttpConnectionPool> connections,
               CallClient::Done done)
-      : timer_(loop),
+      : options_(options),
+        timer_(loop),
         connections_(std::move(connections)),
         done_(std::move(done)) {
     progress_->began_at = std::chrono::steady_clock::now();
   }
 
+  /// @param timeout until the answer begins to arrive
   void StartTimer(std::chrono::milliseconds timeout) {
-    timer_.expires_after(timeout);
-    timer_.async_wait([self = shared_from_this()](const asio::error_code& ec) {
-      if (!ec) self->OnTimeout();
-    });
+    begins_until_ = progress_->began_at + timeout;
+    ArmTimer();
   }
 
   void set_connection(std::shared_ptr<HttpConnection> connection) {
@@ -37,6 +39,11 @@
 
   CallProgressPtr progress() const { return progress_; }
 
+  void Cancel() override {
+    done_ = nullptr;
+    GiveUp(absl::CancelledError("call was cancelled"));
+  }
+
   HeadDecision OnAnswerHead(const HttpHead& head) override {
     RecordArrival(0);
     answer_.status = head.status;
@@ -46,6 +53,10 @@
 
   void OnAnswerBody(std::string_view bytes) override {
     RecordArrival(bytes.size());
+    if (progress_->body_bytes > options_.max_body_bytes) {
+      return GiveUp(absl::ResourceExhaustedError(fmt::format(
+          "answer is longer than {} bytes", options_.max_body_bytes)));
+    }
     answer_.body.append(bytes);
   }
 
@@ -70,9 +81,28 @@
     progress_->body_bytes += body_bytes;
   }
 
-  void OnTimeout() {
+  TimePoint GiveUpAt() const {
+    if (!progress_->first_byte_at) return begins_until_;
+    return std::min(*progress_->last_byte_at + options_.stall_timeout,
+                    *progress_->first_byte_at + options_.max_receiving_time);
+  }
+
+  void ArmTimer() {
+    timer_.expires_at(GiveUpAt());
+    timer_.async_wait([self = shared_from_this()](const asio::error_code& ec) {
+      if (!ec) self->OnTimer();
+    });
+  }
+
+  void OnTimer() {
+    if (progress_->ended) return;
+    if (std::chrono::steady_clock::now() < GiveUpAt()) return ArmTimer();
+    GiveUp(absl::DeadlineExceededError(TimeoutReason()));
+  }
+
+  void GiveUp(absl::Status reason) {
     if (connection_ != nullptr) connections_->GiveUp(connection_);
-    End(absl::DeadlineExceededError(TimeoutReason()));
+    End(std::move(reason));
   }
 
   std::string TimeoutReason() const {
@@ -90,7 +120,9 @@
     if (done != nullptr) done(std::move(result), *progress_);
   }
 
+  CallClientOptions options_;
   asio::steady_timer timer_;
+  TimePoint begins_until_;
   std::shared_ptr<HttpConnectionPool> connections_;
   CallClient::Done done_;
   std::shared_ptr<HttpConnection> connection_;
@@ -100,15 +132,14 @@
 
 }  // namespace
 
-CallProgressPtr CallClient::Call(const std::string& endpoint,
-                                 std::string request,
-                                 std::chrono::milliseconds timeout, Done done) {
-  auto call =
-      std::make_shared<PendingCall>(loop_, connections_, std::move(done));
+CallHandle CallClient::Call(const std::string& endpoint, std::string request,
+                            std::chrono::milliseconds timeout, Done done) {
+  auto call = std::make_shared<PendingCall>(loop_, options_, connections_,
+                                            std::move(done));
   call->StartTimer(timeout);
   call->set_connection(
       connections_->Start(endpoint, std::move(request), false, call));
-  return call->progress();
+  return {call->progress(), call};
 }
 
 }  // namespace yuccapick
--- a/src/gateway/call_client.h
+++ b/src/gateway/call_client.h
@@ -47,7 +47,42 @@
   std::vector<HttpField> fields;
 };
 
-/// Makes calls with a timeout. A call that ends without an answer may still
+struct CallClientOptions {
+  HttpConnectionOptions connection;
+  /// An answer of which nothing more arrives for this long is given up.
+  std::chrono::milliseconds stall_timeout{1'000};
+  /// An answer that arrives for longer, or has a larger body, has no end.
+  std::chrono::milliseconds max_receiving_time{30'000};
+  std::size_t max_body_bytes = 33'554'432;
+};
+
+/// Ends a call whose answer is no longer wanted.
+class CallCancellation {
+ public:
+  virtual ~CallCancellation() = default;
+  /// Closes the call's connection. `Done` is not called any more.
+  virtual void Cancel() = 0;
+};
+
+/// A call that was made.
+struct CallHandle {
+  CallProgressPtr progress;  ///< Null if no call was made.
+  std::weak_ptr<CallCancellation> cancellation;
+
+  /// True while the call's answer is being received.
+  bool IsArriving() const {
+    return progress != nullptr && progress->IsArriving();
+  }
+  /// Cancels the call unless it has ended.
+  void Cancel() const {
+    const auto call = cancellation.lock();
+    if (call != nullptr) call->Cancel();
+  }
+};
+
+/// Makes calls with a timeout. The size of an answer is up to its server, so
+/// the timeout ends when an answer begins to arrive: from then on it may take
+/// as long as it keeps arriving. A call that ends without an answer may still
 /// take effect at the server. After a timeout the next call to the endpoint
 /// doesn't use a connection that may be as silent.
 class CallClient {
@@ -55,20 +90,23 @@
   using Done =
       std::function<void(absl::StatusOr<CallAnswer>, const CallProgress&)>;
 
-  CallClient(asio::io_context& loop, HttpConnectionOptions options)
+  CallClient(asio::io_context& loop, CallClientOptions options)
       : loop_(loop),
-        connections_(std::make_shared<HttpConnectionPool>(loop, options)) {}
+        options_(options),
+        connections_(
+            std::make_shared<HttpConnectionPool>(loop, options.connection)) {}
 
+  /// @param timeout until the answer begins to arrive
   /// @param done called exactly once, asynchronously, on the loop; Unavailable
-  ///   if nothing was sent, DeadlineExceeded or Unknown if the call may have
-  ///   taken effect
-  /// @return how far the answer has arrived
-  CallProgressPtr Call(const std::string& endpoint, std::string request,
-                       std::chrono::milliseconds timeout, Done done);
+  ///   if nothing was sent, ResourceExhausted for an answer without an end,
+  ///   DeadlineExceeded or Unknown if the call may have taken effect
+  CallHandle Call(const std::string& endpoint, std::string request,
+                  std::chrono::milliseconds timeout, Done done);
   void DropExpired(TimePoint now) { connections_->DropExpired(now); }
 
  private:
   asio::io_context& loop_;
+  CallClientOptions options_;
   std::shared_ptr<HttpConnectionPool>
       connections_;  ///< Shared by calls in flight.
 };
--- a/src/gateway/store_client.cc
+++ b/src/gateway/store_client.cc
@@ -27,9 +27,8 @@
 
 }  // namespace
 
-CallProgressPtr StoreClient::Call(const std::string& endpoint,
-                                  std::string request, milliseconds timeout,
-                                  Done done) {
+CallHandle StoreClient::Call(const std::string& endpoint, std::string request,
+                             milliseconds timeout, Done done) {
   std::string target = TargetOf(request);
   return calls_.Call(
       endpoint, std::move(request), timeout,
--- a/src/gateway/store_client.h
+++ b/src/gateway/store_client.h
@@ -40,8 +40,8 @@
   }
   /// Like `CallClient::Call`. An answer of an earlier generation, or without a
   /// sound one, becomes the error Unknown.
-  CallProgressPtr Call(const std::string& endpoint, std::string request,
-                       std::chrono::milliseconds timeout, Done done);
+  CallHandle Call(const std::string& endpoint, std::string request,
+                  std::chrono::milliseconds timeout, Done done);
 
   const StoreGenerations& generations() const { return generations_; }
   /// What was received since the start.
--- a/src/gateway/table_watch.cc
+++ b/src/gateway/table_watch.cc
@@ -85,7 +85,7 @@
   if (Now() + delay < timer_.expiry()) ScheduleNextCall(delay);
 }
 
-CallProgressPtr TableWatch::CallForChanges(StoreClient::Done done) {
+CallHandle TableWatch::CallForChanges(StoreClient::Done done) {
   return client_.Call(
       options_.endpoint,
       platform::EncodeWatchRows(options_.endpoint, options_.table,
@@ -94,7 +94,7 @@
 }
 
 const CallProgress* TableWatch::ArrivingAnswer() const {
-  return call_ != nullptr && call_->IsArriving() ? call_.get() : nullptr;
+  return call_.IsArriving() ? call_.progress.get() : nullptr;
 }
 
 void TableWatch::OnCheckAnswer(const TablePosition& after,
--- a/src/gateway/table_watch.h
+++ b/src/gateway/table_watch.h
@@ -129,7 +129,7 @@
   void OnWatchAnswer(const TablePosition& after,
                      const absl::StatusOr<StoreAnswer>& answer);
   /// Calls for the changes since the copy, without waiting for any.
-  CallProgressPtr CallForChanges(StoreClient::Done done);
+  CallHandle CallForChanges(StoreClient::Done done);
   void OnCheckAnswer(const TablePosition& after,
                      const absl::StatusOr<StoreAnswer>& answer,
                      TimePoint sent_at);
@@ -175,7 +175,7 @@
   TimePoint answered_at_;
   std::size_t gateway_count_ = 1;
   absl::InsecureBitGen random_;
-  CallProgressPtr call_;  ///< Poll, renewal or read under way, or the last one.
+  CallHandle call_;  ///< Poll, renewal or read under way, or the last one.
   bool poll_open_ = false;
   bool backing_off_ = false;  ///< Waits after a failure.
   TimePoint poll_opened_at_;
