Don't give up answers that are arriving, and end those that nobody awaits

The poll that was given up wasn't ended either: its answer was received to its end and dropped, so the link carried the table twice. A check that came due meanwhile carried it a third time.

Renewals now leave an answer alone that is arriving (the call itself fails if it stalls), and close the connection of the poll that they replace. A check takes the arriving answer for its own: it names the store's time, too.

--- a/src/gateway/freshness_sync.cc
+++ b/src/gateway/freshness_sync.cc
@@ -74,13 +74,13 @@
 
 void FreshnessSync::Renew(const RenewPoll& renewal, TimePoint now) {
   TableWatch& watch = WatchOf(renewal.table);
+  const TimePoint opened_at = watch.poll_opened_at();
+  if (!watch.Renew()) return;
   ++counters_.renewed_polls;
   state_.log.Write(LogKind::kStateChange, now,
                    "event=watch_renewed table={} open_ms={} reason={}",
-                   NameOf(renewal.table),
-                   Milliseconds(now - watch.poll_opened_at()).count(),
+                   NameOf(renewal.table), Milliseconds(now - opened_at).count(),
                    RenewReasonName(renewal.reason));
-  watch.Renew();
 }
 
 void FreshnessSync::Schedule() {
--- a/src/gateway/table_watch.cc
+++ b/src/gateway/table_watch.cc
@@ -38,29 +38,44 @@
 
 void TableWatch::Stop() {
   stopped_ = true;
-  ++calls_;
+  DropCall();
   timer_.cancel();
 }
 
+std::uint64_t TableWatch::DropCall() {
+  call_.Cancel();
+  return ++calls_;
+}
+
 void TableWatch::Refresh() {
   if (stopped_) return;
-  ++calls_;
+  DropCall();
   EndPoll();
+  EndCheck(std::nullopt);
   read_due_ = true;
   timer_.cancel();
   StartNextCall();
 }
 
+void TableWatch::EndCheck(const std::optional<TableAnswer>& answer) {
+  if (!std::exchange(check_awaits_answer_, false)) return;
+  handler_.OnTableChecked(options_.table, answer);
+}
+
 void TableWatch::Check() {
+  if (call_.IsArriving()) {
+    check_awaits_answer_ = true;
+    return;
+  }
   CallForChanges([self = shared_from_this(), after = Position(),
                   sent_at = Now()](const absl::StatusOr<StoreAnswer>& answer) {
     if (!self->stopped_) self->OnCheckAnswer(after, answer, sent_at);
   });
 }
 
-void TableWatch::Renew() {
-  if (stopped_ || !poll_open_) return;
-  const std::uint64_t call = ++calls_;
+bool TableWatch::Renew() {
+  if (stopped_ || !poll_open_ || call_.IsArriving()) return false;
+  const std::uint64_t call = DropCall();
   EndPoll();
   call_ = CallForChanges(
       [self = shared_from_this(), call, after = Position(),
@@ -68,6 +83,7 @@
         if (call != self->calls_) return;
         self->OnRenewAnswer(after, answer, sent_at);
       });
+  return true;
 }
 
 void TableWatch::CatchUpWith(StoreGeneration generation) {
@@ -132,7 +148,7 @@
   if (!rows) return;
   HandleAnswered();
   if (answer->generation != after.generation) return Refresh();
-  ApplyChanges(after, *rows, sent_at);
+  EndCheck(ApplyChanges(after, *rows, sent_at));
   ScheduleNextCall(Spread(kReopenSpreadPerGateway));
 }
 
@@ -181,7 +197,7 @@
 }
 
 void TableWatch::ReadAll(const std::string& from_key) {
-  const std::uint64_t call = ++calls_;
+  const std::uint64_t call = DropCall();
   auto self = shared_from_this();
   call_ = client_.Call(
       options_.endpoint,
@@ -216,6 +232,7 @@
   if (rows.ok()) return *std::move(rows);
   if (absl::IsOutOfRange(rows.status())) {
     HandleAnswered();
+    EndCheck(std::nullopt);
     read_due_ = true;
     ScheduleNextCall(milliseconds(0));
     return std::nullopt;
@@ -246,13 +263,14 @@
   read_due_ = false;
   HandleAnswered();
   TakeSnapshot(partial_snapshot_);
-  handler_.OnTableCurrent(options_.table,
-                          {partial_store_time_, read_sent_at_, true});
+  const TableAnswer answered{partial_store_time_, read_sent_at_, true};
+  handler_.OnTableCurrent(options_.table, answered);
+  EndCheck(answered);
   StartNextCall();
 }
 
 void TableWatch::Watch() {
-  const std::uint64_t call = ++calls_;
+  const std::uint64_t call = DropCall();
   const TablePosition after = Position();
   poll_open_ = true;
   poll_opened_at_ = Now();
@@ -272,22 +290,32 @@
 void TableWatch::OnWatchAnswer(const TablePosition& after,
                                const absl::StatusOr<StoreAnswer>& answer) {
   EndPoll();
+  EndCheck(ApplyPollAnswer(after, answer));
+}
+
+std::optional<TableAnswer> TableWatch::ApplyPollAnswer(
+    const TablePosition& after, const absl::StatusOr<StoreAnswer>& answer) {
   const bool lost = absl::IsDeadlineExceeded(answer.status());
   if (lost && confirmed_at_ > poll_opened_at_) {
-    return ScheduleNextCall(Spread(kReopenSpreadPerGateway));
+    ScheduleNextCall(Spread(kReopenSpreadPerGateway));
+    return std::nullopt;
   }
   const std::optional<platform::RowsAnswer> rows =
       ParseRows(answer, poll_opened_at_);
-  if (!rows) return;
+  if (!rows) return std::nullopt;
   HandleAnswered();
   if (answer->generation < mirror_.generation()) {
-    return HandleFailure(poll_opened_at_,
-                         "older generation than a peer's copy");
+    HandleFailure(poll_opened_at_, "older generation than a peer's copy");
+    return std::nullopt;
+  }
+  if (answer->generation > after.generation) {
+    Refresh();
+    return std::nullopt;
   }
-  if (answer->generation > after.generation) return Refresh();
-  ApplyChanges(after, *rows, poll_opened_at_);
+  const TableAnswer applied = ApplyChanges(after, *rows, poll_opened_at_);
   ScheduleNextCall(rows->rows.empty() ? milliseconds(0)
                                       : options_.batch_window);
+  return applied;
 }
 
 void TableWatch::HandleAnswered() {
@@ -303,6 +331,7 @@
   // again.
   read_due_ = true;
   handler_.OnTableUnavailable(options_.table, sent_at, reason);
+  EndCheck(std::nullopt);
   ScheduleNextCall(backoff_ + Spread(kRetrySpreadPerGateway));
   backing_off_ = true;
   backoff_ = std::min(backoff_ * 2, options_.max_backoff);
@@ -316,7 +345,7 @@
 }
 
 void TableWatch::ScheduleNextCall(milliseconds delay) {
-  ++calls_;
+  DropCall();
   timer_.expires_after(delay);
   timer_.async_wait([self = shared_from_this()](const asio::error_code& ec) {
     if (!ec) self->StartNextCall();
--- a/src/gateway/table_watch.h
+++ b/src/gateway/table_watch.h
@@ -90,11 +90,13 @@
   /// Drops a call in flight whose answer would not be of this generation, and
   /// reads the whole table, unless that was done.
   void CatchUpWith(StoreGeneration generation);
-  /// Reads the changes at once, beside the open long poll.
+  /// Reads the changes at once, beside the open long poll. An answer that is
+  /// arriving serves as the check's.
   void Check();
   /// Gives up the open long poll, reads the changes at once, and opens another
-  /// one.
-  void Renew();
+  /// one. A poll whose answer is arriving goes on.
+  /// @return false if nothing was done
+  bool Renew();
   /// The copy is known to be current, from a check or from a peer. A long poll
   /// without an answer that was opened before is no sign of an outage.
   void OnConfirmed();
@@ -128,6 +130,10 @@
   /// @param after position from which changes were asked for
   void OnWatchAnswer(const TablePosition& after,
                      const absl::StatusOr<StoreAnswer>& answer);
+  /// Applies a poll's answer and schedules the next call.
+  /// @return nullopt if the answer holds no rows
+  std::optional<TableAnswer> ApplyPollAnswer(
+      const TablePosition& after, const absl::StatusOr<StoreAnswer>& answer);
   /// Calls for the changes since the copy, without waiting for any.
   CallHandle CallForChanges(StoreClient::Done done);
   void OnCheckAnswer(const TablePosition& after,
@@ -137,6 +143,11 @@
                      const absl::StatusOr<StoreAnswer>& answer,
                      TimePoint sent_at);
   void EndPoll();
+  /// Ends the check that waits for an answer, if there is one.
+  void EndCheck(const std::optional<TableAnswer>& answer);
+  /// Cancels the poll, renewal or read under way.
+  /// @return number of the next call
+  std::uint64_t DropCall();
   /// @return the rows; OutOfRange if the whole table must be read
   absl::StatusOr<platform::RowsAnswer> Decode(
       const absl::StatusOr<StoreAnswer>& answer);
@@ -176,6 +187,7 @@
   std::size_t gateway_count_ = 1;
   absl::InsecureBitGen random_;
   CallHandle call_;  ///< Poll, renewal or read under way, or the last one.
+  bool check_awaits_answer_ = false;  ///< Of `call_`.
   bool poll_open_ = false;
   bool backing_off_ = false;  ///< Waits after a failure.
   TimePoint poll_opened_at_;
