Read only the changes after a failed call

Cause: any failed call to the store made a gateway read the whole table again, all pages from the first one, though the changes since its copy suffice: the store names all of them, or says that it has discarded its history. With a configuration of 600 KB each failure cost half a second of a slow link, for each gateway, just when the store or the link was in trouble.

After a failure the changes are read at once, then the next poll is opened. A table that was never read, or whose history is gone, is read as before.

--- a/src/gateway/table_watch.cc
+++ b/src/gateway/table_watch.cc
@@ -75,15 +75,19 @@
 
 bool TableWatch::Renew() {
   if (stopped_ || !poll_open_ || call_.IsArriving()) return false;
-  const std::uint64_t call = DropCall();
   EndPoll();
+  ReadChanges();
+  return true;
+}
+
+void TableWatch::ReadChanges() {
+  const std::uint64_t call = DropCall();
   call_ = CallForChanges(
       [self = shared_from_this(), call, after = Position(),
        sent_at = Now()](const absl::StatusOr<StoreAnswer>& answer) {
         if (call != self->calls_) return;
-        self->OnRenewAnswer(after, answer, sent_at);
+        self->OnChangesAnswer(after, answer, sent_at);
       });
-  return true;
 }
 
 void TableWatch::CatchUpWith(StoreGeneration generation) {
@@ -95,8 +99,7 @@
 
 void TableWatch::OnStoreAnswers() {
   if (stopped_ || !backing_off_ || mirror_.as_of() == 0) return;
-  // The changes since the copy suffice, whatever failed meanwhile.
-  read_due_ = false;
+  changes_due_ = false;  // The poll brings them at once.
   const milliseconds delay = Spread(kReopenSpreadPerGateway);
   if (Now() + delay < timer_.expiry()) ScheduleNextCall(delay);
 }
@@ -141,9 +144,9 @@
   handler_.OnTableChecked(options_.table, checked);
 }
 
-void TableWatch::OnRenewAnswer(const TablePosition& after,
-                               const absl::StatusOr<StoreAnswer>& answer,
-                               TimePoint sent_at) {
+void TableWatch::OnChangesAnswer(const TablePosition& after,
+                                 const absl::StatusOr<StoreAnswer>& answer,
+                                 TimePoint sent_at) {
   const std::optional<platform::RowsAnswer> rows = ParseRows(answer, sent_at);
   if (!rows) return;
   HandleAnswered();
@@ -190,7 +193,8 @@
 void TableWatch::StartNextCall() {
   if (stopped_) return;
   backing_off_ = false;
-  if (!read_due_) return Watch();
+  const bool changes_due = std::exchange(changes_due_, false);
+  if (!read_due_) return changes_due ? ReadChanges() : Watch();
   partial_snapshot_ = TableSnapshot();
   read_sent_at_ = Now();
   ReadAll("");
@@ -327,9 +331,7 @@
 
 void TableWatch::HandleFailure(TimePoint sent_at, std::string_view reason) {
   reachable_ = false;
-  // A row may have changed and changed back meanwhile, so all rows are read
-  // again.
-  read_due_ = true;
+  changes_due_ = true;
   handler_.OnTableUnavailable(options_.table, sent_at, reason);
   EndCheck(std::nullopt);
   ScheduleNextCall(backoff_ + Spread(kRetrySpreadPerGateway));
--- a/src/gateway/table_watch.h
+++ b/src/gateway/table_watch.h
@@ -134,14 +134,16 @@
   /// @return nullopt if the answer holds no rows
   std::optional<TableAnswer> ApplyPollAnswer(
       const TablePosition& after, const absl::StatusOr<StoreAnswer>& answer);
+  /// Reads the changes since the copy, then opens a long poll.
+  void ReadChanges();
   /// Calls for the changes since the copy, without waiting for any.
   CallHandle CallForChanges(StoreClient::Done done);
   void OnCheckAnswer(const TablePosition& after,
                      const absl::StatusOr<StoreAnswer>& answer,
                      TimePoint sent_at);
-  void OnRenewAnswer(const TablePosition& after,
-                     const absl::StatusOr<StoreAnswer>& answer,
-                     TimePoint sent_at);
+  void OnChangesAnswer(const TablePosition& after,
+                       const absl::StatusOr<StoreAnswer>& answer,
+                       TimePoint sent_at);
   void EndPoll();
   /// Ends the check that waits for an answer, if there is one.
   void EndCheck(const std::optional<TableAnswer>& answer);
@@ -177,9 +179,10 @@
   TableMirror mirror_;
   TableSnapshot partial_snapshot_;
   StoreTime partial_store_time_;
-  TimePoint snapshot_at_;    ///< When the last snapshot was taken over.
-  std::uint64_t calls_ = 0;  ///< Answers to older calls are dropped.
-  bool read_due_ = true;
+  TimePoint snapshot_at_;     ///< When the last snapshot was taken over.
+  std::uint64_t calls_ = 0;   ///< Answers to older calls are dropped.
+  bool read_due_ = true;      ///< Before anything else, all rows are read.
+  bool changes_due_ = false;  ///< Before the next poll, changes are read.
   bool reachable_ = false;
   bool stopped_ = false;
   std::chrono::milliseconds backoff_;
--- a/test/gateway/slow_answer_test.cc
+++ b/test/gateway/slow_answer_test.cc
@@ -66,6 +66,7 @@
       const std::string path = request->path();
       const std::size_t at = path.find("after=");
       const bool is_read = at == std::string::npos;
+      if (is_read) ++reads;
       if (is_read || std::stoull(path.substr(at + 6)) < version) {
         writer.Write(c, Answer());
       } else if (path.ends_with("waitMs=0")) {
@@ -126,6 +127,7 @@
   std::uint64_t version = kEmptyVersion;
   std::uint64_t received = 0;
   int requests = 0;  ///< Received by the store.
+  int reads = 0;     ///< Of these, reads of the whole table.
   int failures = 0;
   bool checked = false;
   std::shared_ptr<ScriptedServer::Connection> poll;
@@ -194,5 +196,19 @@
   CHECK(fixture.failures > 0);
 }
 
+TEST_CASE("After a failed call only the changes are read") {
+  SlowLinkFixture fixture;
+  fixture.StartEmpty();
+  fixture.PutRow();
+  REQUIRE(fixture.Arrives(kArrivalTime * 2));
+  const int reads = fixture.reads;
+  REQUIRE(RunUntil(fixture.loop, [&] { return fixture.poll != nullptr; }));
+  fixture.poll->Close();
+  fixture.poll = nullptr;
+  REQUIRE(RunUntil(fixture.loop, [&] { return fixture.poll != nullptr; }));
+  CHECK(fixture.failures > 0);
+  CHECK(fixture.reads == reads);
+}
+
 }  // namespace
 }  // namespace yuccapick
