Free what peers didn't take of tables when they are gone

Cause: the server for peers was the only one whose closed sessions were never removed, and a closed session kept its unsent bytes. Sessions of peers are now checked like those of callers, and closing one frees its buffer.

Evidence: the test "A gateway keeps nothing of tables that its peers didn't take" counted 20 sessions after 20 peers had gone; now none within a second.

--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -274,6 +274,7 @@
     RecordListedSoftware(now);
     software_record_->OnTick(now);
     status_pages_->CheckTimeouts(now);
+    exchange_.CheckTimeouts(now);
   }
   if (draining_) CheckDrained(now);
   if (ticks_ % kTicksBetweenFlushes == 0) state_.log.Flush(now);
--- a/src/gateway/ingress_session.cc
+++ b/src/gateway/ingress_session.cc
@@ -258,6 +258,8 @@
   if (closed_) return;
   closed_ = true;
   in_request_ = false;
+  std::string().swap(output_);
+  output_sent_ = 0;
   stream_->Close();
 }
 
