Give peers only what they lack of the tables, and bound what they leave

The fetch now names the positions of both tables and the configuration in force. Rows up to there come without their values, and the configuration only if the rows lack it. While peers leave 8 MB unsent, others are refused with 503. Nothing is fetched while an answer of the store is arriving.

Tests: a peer that has everything gets under 6 KB of 600 KB, a new one less than twice the configuration; a property test that a copy takes such tables over like full ones; refusals while peers leave them. They need the new field and counter, so they were not run on the code before. An older gateway doesn't name its position and gets all rows.

--- a/include/yuccapick/table_mirror.h
+++ b/include/yuccapick/table_mirror.h
@@ -68,7 +68,13 @@
   }
   /// False if `unchanged_since` may be higher than the newest change.
   bool knows_newest_change() const { return newest_change_ >= unseen_until_; }
+  /// @return the row, or null
+  const MirrorRow* Find(const std::string& key) const;
   TableSnapshot Snapshot() const;
+  TablePosition position() const { return {generation_, as_of_}; }
+  /// Returns all rows, but leaves out the values of those that a copy up to
+  /// `known` has. Such a copy takes it over like a full one.
+  TableSnapshot SnapshotFor(const TablePosition& known) const;
 
  private:
   bool Apply(const MirrorRow& row);
--- a/src/gateway/gateway_process.h
+++ b/src/gateway/gateway_process.h
@@ -115,7 +115,7 @@
   void OnPeerTablesFailed(const std::string& peer_endpoint,
                           const CallProgress& progress,
                           std::string_view reason) override;
-  PeerTables TablesForPeers() const override;
+  PeerTables TablesForPeer(const KnownTables& known) const override;
 
   /// The store began a generation.
   void OnStoreGeneration(StoreGeneration generation);
@@ -125,6 +125,12 @@
   /// Makes the calls that are due after a change of the store's generation.
   void CatchUpWithStore(TimePoint now);
   TableProgress OwnProgress() const;
+  KnownTables OwnTables() const;
+  /// True while the store sends rows of a table.
+  bool TablesArrive() const {
+    return operator_watch_->ArrivingAnswer() != nullptr ||
+           upstream_watch_->ArrivingAnswer() != nullptr;
+  }
   void RegisterEndpoint();
   /// Registers the endpoint again if the store's new generation lacks it.
   void RegisterEndpointIfMissing();
--- a/src/gateway/gateway_process_metrics.cc
+++ b/src/gateway/gateway_process_metrics.cc
@@ -50,6 +50,8 @@
                peer_table_bytes_received_);
   AppendMetric(out, "counter", "yuccapick_peer_table_bytes_written",
                exchange_.table_bytes_written());
+  AppendMetric(out, "counter", "yuccapick_peer_table_requests_refused",
+               exchange_.table_requests_refused());
   gauge("yuccapick_peer_table_bytes_unsent", exchange_.unsent_bytes());
   gauge("yuccapick_peer_table_sessions", exchange_.session_count());
   const StoreClient::Counters& received = store_->counters();
--- a/src/gateway/gateway_process_peers.cc
+++ b/src/gateway/gateway_process_peers.cc
@@ -135,13 +135,23 @@
       reason);
 }
 
-PeerTables GatewayProcess::TablesForPeers() const {
-  return {operator_watch_->mirror().Snapshot(),
-          upstream_watch_->mirror().Snapshot(),
+KnownTables GatewayProcess::OwnTables() const {
+  return {
+      operator_watch_->mirror().position(),
+      upstream_watch_->mirror().position(),
+      state_.config == nullptr ? ConfigVersion() : state_.config->version()};
+}
+
+PeerTables GatewayProcess::TablesForPeer(const KnownTables& known) const {
+  const MirrorRow* row = operator_watch_->mirror().Find(platform::kConfigKey);
+  const bool in_rows = row != nullptr && row->value == config_in_force_;
+  const bool lacks_config = !in_rows && known.config < OwnTables().config;
+  return {operator_watch_->mirror().SnapshotFor(known.operator_rows),
+          upstream_watch_->mirror().SnapshotFor(known.upstream_rows),
           state_.target_weights.SetTimes(),
           state_.StoreNow(),
           state_.quarantine.Decisions(),
-          config_in_force_};
+          lacks_config ? config_in_force_ : std::string()};
 }
 
 SpreadShare GatewayProcess::RandomShare() {
@@ -333,7 +343,9 @@
   }
   if (!behind_since_) behind_since_ = now;
   if (now - *behind_since_ < kPeerTableFetchDelay + batch_window) return;
-  exchange_.FetchTables(newer->endpoint);
+  // What arrives may be what the peer has.
+  if (TablesArrive()) return;
+  exchange_.FetchTables(newer->endpoint, OwnTables());
 }
 
 }  // namespace yuccapick
--- a/src/gateway/peer_codec.cc
+++ b/src/gateway/peer_codec.cc
@@ -1,5 +1,12 @@
 #include "gateway/peer_codec.h"
 
+#include <fmt/format.h>
+
+#include <array>
+#include <vector>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_split.h"
 #include "gateway/peer_message_types.h"
 
 namespace yuccapick {
@@ -125,6 +132,26 @@
   return DecodeTagged<std::vector<HolderUpdate>>(bytes, kHolderUpdatesTag);
 }
 
+std::string EncodeKnownTables(const KnownTables& known) {
+  return fmt::format("{},{},{},{},{}", known.operator_rows.generation.value,
+                     known.operator_rows.version,
+                     known.upstream_rows.generation.value,
+                     known.upstream_rows.version, known.config.value);
+}
+
+std::optional<KnownTables> DecodeKnownTables(std::string_view text) {
+  std::array<std::uint64_t, 5> numbers{};
+  const std::vector<std::string> fields =
+      absl::StrSplit(absl::string_view(text.data(), text.size()), ',');
+  if (fields.size() != numbers.size()) return std::nullopt;
+  for (std::size_t i = 0; i < numbers.size(); ++i) {
+    if (!absl::SimpleAtoi(fields[i], &numbers[i])) return std::nullopt;
+  }
+  return KnownTables{{StoreGeneration(numbers[0]), numbers[1]},
+                     {StoreGeneration(numbers[2]), numbers[3]},
+                     ConfigVersion(numbers[4])};
+}
+
 std::string EncodePeerTables(const PeerTables& tables) {
   return Encode(tables);
 }
--- a/src/gateway/peer_codec.h
+++ b/src/gateway/peer_codec.h
@@ -30,11 +30,25 @@
   /// The store's time when this was sent, as far as the sender knows it.
   std::optional<StoreTime> store_time;
   std::vector<SuspectDecision> suspect_decisions;
-  /// The operator's configuration in force, which the tables may lack while the
-  /// store comes back from an older copy. Empty if there is none.
+  /// The operator's configuration in force if `operator_rows` lacks it, as
+  /// while the store comes back from an older copy. Empty otherwise.
   std::string config;
 };
 
+/// What a gateway that fetches tables has of them.
+struct KnownTables {
+  TablePosition operator_rows;
+  TablePosition upstream_rows;
+  ConfigVersion config;  ///< In force.
+
+  bool operator==(const KnownTables&) const = default;
+};
+
+/// @return text for a header field
+std::string EncodeKnownTables(const KnownTables& known);
+/// @return nullopt if the text is malformed
+std::optional<KnownTables> DecodeKnownTables(std::string_view text);
+
 std::string EncodePeerReport(const PeerReport& report);
 /// @return nullopt if the bytes are malformed
 std::optional<PeerReport> DecodePeerReport(std::string_view bytes);
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -12,6 +12,18 @@
 
 constexpr std::string_view kTablesPath = "/tables";
 constexpr std::chrono::milliseconds kFetchTimeout{500};
+/// Tells what the asking gateway has of the tables.
+constexpr std::string_view kKnownTablesField = "Known-Tables";
+/// While peers have more than this still to take, others get no tables.
+constexpr std::size_t kMaxUnsentTableBytes = 8'388'608;
+constexpr std::string_view kRetryAfterSeconds = "0.5";
+
+/// @return what the peer has; nothing if it doesn't tell
+KnownTables KnownTablesOf(const HttpHead& request) {
+  const std::string* field = request.Find(kKnownTablesField);
+  if (field == nullptr) return {};
+  return DecodeKnownTables(*field).value_or(KnownTables());
+}
 
 }  // namespace
 
@@ -150,23 +162,32 @@
     session->Respond(kHttpNotFound, {}, "");
     return nullptr;
   }
-  const std::string tables = EncodePeerTables(handler_.TablesForPeers());
+  if (server_.unsent_bytes() > kMaxUnsentTableBytes) {
+    ++table_requests_refused_;
+    session->Respond(kHttpUnavailable,
+                     {{"Retry-After", std::string(kRetryAfterSeconds)}}, "");
+    return nullptr;
+  }
+  const std::string tables =
+      EncodePeerTables(handler_.TablesForPeer(KnownTablesOf(request.head)));
   table_bytes_written_ += tables.size();
   session->Respond(kHttpOk, {}, tables);
   return nullptr;
 }
 
-void PeerExchange::FetchTables(const std::string& peer_endpoint) {
+void PeerExchange::FetchTables(const std::string& peer_endpoint,
+                               const KnownTables& known) {
   if (fetching_) return;
   fetching_ = true;
-  calls_.Call(peer_endpoint,
-              fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\n\r\n", kTablesPath,
-                          peer_endpoint),
-              kFetchTimeout,
-              [this, peer_endpoint](const absl::StatusOr<CallAnswer>& answer,
-                                    const CallProgress& progress) {
-                OnTablesAnswer(peer_endpoint, answer, progress);
-              });
+  calls_.Call(
+      peer_endpoint,
+      fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\n{}: {}\r\n\r\n", kTablesPath,
+                  peer_endpoint, kKnownTablesField, EncodeKnownTables(known)),
+      kFetchTimeout,
+      [this, peer_endpoint](const absl::StatusOr<CallAnswer>& answer,
+                            const CallProgress& progress) {
+        OnTablesAnswer(peer_endpoint, answer, progress);
+      });
 }
 
 void PeerExchange::OnTablesAnswer(const std::string& peer_endpoint,
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -43,7 +43,8 @@
   virtual void OnPeerTablesFailed(const std::string& peer_endpoint,
                                   const CallProgress& progress,
                                   std::string_view reason) = 0;
-  virtual PeerTables TablesForPeers() const = 0;
+  /// @param known what the peer has; what it lacks suffices
+  virtual PeerTables TablesForPeer(const KnownTables& known) const = 0;
 };
 
 /// Sends and receives reports over UDP and serves table copies over HTTP. Used
@@ -79,8 +80,9 @@
   /// Tells a parts' owner what engines hold of them.
   void Send(const std::vector<HolderUpdate>& updates,
             const std::string& target);
-  /// Fetches the tables of a peer, unless another fetch is in progress.
-  void FetchTables(const std::string& peer_endpoint);
+  /// Fetches from a peer what it has of the tables and this gateway lacks,
+  /// unless another fetch is in progress.
+  void FetchTables(const std::string& peer_endpoint, const KnownTables& known);
   void CheckTimeouts(TimePoint now) { server_.CheckTimeouts(now); }
 
   const std::string& endpoint() const { return endpoint_; }
@@ -90,6 +92,10 @@
   std::size_t unsent_bytes() const { return server_.unsent_bytes(); }
   /// Bytes of tables that were written for peers since the start.
   std::uint64_t table_bytes_written() const { return table_bytes_written_; }
+  /// Fetches refused since peers had too much still to take.
+  std::uint64_t table_requests_refused() const {
+    return table_requests_refused_;
+  }
 
  private:
   std::shared_ptr<PendingRequest> OnRequest(
@@ -117,6 +123,7 @@
   IngressServer server_;
   bool fetching_ = false;
   std::uint64_t table_bytes_written_ = 0;
+  std::uint64_t table_requests_refused_ = 0;
 };
 
 }  // namespace yuccapick
--- a/src/gateway/table_watch.cc
+++ b/src/gateway/table_watch.cc
@@ -67,7 +67,7 @@
     check_awaits_answer_ = true;
     return;
   }
-  CallForChanges([self = shared_from_this(), after = Position(),
+  CallForChanges([self = shared_from_this(), after = mirror_.position(),
                   sent_at = Now()](const absl::StatusOr<StoreAnswer>& answer) {
     if (!self->stopped_) self->OnCheckAnswer(after, answer, sent_at);
   });
@@ -83,7 +83,7 @@
 void TableWatch::ReadChanges() {
   const std::uint64_t call = DropCall();
   call_ = CallForChanges(
-      [self = shared_from_this(), call, after = Position(),
+      [self = shared_from_this(), call, after = mirror_.position(),
        sent_at = Now()](const absl::StatusOr<StoreAnswer>& answer) {
         if (call != self->calls_) return;
         self->OnChangesAnswer(after, answer, sent_at);
@@ -275,7 +275,7 @@
 
 void TableWatch::Watch() {
   const std::uint64_t call = DropCall();
-  const TablePosition after = Position();
+  const TablePosition after = mirror_.position();
   poll_open_ = true;
   poll_opened_at_ = Now();
   handler_.OnPollOpened(options_.table);
--- a/src/gateway/table_watch.h
+++ b/src/gateway/table_watch.h
@@ -160,9 +160,6 @@
   /// @param rows changes after `after`, in the same generation
   TableAnswer ApplyChanges(const TablePosition& after,
                            const platform::RowsAnswer& rows, TimePoint sent_at);
-  TablePosition Position() const {
-    return {mirror_.generation(), mirror_.as_of()};
-  }
   void TakeSnapshot(const TableSnapshot& snapshot);
   void HandleAnswered();
   void HandleFailure(TimePoint sent_at, std::string_view reason);
--- a/src/table_mirror.cc
+++ b/src/table_mirror.cc
@@ -91,4 +91,23 @@
   return snapshot;
 }
 
+const MirrorRow* TableMirror::Find(const std::string& key) const {
+  const auto it = rows_.find(key);
+  return it == rows_.end() ? nullptr : &it->second;
+}
+
+TableSnapshot TableMirror::SnapshotFor(const TablePosition& known) const {
+  TableSnapshot snapshot;
+  snapshot.as_of = as_of_;
+  snapshot.generation = generation_;
+  for (const auto& [key, row] : rows_) {
+    const bool has_value =
+        known.generation == generation_ && row.version <= known.version;
+    MirrorRow copy{key, "", row.version, row.removed};
+    if (!has_value) copy.value = row.value;
+    snapshot.rows.push_back(std::move(copy));
+  }
+  return snapshot;
+}
+
 }  // namespace yuccapick
--- a/test/gateway/large_config_test.cc
+++ b/test/gateway/large_config_test.cc
@@ -17,6 +17,9 @@
 /// How soon a configuration must be in force.
 constexpr milliseconds kChangeLimit{4'000};
 constexpr int kManyPeers = 20;
+constexpr int kRequestsAtOnce = 12;
+/// Row versions and a configuration that are higher than all in the tests.
+constexpr char kKnowsAll[] = "Known-Tables: 0,9999,0,9999,9999\r\n";
 
 /// @return routes of `kConfigBytes` or more, one of them for `path`
 std::string ManyRoutes(const std::string& path) {
@@ -62,10 +65,28 @@
     return false;
   }
 
+  std::unique_ptr<FakeCaller> AskForTables(const std::string& fields,
+                                           int requests = 1) {
+    const GatewaySettings& settings = fixture.settings;
+    auto peer = std::make_unique<FakeCaller>(
+        fixture.loop, fmt::format("{}:{}", settings.ip, settings.peer_port));
+    for (int i = 0; i < requests; ++i) {
+      peer->Send("GET /tables HTTP/1.1\r\nHost: x\r\n" + fields + "\r\n");
+    }
+    return peer;
+  }
+
   GatewayFixture fixture;
   FakeUpstream upstream;
 };
 
+std::size_t ContentLength(const std::string& answer) {
+  const std::string name = "Content-Length: ";
+  const std::size_t at = answer.find(name);
+  if (at == std::string::npos) return 0;
+  return std::stoul(answer.substr(at + name.size()));
+}
+
 TEST_CASE("A gateway behind a slow link starts with a large configuration") {
   LargeConfig large;
   large.fixture.PutConfig(1, ManyRoutes("/look/"));
@@ -91,11 +112,9 @@
   large.fixture.Start();
   const GatewaySettings& settings = large.fixture.settings;
   for (int i = 0; i < kManyPeers; ++i) {
-    FakeCaller peer(large.fixture.loop,
-                    fmt::format("{}:{}", settings.ip, settings.peer_port));
-    peer.Send("GET /tables HTTP/1.1\r\nHost: x\r\n\r\n");
+    const auto peer = large.AskForTables("");
     REQUIRE(
-        large.fixture.RunUntilTrue([&peer] { return !peer.input().empty(); }));
+        large.fixture.RunUntilTrue([&peer] { return !peer->input().empty(); }));
   }
   CHECK(large.fixture.RunUntilTrue([&] {
     return large.fixture.HasMetric(settings,
@@ -105,5 +124,34 @@
   }));
 }
 
+TEST_CASE("A peer gets only those rows of the tables that it lacks") {
+  LargeConfig large;
+  large.fixture.PutConfig(1, ManyRoutes("/look/"));
+  large.fixture.Start();
+  const auto knows_nothing = large.AskForTables("");
+  const auto knows_all = large.AskForTables(kKnowsAll);
+  REQUIRE(large.fixture.RunUntilTrue([&] {
+    return ContentLength(knows_nothing->input()) > 0 &&
+           ContentLength(knows_all->input()) > 0;
+  }));
+  CHECK(ContentLength(knows_nothing->input()) > kConfigBytes);
+  CHECK(ContentLength(knows_nothing->input()) < 2 * kConfigBytes);
+  CHECK(ContentLength(knows_all->input()) < kConfigBytes / 100);
+}
+
+TEST_CASE("Peers that take no tables don't make a gateway keep many") {
+  LargeConfig large;
+  large.fixture.PutConfig(1, ManyRoutes("/look/"));
+  large.fixture.Start();
+  std::vector<std::unique_ptr<FakeCaller>> peers;
+  for (int i = 0; i < kManyPeers; ++i) {
+    peers.push_back(large.AskForTables("", kRequestsAtOnce));
+  }
+  CHECK(large.fixture.RunUntilTrue([&] {
+    return !large.fixture.HasMetric(large.fixture.settings,
+                                    "yuccapick_peer_table_requests_refused 0");
+  }));
+}
+
 }  // namespace
 }  // namespace yuccapick
--- a/test/table_mirror_test.cc
+++ b/test/table_mirror_test.cc
@@ -158,5 +158,44 @@
   CHECK(mirror.unchanged_since() == 20);
 }
 
+TEST_CASE("A snapshot without the known values is taken over like a full one") {
+  rc::prop("partial snapshots", [] {
+    const StoreGeneration generation(1);
+    TableMirror sender;
+    TableMirror receiver;
+    TableMirror reference;
+    sender.OnSnapshot({{}, 1, generation});
+    receiver.OnSnapshot({{}, 1, generation});
+    reference.OnSnapshot({{}, 1, generation});
+    const auto steps = *rc::gen::inRange(1, 40);
+    for (int version = 2; version < steps + 2; ++version) {
+      const std::string key(1, *rc::gen::elementOf(std::string("abcd")));
+      const auto at = static_cast<std::uint64_t>(version);
+      MirrorRow row = Row(key, "value-" + std::to_string(version), at);
+      if (*rc::gen::arbitrary<bool>()) row = Removal(key, at);
+      const TableChanges change{{row}, {generation, at - 1}, {generation, at}};
+      sender.OnChanges(change);
+      // The receiver has missed some changes at the end.
+      if (*rc::gen::inRange(0, 4) > 0 && receiver.as_of() == at - 1) {
+        receiver.OnChanges(change);
+        reference.OnChanges(change);
+      }
+    }
+    const TableSnapshot partial = sender.SnapshotFor(receiver.position());
+    RC_ASSERT(receiver.OnSnapshot(partial) ==
+              reference.OnSnapshot(sender.Snapshot()));
+    RC_ASSERT(receiver.Snapshot().rows == sender.Snapshot().rows);
+  });
+}
+
+TEST_CASE("A copy of another generation gets all values") {
+  TableMirror sender;
+  sender.OnSnapshot({{Row("a", "1", 5)}, 9, StoreGeneration(2)});
+  const TablePosition older{StoreGeneration(1), 30};
+  CHECK(sender.SnapshotFor(older).rows.at(0).value == "1");
+  const TablePosition same{StoreGeneration(2), 5};
+  CHECK(sender.SnapshotFor(same).rows.at(0).value.empty());
+}
+
 }  // namespace
 }  // namespace yuccapick
