Survive odd entries of upstreams, and take no odd numbers or addresses

An entry with 300,000 brackets ended the process with a segmentation fault: values were read by copying them, which recurses. Numbers were converted with wrap-around, or from floating point without a range, which differs between x86-64 and arm64: slots of -1 became 4,294,967,295, weights of -1 the newest of all. An address with a port beyond 65,535 passed, and every request to it failed with "malformed endpoint".

An entry with an odd value names no upstream; an odd cache event is left out and counted instead of the whole answer being dropped again and again; unreadable target weights and reports are logged.

--- a/src/gateway/cache_watch.cc
+++ b/src/gateway/cache_watch.cc
@@ -162,6 +162,11 @@
   if (!events.ok()) return OnFailure(target, events.status().message().data());
   target.failures = 0;
   target.next_call = state_.Now() + kPollInterval;
+  if (events->unreadable > 0) {
+    state_.log.Write(LogKind::kFailure, state_.Now(),
+                     "event=cache_events_unreadable endpoint={} events={}",
+                     target.endpoint, events->unreadable);
+  }
   Apply(target, *events);
 }
 
--- a/src/gateway/gateway_process_tables.cc
+++ b/src/gateway/gateway_process_tables.cc
@@ -101,7 +101,12 @@
 
 void GatewayProcess::ApplyTargetWeights(const MirrorRow& row) {
   const auto set = platform::DecodeTargetWeights(row.value);
-  if (!set) return;
+  if (!set) {
+    state_.log.Write(LogKind::kStateChange, state_.Now(),
+                     "event=target_weights_unreadable key={} row_version={}",
+                     row.key, row.version);
+    return;
+  }
   const StoreTime now = state_.StoreNow().value_or(StoreTime());
   const std::optional<StoreTime> set_after =
       state_.store_times.rows.WrittenAfter(
--- a/src/gateway/http_connection.cc
+++ b/src/gateway/http_connection.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "absl/strings/ascii.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/string_view.h"
 
@@ -43,6 +44,7 @@
   std::uint32_t port = 0;
   const std::string_view digits = text.substr(colon + 1);
   const bool number =
+      std::all_of(digits.begin(), digits.end(), absl::ascii_isdigit) &&
       absl::SimpleAtoi(absl::string_view(digits.data(), digits.size()), &port);
   if (ec || !number || port > 0xFFFF) return {};
   return {address, static_cast<std::uint16_t>(port)};
--- a/src/gateway/rollout_controller.cc
+++ b/src/gateway/rollout_controller.cc
@@ -327,6 +327,10 @@
     if (decoded.ok()) {
       report = RolloutReport{decoded->weights, decoded->busy,
                              decoded->orders_accepted};
+    } else {
+      state_.log.Write(LogKind::kFailure, state_.Now(),
+                       "event=report_unreadable upstream={} reason=\"{}\"",
+                       upstream.value, decoded.status().message().data());
     }
   }
   if (report && !report->busy) {
--- a/src/gateway/upstream_messages.h
+++ b/src/gateway/upstream_messages.h
@@ -92,6 +92,7 @@
   std::uint64_t next = 0;   ///< Event number from which to continue.
   bool gap = false;         ///< Earlier events were lost.
   std::vector<CacheChange> changes;
+  std::size_t unreadable = 0;  ///< Changes that were left out.
 };
 
 }  // namespace yuccapick
