Take no refusal without an id for the answer to a later request

Report of another operator: a faulty server wrote an earlier refusal once more on a kept connection, and clients were told "not run" for requests that ran.

It can happen here if the copy names no request: a failure that doesn't echo the attempt's id was taken for the answer to whatever request the connection carried next. The caller of a booking got 503 while the upstream ran it. A copy with the earlier request's id was skipped already.

A failure without an id is now believed on a connection that has carried no other request, and skipped on a kept one: the next answer there is the right one. If none comes, the request ends as one without an answer.

The other opening that was suspected, the same id sent again to the same upstream, isn't there: an attempt never returns to an upstream that refused it, and connections on which one was silent are closed.

--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -80,6 +80,9 @@
   std::optional<std::chrono::milliseconds> TimeUntilRoom() const;
   /// Ends the request if no upstream may get it.
   void OnNoUpstream(TimePoint now);
+  /// True if an answer that names no request may be a late one to an earlier
+  /// request on the same connection.
+  bool MayAnswerEarlierRequest(const HttpHead& head) const;
   /// Learns whether the upstream names a limit.
   void RecordLimit(const AnswerInfo& info);
   /// Learns whether the upstream asks for a pause.
--- a/src/gateway/proxied_request_answers.cc
+++ b/src/gateway/proxied_request_answers.cc
@@ -29,6 +29,13 @@
                      id, info.attempt_id, attempt_->upstream.id.value);
     return HeadDecision::kSkip;
   }
+  if (info.attempt_id != id && MayAnswerEarlierRequest(head)) {
+    state_.log.Write(LogKind::kFailure, state_.Now(),
+                     "event=answer_skipped id={} answer_id=- upstream={} "
+                     "status={} reason=\"names no request\"",
+                     id, attempt_->upstream.id.value, head.status);
+    return HeadDecision::kSkip;
+  }
   RecordLimit(info);
   RecordPause(info);
   const UpstreamEntry& upstream = attempt_->upstream;
@@ -53,6 +60,12 @@
   return HeadDecision::kAccept;
 }
 
+bool ProxiedRequest::MayAnswerEarlierRequest(const HttpHead& head) const {
+  const auto& connection = attempt_->connection;
+  const bool reused = connection != nullptr && connection->reused();
+  return reused && head.status >= kHttpFirstRedirect;
+}
+
 void ProxiedRequest::RecordLimit(const AnswerInfo& info) {
   named_limit_ = info.requests_per_second;
   const std::optional<StoreTime> now = state_.StoreNow();
