Keep other answers out of a stream that has begun

It can happen here, in four ways, all from one cause: what the caller's answer is was decided anew for each attempt. - The body of an error (any status but a success) went into the stream. - A success that is no event stream was read as one. - An error above 256 KB was passed on as it came; when it ended, the request was retried, and the other upstream's stream followed in the same answer. - A failure above 256 KB of a request that may not be retried was cut off at its end, though it was complete.

An attempt now knows whether it continues an answer that was begun before. Its answer then counts only if it is an event stream like the first one; anything else is dropped, and the stream goes on elsewhere or is cut off. An answer that isn't a stream is never followed by another one.

--- a/src/gateway/proxied_request.cc
+++ b/src/gateway/proxied_request.cc
@@ -196,6 +196,7 @@
     state_.limits.OnSent(upstream.id, upstream.incarnation, *store_now);
   }
   attempt.last_progress = now;
+  attempt.continues = answer_started_;
   last_progress_ = now;
   attempt.choice = choice;
   attempt.amount.requests = 1;
@@ -292,9 +293,7 @@
   context.delivered_attempts = delivered_attempts_;
   context.max_attempts = admitted_.route->max_attempts;
   // Only an event stream can be continued at another upstream.
-  if (answer_started_ && admitted_.route->kind != RouteKind::kStreaming) {
-    context.may_repeat = false;
-  }
+  if (answer_started_ && !begun_stream_) context.may_repeat = false;
   const RetryDecision decision = DecideRetry(context, end);
   const bool spends =
       decision == RetryDecision::kSendElsewhere && end != AttemptEnd::kNotSent;
--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -57,6 +57,8 @@
     AnswerInfo info;
     DirectPlacementDecision choice;
     bool has_first_event = false;
+    /// An earlier attempt began the caller's answer.
+    bool continues = false;
     /// The upstream had no other prompt to compute, as far as known.
     bool first_in_queue = false;
   };
@@ -217,7 +219,10 @@
   EventSplitter splitter_;
   bool streaming_ = false;       ///< The answer is an event stream.
   bool answer_started_ = false;  ///< The head was sent to the caller.
-  std::string body_;             ///< Of an answer that is buffered.
+  // Of the answer that was started.
+  bool begun_stream_ = false;        ///< Its events may be continued.
+  bool begun_event_stream_ = false;  ///< Its content type says so.
+  std::string body_;                 ///< Of an answer that is buffered.
   TimePoint first_event_at_;
   TimePoint last_progress_;  ///< Last byte of an answer, or the last send.
 };
--- a/src/gateway/proxied_request_answers.cc
+++ b/src/gateway/proxied_request_answers.cc
@@ -54,7 +54,10 @@
     state_.RecordObservedWeights(attempt_->upstream.id, admitted_.caller.model,
                                  *info.weights);
   }
-  streaming_ = success && admitted_.route->kind == RouteKind::kStreaming;
+  const bool continues_begun =
+      !attempt_->continues || info.event_stream || !begun_event_stream_;
+  streaming_ = success && continues_begun &&
+               admitted_.route->kind == RouteKind::kStreaming;
   attempt_->info = std::move(info);
   attempt_->head = head;
   return HeadDecision::kAccept;
@@ -114,7 +117,7 @@
   last_progress_ = now;
   state_.health.OnBytesReceived(attempt_->upstream.id, now);
   if (!streaming_) {
-    if (attempt_->info.not_executed) return;
+    if (attempt_->continues || attempt_->info.not_executed) return;
     if (answer_started_) return session_->StreamBody(bytes);
     body_.append(bytes);
     if (body_.size() > kMaxBufferedAnswerBytes) {
@@ -199,6 +202,8 @@
 
 void ProxiedRequest::BeginAnswer() {
   answer_started_ = true;
+  begun_stream_ = streaming_;
+  begun_event_stream_ = attempt_->info.event_stream;
   session_->BeginStream(attempt_->head->status,
                         platform::ForwardedAnswerFields(*attempt_->head));
 }
@@ -252,10 +257,11 @@
   if (status >= kHttpFirstServerError) {
     state_.quarantine.OnInconclusive(suspects_);
     state_.health.OnFailure(upstream, now);
-    return OnEnd(AttemptEnd::kFailedStatus, "upstream failed");
+    const bool begun = answer_started_ && !attempt_->continues;
+    return begun ? DeliverAnswer()
+                 : OnEnd(AttemptEnd::kFailedStatus, "upstream failed");
   }
-  if (answer_started_ && !streaming_ && body_.empty() &&
-      admitted_.route->kind == RouteKind::kStreaming) {
+  if (attempt_->continues && !streaming_) {
     attempt_.reset();
     return OnEnd(AttemptEnd::kBroken, "resumed stream got another answer");
   }
