Let reports between gateways arrive whatever the size of the fleet

The incident's class of fault, found by looking for it elsewhere: reports were received into 16 KB, and a longer one was cut off and dropped without a line. A gateway with work at 700 upstreams or more would have been taken for dead by all others; so would a list of the limits of some hundred upstreams.

A datagram may now have the largest size that UDP carries. Lists of messages are split into datagrams of about 8 KB. Datagrams that can't be sent or read are counted (yuccapick_peer_datagrams_unsent, _unreadable).

--- a/src/gateway/freshness_sync.cc
+++ b/src/gateway/freshness_sync.cc
@@ -10,6 +10,9 @@
 
 using std::chrono::milliseconds;
 
+/// Copies that lack a change for a shorter time are not logged.
+constexpr milliseconds kLoggedLag{500};
+
 WatchedTable WatchedTableOf(const std::string& table) {
   return table == platform::kOperator ? WatchedTable::kOperator
                                       : WatchedTable::kUpstreams;
@@ -177,28 +180,38 @@
   return oldest;
 }
 
-void FreshnessSync::LogBehind(WatchedTable table, TimePoint now) {
-  std::optional<TimePoint>& since =
-      behind_since_[static_cast<std::size_t>(table)];
-  const bool behind = freshness_.Behind(table);
-  if (behind == since.has_value()) return;
+void FreshnessSync::TrackBehind(WatchedTable table, TimePoint now) {
+  Lag& lag = lags_[static_cast<std::size_t>(table)];
+  if (!freshness_.Behind(table)) {
+    if (lag.logged) LogLag("table_caught_up", table, now);
+    lag = Lag();
+    return;
+  }
+  if (!lag.since) lag.since = now;
+  if (lag.logged || now - *lag.since < kLoggedLag) return;
+  lag.logged = true;
+  LogLag("table_behind", table, now);
+}
+
+void FreshnessSync::LogLag(std::string_view event, WatchedTable table,
+                           TimePoint now) {
   const TableWatch& watch = WatchOf(table);
   const CallProgress* answer = watch.ArrivingAnswer();
-  state_.log.Write(
-      LogKind::kStateChange, now,
-      "event={} table={} behind_ms={} as_of={} arriving_bytes={} "
-      "arriving_ms={}",
-      behind ? "table_behind" : "table_caught_up", NameOf(table),
-      behind ? 0 : Milliseconds(now - *since).count(), watch.mirror().as_of(),
-      answer == nullptr ? 0 : answer->body_bytes,
-      answer == nullptr ? 0
-                        : Milliseconds(now - *answer->first_byte_at).count());
-  since = behind ? std::optional<TimePoint>(now) : std::nullopt;
+  const std::size_t bytes = answer == nullptr ? 0 : answer->body_bytes;
+  const TimePoint arriving_since =
+      answer == nullptr ? now : *answer->first_byte_at;
+  state_.log.Write(LogKind::kStateChange, now,
+                   "event={} table={} behind_ms={} as_of={} arriving_bytes={} "
+                   "arriving_ms={}",
+                   event, NameOf(table),
+                   Milliseconds(now - *BehindSince(table)).count(),
+                   watch.mirror().as_of(), bytes,
+                   Milliseconds(now - arriving_since).count());
 }
 
 void FreshnessSync::LogBelief(TimePoint now) {
   for (const WatchedTable table : kWatchedTables) {
-    LogBehind(table, now);
+    TrackBehind(table, now);
     bool& believed = believed_confirmed_[static_cast<std::size_t>(table)];
     const auto at = freshness_.ConfirmedAt(table);
     const bool confirmed = freshness_.Confirmed(table, now);
--- a/src/gateway/freshness_sync.h
+++ b/src/gateway/freshness_sync.h
@@ -67,11 +67,17 @@
   /// @return since when the copy is known to lack a change; nullopt if it is
   ///   not
   std::optional<TimePoint> BehindSince(WatchedTable table) const {
-    return behind_since_[static_cast<std::size_t>(table)];
+    return lags_[static_cast<std::size_t>(table)].since;
   }
   const Counters& counters() const { return counters_; }
 
  private:
+  /// A copy that is known to lack a change.
+  struct Lag {
+    std::optional<TimePoint> since;
+    bool logged = false;
+  };
+
   TableWatch& WatchOf(WatchedTable table);
   /// True if the copies of both tables are of the same generation.
   bool InOneGeneration() const;
@@ -80,8 +86,9 @@
   void Renew(const RenewPoll& renewal, TimePoint now);
   void Schedule();
   void LogBelief(TimePoint now);
-  /// Logs when a copy begins to lack a change, and when it has it.
-  void LogBehind(WatchedTable table, TimePoint now);
+  /// Records since when a copy lacks a change.
+  void TrackBehind(WatchedTable table, TimePoint now);
+  void LogLag(std::string_view event, WatchedTable table, TimePoint now);
 
   GatewayState& state_;
   PeerExchange& exchange_;
@@ -92,7 +99,7 @@
   TableFreshness freshness_;
   asio::steady_timer timer_;
   std::array<bool, kWatchedTables.size()> believed_confirmed_{};
-  std::array<std::optional<TimePoint>, kWatchedTables.size()> behind_since_;
+  std::array<Lag, kWatchedTables.size()> lags_;
   Counters counters_;
 };
 
--- a/src/gateway/gateway_process_metrics.cc
+++ b/src/gateway/gateway_process_metrics.cc
@@ -52,6 +52,10 @@
                exchange_.table_bytes_written());
   AppendMetric(out, "counter", "yuccapick_peer_table_requests_refused",
                exchange_.table_requests_refused());
+  AppendMetric(out, "counter", "yuccapick_peer_datagrams_unsent",
+               exchange_.datagrams_unsent());
+  AppendMetric(out, "counter", "yuccapick_peer_datagrams_unreadable",
+               exchange_.datagrams_unreadable());
   gauge("yuccapick_peer_table_bytes_unsent", exchange_.unsent_bytes());
   gauge("yuccapick_peer_table_sessions", exchange_.session_count());
   const StoreClient::Counters& received = store_->counters();
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -14,6 +14,9 @@
 constexpr std::chrono::milliseconds kFetchTimeout{500};
 /// Tells what the asking gateway has of the tables.
 constexpr std::string_view kKnownTablesField = "Known-Tables";
+/// Longer lists of messages are sent in several datagrams, since a datagram is
+/// lost with any of its packets.
+constexpr std::size_t kMaxListBytes = 8'192;
 /// While peers have more than this still to take, others get no tables.
 constexpr std::size_t kMaxUnsentTableBytes = 8'388'608;
 constexpr std::string_view kRetryAfterSeconds = "0.5";
@@ -94,7 +97,25 @@
     return handler_.OnStoreConfirmation(*confirmation);
   }
   const auto report = DecodePeerReport(bytes);
-  if (report) handler_.OnPeerReport(*report);
+  if (!report) {
+    ++datagrams_unreadable_;
+    return;
+  }
+  handler_.OnPeerReport(*report);
+}
+
+template <typename T, typename Encode>
+void PeerExchange::SendInParts(const std::vector<T>& messages,
+                               const Encode& encode,
+                               const std::vector<std::string>& targets) {
+  const std::string bytes = encode(messages);
+  if (bytes.size() <= kMaxListBytes || messages.size() == 1) {
+    return SendDatagram(bytes, targets);
+  }
+  const auto middle =
+      messages.begin() + static_cast<std::ptrdiff_t>(messages.size() / 2);
+  SendInParts(std::vector<T>(messages.begin(), middle), encode, targets);
+  SendInParts(std::vector<T>(middle, messages.end()), encode, targets);
 }
 
 void PeerExchange::Send(const PeerReport& report,
@@ -104,7 +125,8 @@
 
 void PeerExchange::Send(const std::vector<StreamOriginReport>& origins,
                         const std::vector<std::string>& targets) {
-  if (!targets.empty()) SendDatagram(EncodeStreamOrigins(origins), targets);
+  if (targets.empty()) return;
+  SendInParts(origins, EncodeStreamOrigins, targets);
 }
 
 void PeerExchange::Send(const SuspectReport& report,
@@ -115,13 +137,13 @@
 void PeerExchange::Send(const std::vector<SuspectDecision>& decisions,
                         const std::vector<std::string>& targets) {
   if (targets.empty()) return;
-  SendDatagram(EncodeSuspectDecisions(decisions), targets);
+  SendInParts(decisions, EncodeSuspectDecisions, targets);
 }
 
 void PeerExchange::Send(const std::vector<NamedLimit>& limits,
                         const std::vector<std::string>& targets) {
   if (limits.empty() || targets.empty()) return;
-  SendDatagram(EncodeNamedLimits(limits), targets);
+  SendInParts(limits, EncodeNamedLimits, targets);
 }
 
 void PeerExchange::Send(const StoreConfirmation& confirmation,
@@ -141,7 +163,7 @@
 
 void PeerExchange::Send(const std::vector<HolderUpdate>& updates,
                         const std::string& target) {
-  SendDatagram(EncodeHolderUpdates(updates), {target});
+  SendInParts(updates, EncodeHolderUpdates, {target});
 }
 
 void PeerExchange::SendDatagram(const std::string& bytes,
@@ -150,9 +172,10 @@
     if (target == endpoint_) continue;
     const asio::ip::tcp::endpoint address = ParseEndpoint(target);
     if (address.port() == 0) continue;
-    asio::error_code ignored;  // The next report follows shortly.
+    asio::error_code ec;
     socket_.send_to(asio::buffer(bytes), {address.address(), address.port()}, 0,
-                    ignored);
+                    ec);
+    if (ec) ++datagrams_unsent_;
   }
 }
 
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -21,6 +21,9 @@
 
 namespace yuccapick {
 
+/// Largest datagram that UDP carries.
+inline constexpr std::size_t kMaxDatagramBytes = 65'507;
+
 /// Callbacks of `PeerExchange`.
 class PeerExchangeHandler {
  public:
@@ -92,6 +95,10 @@
   std::size_t unsent_bytes() const { return server_.unsent_bytes(); }
   /// Bytes of tables that were written for peers since the start.
   std::uint64_t table_bytes_written() const { return table_bytes_written_; }
+  /// Datagrams that the system didn't take.
+  std::uint64_t datagrams_unsent() const { return datagrams_unsent_; }
+  /// Datagrams of peers that hold no known message.
+  std::uint64_t datagrams_unreadable() const { return datagrams_unreadable_; }
   /// Fetches refused since peers had too much still to take.
   std::uint64_t table_requests_refused() const {
     return table_requests_refused_;
@@ -110,6 +117,11 @@
                       const CallProgress& progress);
   void Receive();
   void OnDatagram(std::string_view bytes);
+  /// Sends messages in as few datagrams as hold them.
+  /// @param encode encodes a list of messages
+  template <typename T, typename Encode>
+  void SendInParts(const std::vector<T>& messages, const Encode& encode,
+                   const std::vector<std::string>& targets);
   void SendDatagram(const std::string& bytes,
                     const std::vector<std::string>& targets);
 
@@ -119,11 +131,13 @@
   PeerExchangeHandler& handler_;
   asio::ip::udp::socket socket_;
   asio::ip::udp::endpoint sender_;
-  std::array<char, 16'384> buf_{};
+  std::array<char, kMaxDatagramBytes> buf_{};
   IngressServer server_;
   bool fetching_ = false;
   std::uint64_t table_bytes_written_ = 0;
   std::uint64_t table_requests_refused_ = 0;
+  std::uint64_t datagrams_unsent_ = 0;
+  std::uint64_t datagrams_unreadable_ = 0;
 };
 
 }  // namespace yuccapick
