--- a/src/shell/http_client.h
+++ b/src/shell/http_client.h
@@ -22,6 +22,9 @@
 struct HttpTimeouts {
   std::chrono::milliseconds connect{2'000};
   std::chrono::milliseconds total{0};  ///< 0 means no limit.
+  /// `total` ends when the response begins to arrive. It may then take as long
+  /// as it keeps arriving, within limits that tell it from one without an end.
+  bool until_response = false;
 };
 
 struct HttpRequest {
--- a/src/shell/http_transfer.cc
+++ b/src/shell/http_transfer.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cctype>
 #include <charconv>
+#include <chrono>
 #include <utility>
 
 namespace yuccapick {
@@ -13,6 +14,10 @@
 constexpr std::size_t kMaxResponseHeaderBytes = 64 << 10;
 constexpr long kMinFinalStatus = 200;
 constexpr long kSwitchingProtocols = 101;
+/// Once a response has begun, it fails if nothing more arrives for this long,
+/// or it has been arriving for longer than the second time.
+constexpr std::chrono::milliseconds kStallTimeout{1'000};
+constexpr std::chrono::milliseconds kMaxReceivingTime{30'000};
 
 bool HasLineBreakOrNul(std::string_view text) {
   return text.find_first_of(std::string_view("\r\n\0", 3)) !=
@@ -82,6 +87,7 @@
   curl_easy_setopt(easy_, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(easy_, CURLOPT_TCP_NODELAY, 1L);
   curl_easy_setopt(easy_, CURLOPT_HTTPHEADER, header_list_);
+  started_at_ = std::chrono::steady_clock::now();
   const long connect_ms = request_.timeouts.connect.count();
   const long total_ms = request_.timeouts.total.count();
   curl_easy_setopt(easy_, CURLOPT_CONNECTTIMEOUT_MS, connect_ms);
@@ -179,16 +185,30 @@
     return true;
   }
   if (http_status_ < kMinFinalStatus || cancelled_) return true;
+  ExtendTimeout();
   if (callbacks_.on_head) callbacks_.on_head(http_status_, response_headers_);
   return true;
 }
 
+void HttpTransfer::ExtendTimeout() {
+  if (!request_.timeouts.until_response) return;
+  const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::steady_clock::now() - started_at_);
+  const auto limit = std::min(age + kStallTimeout, kMaxReceivingTime);
+  curl_easy_setopt(easy_, CURLOPT_TIMEOUT_MS, limit.count());
+  // libcurl checks a timeout that was changed only when something wakes it; it
+  // looks at the speed every second.
+  curl_easy_setopt(easy_, CURLOPT_LOW_SPEED_LIMIT, 1L);
+  curl_easy_setopt(easy_, CURLOPT_LOW_SPEED_TIME, 1L);
+}
+
 std::size_t HttpTransfer::OnBodyData(char* data, std::size_t size,
                                      std::size_t count, void* self) {
   auto& transfer = *static_cast<HttpTransfer*>(self);
   const std::size_t n = size * count;
   if (transfer.cancelled_) return 0;
   if (transfer.paused_) return CURL_WRITEFUNC_PAUSE;
+  transfer.ExtendTimeout();
   if (transfer.callbacks_.on_data) transfer.callbacks_.on_data({data, n});
   return transfer.cancelled_ ? 0 : n;
 }
--- a/src/shell/http_transfer.h
+++ b/src/shell/http_transfer.h
@@ -6,6 +6,7 @@
 
 #include <curl/curl.h>
 
+#include <chrono>
 #include <cstddef>
 #include <memory>
 #include <string>
@@ -50,6 +51,9 @@
   bool ParseHeaderLine(std::string_view line);
   absl::Status BuildHeaderList();
   void SetMethodAndBody();
+  /// Part of the response has arrived: if its arrival isn't limited by the
+  /// total timeout, more of it may follow.
+  void ExtendTimeout();
 
   RequestHandle id_;
   HttpRequest request_;
@@ -60,6 +64,7 @@
   std::size_t response_header_bytes_ = 0;
   long http_status_ = 0;
   int times_sent_ = 0;
+  std::chrono::steady_clock::time_point started_at_;
   bool cancelled_ = false;
   bool paused_ = false;
 };
--- a/src/shell/platform_channel.cc
+++ b/src/shell/platform_channel.cc
@@ -52,6 +52,7 @@
   ++stats_.reads;
   HttpRequest request = read->request;
   request.timeouts.total = AttemptLimit(*read);
+  request.timeouts.until_response = true;
   request.max_idle = MaxIdle();
   read->sent_at = TimePoint::clock::now();
   client_.Fetch(std::move(request), options_.max_response_bytes,
--- a/src/shell/platform_channel.h
+++ b/src/shell/platform_channel.h
@@ -19,9 +19,9 @@
 struct PlatformChannelOptions {
   PlatformBudgetOptions budget;
   std::chrono::milliseconds deadline{2'000};  ///< Of a call, including retries.
-  /// A read that has waited this long is sent again on a new connection, if as
-  /// much time is left for that. The repeated one gets all the time left, since
-  /// the platform may be slow.
+  /// A read whose answer hasn't begun after this long is sent again on a new
+  /// connection, if as much time is left for that. The repeated one gets all
+  /// the time left, since the platform may be slow.
   std::chrono::milliseconds attempt_timeout{500};
   std::size_t max_response_bytes = 8 << 20;
 };
--- a/test/shell/http_client_test.cc
+++ b/test/shell/http_client_test.cc
@@ -198,5 +198,60 @@
   CHECK_FALSE(response.result.sent);
 }
 
+/// Writes a response of `parts` single bytes, one each interval. Stops after
+/// half of them if `stalls` is set.
+struct SlowResponse {
+  SlowResponse(int parts, bool stalls)
+      : timer(loop),
+        left(stalls ? parts / 2 : parts),
+        server(loop, [this, parts](ScriptedServer::Connection& c) {
+          if (!HasCompleteHeaders(c)) return;
+          c.Write("HTTP/1.1 200 OK\r\nContent-Length: " +
+                  std::to_string(parts) + "\r\n\r\n");
+          connection = c.shared_from_this();
+          WriteNext();
+        }) {}
+
+  void WriteNext() {
+    timer.expires_after(std::chrono::milliseconds(50));
+    timer.async_wait([this](const asio::error_code& ec) {
+      if (ec || left-- == 0) return;
+      connection->Write("x");
+      WriteNext();
+    });
+  }
+
+  HttpResponse Fetch() {
+    HttpClient client(loop);
+    HttpRequest request;
+    request.url = server.url("/");
+    request.timeouts.total = std::chrono::milliseconds(200);
+    request.timeouts.until_response = true;
+    return FetchOnce(loop, client, request);
+  }
+
+  asio::io_context loop;
+  asio::steady_timer timer;
+  int left;
+  std::shared_ptr<ScriptedServer::Connection> connection;
+  ScriptedServer server;
+};
+
+TEST_CASE("A response may arrive for longer than the limit until it begins") {
+  SlowResponse slow(30, /*stalls=*/false);
+  const HttpResponse response = slow.Fetch();
+  CHECK(response.result.status.ok());
+  CHECK(response.body.size() == 30);
+}
+
+TEST_CASE("A response that stops arriving fails") {
+  SlowResponse slow(30, /*stalls=*/true);
+  const auto began_at = std::chrono::steady_clock::now();
+  const HttpResponse response = slow.Fetch();
+  CHECK(absl::IsDeadlineExceeded(response.result.status));
+  CHECK(std::chrono::steady_clock::now() - began_at <
+        std::chrono::milliseconds(4'000));
+}
+
 }  // namespace
 }  // namespace yuccapick
