--- a/src/gateway/freshness_sync.cc
+++ b/src/gateway/freshness_sync.cc
@@ -52,6 +52,7 @@
   operator_watch_.SetGatewayCount(state_.gateway_count);
   upstream_watch_.SetGatewayCount(state_.gateway_count);
   LogBelief(now);
+  for (const WatchedTable table : kWatchedTables) TrackBehind(table, now);
   Act(now);
 }
 
@@ -211,7 +212,6 @@
 
 void FreshnessSync::LogBelief(TimePoint now) {
   for (const WatchedTable table : kWatchedTables) {
-    TrackBehind(table, now);
     bool& believed = believed_confirmed_[static_cast<std::size_t>(table)];
     const auto at = freshness_.ConfirmedAt(table);
     const bool confirmed = freshness_.Confirmed(table, now);
--- a/src/gateway/gateway_process.h
+++ b/src/gateway/gateway_process.h
@@ -19,7 +19,7 @@
 #include "gateway/freshness_sync.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/gateway_state.h"
-#include "gateway/ingress_session.h"
+#include "gateway/ingress_server.h"
 #include "gateway/limit_sync.h"
 #include "gateway/part_sharing.h"
 #include "gateway/peer_exchange.h"
--- a/src/gateway/gateway_process_metrics.cc
+++ b/src/gateway/gateway_process_metrics.cc
@@ -22,6 +22,9 @@
   const auto gauge = [&out](std::string_view name, std::uint64_t value) {
     AppendMetric(out, "gauge", name, value);
   };
+  const auto counter = [&out](std::string_view name, std::uint64_t value) {
+    AppendMetric(out, "counter", name, value);
+  };
   gauge("yuccapick_config_version",
         state_.config == nullptr ? 0 : state_.config->version().value);
   gauge("yuccapick_config_age_ms",
@@ -37,85 +40,64 @@
   gauge("yuccapick_config_arriving_ms",
         arriving == nullptr ? 0 : Milliseconds(now - *arriving->first_byte_at));
   const FreshnessSync::Counters& checks = freshness_sync_->counters();
-  AppendMetric(out, "counter", "yuccapick_table_checks_sent", checks.checks);
-  AppendMetric(out, "counter", "yuccapick_table_checks_failed",
-               checks.failed_checks);
-  AppendMetric(out, "counter", "yuccapick_watches_renewed",
-               checks.renewed_polls);
-  AppendMetric(out, "counter", "yuccapick_tables_from_peers",
-               tables_from_peers_);
-  AppendMetric(out, "counter", "yuccapick_peer_table_fetches_failed",
-               peer_table_fetches_failed_);
-  AppendMetric(out, "counter", "yuccapick_peer_table_bytes_received",
-               peer_table_bytes_received_);
-  AppendMetric(out, "counter", "yuccapick_peer_table_bytes_written",
-               exchange_.table_bytes_written());
-  AppendMetric(out, "counter", "yuccapick_peer_table_requests_refused",
-               exchange_.table_requests_refused());
-  AppendMetric(out, "counter", "yuccapick_peer_datagrams_unsent",
-               exchange_.datagrams_unsent());
-  AppendMetric(out, "counter", "yuccapick_peer_datagrams_unreadable",
-               exchange_.datagrams_unreadable());
+  counter("yuccapick_table_checks_sent", checks.checks);
+  counter("yuccapick_table_checks_failed", checks.failed_checks);
+  counter("yuccapick_watches_renewed", checks.renewed_polls);
+  counter("yuccapick_tables_from_peers", tables_from_peers_);
+  counter("yuccapick_peer_table_fetches_failed", peer_table_fetches_failed_);
+  counter("yuccapick_peer_table_bytes_received", peer_table_bytes_received_);
+  counter("yuccapick_peer_table_bytes_written",
+          exchange_.table_bytes_written());
+  counter("yuccapick_peer_table_requests_refused",
+          exchange_.table_requests_refused());
+  counter("yuccapick_peer_datagrams_unsent", exchange_.datagrams_unsent());
+  counter("yuccapick_peer_datagrams_unreadable",
+          exchange_.datagrams_unreadable());
   gauge("yuccapick_peer_table_bytes_unsent", exchange_.unsent_bytes());
   gauge("yuccapick_peer_table_sessions", exchange_.session_count());
   const StoreClient::Counters& received = store_->counters();
-  AppendMetric(out, "counter", "yuccapick_store_bytes_received",
-               received.body_bytes);
-  AppendMetric(out, "counter", "yuccapick_store_answers_broken_off",
-               received.broken_off);
-  AppendMetric(out, "counter", "yuccapick_store_bytes_wasted",
-               received.wasted_bytes);
+  counter("yuccapick_store_bytes_received", received.body_bytes);
+  counter("yuccapick_store_answers_broken_off", received.broken_off);
+  counter("yuccapick_store_bytes_wasted", received.wasted_bytes);
   const StoreGenerations& generations = store_->generations();
   gauge("yuccapick_store_generation", generations.current().value);
-  AppendMetric(out, "counter", "yuccapick_store_generation_changes",
-               generations.changes());
-  AppendMetric(out, "counter", "yuccapick_store_answers_late",
-               generations.late_answers());
-  AppendMetric(out, "counter", "yuccapick_store_answers_unsound",
-               generations.unsound_answers());
-  AppendMetric(out, "counter", "yuccapick_store_tables_restored",
-               tables_restored_);
+  counter("yuccapick_store_generation_changes", generations.changes());
+  counter("yuccapick_store_answers_late", generations.late_answers());
+  counter("yuccapick_store_answers_unsound", generations.unsound_answers());
+  counter("yuccapick_store_tables_restored", tables_restored_);
   gauge("yuccapick_upstreams_listed", state_.roster.All().size());
   gauge("yuccapick_upstreams_loading", state_.loading.size());
   gauge("yuccapick_peers_live", peers_.LiveCount(now));
   gauge("yuccapick_rollout_lease_held", rollout_->holds() ? 1 : 0);
   gauge("yuccapick_known_prompt_parts", state_.parts.size());
   gauge("yuccapick_part_owners", part_sharing_->owner_count());
-  AppendMetric(out, "counter", "yuccapick_part_queries_sent",
-               state_.part_counters.queries_sent);
-  AppendMetric(out, "counter", "yuccapick_part_queries_answered",
-               state_.part_counters.queries_answered);
-  AppendMetric(out, "counter", "yuccapick_part_updates_sent",
-               state_.part_counters.updates_sent);
+  counter("yuccapick_part_queries_sent", state_.part_counters.queries_sent);
+  counter("yuccapick_part_queries_answered",
+          state_.part_counters.queries_answered);
+  counter("yuccapick_part_updates_sent", state_.part_counters.updates_sent);
   gauge("yuccapick_caller_connections", ingress_server_->session_count());
   gauge("yuccapick_requests_under_way", ingress_server_->busy_count());
-  AppendMetric(out, "counter", "yuccapick_process_pauses", pauses_);
+  counter("yuccapick_process_pauses", pauses_);
   gauge("yuccapick_known_stream_origins", state_.stream_origins.size());
-  AppendMetric(out, "counter", "yuccapick_unknown_stream_origins",
-               state_.unknown_stream_origins);
+  counter("yuccapick_unknown_stream_origins", state_.unknown_stream_origins);
   gauge("yuccapick_limited_upstreams", state_.limits.limited_count());
   gauge("yuccapick_paused_upstreams", state_.pauses.size());
-  AppendMetric(out, "counter", "yuccapick_requests_held_back",
-               state_.requests_held_back);
+  counter("yuccapick_requests_held_back", state_.requests_held_back);
   gauge("yuccapick_blocked_parts",
         state_.quarantine.blocked_count(SuspectKind::kPart));
   gauge("yuccapick_blocked_requests",
         state_.quarantine.blocked_count(SuspectKind::kRequest));
   gauge("yuccapick_suspects", state_.quarantine.suspect_count());
-  AppendMetric(out, "counter", "yuccapick_requests_with_blocked_part",
-               state_.requests_with_blocked_part);
-  AppendMetric(out, "counter", "yuccapick_blocked_requests_refused",
-               state_.blocked_requests_refused);
-  AppendMetric(out, "counter", "yuccapick_suspect_trials",
-               state_.suspect_trials);
-  AppendMetric(out, "counter", "yuccapick_attempts_on_overdue_weights",
-               state_.attempts_on_overdue_weights);
-  AppendMetric(out, "counter", "yuccapick_log_lines_dropped",
-               state_.log.dropped());
-  AppendMetric(out, "counter", "yuccapick_log_bytes",
-               state_.log.written_bytes());
-  AppendMetric(out, "counter", "yuccapick_requests_not_admitted",
-               not_admitted_);
+  counter("yuccapick_requests_with_blocked_part",
+          state_.requests_with_blocked_part);
+  counter("yuccapick_blocked_requests_refused",
+          state_.blocked_requests_refused);
+  counter("yuccapick_suspect_trials", state_.suspect_trials);
+  counter("yuccapick_attempts_on_overdue_weights",
+          state_.attempts_on_overdue_weights);
+  counter("yuccapick_log_lines_dropped", state_.log.dropped());
+  counter("yuccapick_log_bytes", state_.log.written_bytes());
+  counter("yuccapick_requests_not_admitted", not_admitted_);
   return out;
 }
 
--- /dev/null
+++ b/src/gateway/ingress_server.cc
@@ -0,0 +1,109 @@
+#include "gateway/ingress_server.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "gateway/http_connection.h"
+
+namespace yuccapick {
+namespace {
+
+constexpr std::chrono::milliseconds kAcceptRetryDelay{50};
+
+}  // namespace
+
+IngressServer::IngressServer(asio::io_context& loop, IngressHandler& handler,
+                             IngressOptions options)
+    : loop_(loop),
+      handler_(handler),
+      options_(std::move(options)),
+      acceptor_(loop),
+      accept_retry_timer_(loop) {}
+
+absl::Status IngressServer::Open(std::string_view endpoint) {
+  const asio::ip::tcp::endpoint address = ParseEndpoint(endpoint);
+  asio::error_code ec;
+  acceptor_.open(asio::ip::tcp::v4(), ec);
+  if (!ec) {
+    acceptor_.set_option(asio::ip::tcp::acceptor::reuse_address(true), ec);
+  }
+  if (!ec) acceptor_.bind(address, ec);
+  if (!ec) acceptor_.listen(asio::socket_base::max_listen_connections, ec);
+  if (ec) {
+    return absl::UnavailableError(fmt::format(
+        "cannot listen on {}: {}; check the address in the settings", endpoint,
+        ec.message()));
+  }
+  Accept();
+  return absl::OkStatus();
+}
+
+void IngressServer::Accept() {
+  if (sessions_.size() >= options_.max_sessions) return AcceptAfterDelay();
+  acceptor_.async_accept(
+      [this](const asio::error_code& ec, asio::ip::tcp::socket socket) {
+        if (!acceptor_.is_open()) return;
+        // For example, the process has no file descriptors left.
+        if (ec) return AcceptAfterDelay();
+        auto session = std::make_shared<IngressSession>(
+            options_.make_stream(std::move(socket)), handler_);
+        if (announce_close_) session->AnnounceClose();
+        sessions_.push_back(session);
+        session->Start();
+        Accept();
+      });
+}
+
+void IngressServer::AcceptAfterDelay() {
+  accept_retry_timer_.expires_after(kAcceptRetryDelay);
+  accept_retry_timer_.async_wait([this](const asio::error_code& ec) {
+    if (ec || !acceptor_.is_open()) return;
+    DropClosedSessions();
+    Accept();
+  });
+}
+
+void IngressServer::CloseListener() {
+  asio::error_code ignored;  // The acceptor is no longer used either way.
+  acceptor_.close(ignored);
+}
+
+void IngressServer::CheckTimeouts(TimePoint now) {
+  for (const auto& session : sessions_) session->CheckTimeouts(now);
+  DropClosedSessions();
+}
+
+void IngressServer::DropClosedSessions() {
+  std::erase_if(sessions_, [](const auto& s) { return s->closed(); });
+}
+
+void IngressServer::AnnounceClose() {
+  announce_close_ = true;
+  for (const auto& session : sessions_) session->AnnounceClose();
+}
+
+void IngressServer::DrainSessions() {
+  for (const auto& session : sessions_) session->Drain();
+}
+
+void IngressServer::CloseAll() {
+  for (const auto& session : sessions_) session->Abort();
+  sessions_.clear();
+}
+
+std::size_t IngressServer::unsent_bytes() const {
+  std::size_t n = 0;
+  for (const auto& session : sessions_) n += session->unsent_bytes();
+  return n;
+}
+
+std::size_t IngressServer::busy_count() const {
+  return static_cast<std::size_t>(
+      std::count_if(sessions_.begin(), sessions_.end(), [](const auto& s) {
+        return !s->closed() && (s->busy() || s->receiving());
+      }));
+}
+
+}  // namespace yuccapick
--- a/src/gateway/ingress_session.h
+++ b/src/gateway/ingress_session.h
@@ -2,12 +2,10 @@
 #define YUCCAPICK_GATEWAY_INGRESS_SESSION_H_
 
 /// @file
-/// Server side of callers' HTTP/1.1 connections.
+/// One caller's HTTP/1.1 connection.
 
 #include <array>
 #include <asio.hpp>
-#include <functional>
-#include <limits>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -132,46 +130,6 @@
   TimePoint message_started_at_;
 };
 
-struct IngressOptions {
-  CallerStreamFactory make_stream = MakePlainStreamFactory();
-  /// Further connections stay in the listen queue until one is closed.
-  std::size_t max_sessions = std::numeric_limits<std::size_t>::max();
-};
-
-/// Accepts callers' connections and checks their timeouts.
-class IngressServer {
- public:
-  IngressServer(asio::io_context& loop, IngressHandler& handler,
-                IngressOptions options = {});
-
-  /// @param endpoint `IP:PORT`
-  absl::Status Open(std::string_view endpoint);
-  /// Stops accepting connections.
-  void CloseListener();
-  void CheckTimeouts(TimePoint now);
-  void AnnounceClose();
-  void DrainSessions();
-  void CloseAll();
-
-  std::size_t session_count() const { return sessions_.size(); }
-  /// Bytes of answers that are not yet written to the sockets.
-  std::size_t unsent_bytes() const;
-  std::size_t busy_count() const;
-
- private:
-  void Accept();
-  void AcceptAfterDelay();
-  void DropClosedSessions();
-
-  asio::io_context& loop_;
-  IngressHandler& handler_;
-  IngressOptions options_;
-  asio::ip::tcp::acceptor acceptor_;
-  asio::steady_timer accept_retry_timer_;
-  std::vector<std::shared_ptr<IngressSession>> sessions_;
-  bool announce_close_ = false;
-};
-
 }  // namespace yuccapick
 
 #endif  // YUCCAPICK_GATEWAY_INGRESS_SESSION_H_
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -15,7 +15,7 @@
 
 #include "absl/status/status.h"
 #include "gateway/call_client.h"
-#include "gateway/ingress_session.h"
+#include "gateway/ingress_server.h"
 #include "gateway/peer_codec.h"
 #include "yuccapick/peer_report.h"
 
--- a/src/shell/caller_server.cc
+++ b/src/shell/caller_server.cc
@@ -7,7 +7,7 @@
 
 #include "absl/strings/ascii.h"
 #include "gateway/http_status.h"
-#include "gateway/ingress_session.h"
+#include "gateway/ingress_server.h"
 
 namespace yuccapick {
 namespace {
--- a/test/gateway/slow_caller_test.cc
+++ b/test/gateway/slow_caller_test.cc
@@ -3,7 +3,7 @@
 #include <string>
 
 #include "gateway/http_connection.h"
-#include "gateway/ingress_session.h"
+#include "gateway/ingress_server.h"
 #include "test/shell/scripted_server.h"
 #include "test/shell/test_address.h"
 
