--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,7 +4,7 @@
 set -u
 cd "$(dirname "$0")" || exit 2
 export PYTHONPATH=.. PYTHONDONTWRITEBYTECODE=1
-timeout -k 5 100 python3 case.py
+timeout -k 5 112 python3 case.py
 status=$?
 [ "$status" = 0 ] || [ "$status" = 1 ] || exit 2
 exit "$status"
