--- a/review/1/case.py
+++ b/review/1/case.py
@@ -18,11 +18,11 @@
 BEAT_S = 1.2
 # An entry is removed after three check-in intervals of silence.
 EXPIRY_S = 3 * BEAT_S
-CLIENTS_PER_GATEWAY = 8
+CLIENTS_PER_GATEWAY = 12
 PAUSE_S = 0.02
 RUN_S = 96.0
 # The faulty server crashes every so often, and is down for a second.
-CRASH_EVERY_S = 6.0
+CRASH_EVERY_S = 5.0
 DOWN_S = 1.0
 # Share of its answers that it sends a second time, for some time after a start.
 EXTRA_SHARE = 0.03
@@ -103,14 +103,16 @@
         self.server.close()
         for writer in list(self.channels):
             writer.transport.abort()
+        silent_for = time.monotonic() - self.last_beat
         asyncio.get_running_loop().call_later(
-            EXPIRY_S, self.store.remove, "servers", self.ident
+            EXPIRY_S - silent_for, self.store.remove, "servers", self.ident
         )
 
     async def _beat(self):
         sequence = 0
         while True:
             sequence += 1
+            self.last_beat = time.monotonic()
             self.store.put(
                 "servers",
                 self.ident,
--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -4,7 +4,10 @@
 set -u
 cd "$(dirname "$0")" || exit 2
 export PYTHONPATH=.. PYTHONDONTWRITEBYTECODE=1
-timeout -k 5 112 python3 case.py
+timeout -k 5 112 python3 case.py &
+child=$!
+trap 'kill "$child"; wait "$child"; exit 2' INT TERM
+wait "$child"
 status=$?
 [ "$status" = 0 ] || [ "$status" = 1 ] || exit 2
 exit "$status"
--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -177,8 +177,14 @@
             return file.read().splitlines()
 
 
+def _end(_number, _frame):
+    raise SystemExit(2)
+
+
 class Fleet:
     def __init__(self, record, n, store_address, bounds=None):
+        # So that `stop` is reached when the script itself is ended.
+        signal.signal(signal.SIGTERM, _end)
         self.record = record
         self.store_address = store_address
         self.bounds = bounds or {}
