Tell in the log which connection carried an attempt

Cause: when an answer ended an attempt, no log could tell whether it came over the connection of the attempt before, so a late copy of that one's answer looked like an answer of its own.

Change: connections are numbered; attempt_ended names the connection and how many exchanges it has carried.

Excluded: counters alone, since they don't belong to a request.

--- a/src/gateway/http_connection.cc
+++ b/src/gateway/http_connection.cc
@@ -51,10 +51,12 @@
 }
 
 HttpConnection::HttpConnection(asio::io_context& loop, std::string endpoint,
-                               HttpConnectionOptions options)
+                               HttpConnectionOptions options,
+                               std::uint64_t number)
     : loop_(loop),
       endpoint_(std::move(endpoint)),
       options_(options),
+      number_(number),
       socket_(loop),
       connect_timer_(loop),
       reader_(HttpReader::Kind::kResponse, options.max_head_bytes, *this) {}
@@ -271,7 +273,8 @@
     }
   }
   if (connection == nullptr) {
-    connection = std::make_shared<HttpConnection>(loop_, endpoint, options_);
+    connection = std::make_shared<HttpConnection>(loop_, endpoint, options_,
+                                                  ++connections_made_);
   }
   connection->Start(std::move(request), expect_no_body, std::move(handler),
                     [this](std::shared_ptr<HttpConnection> c) {
--- a/src/gateway/http_connection.h
+++ b/src/gateway/http_connection.h
@@ -59,8 +59,9 @@
   /// Called when the connection is idle and can be reused.
   using OnIdle = std::function<void(std::shared_ptr<HttpConnection>)>;
 
+  /// @param number identifies the connection in logs
   HttpConnection(asio::io_context& loop, std::string endpoint,
-                 HttpConnectionOptions options);
+                 HttpConnectionOptions options, std::uint64_t number);
   ~HttpConnection() override;
 
   /// Sends `request`; connects first if needed.
@@ -79,6 +80,9 @@
   /// When the last answer ended, if the connection is idle.
   TimePoint idle_since() const { return idle_since_; }
   bool reused() const { return exchanges_ > 1; }
+  std::uint64_t number() const { return number_; }
+  /// Exchanges started so far.
+  std::uint32_t exchanges() const { return exchanges_; }
 
  private:
   void OnHttpHead(HttpHead head) override;
@@ -100,6 +104,7 @@
   asio::io_context& loop_;
   std::string endpoint_;
   HttpConnectionOptions options_;
+  std::uint64_t number_;
   asio::ip::tcp::socket socket_;
   asio::steady_timer connect_timer_;
   HttpReader reader_;
@@ -148,6 +153,7 @@
 
   asio::io_context& loop_;
   HttpConnectionOptions options_;
+  std::uint64_t connections_made_ = 0;
   std::map<std::string, std::vector<std::shared_ptr<HttpConnection>>> idle_;
 };
 
--- a/src/gateway/proxied_request.cc
+++ b/src/gateway/proxied_request.cc
@@ -257,6 +257,8 @@
       upstream.endpoint, std::move(request),
       admitted_.request.head.method == "HEAD", self);
   if (attempt_) attempt_->connection = connection;
+  connection_number_ = connection->number();
+  connection_exchanges_ = connection->exchanges();
   ArmTimer();
 }
 
@@ -308,13 +310,15 @@
   const TimePoint now = state_.Now();
   state_.log.Write(
       LogKind::kFailure, now,
-      "event=attempt_ended id={} attempt={} upstream={} end={} reason=\"{}\" "
-      "step={} delivered_attempts={} max_attempts={} left_ms={} begun_ms={} "
+      "event=attempt_ended id={} attempt={} upstream={} connection={} "
+      "exchange={} end={} reason=\"{}\" step={} delivered_attempts={} "
+      "max_attempts={} left_ms={} begun_ms={} "
       "suspects={}",
       admitted_.caller.attempt_id, attempts_sent_,
       query_.tried.empty() ? "-" : query_.tried.back().value,
-      AttemptEndName(end), reason, RetryDecisionName(decision),
-      delivered_attempts_, admitted_.route->max_attempts, TimeLeft(now).count(),
+      connection_number_, connection_exchanges_, AttemptEndName(end), reason,
+      RetryDecisionName(decision), delivered_attempts_,
+      admitted_.route->max_attempts, TimeLeft(now).count(),
       answer_began_at_ ? Milliseconds(now - *answer_began_at_) : -1,
       FormatSuspects(suspects_));
   Execute(decision, reason);
--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -211,6 +211,9 @@
   /// Given up for silence, in the order of the attempts.
   std::vector<UpstreamId> silent_upstreams_;
   std::uint32_t attempts_sent_ = 0;
+  // Of the last attempt, for logs.
+  std::uint64_t connection_number_ = 0;
+  std::uint32_t connection_exchanges_ = 0;
   std::uint32_t delivered_attempts_ = 0;
   std::uint32_t expected_cached_tokens_ = 0;
   bool may_have_run_ = false;
