--- a/src/gateway/cache_watch.cc
+++ b/src/gateway/cache_watch.cc
@@ -196,6 +196,14 @@
 void CacheWatch::Apply(Target& target, const CacheEvents& events) {
   const bool restarted = target.incarnation != Incarnation() &&
                          target.incarnation != events.incarnation;
+  const bool same_order = target.incarnation == events.incarnation;
+  if (same_order && events.next < target.since) {
+    state_.log.Write(LogKind::kFailure, state_.Now(),
+                     "event=cache_answer_skipped endpoint={} since={} next={} "
+                     "reason=\"answers an earlier poll\"",
+                     target.endpoint, target.since, events.next);
+    return;
+  }
   target.incarnation = events.incarnation;
   if (target.upstream.empty()) {
     ApplyStoreAnswer(target, restarted);
@@ -203,7 +211,9 @@
     state_.parts.OnEngineLost(target.upstream);
   }
   const TimePoint now = state_.Now();
-  for (const CacheChange& change : events.changes) {
+  for (const auto& [number, change] : events.changes) {
+    const bool seen = same_order && number <= target.since;
+    if (seen) continue;
     if (target.upstream.empty()) {
       state_.parts.OnStoreChange(target.endpoint, change, now);
     } else {
--- a/src/gateway/call_client.cc
+++ b/src/gateway/call_client.cc
@@ -133,12 +133,15 @@
 }  // namespace
 
 CallHandle CallClient::Call(const std::string& endpoint, std::string request,
-                            std::chrono::milliseconds timeout, Done done) {
+                            std::chrono::milliseconds timeout, Done done,
+                            ConnectionUse use) {
   auto call = std::make_shared<PendingCall>(loop_, options_, connections_,
                                             std::move(done));
   call->StartTimer(timeout);
+  ExchangeOptions options;
+  options.own_connection = use == ConnectionUse::kOwn;
   call->set_connection(
-      connections_->Start(endpoint, std::move(request), false, call));
+      connections_->Start(endpoint, std::move(request), options, call));
   return {call->progress(), call};
 }
 
--- a/src/gateway/call_client.h
+++ b/src/gateway/call_client.h
@@ -37,6 +37,14 @@
   }
 };
 
+/// Which connection a call uses.
+enum class ConnectionUse : std::uint8_t {
+  kShared,  ///< An idle one, if there is one, that later calls use again.
+  /// A new one, closed afterwards: nothing in an answer tells whether it
+  /// answers this call or an earlier one.
+  kOwn,
+};
+
 /// Shared by a call and its maker; null if no call was made.
 using CallProgressPtr = std::shared_ptr<const CallProgress>;
 
@@ -101,7 +109,8 @@
   ///   if nothing was sent, ResourceExhausted for an answer without an end,
   ///   DeadlineExceeded or Unknown if the call may have taken effect
   CallHandle Call(const std::string& endpoint, std::string request,
-                  std::chrono::milliseconds timeout, Done done);
+                  std::chrono::milliseconds timeout, Done done,
+                  ConnectionUse use = ConnectionUse::kShared);
   void DropExpired(TimePoint now) { connections_->DropExpired(now); }
 
  private:
--- a/src/gateway/http_connection.cc
+++ b/src/gateway/http_connection.cc
@@ -33,6 +33,13 @@
   return std::chrono::seconds(seconds);
 }
 
+bool Contains(const std::vector<std::weak_ptr<HttpConnection>>& connections,
+              const std::shared_ptr<HttpConnection>& connection) {
+  return std::any_of(
+      connections.begin(), connections.end(),
+      [&connection](const auto& it) { return it.lock() == connection; });
+}
+
 }  // namespace
 
 asio::ip::tcp::endpoint ParseEndpoint(std::string_view text) {
@@ -212,7 +219,8 @@
   const auto handler = std::exchange(handler_, nullptr);
   const OnIdle on_idle = std::exchange(on_idle_, nullptr);
   const bool request_sent = sent_ == request_.size();
-  const bool reusable = keep_alive_ && request_sent && !stray_bytes_;
+  const bool reusable =
+      keep_alive_ && request_sent && !stray_bytes_ && on_idle != nullptr;
   request_.clear();
   if (reusable) {
     idle_since_ = std::chrono::steady_clock::now();
@@ -258,31 +266,41 @@
 }
 
 std::shared_ptr<HttpConnection> HttpConnectionPool::Start(
-    const std::string& endpoint, std::string request, bool expect_no_body,
-    std::shared_ptr<ExchangeHandler> handler) {
-  const TimePoint now = std::chrono::steady_clock::now();
+    const std::string& endpoint, std::string request,
+    const ExchangeOptions& options, std::shared_ptr<ExchangeHandler> handler) {
   std::shared_ptr<HttpConnection> connection;
-  auto& idle = idle_[endpoint];
-  while (!idle.empty() && connection == nullptr) {
-    std::shared_ptr<HttpConnection> newest = std::move(idle.back());
-    idle.pop_back();
-    if (newest->IsReusable(now)) {
-      connection = std::move(newest);
-    } else {
-      newest->Abandon();
-    }
+  HttpConnection::OnIdle on_idle;
+  if (!options.own_connection) {
+    connection = TakeIdle(endpoint, options);
+    on_idle = [this](std::shared_ptr<HttpConnection> c) {
+      ReturnToPool(std::move(c));
+    };
   }
   if (connection == nullptr) {
     connection = std::make_shared<HttpConnection>(loop_, endpoint, options_,
                                                   ++connections_made_);
   }
-  connection->Start(std::move(request), expect_no_body, std::move(handler),
-                    [this](std::shared_ptr<HttpConnection> c) {
-                      ReturnToPool(std::move(c));
-                    });
+  connection->Start(std::move(request), options.expect_no_body,
+                    std::move(handler), std::move(on_idle));
   return connection;
 }
 
+std::shared_ptr<HttpConnection> HttpConnectionPool::TakeIdle(
+    const std::string& endpoint, const ExchangeOptions& options) {
+  const auto it = idle_.find(endpoint);
+  if (it == idle_.end()) return nullptr;
+  const TimePoint now = std::chrono::steady_clock::now();
+  std::vector<std::shared_ptr<HttpConnection>>& idle = it->second;
+  for (std::size_t i = idle.size(); i-- > 0;) {
+    if (Contains(options.excluded, idle[i])) continue;
+    const std::shared_ptr<HttpConnection> taken = std::move(idle[i]);
+    idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
+    if (taken->IsReusable(now)) return taken;
+    taken->Abandon();
+  }
+  return nullptr;
+}
+
 void HttpConnectionPool::ReturnToPool(
     std::shared_ptr<HttpConnection> connection) {
   idle_[connection->endpoint()].push_back(std::move(connection));
--- a/src/gateway/http_connection.h
+++ b/src/gateway/http_connection.h
@@ -66,6 +66,7 @@
 
   /// Sends `request`; connects first if needed.
   /// @param handler kept until the exchange ends or `Abandon` is called
+  /// @param on_idle null if the connection is to be closed after the exchange
   void Start(std::string request, bool expect_no_body,
              std::shared_ptr<ExchangeHandler> handler, OnIdle on_idle);
   /// Closes the connection without any further call to the handler.
@@ -127,6 +128,16 @@
   TimePoint active_at_;
 };
 
+/// Requirements of one exchange.
+struct ExchangeOptions {
+  bool expect_no_body = false;
+  /// Connections that may still carry an answer to an earlier exchange which
+  /// can't be told from the answer to this one.
+  std::vector<std::weak_ptr<HttpConnection>> excluded;
+  /// Use a connection of its own, and close it afterwards.
+  bool own_connection = false;
+};
+
 /// Keeps idle connections by endpoint.
 class HttpConnectionPool {
  public:
@@ -136,8 +147,8 @@
   /// Starts an exchange on an idle connection or a new one.
   /// @return the connection, for `Abandon`
   std::shared_ptr<HttpConnection> Start(
-      const std::string& endpoint, std::string request, bool expect_no_body,
-      std::shared_ptr<ExchangeHandler> handler);
+      const std::string& endpoint, std::string request,
+      const ExchangeOptions& options, std::shared_ptr<ExchangeHandler> handler);
   /// Closes a connection whose server has been silent for too long. Idle ones
   /// to the same endpoint that have not been used since may be as silent, and
   /// are closed, too.
@@ -149,6 +160,9 @@
   std::size_t idle_count() const;
 
  private:
+  /// @return the idle connection that was used last; null if there is none
+  std::shared_ptr<HttpConnection> TakeIdle(const std::string& endpoint,
+                                           const ExchangeOptions& options);
   void ReturnToPool(std::shared_ptr<HttpConnection> connection);
 
   asio::io_context& loop_;
--- a/src/gateway/proxied_request.cc
+++ b/src/gateway/proxied_request.cc
@@ -253,9 +253,12 @@
       !choice.export_to.empty(), head.weights.value_or(0), replaced_for.count(),
       head.time_left.count(), admitted_.config->version().value);
   const auto self = shared_from_this();
+  ExchangeOptions options;
+  options.expect_no_body = admitted_.request.head.method == "HEAD";
+  options.excluded = used_connections_;
   const auto connection = state_.upstream_connections.Start(
-      upstream.endpoint, std::move(request),
-      admitted_.request.head.method == "HEAD", self);
+      upstream.endpoint, std::move(request), options, self);
+  used_connections_.push_back(connection);
   if (attempt_) attempt_->connection = connection;
   connection_number_ = connection->number();
   connection_exchanges_ = connection->exchanges();
--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -208,6 +208,9 @@
   bool survival_recorded_ = false;  ///< Of the last attempt.
   /// The limit that the last answer named, in requests a second.
   std::optional<double> named_limit_;
+  /// Connections that the request was sent on. A late answer to an earlier
+  /// attempt carries the same id as the answer to the next one.
+  std::vector<std::weak_ptr<HttpConnection>> used_connections_;
   /// Given up for silence, in the order of the attempts.
   std::vector<UpstreamId> silent_upstreams_;
   std::uint32_t attempts_sent_ = 0;
--- a/src/gateway/rollout_controller.cc
+++ b/src/gateway/rollout_controller.cc
@@ -282,13 +282,15 @@
   load.holder = state_.settings.instance.value;
   load.fence = held_fence_;
   load.expected_orders = order.expected_orders;
-  calls_.Call(upstream->endpoint, platform::EncodeLoadOrder(*upstream, load),
-              kOrderTimeout,
-              [self = shared_from_this(), order](
-                  const absl::StatusOr<CallAnswer>& answer,
-                  const CallProgress& /*progress*/) {
-                self->OnRolloutOrderResult(order, answer);
-              });
+  calls_.Call(
+      upstream->endpoint, platform::EncodeLoadOrder(*upstream, load),
+      kOrderTimeout,
+      [self = shared_from_this(), order](
+          const absl::StatusOr<CallAnswer>& answer,
+          const CallProgress& /*progress*/) {
+        self->OnRolloutOrderResult(order, answer);
+      },
+      ConnectionUse::kOwn);
 }
 
 void RolloutController::OnRolloutOrderResult(
@@ -310,13 +312,15 @@
   if (upstream == nullptr || IsPaused(*upstream)) {
     return planner_.OnReport(query.upstream, std::nullopt, state_.Now());
   }
-  calls_.Call(upstream->endpoint, platform::EncodeReportRequest(*upstream),
-              kReportTimeout,
-              [self = shared_from_this(), id = upstream->id](
-                  const absl::StatusOr<CallAnswer>& answer,
-                  const CallProgress& /*progress*/) {
-                self->OnReportAnswer(id, answer);
-              });
+  calls_.Call(
+      upstream->endpoint, platform::EncodeReportRequest(*upstream),
+      kReportTimeout,
+      [self = shared_from_this(), id = upstream->id](
+          const absl::StatusOr<CallAnswer>& answer,
+          const CallProgress& /*progress*/) {
+        self->OnReportAnswer(id, answer);
+      },
+      ConnectionUse::kOwn);
 }
 
 void RolloutController::OnReportAnswer(
--- a/src/gateway/upstream_messages.h
+++ b/src/gateway/upstream_messages.h
@@ -86,12 +86,18 @@
   std::optional<Incarnation> incarnation;
 };
 
+/// A change of a cache with its place in the order of all changes.
+struct NumberedChange {
+  std::uint64_t number = 0;
+  CacheChange change;
+};
+
 /// Changes of one cache, in order.
 struct CacheEvents {
   Incarnation incarnation;  ///< Changes when the cache restarts empty.
   std::uint64_t next = 0;   ///< Event number from which to continue.
   bool gap = false;         ///< Earlier events were lost.
-  std::vector<CacheChange> changes;
+  std::vector<NumberedChange> changes;
   std::size_t unreadable = 0;  ///< Changes that were left out.
 };
 
--- a/src/shell/http_transfer.cc
+++ b/src/shell/http_transfer.cc
@@ -95,6 +95,7 @@
   const long max_idle = request_.max_idle.count();
   const bool pooled = request_.repeatable && max_idle > 0;
   curl_easy_setopt(easy_, CURLOPT_FRESH_CONNECT, pooled ? 0L : 1L);
+  curl_easy_setopt(easy_, CURLOPT_FORBID_REUSE, pooled ? 0L : 1L);
   if (pooled) curl_easy_setopt(easy_, CURLOPT_MAXAGE_CONN, max_idle);
   curl_easy_setopt(easy_, CURLOPT_PRIVATE, this);
   curl_easy_setopt(easy_, CURLOPT_PREREQFUNCTION, &OnBeforeRequest);
--- a/src/shell/upstream_exchange.cc
+++ b/src/shell/upstream_exchange.cc
@@ -112,6 +112,9 @@
   if (!request.ok()) return request;
   request->headers.push_back({"x-request-id", attempt.attempt.value});
   request->timeouts.total = std::max(attempt.deadline, kMinDeadline);
+  // A late copy of an earlier answer may come on a connection that was used
+  // before, and few answers tell which request they belong to.
+  request->max_idle = std::chrono::seconds(0);
   if (!attempt.key.empty()) request->timeouts.total += kOperationExtraTimeout;
   return request;
 }
--- a/test/gateway/cache_watch_test.cc
+++ b/test/gateway/cache_watch_test.cc
@@ -154,5 +154,77 @@
   CHECK(fixture.store_state().usable);
 }
 
+/// A KV store that keeps a part and drops it again. Then it writes its first
+/// answer once more.
+struct RepeatingKvStoreFixture {
+  RepeatingKvStoreFixture()
+      : tick(loop),
+        store(loop, [this](ScriptedServer::Connection& c) { OnInput(c); }),
+        state(loop, {}),
+        calls(loop, {}),
+        watch(state, calls) {
+    state.config = ConfigWithKvStore(LoopbackEndpoint(store.port()));
+    Tick();
+  }
+
+  static std::string Answer(int next, const std::string& event) {
+    const std::string body = R"({"bootEpoch":1,"next":)" +
+                             std::to_string(next) +
+                             R"(,"lost":false,"events":[)" + event + "]}";
+    return "HTTP/1.1 200 X\r\nContent-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
+  }
+
+  void OnInput(ScriptedServer::Connection& c) {
+    if (!TakeRequest(c.input)) return;
+    const std::string kept = Answer(1, R"([1,"+","s","aa",800,"m"])");
+    switch (++polls) {
+      case 1:
+        return c.Write(kept);
+      case 2:
+        return c.Write(Answer(2, R"([2,"-","s","aa",0,"m"])"));
+      case 3:
+        return c.Write(kept);
+      default:
+        return;
+    }
+  }
+
+  void Tick() {
+    watch.OnTick(state.Now());
+    tick.expires_after(kTick);
+    tick.async_wait([this](asio::error_code ec) {
+      if (!ec) Tick();
+    });
+  }
+
+  bool RunUntilPolls(int n) {
+    return RunUntil(loop, [this, n] { return polls == n; });
+  }
+
+  std::uint32_t TokensInStore() {
+    const PartChain chain{{PartHash("s", "aa"), 800}};
+    return state.parts.TokensInStore(chain, LoopbackEndpoint(store.port()),
+                                     state.Now());
+  }
+
+  asio::io_context loop;
+  asio::steady_timer tick;
+  int polls = 0;
+  ScriptedServer store;
+  GatewayState state;
+  CallClient calls;
+  CacheWatch watch;
+};
+
+/// Guards against a late copy of an earlier answer that is taken for news.
+TEST_CASE("Cache events that were seen before are not applied again") {
+  RepeatingKvStoreFixture fixture;
+  REQUIRE(fixture.RunUntilPolls(2));
+  CHECK(fixture.TokensInStore() == 800);
+  REQUIRE(fixture.RunUntilPolls(4));
+  CHECK(fixture.TokensInStore() == 0);
+}
+
 }  // namespace
 }  // namespace yuccapick
--- a/test/gateway/call_client_test.cc
+++ b/test/gateway/call_client_test.cc
@@ -98,6 +98,54 @@
         std::string::npos);
 }
 
+/// A server that answers its n-th request with the number n, and writes the
+/// answer to the request before once more first.
+struct RepeatingServer {
+  RepeatingServer()
+      : server(loop,
+               [this](ScriptedServer::Connection& c) {
+                 if (!TakeRequest(c.input)) return;
+                 ++requests;
+                 if (c.closed_by_peer) return;
+                 if (&c == last) c.Write(Answer(requests - 1));
+                 last = &c;
+                 c.Write(Answer(requests));
+               }),
+        calls(loop, {}) {}
+
+  static std::string Answer(int n) {
+    return "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + std::to_string(n);
+  }
+
+  std::string Call(ConnectionUse use) {
+    std::optional<std::string> body;
+    calls.Call(
+        LoopbackEndpoint(server.port()), "GET / HTTP/1.1\r\nHost: x\r\n\r\n",
+        kTimeout,
+        [&body](const absl::StatusOr<CallAnswer>& answer, const CallProgress&) {
+          body = answer.ok() ? answer->body : "";
+        },
+        use);
+    REQUIRE(RunUntil(loop, [&body] { return body.has_value(); }));
+    return *body;
+  }
+
+  asio::io_context loop;
+  int requests = 0;
+  const ScriptedServer::Connection* last = nullptr;
+  ScriptedServer server;
+  CallClient calls;
+};
+
+/// Guards against orders and reports that get the answer to an earlier one.
+TEST_CASE("A call on its own connection never gets an earlier call's answer") {
+  RepeatingServer repeating;
+  CHECK(repeating.Call(ConnectionUse::kOwn) == "1");
+  CHECK(repeating.Call(ConnectionUse::kOwn) == "2");
+  CHECK(repeating.Call(ConnectionUse::kOwn) == "3");
+  CHECK(repeating.server.connections.size() == 3);
+}
+
 TEST_CASE("A cancelled call closes its connection and isn't answered") {
   EndlessAnswer endless("x");
   const CallHandle call = endless.Call();
--- a/test/gateway/gateway_fixture.cc
+++ b/test/gateway/gateway_fixture.cc
@@ -81,6 +81,12 @@
   store.Put("servers", upstream.id(), entry.dump());
 }
 
+void GatewayFixture::RegisterAs(const std::string& id,
+                                const FakeUpstream& upstream,
+                                const std::string& service) {
+  store.Put("servers", id, UpstreamRow(upstream, service).dump());
+}
+
 void GatewayFixture::RegisterRun(const FakeUpstream& upstream,
                                  const std::string& service, int born) {
   Json entry = UpstreamRow(upstream, service);
--- a/test/gateway/gateway_fixture.h
+++ b/test/gateway/gateway_fixture.h
@@ -57,6 +57,10 @@
   /// Puts an upstream's row into the store.
   void Register(const FakeUpstream& upstream, const std::string& service,
                 const std::string& state = "ready");
+  /// Puts a row with another id and the upstream's address, as a restart under
+  /// a new id leaves it.
+  void RegisterAs(const std::string& id, const FakeUpstream& upstream,
+                  const std::string& service);
   /// Puts the row of an incarnation of an upstream.
   /// @param born start of the incarnation
   void RegisterRun(const FakeUpstream& upstream, const std::string& service,
--- a/test/gateway/repeated_refusal_test.cc
+++ b/test/gateway/repeated_refusal_test.cc
@@ -12,6 +12,10 @@
  {"name":"book","host":"crew.example","prefix":"/book/",
   "kind":"non_idempotent","timeoutMs":3000,"targetLatencyMs":300,
   "service":"app","maxAttempts":1}])";
+constexpr char kTwoAttemptRoutes[] = R"([
+ {"name":"book","host":"crew.example","prefix":"/book/",
+  "kind":"non_idempotent","timeoutMs":3000,"targetLatencyMs":300,
+  "service":"app","maxAttempts":2}])";
 constexpr char kRefusalFields[] =
     "X-Not-Executed: full\r\nContent-Length: 0\r\n";
 
@@ -68,6 +72,52 @@
   }
 }
 
+/// An address at which two upstreams are listed, as after a restart under a new
+/// id. Its first request is refused. If the next one comes over the same
+/// connection, the refusal is written once more before its answer.
+struct RestartedUpstream {
+  explicit RestartedUpstream(const std::string& refused_status)
+      : status(refused_status),
+        upstream(fixture.loop, "up-1",
+                 [this](Connection& c, const ReceivedRequest& r) {
+                   OnRequest(c, r);
+                 }) {
+    fixture.PutConfig(1, kTwoAttemptRoutes);
+    fixture.Register(upstream, "app");
+    fixture.RegisterAs("up-2", upstream, "app");
+    fixture.Start();
+  }
+
+  void OnRequest(Connection& c, const ReceivedRequest& r) {
+    const std::string refusal =
+        Refusal(status, IdField(r.Field("X-Attempt-Id")));
+    if (refused_on == nullptr) {
+      refused_on = &c;
+      return c.Write(refusal);
+    }
+    if (&c == refused_on) c.Write(refusal);
+    ++runs;
+    upstream.Answer(c, r, 200, "booked");
+  }
+
+  GatewayFixture fixture;
+  std::string status;
+  int runs = 0;
+  const Connection* refused_on = nullptr;
+  FakeUpstream upstream;
+};
+
+/// Guards against a second run after a late copy of the first attempt's answer.
+TEST_CASE("A late copy of a refusal doesn't end the next attempt") {
+  const std::string status = GENERATE("421", "503", "429");
+  CAPTURE(status);
+  RestartedUpstream restarted(status);
+  const std::string answer =
+      restarted.fixture.Ask(CallerRequest("POST", "/book/1", "", "o"));
+  CHECK(answer.starts_with("HTTP/1.1 200"));
+  CHECK(restarted.runs == 1);
+}
+
 TEST_CASE("A refusal on a new connection is believed without an id") {
   GatewayFixture fixture;
   FakeUpstream upstream(fixture.loop, "up-1",
--- a/test/platform/messages_test.cc
+++ b/test/platform/messages_test.cc
@@ -191,9 +191,9 @@
   REQUIRE(events.ok());
   CHECK(events->next == 120);
   CHECK(events->gap);
-  CHECK(events->changes[0].part_hash == PartHash("s1", "5c1e"));
-  CHECK(events->changes[0].held);
-  CHECK_FALSE(events->changes[1].held);
+  CHECK(events->changes[0].change.part_hash == PartHash("s1", "5c1e"));
+  CHECK(events->changes[0].change.held);
+  CHECK_FALSE(events->changes[1].change.held);
   const auto report = platform::DecodeReport(
       R"({"busy":true,"sequence":2,"models":[{"name":"m","version":4}]})");
   REQUIRE(report.ok());
--- a/test/platform/odd_entries_test.cc
+++ b/test/platform/odd_entries_test.cc
@@ -179,7 +179,7 @@
         number + R"(,"m"],[2],7,[2,"+","s","2f",800,"m"]]})");
     REQUIRE(events.ok());
     REQUIRE(events->changes.size() == 1);
-    CHECK(events->changes[0].tokens == 800);
+    CHECK(events->changes[0].change.tokens == 800);
     CHECK(events->next == 3);
   }
 }
--- a/test/shell/http_client_test.cc
+++ b/test/shell/http_client_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <optional>
 
+#include "shell/upstream_exchange.h"
 #include "test/shell/scripted_server.h"
 
 namespace yuccapick {
@@ -111,6 +112,29 @@
   CHECK(server.connections.size() == 1);
 }
 
+/// Guards against a late copy of an answer that is taken for the next one.
+TEST_CASE("Requests to an upstream each have a connection of their own") {
+  asio::io_context loop;
+  ScriptedServer server(loop, [&](ScriptedServer::Connection& c) {
+    if (!HasCompleteHeaders(c)) return;
+    c.input.clear();
+    c.Write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  });
+  HttpClient client(loop);
+  AttemptRequest attempt;
+  attempt.kind = RequestKind::kPlain;
+  attempt.method = "GET";
+  attempt.target = "/";
+  for (std::size_t n = 1; n <= 2; ++n) {
+    attempt.attempt = AttemptId("attempt-" + std::to_string(n));
+    attempt.deadline = std::chrono::seconds(5);
+    const auto request = MakeUpstreamRequest(attempt, server.url(""));
+    REQUIRE(request.ok());
+    CHECK(FetchOnce(loop, client, *request).result.status.ok());
+    CHECK(server.connections.size() == n);
+  }
+}
+
 TEST_CASE("Cancel closes the connection and runs no further callback") {
   asio::io_context loop;
   ScriptedServer server(loop, [](ScriptedServer::Connection& c) {
