--- a/include/yuccapick/gateway_config.h
+++ b/include/yuccapick/gateway_config.h
@@ -82,6 +82,12 @@
   bool isolated = false;  ///< Shares no cached prefix with other teams.
 };
 
+/// Who may send requests to routes that aren't anonymous.
+enum class AccessControl : std::uint8_t {
+  kNone,     ///< Every caller.
+  kApiKeys,  ///< Callers with a key of a team; nobody if no team has a key.
+};
+
 /// Size and time limits of callers' requests.
 struct CallerLimits {
   std::size_t max_header_bytes = 16'384;
@@ -95,13 +101,13 @@
  public:
   GatewayConfig() = default;
   GatewayConfig(ConfigVersion version, std::vector<GatewayRoute> routes,
-                std::vector<GatewayService> services,
+                std::vector<GatewayService> services, AccessControl access,
                 std::vector<GatewayTeam> teams, CallerLimits limits);
 
   ConfigVersion version() const { return version_; }
   const CallerLimits& limits() const { return limits_; }
   const std::vector<GatewayService>& services() const { return services_; }
-  bool has_teams() const { return !teams_.empty(); }
+  AccessControl access() const { return access_; }
 
   /// @return the route of `host` whose prefix is the longest one that matches
   /// `path`, or null
@@ -130,6 +136,7 @@
   ConfigVersion version_;
   std::vector<GatewayRoute> routes_;
   std::vector<GatewayService> services_;
+  AccessControl access_ = AccessControl::kApiKeys;
   std::vector<GatewayTeam> teams_;
   CallerLimits limits_;
   /// Indexes into `routes_` by host, longest prefix first.
--- a/src/gateway_admission.cc
+++ b/src/gateway_admission.cc
@@ -13,7 +13,8 @@
                      : AdmissionRefusal::kNoConfig;
   }
   if (!query.key.empty()) admitted.team = config->FindTeam(query.key);
-  const bool needs_key = config->has_teams() && !admitted.route->anonymous;
+  const bool needs_key =
+      config->access() == AccessControl::kApiKeys && !admitted.route->anonymous;
   if (needs_key && admitted.team == nullptr) {
     return confirmed ? AdmissionRefusal::kUnknownKey
                      : AdmissionRefusal::kNoConfig;
--- a/src/gateway_config.cc
+++ b/src/gateway_config.cc
@@ -27,11 +27,13 @@
 GatewayConfig::GatewayConfig(ConfigVersion version,
                              std::vector<GatewayRoute> routes,
                              std::vector<GatewayService> services,
+                             AccessControl access,
                              std::vector<GatewayTeam> teams,
                              CallerLimits limits)
     : version_(version),
       routes_(std::move(routes)),
       services_(std::move(services)),
+      access_(access),
       teams_(std::move(teams)),
       limits_(limits) {
   for (std::size_t i = 0; i < routes_.size(); ++i) {
--- a/test/gateway/cache_watch_test.cc
+++ b/test/gateway/cache_watch_test.cc
@@ -26,8 +26,8 @@
   store.kv_store_watchers = 12;
   return std::make_shared<const GatewayConfig>(
       ConfigVersion(1), std::vector<GatewayRoute>(),
-      std::vector<GatewayService>{store}, std::vector<GatewayTeam>(),
-      CallerLimits());
+      std::vector<GatewayService>{store}, AccessControl::kNone,
+      std::vector<GatewayTeam>(), CallerLimits());
 }
 
 /// A gateway's state with a KV store that refuses connections.
--- a/test/gateway/kv_store_choice_test.cc
+++ b/test/gateway/kv_store_choice_test.cc
@@ -33,7 +33,7 @@
     for (const std::string& it : endpoints) services.push_back(KvStore(it));
     state.config = std::make_shared<const GatewayConfig>(
         ConfigVersion(1), std::vector<GatewayRoute>(), services,
-        std::vector<GatewayTeam>(), CallerLimits());
+        AccessControl::kNone, std::vector<GatewayTeam>(), CallerLimits());
     state.ListKvStores();
   }
 
--- a/test/gateway_config_test.cc
+++ b/test/gateway_config_test.cc
@@ -29,7 +29,8 @@
   open.anonymous = true;
   return GatewayConfig(
       ConfigVersion(3), {Route("all", "/a/"), Route("inner", "/a/b/"), open},
-      {}, {Team("moor", "key-moor", false), Team("fen", "key-fen", true)}, {});
+      {}, AccessControl::kApiKeys,
+      {Team("moor", "key-moor", false), Team("fen", "key-fen", true)}, {});
 }
 
 AdmissionRefusal RefusalOf(const GatewayConfig* config, bool confirmed,
@@ -66,6 +67,27 @@
         AdmissionRefusal::kUnknownKey);
 }
 
+/// Guards against a configuration whose last team is gone that admits everyone.
+TEST_CASE("Without any team left nobody is admitted but to anonymous routes") {
+  GatewayRoute open = Route("open", "/open/");
+  open.anonymous = true;
+  const GatewayConfig config(ConfigVersion(5), {Route("all", "/a/"), open}, {},
+                             AccessControl::kApiKeys, {}, {});
+  for (const char* key : {"", "key-moor", "no-key"}) {
+    CHECK(RefusalOf(&config, true, {"crew.example", "/a/x", key}) ==
+          AdmissionRefusal::kUnknownKey);
+    CHECK(std::holds_alternative<AdmittedRoute>(
+        AdmitToRoute(&config, true, {"crew.example", "/open/x", key})));
+  }
+}
+
+TEST_CASE("Without access control every caller is admitted") {
+  const GatewayConfig config(ConfigVersion(5), {Route("all", "/a/")}, {},
+                             AccessControl::kNone, {}, {});
+  CHECK(std::holds_alternative<AdmittedRoute>(
+      AdmitToRoute(&config, true, {"crew.example", "/a/x", ""})));
+}
+
 TEST_CASE(
     "Without a confirmed configuration requests are refused for that reason") {
   const GatewayConfig config = Example();
@@ -92,7 +114,7 @@
     "entries") {
   const GatewayConfig before = Example();
   const GatewayConfig after(
-      ConfigVersion(4), {}, {},
+      ConfigVersion(4), {}, {}, AccessControl::kApiKeys,
       {Team("moor", "key-moor", true), Team("fen", "key-fen", true),
        Team("dale", "key-dale", false)},
       {});
