--- a/include/yuccapick/gateway_config.h
+++ b/include/yuccapick/gateway_config.h
@@ -43,7 +43,6 @@
   std::uint32_t max_attempts = 1;  ///< Upstreams tried for one request.
   std::int32_t priority = 0;       ///< 0 is the most urgent.
   bool anonymous = false;          ///< Requires no API key.
-  bool uses_prefix_cache = false;
   bool resumable = false;
 
   /// True if a request of this route may be sent again although an earlier
--- a/src/gateway/proxied_request.cc
+++ b/src/gateway/proxied_request.cc
@@ -163,9 +163,9 @@
   head.time_left = TimeLeft(state_.Now());
   if (admitted_.team != nullptr) head.team = admitted_.team->id;
   head.last_event_id = splitter_.last_id();
-  if (admitted_.route->kind != RouteKind::kStreaming) return head;
-  head.urgency = Urgency();
   head.weights = WeightsAt(upstream);
+  const bool is_stream = admitted_.route->kind == RouteKind::kStreaming;
+  if (head.weights || is_stream) head.urgency = Urgency();
   head.cache_scope = choice.cache_scope;
   head.import_from = choice.import_from;
   head.export_to = choice.export_to;
--- a/src/gateway/proxied_request_answers.cc
+++ b/src/gateway/proxied_request_answers.cc
@@ -266,6 +266,7 @@
     return OnEnd(AttemptEnd::kBroken, "resumed stream got another answer");
   }
   state_.health.OnSuccess(upstream, now);
+  if (!attempt_->has_first_event) RecordCachedParts(now);
   // Without a length or chunks, a crash may look like the end of the answer.
   if (attempt_->head->has_body) RecordSurvival(now);
   DeliverAnswer();
--- a/src/gateway/proxied_request_fleet.cc
+++ b/src/gateway/proxied_request_fleet.cc
@@ -12,6 +12,9 @@
 /// request now.
 constexpr milliseconds kMinRetryAfter{150};
 
+/// In cache scopes; versions of weights begin at 1.
+constexpr WeightVersionNumber kUnknownWeights = 0;
+
 }  // namespace
 
 std::optional<WeightVersionNumber> ProxiedRequest::WeightsAt(
@@ -58,9 +61,13 @@
   candidate.limited = state_.limits.LimitOf(upstream.id).has_value();
   candidate.held_back = WaitFor(upstream) > milliseconds(0);
   const std::optional<WeightVersionNumber> weights = WeightsAt(upstream);
+  // A prompt is kept apart from other teams' even where its weights are
+  // unknown.
+  if (weights || !query_.parts.empty()) {
+    candidate.cache_scope = admitted_.config->CacheScopeOf(
+        admitted_.team, weights.value_or(kUnknownWeights));
+  }
   if (!weights) return candidate;
-  candidate.cache_scope =
-      admitted_.config->CacheScopeOf(admitted_.team, *weights);
   candidate.old_weights =
       *weights < state_.target_weights.Newest(admitted_.caller.model);
   return candidate;
--- a/src/gateway/proxied_request_parts.cc
+++ b/src/gateway/proxied_request_parts.cc
@@ -19,7 +19,6 @@
 
 std::vector<PartChain> ProxiedRequest::ChainsToFind() const {
   if (state_.watches_all_caches) return {};
-  if (admitted_.route->kind != RouteKind::kStreaming) return {};
   std::uint32_t tokens = 0;
   for (const PartKey& key : SharedChain("", query_.parts)) tokens += key.tokens;
   if (tokens < kMinTokensToFind) return {};
--- a/src/gateway/proxied_request_timing.cc
+++ b/src/gateway/proxied_request_timing.cc
@@ -55,9 +55,11 @@
 }
 
 bool ProxiedRequest::WaitsToBegin() const {
-  // Only of a stream is it known when the upstream begins.
-  return attempt_ && !attempt_->has_first_event &&
-         admitted_.route->kind == RouteKind::kStreaming;
+  if (!attempt_ || attempt_->has_first_event) return false;
+  if (admitted_.route->kind == RouteKind::kStreaming) return true;
+  // Other answers show nothing until they are complete. Giving one up that has
+  // begun costs only time if the request may be repeated.
+  return admitted_.route->IsSafeToRetry() && !attempt_->head;
 }
 
 std::optional<TimePoint> ProxiedRequest::WeightsExpireAt() const {
--- a/test/gateway/expiring_weights_test.cc
+++ b/test/gateway/expiring_weights_test.cc
@@ -22,28 +22,60 @@
                      resumable);
 }
 
+constexpr char kPlainRoute[] = R"([
+ {"name":"sum","host":"crew.example","prefix":"/sum/","kind":"idempotent",
+  "timeoutMs":4000,"targetLatencyMs":3000,"service":"engines",
+  "maxAttempts":2}])";
+
+/// A gateway whose only engine answers nothing.
+struct SilentEngine {
+  explicit SilentEngine(const std::string& routes)
+      : silent(fixture.loop, "silent",
+               [](Connection&, const ReceivedRequest&) {}) {
+    fixture.settings.bounds.stale_weights_limit = kStaleWeightsLimit;
+    fixture.store.RunClock();
+    fixture.PutConfig(1, routes);
+    fixture.RegisterEngine(silent, 1);
+    fixture.Start();
+    REQUIRE(fixture.AwaitListed(1));
+  }
+
+  /// Sends a prompt, and sets newer weights while it waits at the engine.
+  /// @return the caller's input once the engine's weights are too old
+  std::string SendAndLetWeightsExpire(const std::string& path) {
+    FakeCaller caller(fixture.loop, fixture.settings.caller_endpoint);
+    caller.Send(
+        CallerRequest("POST", path, "X-Model: m\r\nX-Token-Count: 10,10\r\n"));
+    REQUIRE(
+        fixture.RunUntilTrue([&] { return silent.received().size() == 1; }));
+    fixture.Run(milliseconds(100));
+    fixture.PutTargetWeights(2);
+    fixture.Run(kStaleWeightsLimit);
+    return caller.input();
+  }
+
+  bool GivenUp() { return silent.server().connections.front()->closed_by_peer; }
+
+  GatewayFixture fixture;
+  FakeUpstream silent;
+};
+
 TEST_CASE("A request ends before weights expire that were current when sent") {
   const bool resumable = GENERATE(false, true);
   INFO("resumable " << resumable);
-  GatewayFixture fixture;
-  FakeUpstream silent(fixture.loop, "silent",
-                      [](Connection&, const ReceivedRequest&) {});
-  fixture.settings.bounds.stale_weights_limit = kStaleWeightsLimit;
-  fixture.store.RunClock();
-  fixture.PutConfig(1, Routes(resumable));
-  fixture.RegisterEngine(silent, 1);
-  fixture.Start();
-  REQUIRE(fixture.AwaitListed(1));
-  FakeCaller caller(fixture.loop, fixture.settings.caller_endpoint);
-  caller.Send(CallerRequest("POST", "/tell/",
-                            "X-Model: m\r\nX-Token-Count: 10,10\r\n"));
-  REQUIRE(fixture.RunUntilTrue([&] { return silent.received().size() == 1; }));
-  fixture.Run(milliseconds(100));
-  fixture.PutTargetWeights(2);
-  fixture.Run(kStaleWeightsLimit);
+  SilentEngine engine(Routes(resumable));
+  const std::string input = engine.SendAndLetWeightsExpire("/tell/");
   // An answer that begins from now on has weights that are too old.
-  CHECK(silent.server().connections.front()->closed_by_peer);
-  CHECK(caller.input().starts_with("HTTP/1.1 502"));
+  CHECK(engine.GivenUp());
+  CHECK(input.starts_with("HTTP/1.1 502"));
+}
+
+/// Guards against prompts outside of streams that begin on expired weights.
+TEST_CASE("A prompt that may be repeated isn't left to begin on old weights") {
+  SilentEngine engine(kPlainRoute);
+  const std::string input = engine.SendAndLetWeightsExpire("/sum/");
+  CHECK(engine.GivenUp());
+  CHECK(input.starts_with("HTTP/1.1 502"));
 }
 
 }  // namespace
--- a/test/gateway/part_sharing_test.cc
+++ b/test/gateway/part_sharing_test.cc
@@ -17,7 +17,10 @@
 constexpr char kRoutes[] = R"([
  {"name":"tell","host":"crew.example","prefix":"/tell/","kind":"streaming",
   "timeoutMs":3000,"targetLatencyMs":300,"gapTargetMs":300,
-  "service":"engines","maxAttempts":2,"resumable":true}])";
+  "service":"engines","maxAttempts":2,"resumable":true},
+ {"name":"sum","host":"crew.example","prefix":"/sum/","kind":"idempotent",
+  "timeoutMs":3000,"targetLatencyMs":300,"service":"engines",
+  "maxAttempts":2}])";
 constexpr char kOneEvent[] = "id: 1\ndata: x\n\n";
 constexpr int kDocuments = 12;
 
@@ -32,15 +35,20 @@
   FakeUpstream fake;
 };
 
-std::string Stream(int document, const std::string& id) {
+std::string Prompt(const std::string& path, int document,
+                   const std::string& id) {
   return CallerRequest(
-      "POST", "/tell/",
+      "POST", path,
       fmt::format("X-Model: m\r\nX-Token-Count: 7000,10\r\n"
                   "X-Prompt-Prefix: a1:2500,b{:x}:3800,c{}:700\r\n",
                   document, id),
       "", id);
 }
 
+std::string Stream(int document, const std::string& id) {
+  return Prompt("/tell/", document, id);
+}
+
 /// Two gateways of which neither is allowed to watch the engines' caches.
 struct TwoGateways {
   TwoGateways() : first(fixture.loop, "first"), second(fixture.loop, "second") {
@@ -62,17 +70,19 @@
 };
 
 TEST_CASE("A gateway sends a prompt to the engine that another one has used") {
+  const std::string path = GENERATE("/tell/", "/sum/");
+  CAPTURE(path);
   TwoGateways gateways;
   GatewayFixture& fixture = gateways.fixture;
   for (int i = 0; i < kDocuments; ++i) {
-    fixture.Ask(Stream(i, fmt::format("1{:x}", i)));
+    fixture.Ask(Prompt(path, i, fmt::format("1{:x}", i)));
   }
   // Updates are collected for some milliseconds.
   fixture.Run(milliseconds(100));
   fixture.RegisterEngine(gateways.second.fake, 1);
   REQUIRE(fixture.AwaitListed(2));
   for (int i = 0; i < kDocuments; ++i) {
-    CHECK(fixture.AskPeer(Stream(i, fmt::format("2{:x}", i)))
+    CHECK(fixture.AskPeer(Prompt(path, i, fmt::format("2{:x}", i)))
               .starts_with("HTTP/1.1 200"));
   }
   CHECK(gateways.second.fake.received().empty());
