Bind each exchange to its attempt, and report failed writes later

Here: events of a run that was given up in the stream of a later one, work that goes on after its caller got 504 or has left.

Cause: ProxiedRequest::Send ran nested. A write that failed at once on a reused connection called the handler before HttpConnection::Start had returned; the next attempt was sent, and then the outer call stored the dead connection as that of the new attempt. From then on nothing could close the real one.

Excluded: moving the assignment alone, which leaves an exchange that was given up able to reach its request. TWICE and REFUSED don't follow from this cause: a request that may run once is not sent again while an attempt lives; late copies of answers explain them. That these were the causes in the users' runs is only suspected, since those left no logs.

Change: a failed write is reported from the loop. An Exchange binds connection and handler; an attempt owns it, and whatever ends the attempt abandons it. Calls use it, too. The pool moves to a file of its own.

Tests on the code before: "A run that was given up after a failed write adds no events" failed (the late event reached the caller, the connection stayed open), so did "An attempt after a failed write ends with its request's time", "... ends when its caller leaves" and "A call whose write fails at once ends after it was made". The tests of Exchange itself can't be built there.

--- a/src/gateway/call_client.cc
+++ b/src/gateway/call_client.cc
@@ -33,9 +33,7 @@
     ArmTimer();
   }
 
-  void set_connection(std::shared_ptr<HttpConnection> connection) {
-    if (done_ != nullptr) connection_ = std::move(connection);
-  }
+  void set_exchange(Exchange exchange) { exchange_ = std::move(exchange); }
 
   CallProgressPtr progress() const { return progress_; }
 
@@ -101,7 +99,7 @@
   }
 
   void GiveUp(absl::Status reason) {
-    if (connection_ != nullptr) connections_->GiveUp(connection_);
+    connections_->GiveUp(exchange_);
     End(std::move(reason));
   }
 
@@ -115,7 +113,6 @@
   void End(absl::StatusOr<CallAnswer> result) {
     timer_.cancel();
     progress_->ended = true;
-    connection_ = nullptr;
     const CallClient::Done done = std::exchange(done_, nullptr);
     if (done != nullptr) done(std::move(result), *progress_);
   }
@@ -125,7 +122,7 @@
   TimePoint begins_until_;
   std::shared_ptr<HttpConnectionPool> connections_;
   CallClient::Done done_;
-  std::shared_ptr<HttpConnection> connection_;
+  Exchange exchange_;
   std::shared_ptr<CallProgress> progress_ = std::make_shared<CallProgress>();
   CallAnswer answer_;
 };
@@ -140,7 +137,7 @@
   call->StartTimer(timeout);
   ExchangeOptions options;
   options.own_connection = use == ConnectionUse::kOwn;
-  call->set_connection(
+  call->set_exchange(
       connections_->Start(endpoint, std::move(request), options, call));
   return {call->progress(), call};
 }
--- a/src/gateway/call_client.h
+++ b/src/gateway/call_client.h
@@ -14,7 +14,7 @@
 #include <vector>
 
 #include "absl/status/statusor.h"
-#include "gateway/http_connection.h"
+#include "gateway/http_connection_pool.h"
 
 namespace yuccapick {
 
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -15,7 +15,7 @@
 
 #include "absl/random/random.h"
 #include "gateway/gateway_settings.h"
-#include "gateway/http_connection.h"
+#include "gateway/http_connection_pool.h"
 #include "gateway/kv_store_state.h"
 #include "gateway/log_sink.h"
 #include "gateway/store_times.h"
--- a/src/gateway/http_connection.cc
+++ b/src/gateway/http_connection.cc
@@ -33,13 +33,6 @@
   return std::chrono::seconds(seconds);
 }
 
-bool Contains(const std::vector<std::weak_ptr<HttpConnection>>& connections,
-              const std::shared_ptr<HttpConnection>& connection) {
-  return std::any_of(
-      connections.begin(), connections.end(),
-      [&connection](const auto& it) { return it.lock() == connection; });
-}
-
 }  // namespace
 
 asio::ip::tcp::endpoint ParseEndpoint(std::string_view text) {
@@ -115,19 +108,21 @@
 
 void HttpConnection::SendRemaining() {
   asio::error_code ec;
-  while (sent_ < request_.size()) {
-    const std::size_t n = socket_.write_some(
+  while (sent_ < request_.size() && !ec) {
+    sent_ += socket_.write_some(
         asio::buffer(request_.data() + sent_, request_.size() - sent_), ec);
-    sent_ += n;
-    if (!ec) continue;
-    if (ec != asio::error::would_block) return Fail(ec.message());
-    auto self = shared_from_this();
-    return socket_.async_wait(asio::ip::tcp::socket::wait_write,
-                              [self](const asio::error_code& wait_ec) {
-                                if (self->closed_ || wait_ec) return;
-                                self->SendRemaining();
-                              });
   }
+  if (!ec) return;
+  const auto self = shared_from_this();
+  if (ec != asio::error::would_block) {
+    // `Start` must return before its handler is called.
+    return asio::post(loop_, [self, ec] { self->Fail(ec.message()); });
+  }
+  socket_.async_wait(asio::ip::tcp::socket::wait_write,
+                     [self](const asio::error_code& wait_ec) {
+                       if (self->closed_ || wait_ec) return;
+                       self->SendRemaining();
+                     });
 }
 
 void HttpConnection::Read() {
@@ -189,7 +184,9 @@
     skipping_ = true;
     return;
   }
-  switch (handler_->OnAnswerHead(head)) {
+  // The handler may abandon the exchange.
+  const auto handler = handler_;
+  switch (handler->OnAnswerHead(head)) {
     case HeadDecision::kAccept:
       break;
     case HeadDecision::kSkip:
@@ -209,7 +206,8 @@
 
 void HttpConnection::OnHttpBody(std::string_view bytes) {
   if (skipping_ || rejected_ || handler_ == nullptr) return;
-  handler_->OnAnswerBody(bytes);
+  const auto handler = handler_;
+  handler->OnAnswerBody(bytes);
 }
 
 void HttpConnection::OnHttpEnd() {}
@@ -265,82 +263,4 @@
   return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-std::shared_ptr<HttpConnection> HttpConnectionPool::Start(
-    const std::string& endpoint, std::string request,
-    const ExchangeOptions& options, std::shared_ptr<ExchangeHandler> handler) {
-  std::shared_ptr<HttpConnection> connection;
-  HttpConnection::OnIdle on_idle;
-  if (!options.own_connection) {
-    connection = TakeIdle(endpoint, options);
-    on_idle = [this](std::shared_ptr<HttpConnection> c) {
-      ReturnToPool(std::move(c));
-    };
-  }
-  if (connection == nullptr) {
-    connection = std::make_shared<HttpConnection>(loop_, endpoint, options_,
-                                                  ++connections_made_);
-  }
-  connection->Start(std::move(request), options.expect_no_body,
-                    std::move(handler), std::move(on_idle));
-  return connection;
-}
-
-std::shared_ptr<HttpConnection> HttpConnectionPool::TakeIdle(
-    const std::string& endpoint, const ExchangeOptions& options) {
-  const auto it = idle_.find(endpoint);
-  if (it == idle_.end()) return nullptr;
-  const TimePoint now = std::chrono::steady_clock::now();
-  std::vector<std::shared_ptr<HttpConnection>>& idle = it->second;
-  for (std::size_t i = idle.size(); i-- > 0;) {
-    if (Contains(options.excluded, idle[i])) continue;
-    const std::shared_ptr<HttpConnection> taken = std::move(idle[i]);
-    idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
-    if (taken->IsReusable(now)) return taken;
-    taken->Abandon();
-  }
-  return nullptr;
-}
-
-void HttpConnectionPool::ReturnToPool(
-    std::shared_ptr<HttpConnection> connection) {
-  idle_[connection->endpoint()].push_back(std::move(connection));
-}
-
-std::size_t HttpConnectionPool::GiveUp(
-    const std::shared_ptr<HttpConnection>& connection) {
-  const TimePoint silent_since = connection->active_at();
-  connection->Abandon();
-  const auto it = idle_.find(connection->endpoint());
-  if (it == idle_.end()) return 0;
-  return std::erase_if(it->second, [silent_since](const auto& idle) {
-    if (idle->idle_since() > silent_since) return false;
-    idle->Abandon();
-    return true;
-  });
-}
-
-void HttpConnectionPool::DropExpired(TimePoint now) {
-  for (auto it = idle_.begin(); it != idle_.end();) {
-    std::erase_if(it->second, [now](const auto& connection) {
-      if (connection->IsReusable(now)) return false;
-      connection->Abandon();
-      return true;
-    });
-    it = it->second.empty() ? idle_.erase(it) : std::next(it);
-  }
-}
-
-void HttpConnectionPool::CloseAll() {
-  for (auto& [endpoint, connections] : idle_) {
-    for (const auto& connection : connections) connection->Abandon();
-  }
-  idle_.clear();
-}
-
-std::size_t HttpConnectionPool::idle_count() const {
-  std::size_t n = 0;
-  for (const auto& [endpoint, connections] : idle_) n += connections.size();
-  return n;
-}
-
 }  // namespace yuccapick
--- a/src/gateway/http_connection.h
+++ b/src/gateway/http_connection.h
@@ -8,11 +8,9 @@
 #include <asio.hpp>
 #include <chrono>
 #include <functional>
-#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
-#include <vector>
 
 #include "gateway/http_reader.h"
 #include "yuccapick/ids.h"
@@ -65,7 +63,8 @@
   ~HttpConnection() override;
 
   /// Sends `request`; connects first if needed.
-  /// @param handler kept until the exchange ends or `Abandon` is called
+  /// @param handler called from the loop only, never before this returns; kept
+  ///   until the exchange ends or `Abandon` is called
   /// @param on_idle null if the connection is to be closed after the exchange
   void Start(std::string request, bool expect_no_body,
              std::shared_ptr<ExchangeHandler> handler, OnIdle on_idle);
@@ -128,49 +127,6 @@
   TimePoint active_at_;
 };
 
-/// Requirements of one exchange.
-struct ExchangeOptions {
-  bool expect_no_body = false;
-  /// Connections that may still carry an answer to an earlier exchange which
-  /// can't be told from the answer to this one.
-  std::vector<std::weak_ptr<HttpConnection>> excluded;
-  /// Use a connection of its own, and close it afterwards.
-  bool own_connection = false;
-};
-
-/// Keeps idle connections by endpoint.
-class HttpConnectionPool {
- public:
-  HttpConnectionPool(asio::io_context& loop, HttpConnectionOptions options)
-      : loop_(loop), options_(options) {}
-
-  /// Starts an exchange on an idle connection or a new one.
-  /// @return the connection, for `Abandon`
-  std::shared_ptr<HttpConnection> Start(
-      const std::string& endpoint, std::string request,
-      const ExchangeOptions& options, std::shared_ptr<ExchangeHandler> handler);
-  /// Closes a connection whose server has been silent for too long. Idle ones
-  /// to the same endpoint that have not been used since may be as silent, and
-  /// are closed, too.
-  /// @return number of idle connections closed
-  std::size_t GiveUp(const std::shared_ptr<HttpConnection>& connection);
-  /// Closes idle connections that are expired or closed by the server.
-  void DropExpired(TimePoint now);
-  void CloseAll();
-  std::size_t idle_count() const;
-
- private:
-  /// @return the idle connection that was used last; null if there is none
-  std::shared_ptr<HttpConnection> TakeIdle(const std::string& endpoint,
-                                           const ExchangeOptions& options);
-  void ReturnToPool(std::shared_ptr<HttpConnection> connection);
-
-  asio::io_context& loop_;
-  HttpConnectionOptions options_;
-  std::uint64_t connections_made_ = 0;
-  std::map<std::string, std::vector<std::shared_ptr<HttpConnection>>> idle_;
-};
-
 /// Parses `IP:PORT`.
 /// @return an unspecified endpoint with port 0 if the text is malformed
 asio::ip::tcp::endpoint ParseEndpoint(std::string_view text);
--- a/src/gateway/proxied_request.cc
+++ b/src/gateway/proxied_request.cc
@@ -252,14 +252,13 @@
       choice.import_from.empty() ? "-" : choice.import_from,
       !choice.export_to.empty(), head.weights.value_or(0), replaced_for.count(),
       head.time_left.count(), admitted_.config->version().value);
-  const auto self = shared_from_this();
   ExchangeOptions options;
   options.expect_no_body = admitted_.request.head.method == "HEAD";
   options.excluded = used_connections_;
-  const auto connection = state_.upstream_connections.Start(
-      upstream.endpoint, std::move(request), options, self);
+  attempt_->exchange = state_.upstream_connections.Start(
+      upstream.endpoint, std::move(request), options, shared_from_this());
+  const auto& connection = attempt_->exchange.connection();
   used_connections_.push_back(connection);
-  if (attempt_) attempt_->connection = connection;
   connection_number_ = connection->number();
   connection_exchanges_ = connection->exchanges();
   ArmTimer();
@@ -274,12 +273,12 @@
 }
 
 void ProxiedRequest::CloseConnection() {
-  const std::shared_ptr<HttpConnection>& connection = attempt_->connection;
-  if (connection == nullptr) return;
+  Exchange& exchange = attempt_->exchange;
+  if (!exchange.active()) return;
   const TimePoint now = state_.Now();
-  const auto silence = now - connection->active_at();
-  if (silence < SilenceTimeout()) return connection->Abandon();
-  const std::size_t idle = state_.upstream_connections.GiveUp(connection);
+  const auto silence = now - exchange.connection()->active_at();
+  if (silence < SilenceTimeout()) return exchange.Abandon();
+  const std::size_t idle = state_.upstream_connections.GiveUp(exchange);
   state_.log.Write(LogKind::kFailure, now,
                    "event=connection_silent id={} attempt={} upstream={} "
                    "silent_ms={} idle_closed={}",
--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -12,7 +12,7 @@
 #include <vector>
 
 #include "gateway/gateway_state.h"
-#include "gateway/http_connection.h"
+#include "gateway/http_connection_pool.h"
 #include "gateway/ingress_session.h"
 #include "gateway/upstream_messages.h"
 #include "yuccapick/attempt_policy.h"
@@ -49,7 +49,7 @@
   /// The current attempt.
   struct Attempt {
     UpstreamEntry upstream;
-    std::shared_ptr<HttpConnection> connection;
+    Exchange exchange;  ///< Abandoned with the attempt.
     WorkAmount amount;
     TimePoint sent_at;
     TimePoint last_progress;
--- a/src/gateway/proxied_request_answers.cc
+++ b/src/gateway/proxied_request_answers.cc
@@ -64,7 +64,7 @@
 }
 
 bool ProxiedRequest::MayAnswerEarlierRequest(const HttpHead& head) const {
-  const auto& connection = attempt_->connection;
+  const auto& connection = attempt_->exchange.connection();
   const bool reused = connection != nullptr && connection->reused();
   return reused && head.status >= kHttpFirstRedirect;
 }
@@ -128,7 +128,7 @@
   }
   const absl::StatusOr<std::string> events = splitter_.Feed(bytes);
   if (!events.ok()) {
-    attempt_->connection->Abandon();
+    attempt_->exchange.Abandon();
     return OnExchangeEnd(ExchangeEnd::kInvalid,
                          events.status().message().data());
   }
