Resume unknown streams only by a list read after the request came

Cause: what this gateway had listed was trusted however old it was.

Weighed: the age of the last confirmation (a version can join and a stream break within any age), a peer's confirmation (its time is an estimate), reports of all peers (need one from each that may have begun the stream). Used: the store's answer to a read that was sent after the request came.

Change: such a request waits for that read, 1.5 s or half its time at most; then it goes on at the only version or is refused. If the list wasn't followed for 1.5 s, by the clock that counts suspended time, the record of versions is read again. Without the store such requests are refused at once.

Tests on the code before: "A gateway that lacks a new version resumes no unknown stream", "Without the store no unknown stream is resumed" and "A version that came and went unseen is known after standing still" failed. "After standing still a stream of the only version is resumed" passes before and after.

--- a/include/yuccapick/stream_origins.h
+++ b/include/yuccapick/stream_origins.h
@@ -58,6 +58,9 @@
   /// These groups were listed lately, as the store's record says; any that were
   /// listed before this process began to listen are among them.
   void OnHistory(const std::vector<SoftwareGroup>& recorded, TimePoint now);
+  /// The list was not followed for a while. Until the record is read again,
+  /// groups may be unknown that were listed meanwhile.
+  void OnGap(TimePoint now);
   /// This process passed on the first event of a stream.
   /// @param split its route has several services, so that peers need its origin
   ///   even if each service has one version
@@ -71,15 +74,19 @@
 
   // Queries.
 
+  /// True if no group is unknown that was listed within `lifetime`, up to the
+  /// last change of the list that this process has read.
+  bool KnowsHistory(TimePoint now) const;
   /// Returns the groups that were listed within `lifetime`.
   std::vector<SoftwareGroup> Listed(TimePoint now) const;
   /// True if the service had several software versions within `lifetime`.
   bool IsMixed(const ServiceId& service, TimePoint now) const;
   /// @return nullopt if it is not known
   std::optional<SoftwareGroup> Find(StreamId stream) const;
+  /// Says nothing of upstreams that were listed after this process last read
+  /// the list.
   /// @return the only software version that the service had within `lifetime`;
-  ///   nullopt if there are several, or if it isn't known yet which ones were
-  ///   listed before this process started
+  ///   nullopt if there are several, or without `KnowsHistory`
   std::optional<SoftwareGroup> OnlyGroup(const ServiceId& service,
                                          TimePoint now) const;
   std::size_t size() const { return current_.size() + previous_.size(); }
@@ -94,8 +101,6 @@
     TimePoint began_at;
   };
 
-  /// True if no group is unknown that was listed within `lifetime`.
-  bool KnowsListed(TimePoint now) const;
   GroupIndex IndexOf(const SoftwareGroup& group);
   void Add(StreamId stream, GroupIndex group, TimePoint now);
   void Expire(TimePoint now);
--- a/include/yuccapick/table_freshness.h
+++ b/include/yuccapick/table_freshness.h
@@ -96,6 +96,9 @@
   ///   a better one of a peer.
   std::optional<StoreConfirmation> OnCheckAnswered(const CheckedTable& found,
                                                    TimePoint now);
+  /// Something depends on changes up to now: a check that begins from now on is
+  /// due as soon as the store's capacity allows.
+  void RequestCheck(TimePoint now) { check_requested_at_ = now; }
   /// The call of a check failed.
   void OnCheckFailed(TimePoint now);
   /// A peer checked the tables.
@@ -164,6 +167,7 @@
   std::optional<Check> check_;
   std::optional<TimePoint> last_check_began_at_;
   std::optional<TimePoint> retry_at_;  ///< After a check that failed.
+  std::optional<TimePoint> check_requested_at_;
 };
 
 }  // namespace yuccapick
--- a/src/gateway/freshness_sync.cc
+++ b/src/gateway/freshness_sync.cc
@@ -94,6 +94,12 @@
   });
 }
 
+void FreshnessSync::RequestCheck() {
+  const TimePoint now = state_.Now();
+  freshness_.RequestCheck(now);
+  Act(now);
+}
+
 void FreshnessSync::OnPollOpened(const std::string& table) {
   freshness_.OnPollOpened(WatchedTableOf(table), state_.Now());
   Schedule();
--- a/src/gateway/freshness_sync.h
+++ b/src/gateway/freshness_sync.h
@@ -42,6 +42,8 @@
     freshness_.OnSuspended(duration);
   }
   void Stop() { timer_.cancel(); }
+  /// Checks the tables as soon as the store's capacity allows.
+  void RequestCheck();
   void OnPollOpened(const std::string& table);
   void OnPollEnded(const std::string& table);
   void OnTableCurrent(const std::string& table, const TableAnswer& answer);
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -99,6 +99,9 @@
                                                    incarnation)),
       target_set_times_(std::make_shared<TargetSetTimes>(state_, store_)),
       software_record_(std::make_shared<SoftwareRecord>(state_, store_)),
+      list_confirmation_(std::make_unique<ListConfirmation>(
+          loop, [this] { freshness_sync_->RequestCheck(); },
+          [this] { return state_.stream_origins.KnowsHistory(state_.Now()); })),
       cache_watch_(state_, table_calls_),
       send_stream_origins_(loop, kStreamOriginsDelay,
                            [this] { SendStreamOrigins(); }),
@@ -109,6 +112,12 @@
   TableWatchOptions options;
   options.endpoint = state_.settings.table_endpoint;
   state_.on_stream_began = [this] { send_stream_origins_.Schedule(); };
+  state_.confirm_list = [this](milliseconds limit,
+                               ListConfirmation::Done done) {
+    if (store_lost_) return done(false);
+    list_confirmation_->Await(limit, std::move(done));
+  };
+  state_.on_software_history = [this] { list_confirmation_->OnHistoryKnown(); };
   state_.on_limit_changed = [this] { limit_sync_->Schedule(); };
   state_.ask_part_owner = [this](const PartChain& chain,
                                  std::function<void()> done) {
@@ -135,6 +144,7 @@
 
 GatewayProcess::~GatewayProcess() {
   freshness_sync_->Stop();
+  list_confirmation_->Stop();
   store_->Stop();
   operator_watch_->Stop();
   upstream_watch_->Stop();
@@ -248,6 +258,7 @@
 void GatewayProcess::Tick() {
   const TimePoint now = state_.Now();
   CheckPause(now);
+  CheckListGap(now);
   RemoveUnconfirmed(now);
   RepeatStreamOrigins(now);
   CatchUpWithStore(now);
--- a/src/gateway/gateway_process.h
+++ b/src/gateway/gateway_process.h
@@ -21,6 +21,7 @@
 #include "gateway/gateway_state.h"
 #include "gateway/ingress_server.h"
 #include "gateway/limit_sync.h"
+#include "gateway/list_confirmation.h"
 #include "gateway/part_sharing.h"
 #include "gateway/peer_exchange.h"
 #include "gateway/quarantine_sync.h"
@@ -71,9 +72,7 @@
                           std::string_view reason) override;
   void OnTableAnswered(const std::string& table) override;
   void OnTableCurrent(const std::string& table,
-                      const TableAnswer& answer) override {
-    freshness_sync_->OnTableCurrent(table, answer);
-  }
+                      const TableAnswer& answer) override;
   void OnTableChecked(const std::string& table,
                       const std::optional<TableAnswer>& answer) override {
     freshness_sync_->OnTableChecked(table, answer);
@@ -147,6 +146,9 @@
   /// Tells again what was sent since the previous tick: datagrams may be lost.
   void RepeatStreamOrigins(TimePoint now);
   void RecordListedSoftware(TimePoint now);
+  /// Reads the record of software versions again if the list of upstreams was
+  /// not followed for a while.
+  void CheckListGap(TimePoint now);
   /// A peer has confirmed that all tables are current.
   void OnTablesConfirmed(TimePoint::duration age);
   void ApplyOperatorRow(const MirrorRow& row);
@@ -186,6 +188,9 @@
   std::shared_ptr<RolloutController> rollout_;
   std::shared_ptr<TargetSetTimes> target_set_times_;
   std::shared_ptr<SoftwareRecord> software_record_;
+  std::unique_ptr<ListConfirmation> list_confirmation_;
+  /// Boot time at which the list of upstreams was last known to be current.
+  std::optional<TimePoint> list_current_at_;
   CacheWatch cache_watch_;
   std::uint64_t reports_sent_ = 0;
   DelayedCall send_stream_origins_;
--- a/src/gateway/gateway_process_tables.cc
+++ b/src/gateway/gateway_process_tables.cc
@@ -1,3 +1,5 @@
+#include <utility>
+
 #include "gateway/boot_clock.h"
 #include "gateway/gateway_process.h"
 #include "platform/names.h"
@@ -12,6 +14,10 @@
 /// time that other gateways saved.
 constexpr std::chrono::milliseconds kExactSetTime{1'000};
 
+/// An upstream that joined and left again while the list wasn't followed for
+/// this long may have been missed. Shorter than any upstream is listed.
+constexpr std::chrono::milliseconds kMaxListGap{1'500};
+
 std::int64_t Count(StoreTime time) { return time.time_since_epoch().count(); }
 
 }  // namespace
@@ -85,7 +91,31 @@
   state_.log.Write(LogKind::kLifecycle, state_.Now(), "event=store_regained");
 }
 
+void GatewayProcess::OnTableCurrent(const std::string& table,
+                                    const TableAnswer& answer) {
+  freshness_sync_->OnTableCurrent(table, answer);
+  if (table != platform::kServers) return;
+  CheckListGap(state_.Now());
+  list_confirmation_->OnListRead(answer.sent_at);
+}
+
+void GatewayProcess::CheckListGap(TimePoint now) {
+  const auto at = freshness_sync_->ConfirmedAt(WatchedTable::kUpstreams);
+  if (!at) return;
+  const TimePoint current_at = BootTimeNow() - (now - *at);
+  const std::optional<TimePoint> before =
+      std::exchange(list_current_at_, current_at);
+  if (!before || current_at - *before < kMaxListGap) return;
+  state_.log.Write(LogKind::kStateChange, now, "event=list_gap duration_ms={}",
+                   std::chrono::duration_cast<std::chrono::milliseconds>(
+                       current_at - *before)
+                       .count());
+  state_.stream_origins.OnGap(now);
+  software_record_->Load();
+}
+
 void GatewayProcess::OnTablesConfirmed(TimePoint::duration age) {
+  CheckListGap(state_.Now());
   const TimePoint now = BootTimeNow();
   if (!state_.store_contact.OnPeerAnswer(now - age, now)) return;
   state_.roster.OnListAvailable(state_.Now());
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -99,6 +99,13 @@
   StreamOrigins stream_origins;
   /// Streams refused since it isn't known which software version began them.
   std::uint64_t unknown_stream_origins = 0;
+  /// Tells whether the list of upstreams is known as it is now, within a time
+  /// limit. Calls the function once, from the loop.
+  std::function<void(std::chrono::milliseconds, std::function<void(bool)>)>
+      confirm_list = [](std::chrono::milliseconds,
+                        const std::function<void(bool)>& done) { done(false); };
+  /// Called when the record of software versions was read.
+  std::function<void()> on_software_history = [] {};
   /// Called when peers should be told where a stream began.
   std::function<void()> on_stream_began = [] {};
   CrashQuarantine quarantine;
--- a/src/gateway/proxied_request.cc
+++ b/src/gateway/proxied_request.cc
@@ -22,6 +22,9 @@
 /// After this time the gateway that began a stream has usually told its peers.
 constexpr milliseconds kOriginRetryAfter{200};
 
+/// Longest wait of a resumed stream for the list of upstreams.
+constexpr milliseconds kMaxListWait{1'500};
+
 /// Share of a shared prefix's tokens that is charged to one request.
 constexpr double kSharedMemoryShare = 0.5;
 
@@ -77,9 +80,14 @@
   query_.body_bytes = admitted_.request.body.size();
   query_.random =
       XXH3_64bits(caller.attempt_id.data(), caller.attempt_id.size());
-  const bool origin_found = FindStreamOrigin();
+  const OriginSearch search = FindStreamOrigin(/*list_confirmed=*/false);
   state_.RetryBudgetOf(service_).OnRequest();
-  if (!origin_found) return RefuseUnknownStream();
+  if (search == OriginSearch::kUnconfirmed) return AwaitListConfirmation();
+  if (search == OriginSearch::kUnknown) return RefuseUnknownStream(false);
+  Place();
+}
+
+void ProxiedRequest::Place() {
   if (ShedLoad()) return;
   if (!AwaitHolders()) TrySend();
 }
@@ -102,30 +110,62 @@
   return true;
 }
 
-bool ProxiedRequest::FindStreamOrigin() {
+ProxiedRequest::OriginSearch ProxiedRequest::FindStreamOrigin(
+    bool list_confirmed) {
   const CallerHeaders& caller = admitted_.caller;
-  if (admitted_.route->kind != RouteKind::kStreaming) return true;
-  if (caller.resumes.empty() && !caller.last_event_id) return true;
+  if (admitted_.route->kind != RouteKind::kStreaming) {
+    return OriginSearch::kFound;
+  }
+  if (caller.resumes.empty() && !caller.last_event_id) {
+    return OriginSearch::kFound;
+  }
   auto origin = state_.stream_origins.Find(StreamIdOf(caller.resumes));
   const bool split = admitted_.route->targets.size() > 1;
   if (!origin && !split) {
-    origin = state_.stream_origins.OnlyGroup(service_, state_.Now());
+    const TimePoint now = state_.Now();
+    const bool mixed = state_.stream_origins.IsMixed(service_, now);
+    if (!list_confirmed && !mixed) return OriginSearch::kUnconfirmed;
+    origin = state_.stream_origins.OnlyGroup(service_, now);
+  }
+  if (!origin || !IsTarget(*admitted_.route, origin->service)) {
+    return OriginSearch::kUnknown;
   }
-  if (!origin || !IsTarget(*admitted_.route, origin->service)) return false;
   service_ = origin->service;
   stream_software_ = origin->software;
-  return true;
+  return OriginSearch::kFound;
 }
 
-void ProxiedRequest::RefuseUnknownStream() {
+void ProxiedRequest::AwaitListConfirmation() {
+  const milliseconds limit = std::min(kMaxListWait, TimeLeft(state_.Now()) / 2);
+  const std::weak_ptr<ProxiedRequest> weak = weak_from_this();
+  state_.confirm_list(limit, [weak](bool confirmed) {
+    const auto self = weak.lock();
+    if (self != nullptr) self->OnListConfirmation(confirmed);
+  });
+}
+
+void ProxiedRequest::OnListConfirmation(bool confirmed) {
+  if (done_) return;
+  const OriginSearch search = FindStreamOrigin(confirmed);
+  if (search != OriginSearch::kFound) return RefuseUnknownStream(confirmed);
+  state_.log.Write(
+      LogKind::kRequest, state_.Now(),
+      "event=stream_origin_confirmed id={} software={} waited_ms={}",
+      admitted_.caller.attempt_id, stream_software_->value,
+      Milliseconds(state_.Now() - admitted_.request.arrived_at));
+  Place();
+}
+
+void ProxiedRequest::RefuseUnknownStream(bool list_confirmed) {
   ++state_.unknown_stream_origins;
   const CallerHeaders& caller = admitted_.caller;
-  state_.log.Write(LogKind::kFailure, state_.Now(),
-                   "event=stream_origin_unknown id={} resumes={} route={} "
-                   "known_streams={}",
-                   caller.attempt_id,
-                   caller.resumes.empty() ? "-" : caller.resumes,
-                   admitted_.route->name, state_.stream_origins.size());
+  state_.log.Write(
+      LogKind::kFailure, state_.Now(),
+      "event=stream_origin_unknown id={} resumes={} route={} "
+      "known_streams={} list_confirmed={} waited_ms={}",
+      caller.attempt_id, caller.resumes.empty() ? "-" : caller.resumes,
+      admitted_.route->name, state_.stream_origins.size(), list_confirmed,
+      Milliseconds(state_.Now() - admitted_.request.arrived_at));
   Refuse("software version of the stream is unknown", kOriginRetryAfter);
 }
 
--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -64,11 +64,23 @@
   };
 
   ServiceId PickService();
+  enum class OriginSearch : std::uint8_t {
+    kFound,  ///< Or the request resumes no stream.
+    /// The service has one software version, as far as this gateway has read.
+    kUnconfirmed,
+    kUnknown,  ///< Or it is not on the route any more.
+  };
+
   /// Binds a stream that the caller resumes to the service and the software
   /// version that began it.
-  /// @return false if they are unknown, or not on the route any more
-  bool FindStreamOrigin();
-  void RefuseUnknownStream();
+  /// @param list_confirmed all upstreams are known that are listed now
+  OriginSearch FindStreamOrigin(bool list_confirmed);
+  /// Waits until all upstreams are known that are listed now.
+  void AwaitListConfirmation();
+  void OnListConfirmation(bool confirmed);
+  void RefuseUnknownStream(bool list_confirmed);
+  /// Places and sends the request.
+  void Place();
   PlacementFleet Fleet() const;
   PlacementFleet FleetWithoutCandidates() const;
   PlacementCandidate CandidateFor(const UpstreamEntry& upstream) const;
--- a/src/gateway/software_record.cc
+++ b/src/gateway/software_record.cc
@@ -50,6 +50,7 @@
   }
   loaded_ = true;
   state_.stream_origins.OnHistory(recorded, state_.Now());
+  state_.on_software_history();
   state_.log.Write(LogKind::kStateChange, state_.Now(),
                    "event=software_record_loaded versions={}", recorded.size());
 }
--- a/src/stream_origins.cc
+++ b/src/stream_origins.cc
@@ -46,7 +46,12 @@
   history_known_ = true;
 }
 
-bool StreamOrigins::KnowsListed(TimePoint now) const {
+void StreamOrigins::OnGap(TimePoint now) {
+  history_known_ = false;
+  listening_since_ = now;
+}
+
+bool StreamOrigins::KnowsHistory(TimePoint now) const {
   if (history_known_) return true;
   return listening_since_ && now - *listening_since_ >= options_.lifetime;
 }
@@ -114,7 +119,7 @@
 
 std::optional<SoftwareGroup> StreamOrigins::OnlyGroup(const ServiceId& service,
                                                       TimePoint now) const {
-  if (!KnowsListed(now)) return std::nullopt;
+  if (!KnowsHistory(now)) return std::nullopt;
   std::optional<SoftwareGroup> only;
   for (const SoftwareGroup& group : Listed(now)) {
     if (group.service != service) continue;
--- a/src/table_freshness.cc
+++ b/src/table_freshness.cc
@@ -200,7 +200,8 @@
 
 TimePoint TableFreshness::NextCheck() const {
   if (retry_at_) return *retry_at_;
-  const TimePoint due = last_confirmed_at_ + kCheckInterval + RankDelay(rank_);
+  TimePoint due = last_confirmed_at_ + kCheckInterval + RankDelay(rank_);
+  if (check_requested_at_) due = std::min(due, *check_requested_at_);
   if (!last_check_began_at_) return due;
   return std::max(
       due, *last_check_began_at_ + Times(kDelayPerGateway, gateway_count_));
@@ -219,6 +220,7 @@
     check_.emplace(now);
     last_check_began_at_ = now;
     retry_at_.reset();
+    check_requested_at_.reset();
     actions.emplace_back(StartTableCheck());
   }
   for (const WatchedTable table : kWatchedTables) {
--- a/test/gateway/stream_software_test.cc
+++ b/test/gateway/stream_software_test.cc
@@ -249,6 +249,34 @@
   CHECK(versions.v2.ReceivedCount() == 0);
 }
 
+/// Guards against a stream that goes on at another version than began it, at a
+/// gateway whose copy of the list is old.
+TEST_CASE("A gateway that lacks a new version resumes no unknown stream") {
+  TwoSoftwareVersions versions;
+  versions.fixture.store.set_silent(true);
+  versions.Register(versions.v2.first, versions.v2.software, kOwnDomain);
+  versions.fixture.store.set_silent(false);
+  CHECK(IsRefusal(versions.fixture.Ask(ResumedStream("id-2", "id-1"))));
+  CHECK(versions.v1.ReceivedCount() == 0);
+  CHECK(versions.v2.ReceivedCount() == 0);
+}
+
+TEST_CASE("Without the store no unknown stream is resumed") {
+  TwoSoftwareVersions versions;
+  versions.fixture.store.set_up(false);
+  CHECK(IsRefusal(versions.fixture.Ask(ResumedStream("id-2", "id-1"))));
+  CHECK(versions.v1.ReceivedCount() == 0);
+  versions.fixture.store.set_up(true);
+  int attempts = 2;
+  std::string answer;
+  REQUIRE(versions.fixture.RunUntilTrue([&] {
+    const std::string id = fmt::format("id-{}", ++attempts);
+    answer = versions.fixture.Ask(ResumedStream(id, "id-1"));
+    return !IsRefusal(answer);
+  }));
+  CHECK(HasRestOfStream(answer));
+}
+
 TEST_CASE("With one software version listed an unknown stream is resumed") {
   TwoSoftwareVersions versions;
   versions.ListSecondOfV1();
@@ -310,6 +338,70 @@
   std::optional<EndingGateway> lost;
 };
 
+/// A gateway that stands still for longer than it can tell which upstreams came
+/// and went, while another one goes on.
+struct FrozenGateway {
+  FrozenGateway() : v1(fixture.loop, "v1"), v2(fixture.loop, "v2") {
+    fixture.PutConfig(1, kRoutes);
+    fixture.RegisterSoftware(v1.first.fake, "app", v1.software);
+    fixture.Start();
+    frozen.emplace(fixture);
+    RunFrozen(std::chrono::milliseconds(400));
+    caller.emplace(fixture.loop, frozen->settings().caller_endpoint);
+    RunFrozen(std::chrono::milliseconds(100));
+  }
+
+  void RunFrozen(std::chrono::milliseconds duration) {
+    const auto end = std::chrono::steady_clock::now() + duration;
+    REQUIRE(frozen->RunUntilTrue(
+        [end] { return std::chrono::steady_clock::now() >= end; }));
+  }
+
+  /// Sends a request while the gateway stands still, and lets it go on.
+  /// @return the answer
+  std::string ResumeStream() {
+    caller->Send(ResumedStream("id-2", "id-1"));
+    REQUIRE(frozen->RunUntilTrue([this] {
+      const std::string& input = caller->input();
+      return input.ends_with(kEndOfStream) || input.ends_with("not run\n");
+    }));
+    return caller->input();
+  }
+
+  GatewayFixture fixture;
+  UpstreamPair v1;
+  UpstreamPair v2;
+  std::optional<EndingGateway> frozen;
+  std::optional<FakeCaller> caller;
+};
+
+/// Guards against a stream that goes on at another version than began it, after
+/// its gateway stood still.
+TEST_CASE("A version that came and went unseen is known after standing still") {
+  FrozenGateway gateway;
+  GatewayFixture& fixture = gateway.fixture;
+  // The calls of the gateway that stands still are answered before, and its
+  // poll is lost.
+  fixture.Run(std::chrono::milliseconds(100));
+  fixture.store.set_silent(true);
+  fixture.RegisterSoftware(gateway.v2.first.fake, "app", "v2");
+  fixture.store.set_silent(false);
+  REQUIRE(fixture.RunUntilTrue(
+      [&fixture] { return fixture.store.Has(kSoftwareTable, "app/v2"); }));
+  fixture.store.Remove("servers", gateway.v2.first.fake.id());
+  fixture.Run(std::chrono::milliseconds(1'600));
+  CHECK(IsRefusal(gateway.ResumeStream()));
+  CHECK(gateway.v1.ReceivedCount() == 0);
+  CHECK(gateway.v2.ReceivedCount() == 0);
+}
+
+TEST_CASE("After standing still a stream of the only version is resumed") {
+  FrozenGateway gateway;
+  gateway.fixture.Run(std::chrono::milliseconds(1'600));
+  CHECK(HasRestOfStream(gateway.ResumeStream()));
+  CHECK(gateway.v1.HasResumed("id-2"));
+}
+
 TEST_CASE("After a power loss no stream of a version that left is resumed") {
   PowerLoss power_loss;
   power_loss.LoseStream("id-1");
--- a/test/stream_origins_test.cc
+++ b/test/stream_origins_test.cc
@@ -55,6 +55,29 @@
   CHECK(origins.OnlyGroup(kService, kStart + kOptions.lifetime) == kNew);
 }
 
+TEST_CASE("No version is assumed after the list was not followed for a while") {
+  StreamOrigins origins(kOptions);
+  origins.OnHistory({kNew}, kStart);
+  REQUIRE(origins.OnlyGroup(kService, kStart) == kNew);
+  const TimePoint gap = kStart + milliseconds(5'000);
+  origins.OnGap(gap);
+  origins.OnListed(kNew, gap);
+  CHECK_FALSE(origins.KnowsHistory(gap));
+  CHECK_FALSE(origins.OnlyGroup(kService, gap));
+  SECTION("until the record is read") {
+    origins.OnHistory({kOld, kNew}, gap);
+    CHECK(origins.KnowsHistory(gap));
+    CHECK_FALSE(origins.OnlyGroup(kService, gap));
+    origins.OnHistory({kNew}, gap + kOptions.lifetime);
+    CHECK(origins.OnlyGroup(kService, gap + kOptions.lifetime) == kNew);
+  }
+  SECTION("or what was listed then no longer counts") {
+    const TimePoint later = gap + kOptions.lifetime;
+    origins.OnListed(kNew, later);
+    CHECK(origins.OnlyGroup(kService, later) == kNew);
+  }
+}
+
 TEST_CASE("Peers are told of streams while there are several versions") {
   StreamOrigins origins(kOptions);
   origins.OnListed(kOld, kStart);
--- a/test/table_freshness_test.cc
+++ b/test/table_freshness_test.cc
@@ -35,6 +35,48 @@
   CHECK(gateway.NextDue() == kStart + milliseconds(1'000));
 }
 
+void AnswerCheck(TableFreshness& gateway, int store_ms, TimePoint now) {
+  const StoreTime time{milliseconds(store_ms)};
+  gateway.OnCheckAnswered({WatchedTable::kOperator, time, 3, true, false}, now);
+  gateway.OnCheckAnswered({WatchedTable::kUpstreams, time, 4, true, false},
+                          now);
+}
+
+TEST_CASE("A requested check begins at once, and another one after it") {
+  TableFreshness gateway(InstanceId("gateway-0"), kStart);
+  TimePoint now = kStart + milliseconds(100);
+  gateway.RequestCheck(now);
+  CHECK(gateway.NextDue() <= now);
+  REQUIRE(IsCheck(gateway.OnTick(now)));
+  // What the check under way finds may be older than the second request.
+  now += milliseconds(1);
+  gateway.RequestCheck(now);
+  CHECK(gateway.OnTick(now).empty());
+  AnswerCheck(gateway, 7, now);
+  CHECK(IsCheck(gateway.OnTick(now + milliseconds(10))));
+  AnswerCheck(gateway, 9, now + milliseconds(10));
+  CHECK(gateway.OnTick(now + milliseconds(400)).empty());
+}
+
+TEST_CASE("Requested checks of many gateways leave the store its capacity") {
+  constexpr std::size_t kGateways = 660;
+  TableFreshness gateway(InstanceId("gateway-0"), kStart);
+  gateway.SetGatewayCount(kGateways);
+  TimePoint now = kStart;
+  std::size_t checks = 0;
+  constexpr std::size_t kSeconds = 20;
+  for (int ms = 0; ms < 20'000; ++ms) {
+    now += milliseconds(1);
+    gateway.RequestCheck(now);
+    if (!IsCheck(gateway.OnTick(now))) continue;
+    ++checks;
+    AnswerCheck(gateway, ms, now);
+  }
+  // Two calls each, of all gateways, within half of 2,000 calls a second.
+  CHECK(checks * 2 * kGateways <= kSeconds * 1'000);
+  CHECK(checks >= kSeconds / 2);
+}
+
 TEST_CASE("A check that fails is repeated soon") {
   TableFreshness gateway(InstanceId("gateway-0"), kStart);
   REQUIRE(IsCheck(Due(gateway)));
