Fail responses that end within their head

Report of another operator; here the router, the agent and the platform's client: a response that stopped within its head and was closed in order counted as complete, with its status and no body. The gateway has its own parser and isn't affected.

Cause: libcurl reports success for such a response, and HttpTransfer asked for nothing else.

Excluded: a check in UpstreamExchange or PlatformClient, which would have to stand in each user of the client.

Change: a transfer without a complete final head is Unavailable, and counts as sent.

--- a/src/shell/http_transfer.cc
+++ b/src/shell/http_transfer.cc
@@ -149,12 +149,23 @@
   cancelled_ = true;
   if (!callbacks_.on_done) return;
   HttpResult result;
-  result.status = StatusFromCurl(code, request_.url);
+  result.status = Outcome(code);
   result.http_status = http_status_;
   result.sent = times_sent_ > 0;
   callbacks_.on_done(result);
 }
 
+absl::Status HttpTransfer::Outcome(CURLcode code) const {
+  // libcurl takes a response that ends within its head for complete.
+  if (code != CURLE_OK || head_complete_) {
+    return StatusFromCurl(code, request_.url);
+  }
+  return absl::UnavailableError(fmt::format(
+      "{}: the response ended within its head; check that the peer is running "
+      "and responds completely",
+      request_.url));
+}
+
 void HttpTransfer::FailUnsent(const absl::Status& status) {
   if (cancelled_) return;
   cancelled_ = true;
@@ -176,6 +187,7 @@
       text.find(':') == std::string_view::npos) {
     http_status_ = ParseStatusLine(text);
     response_headers_.clear();
+    head_complete_ = false;
     return http_status_ != kSwitchingProtocols;
   }
   if (!text.empty()) {
@@ -186,6 +198,7 @@
     return true;
   }
   if (http_status_ < kMinFinalStatus || cancelled_) return true;
+  head_complete_ = true;
   ExtendTimeout();
   if (callbacks_.on_head) callbacks_.on_head(http_status_, response_headers_);
   return true;
--- a/src/shell/http_transfer.h
+++ b/src/shell/http_transfer.h
@@ -49,6 +49,7 @@
   static int OnBeforeRequest(void* self, char* peer, char* local, int peer_port,
                              int local_port);
   bool ParseHeaderLine(std::string_view line);
+  absl::Status Outcome(CURLcode code) const;
   absl::Status BuildHeaderList();
   void SetMethodAndBody();
   /// Part of the response has arrived: if its arrival isn't limited by the
@@ -63,6 +64,7 @@
   std::vector<Header> response_headers_;
   std::size_t response_header_bytes_ = 0;
   long http_status_ = 0;
+  bool head_complete_ = false;  ///< The final head's empty line has arrived.
   int times_sent_ = 0;
   std::chrono::steady_clock::time_point started_at_;
   bool cancelled_ = false;
--- a/test/shell/http_client_test.cc
+++ b/test/shell/http_client_test.cc
@@ -74,6 +74,41 @@
   CHECK(response.result.sent);
 }
 
+/// @return what a client makes of a response that ends after `sent`
+HttpResponse FetchCut(const std::string& sent) {
+  asio::io_context loop;
+  ScriptedServer server(loop, [&](ScriptedServer::Connection& c) {
+    if (!HasCompleteHeaders(c)) return;
+    c.Write(sent);
+    c.Close();
+  });
+  HttpClient client(loop);
+  HttpRequest request;
+  request.url = server.url("/");
+  return FetchOnce(loop, client, request);
+}
+
+/// Guards against a response cut within its head that passes for a complete
+/// one.
+TEST_CASE("A response that ends anywhere within its head fails") {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nX-Kind: Demo\r\nContent-Length: 0\r\n\r\n";
+  for (std::size_t n = 0; n < head.size(); ++n) {
+    const std::string sent = head.substr(0, n);
+    CAPTURE(sent);
+    const HttpResponse response = FetchCut(sent);
+    CHECK_FALSE(response.result.status.ok());
+    CHECK(response.result.sent);
+  }
+  CHECK(FetchCut(head).result.status.ok());
+}
+
+TEST_CASE("A response after an interim one that is cut in its head fails") {
+  const HttpResponse response =
+      FetchCut("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-Ki");
+  CHECK_FALSE(response.result.status.ok());
+}
+
 TEST_CASE(
     "A non-repeatable request is sent once when its connection is closed") {
   asio::io_context loop;
