Answer what is left when the grace of a stop ends

Report of another operator; here requests that were running at the end of the grace, retries sent late and requests still being received lost their connection without an answer.

Cause: only the process knew when it would end, not its requests.

Excluded: refusing all requests from the start of a stop, since the balancer sends new callers until two checks have failed.

Change: while stopping, an attempt begins only if twice its route's target latency is left; else the request is refused as not run. 0.2 s before the end all requests are answered: 504 if they may have run, else 503. A grace shorter than the time in which requests are taken works, too.

Tests on the code before: a running request got no answer (4 checks failed), one being received neither (1), one that can't end in time was sent (3), a retry late in the grace was sent (3). "A request that is refused early in the grace is sent again" passes before and after.

--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -28,6 +28,9 @@
 /// The process ends this long before its shutdown grace is over, whether or not
 /// requests are still running.
 constexpr milliseconds kShutdownMargin{300};
+/// Requests that are left are answered this long before the process ends, so
+/// that their answers are sent.
+constexpr milliseconds kLastAnswersTime{200};
 /// A lease holder with work left releases the lease this long before the
 /// shutdown grace is over.
 constexpr milliseconds kLeaseReleaseMargin{900};
@@ -299,6 +302,8 @@
   if (draining_) return;
   draining_ = true;
   drain_started_at_ = state_.Now();
+  state_.stops_at = drain_started_at_ + state_.settings.bounds.shutdown_grace -
+                    kShutdownMargin - kLastAnswersTime;
   on_drained_ = std::move(done);
   ingress_server_->AnnounceClose();
   state_.log.Write(LogKind::kLifecycle, drain_started_at_,
@@ -307,13 +312,22 @@
                    ingress_server_->busy_count());
 }
 
+void GatewayProcess::EndRequests(TimePoint now) {
+  const std::size_t n = ingress_server_->EndRequests(
+      {{"Retry-After", std::string(kDrainRetryAfterSeconds)}});
+  if (n == 0) return;
+  state_.log.Write(LogKind::kLifecycle, now,
+                   "event=requests_ended_by_stop requests={}", n);
+}
+
 void GatewayProcess::CheckDrained(TimePoint now) {
   const auto age = now - drain_started_at_;
-  if (age < state_.settings.listen_after_drain) return;
-  ingress_server_->CloseListener();
-  ingress_server_->DrainSessions();
   const bool out_of_time =
       age >= state_.settings.bounds.shutdown_grace - kShutdownMargin;
+  if (now >= *state_.stops_at) EndRequests(now);
+  if (age < state_.settings.listen_after_drain && !out_of_time) return;
+  ingress_server_->CloseListener();
+  ingress_server_->DrainSessions();
   // The next holder must wait out the handover gap before its first order, so
   // the lease is kept as long as there is work and time.
   const bool lease_release_due =
--- a/src/gateway/gateway_process.h
+++ b/src/gateway/gateway_process.h
@@ -171,6 +171,8 @@
   void Tick();
   void CheckPause(TimePoint now);
   void CheckDrained(TimePoint now);
+  /// Answers what is left, as the process ends soon.
+  void EndRequests(TimePoint now);
 
   asio::io_context& loop_;
   GatewayState state_;
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -90,6 +90,9 @@
   absl::BitGen random;
 
   GatewayConfigPtr config;  ///< Null before the first one.
+  /// When the requests that are left must be answered, since the process ends
+  /// soon after; nullopt unless it is stopping.
+  std::optional<TimePoint> stops_at;
   UpstreamRoster roster;
   UpstreamLoad load;
   UpstreamHealth health;
--- a/src/gateway/ingress_server.cc
+++ b/src/gateway/ingress_server.cc
@@ -88,6 +88,12 @@
   for (const auto& session : sessions_) session->Drain();
 }
 
+std::size_t IngressServer::EndRequests(const std::vector<HttpField>& refusal) {
+  return static_cast<std::size_t>(std::count_if(
+      sessions_.begin(), sessions_.end(),
+      [&refusal](const auto& s) { return s->EndRequest(refusal); }));
+}
+
 void IngressServer::CloseAll() {
   for (const auto& session : sessions_) session->Abort();
   sessions_.clear();
--- a/src/gateway/ingress_server.h
+++ b/src/gateway/ingress_server.h
@@ -35,6 +35,10 @@
   void CheckTimeouts(TimePoint now);
   void AnnounceClose();
   void DrainSessions();
+  /// Ends all requests under way or being received.
+  /// @param refusal fields of the answers to those that are being received
+  /// @return their number
+  std::size_t EndRequests(const std::vector<HttpField>& refusal);
   void CloseAll();
 
   std::size_t session_count() const { return sessions_.size(); }
--- a/src/gateway/ingress_session.cc
+++ b/src/gateway/ingress_session.cc
@@ -279,6 +279,20 @@
   }
 }
 
+bool IngressSession::EndRequest(const std::vector<HttpField>& refusal) {
+  if (closed_ || lingering_) return false;
+  close_after_answer_ = true;
+  const auto pending = pending_request_;
+  if (pending != nullptr) {
+    pending->OnShutdown();
+    return true;
+  }
+  if (!receiving()) return false;
+  in_request_ = true;
+  Respond(kHttpUnavailable, refusal, "stopping\n");
+  return true;
+}
+
 void IngressSession::CheckTimeouts(TimePoint now) {
   if (closed_ || in_request_) return;
   const CallerLimits limits = handler_.limits();
--- a/src/gateway/ingress_session.h
+++ b/src/gateway/ingress_session.h
@@ -33,6 +33,9 @@
   virtual ~PendingRequest() = default;
   /// The caller's connection is closed; the request may be cancelled.
   virtual void OnCallerDisconnected() = 0;
+  /// The process is about to end: the request must be answered now, or its
+  /// connection closed.
+  virtual void OnShutdown() = 0;
 };
 
 /// Handles requests. It may answer within the call or later.
@@ -76,6 +79,10 @@
   /// Sends `Connection: close` with the next answer and closes after it; keeps
   /// an idle connection open.
   void AnnounceClose() { close_after_answer_ = true; }
+  /// Ends the request under way, or refuses the one that is being received.
+  /// @param refusal fields of the refusal
+  /// @return false if there is neither
+  bool EndRequest(const std::vector<HttpField>& refusal);
   /// Closes the connection if the header, idle or linger timeout is over. It
   /// isn't idle while the caller takes bytes of an answer.
   void CheckTimeouts(TimePoint now);
--- a/src/gateway/proxied_request.cc
+++ b/src/gateway/proxied_request.cc
@@ -25,6 +25,13 @@
 /// Longest wait of a resumed stream for the list of upstreams.
 constexpr milliseconds kMaxListWait{1'500};
 
+/// Short, since another gateway can take the request at once.
+constexpr milliseconds kStoppingRetryAfter{20};
+
+/// While the gateway is stopping, no attempt begins that has less time left
+/// than this many times its route's target latency.
+constexpr int kAttemptTimeFactor = 2;
+
 /// Share of a shared prefix's tokens that is charged to one request.
 constexpr double kSharedMemoryShare = 0.5;
 
@@ -188,6 +195,10 @@
 void ProxiedRequest::TrySend() {
   const TimePoint now = state_.Now();
   if (now >= deadline_) return OnEnd(AttemptEnd::kTimedOut, "no time left");
+  if (StopsBeforeAnswer(now)) {
+    retry_after_ = kStoppingRetryAfter;
+    return OnEnd(AttemptEnd::kNotSent, "gateway is stopping");
+  }
   if (StopAtSuspect(now)) return;
   const std::optional<DirectPlacementDecision> choice = state_.placement.Choose(
       query_, Fleet(), state_.parts, state_.load, state_.health, now);
@@ -195,6 +206,12 @@
   Send(*choice, *state_.roster.FindUsable(choice->upstream));
 }
 
+bool ProxiedRequest::StopsBeforeAnswer(TimePoint now) const {
+  return state_.stops_at &&
+         *state_.stops_at - now <
+             admitted_.route->target_latency * kAttemptTimeFactor;
+}
+
 AttemptHeaders ProxiedRequest::MakeAttemptHeaders(
     const DirectPlacementDecision& choice,
     const UpstreamEntry& upstream) const {
--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -41,6 +41,7 @@
   void Begin();
 
   void OnCallerDisconnected() override;
+  void OnShutdown() override;
   HeadDecision OnAnswerHead(const HttpHead& head) override;
   void OnAnswerBody(std::string_view bytes) override;
   void OnExchangeEnd(ExchangeEnd end, std::string_view reason) override;
@@ -120,6 +121,8 @@
   /// Tells peers that the parts are in a KV store.
   void TellExport(const PartChain& chain, const std::string& store) const;
   void TrySend();
+  /// True if the process will probably end before an attempt that begins now.
+  bool StopsBeforeAnswer(TimePoint now) const;
   void Send(const DirectPlacementDecision& choice,
             const UpstreamEntry& upstream);
   AttemptHeaders MakeAttemptHeaders(const DirectPlacementDecision& choice,
--- a/src/gateway/proxied_request_end.cc
+++ b/src/gateway/proxied_request_end.cc
@@ -11,6 +11,10 @@
 /// Range of the random delay that spreads the callers' retries.
 constexpr milliseconds kRetryAfterJitter{450};
 
+/// Shortest delay after which a caller should retry at another gateway, as this
+/// one ends.
+constexpr milliseconds kRetryAfterShutdown{20};
+
 /// How long a request waits for leave to be sent as a trial, and how often it
 /// looks. A datagram to the coordinator and back may be lost once.
 constexpr milliseconds kMaxTrialWait{400};
@@ -158,6 +162,17 @@
   state_.metrics.Record(finished);
 }
 
+void ProxiedRequest::OnShutdown() {
+  if (done_) return;
+  const auto self = shared_from_this();
+  const bool sent = attempt_.has_value();
+  may_have_run_ = may_have_run_ || sent;
+  AbandonAttempt();
+  retry_after_ = kRetryAfterShutdown;
+  OnEnd(may_have_run_ ? AttemptEnd::kTimedOut : AttemptEnd::kNotSent,
+        "gateway is stopping");
+}
+
 void ProxiedRequest::OnCallerDisconnected() {
   if (done_) return;
   const auto self = shared_from_this();
--- a/src/gateway/proxied_request_timing.cc
+++ b/src/gateway/proxied_request_timing.cc
@@ -142,7 +142,8 @@
   if (!give_up_at || now < *give_up_at) return ArmTimer();
   // The attempt is given up only if another upstream can be tried.
   if (delivered_attempts_ + 1 >= admitted_.route->max_attempts ||
-      !HasUntriedUpstream() || !state_.RetryBudgetOf(service_).CanAcquire()) {
+      !HasUntriedUpstream() || StopsBeforeAnswer(now) ||
+      !state_.RetryBudgetOf(service_).CanAcquire()) {
     attempt_->last_progress = now;
     return ArmTimer();
   }
--- a/src/shell/caller_server.cc
+++ b/src/shell/caller_server.cc
@@ -83,6 +83,9 @@
     handler_.OnCallerDisconnected(call_id_);
   }
 
+  /// The router core answers what is left when its drain ends.
+  void OnShutdown() override {}
+
  private:
   enum class State : std::uint8_t { kWaiting, kStreaming, kEnded };
 
