--- a/src/gateway/ingress_server.h
+++ b/src/gateway/ingress_server.h
@@ -44,6 +44,8 @@
   std::size_t session_count() const { return sessions_.size(); }
   /// Bytes of answers that are not yet written to the sockets.
   std::size_t unsent_bytes() const;
+  /// Sessions that receive a request or have one to answer, up to the last
+  /// byte of its answer.
   std::size_t busy_count() const;
 
  private:
--- a/src/gateway/ingress_session.h
+++ b/src/gateway/ingress_session.h
@@ -90,7 +90,8 @@
   bool closed() const { return closed_; }
   /// Bytes of answers that are not yet written to the socket.
   std::size_t unsent_bytes() const { return output_.size() - output_sent_; }
-  bool busy() const { return in_request_; }
+  /// True while a request is under way or its answer isn't written.
+  bool busy() const { return in_request_ || unsent_bytes() > 0; }
   bool receiving() const { return !in_request_ && !reader_.at_start(); }
 
  private:
--- a/src/shell/caller_frontend.cc
+++ b/src/shell/caller_frontend.cc
@@ -73,7 +73,7 @@
         std::visit([this](auto& r) { On(r); }, reply);
       }) {}
 
-CallerFrontend::~CallerFrontend() { Stop(); }
+CallerFrontend::~CallerFrontend() { Stop(std::chrono::milliseconds(0)); }
 
 absl::Status CallerFrontend::Start() {
   std::promise<absl::Status> opened;
@@ -83,10 +83,11 @@
   return opened.get_future().get();
 }
 
-void CallerFrontend::Stop() {
-  asio::post(thread_.loop(), [this] {
-    server_->Close();
-    asio::post(thread_.loop(), [this] { thread_.loop().stop(); });
+void CallerFrontend::Stop(std::chrono::milliseconds write_limit) {
+  asio::post(thread_.loop(), [this, write_limit] {
+    server_->CloseWhenWritten(write_limit, [this] {
+      asio::post(thread_.loop(), [this] { thread_.loop().stop(); });
+    });
   });
   thread_.Join();
 }
--- a/src/shell/caller_frontend.h
+++ b/src/shell/caller_frontend.h
@@ -44,7 +44,9 @@
   /// Starts the thread and listens.
   /// @return the error if the address cannot be bound
   absl::Status Start();
-  void Stop();
+  /// Stops the thread when the answers are written.
+  /// @param write_limit after which they are cut
+  void Stop(std::chrono::milliseconds write_limit);
 
   // Callable from any thread.
 
--- a/src/shell/caller_server.cc
+++ b/src/shell/caller_server.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "absl/strings/ascii.h"
+#include "easylogging++.h"
 #include "gateway/http_status.h"
 #include "gateway/ingress_server.h"
 
@@ -13,6 +14,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds kTimeoutCheckInterval{250};
+/// How often a server that closes looks whether its answers are written.
+constexpr std::chrono::milliseconds kWrittenCheckInterval{20};
 /// Bodies up to this multiple of the limit are read, so that the error names
 /// their size; larger ones are rejected unread.
 constexpr std::size_t kOversizeReadFactor = 4;
@@ -140,7 +143,31 @@
     ingress_.CloseAll();
   }
 
+  void CloseWhenWritten(std::chrono::milliseconds limit,
+                        std::function<void()> closed) override {
+    ingress_.CloseListener();
+    ingress_.DrainSessions();
+    AwaitWritten(std::chrono::steady_clock::now() + limit, std::move(closed));
+  }
+
  private:
+  void AwaitWritten(TimePoint until, std::function<void()> closed) {
+    const TimePoint now = std::chrono::steady_clock::now();
+    const std::size_t unsent = ingress_.unsent_bytes();
+    if (unsent == 0 || now >= until) {
+      if (unsent > 0) {
+        LOG(WARNING) << "event=answers_cut unsent_bytes=" << unsent;
+      }
+      Close();
+      return closed();
+    }
+    timer_.expires_after(kWrittenCheckInterval);
+    timer_.async_wait([this, until, closed = std::move(closed)](
+                          const asio::error_code& ec) mutable {
+      if (!ec) AwaitWritten(until, std::move(closed));
+    });
+  }
+
   std::shared_ptr<PendingRequest> OnRequest(
       IngressRequest request,
       std::shared_ptr<IngressSession> session) override {
--- a/src/shell/caller_server.h
+++ b/src/shell/caller_server.h
@@ -5,7 +5,9 @@
 /// HTTP server for callers. All methods run on one event loop.
 
 #include <asio.hpp>
+#include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -58,6 +60,12 @@
   virtual absl::Status Open() = 0;
   /// Stops listening and closes all open connections; to be called on the loop.
   virtual void Close() = 0;
+  /// Stops listening, and closes each connection when its answers are written.
+  /// To be called on the loop.
+  /// @param limit after which the others are closed, too
+  /// @param closed called on the loop when all are closed
+  virtual void CloseWhenWritten(std::chrono::milliseconds limit,
+                                std::function<void()> closed) = 0;
 
   static std::unique_ptr<CallerServer> Create(asio::io_context& loop,
                                               const RouterSettings& settings,
--- a/src/shell/router_process.cc
+++ b/src/shell/router_process.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <iterator>
 #include <utility>
 #include <variant>
@@ -95,13 +96,20 @@
 }
 
 void RouterProcess::Drain() {
+  drain_until_ = std::chrono::steady_clock::now() + settings_.drain_deadline;
   caller_frontend_.SetReady(false);
   control_.SetLeaving();
   static_cast<void>(Post(DrainRequested{settings_.drain_deadline}));
 }
 
 void RouterProcess::Stop() {
-  caller_frontend_.Stop();
+  using std::chrono::milliseconds;
+  milliseconds write_limit{0};
+  if (drain_until_) {
+    write_limit = std::chrono::duration_cast<milliseconds>(
+        *drain_until_ - std::chrono::steady_clock::now());
+  }
+  caller_frontend_.Stop(std::max(write_limit, milliseconds(0)));
   control_.Stop();
   links_.Stop();
   core_loop_.thread.Stop();
--- a/src/shell/router_process.h
+++ b/src/shell/router_process.h
@@ -80,6 +80,8 @@
   MetricsThread metrics_;
   CoreLoop core_loop_;
   bool draining_ = false;  ///< Used on the core's thread only.
+  /// When the drain deadline passes; nullopt unless it drains.
+  std::optional<TimePoint> drain_until_;
   AgentLinks links_;
   ControlLoop control_;
   CallerFrontend caller_frontend_;
--- a/test/gateway/graceful_stop_test.cc
+++ b/test/gateway/graceful_stop_test.cc
@@ -5,6 +5,7 @@
 #include <optional>
 
 #include "test/gateway/gateway_fixture.h"
+#include "test/gateway/paced_writer.h"
 
 namespace yuccapick {
 namespace {
@@ -13,6 +14,7 @@
 using Connection = FakeUpstream::Connection;
 
 constexpr milliseconds kGrace{3'000};
+constexpr std::size_t kAnswerBytes = 7'900'000;
 
 constexpr char kRoutes[] = R"([
  {"name":"book","host":"crew.example","prefix":"/book/",
@@ -137,5 +139,56 @@
   CHECK(caller->input().starts_with("HTTP/1.1 200"));
 }
 
+/// A caller that reads nothing until it is told to.
+struct HesitantCaller {
+  HesitantCaller(asio::io_context& loop, const std::string& endpoint)
+      : socket(loop) {
+    socket.open(asio::ip::tcp::v4());
+    socket.set_option(asio::socket_base::receive_buffer_size(kReceiveBytes));
+    socket.connect(ParseEndpoint(endpoint));
+  }
+
+  void ReadAll() {
+    asio::async_read(
+        socket, asio::dynamic_buffer(input),
+        [this](const asio::error_code&, std::size_t) { closed = true; });
+  }
+
+  static constexpr int kReceiveBytes = 100'000;
+  asio::ip::tcp::socket socket;
+  std::string input;
+  bool closed = false;
+};
+
+/// Guards against answers that are lost in the buffers of a process that stops.
+TEST_CASE("A gateway that stops sends its answers to slow callers first") {
+  GatewayFixture fixture;
+  PacedWriter writer(fixture.loop, 20'000'000);
+  FakeUpstream upstream(
+      fixture.loop, "up-1", [&writer](Connection& c, const ReceivedRequest& r) {
+        writer.Write(c, fmt::format("HTTP/1.1 200 OK\r\nX-Attempt-Id: {}\r\n"
+                                    "X-Server-Seal: s\r\n"
+                                    "Content-Length: {}\r\n\r\n",
+                                    r.Field("X-Attempt-Id"), kAnswerBytes) +
+                            std::string(kAnswerBytes, 'x'));
+      });
+  fixture.PutConfig(1, kRoutes);
+  fixture.Register(upstream, "app");
+  fixture.Start();
+  HesitantCaller caller(fixture.loop, fixture.settings.caller_endpoint);
+  asio::write(caller.socket,
+              asio::buffer(CallerRequest("POST", "/book/1", "", "o")));
+  REQUIRE(fixture.RunUntilTrue(
+      [&writer] { return writer.written() > kAnswerBytes; }));
+  bool stopped = false;
+  fixture.gateway->Drain([&stopped] { stopped = true; });
+  fixture.Run(milliseconds(700));
+  CHECK_FALSE(stopped);
+  caller.ReadAll();
+  REQUIRE(fixture.RunUntilTrue([&caller] { return caller.closed; }));
+  CHECK(caller.input.size() > kAnswerBytes);
+  CHECK(fixture.RunUntilTrue([&stopped] { return stopped; }));
+}
+
 }  // namespace
 }  // namespace yuccapick
--- a/test/shell/caller_server_test.cc
+++ b/test/shell/caller_server_test.cc
@@ -173,6 +173,28 @@
   server->Close();
 }
 
+/// Guards against answers that are lost in the buffers of a process that stops.
+TEST_CASE("A server that stops writes its answers first") {
+  constexpr std::size_t kAnswerBytes = 12'000'000;
+  ServerFixture world;
+  Tcp::socket socket = world.Connect();
+  asio::write(socket, asio::buffer(std::string("GET /a HTTP/1.1\r\n\r\n")));
+  RunUntil(world.loop, [&] { return !world.handler.calls.empty(); });
+  world.handler.exchanges[0]->Respond(200, {}, std::string(kAnswerBytes, 'x'));
+  bool closed = false;
+  SECTION("until they are written") {
+    world.server->CloseWhenWritten(kTestTimeout, [&closed] { closed = true; });
+    CHECK_FALSE(closed);
+    CHECK(world.ReadAll(socket).size() > kAnswerBytes);
+    CHECK(RunUntil(world.loop, [&closed] { return closed; }));
+  }
+  SECTION("but no longer than its time limit") {
+    world.server->CloseWhenWritten(std::chrono::milliseconds(50),
+                                   [&closed] { closed = true; });
+    CHECK(RunUntil(world.loop, [&closed] { return closed; }));
+  }
+}
+
 TEST_CASE("A large response arrives complete over TLS") {
   const TestCertificate certificate("router");
   ServerFixture world(certificate.SettingsTrusting(certificate));
