--- a/src/gateway/call_client.cc
+++ b/src/gateway/call_client.cc
@@ -137,8 +137,8 @@
   call->StartTimer(timeout);
   ExchangeOptions options;
   options.own_connection = use == ConnectionUse::kOwn;
-  call->set_exchange(
-      connections_->Start(endpoint, std::move(request), options, call));
+  call->set_exchange(connections_->Start(
+      endpoint, {std::move(request), nullptr}, options, call));
   return {call->progress(), call};
 }
 
--- a/src/gateway/gateway_process.h
+++ b/src/gateway/gateway_process.h
@@ -63,6 +63,9 @@
       IngressRequest request, std::shared_ptr<IngressSession> session) override;
   std::string OnBadRequest(int status, std::string_view reason) override;
   CallerLimits limits() const override;
+  std::shared_ptr<MemoryBudget> request_memory() const override {
+    return state_.request_memory;
+  }
 
   void OnTableRows(const std::string& table,
                    const std::vector<MirrorRow>& changes) override;
--- a/src/gateway/gateway_process_metrics.cc
+++ b/src/gateway/gateway_process_metrics.cc
@@ -77,6 +77,9 @@
   counter("yuccapick_part_updates_sent", state_.part_counters.updates_sent);
   gauge("yuccapick_caller_connections", ingress_server_->session_count());
   gauge("yuccapick_requests_under_way", ingress_server_->busy_count());
+  gauge("yuccapick_request_memory_bytes", state_.request_memory->used());
+  counter("yuccapick_requests_without_memory",
+          state_.request_memory->refused());
   counter("yuccapick_process_pauses", pauses_);
   gauge("yuccapick_known_stream_origins", state_.stream_origins.size());
   counter("yuccapick_unknown_stream_origins", state_.unknown_stream_origins);
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -5,6 +5,7 @@
 /// Settings of a gateway process.
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -52,6 +53,8 @@
   std::chrono::milliseconds listen_after_drain{2'800};
   /// How long a request waits to learn which engines hold its prompt's parts.
   std::chrono::milliseconds max_holders_wait{15};
+  /// Memory that the process may use, in bytes; 0 if it isn't known.
+  std::size_t memory_bytes = 0;
   GatewayBounds bounds;
 };
 
--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -9,6 +9,14 @@
 namespace yuccapick {
 namespace {
 
+/// Share of the process's memory that the bodies of requests may take.
+constexpr double kRequestMemoryShare = 0.6;
+
+std::size_t RequestMemoryLimit(const GatewaySettings& settings) {
+  return static_cast<std::size_t>(static_cast<double>(settings.memory_bytes) *
+                                  kRequestMemoryShare);
+}
+
 constexpr std::size_t kTeamsWithLabels = 64;
 constexpr std::chrono::milliseconds kPeerReportMaxAge{1'500};
 /// Number of gateways assumed to share the retry budget until peers are known.
@@ -38,6 +46,8 @@
       settings(std::move(process_settings)),
       metrics(kTeamsWithLabels),
       upstream_connections(io, UpstreamConnectionOptions()),
+      request_memory(
+          std::make_shared<MemoryBudget>(RequestMemoryLimit(settings))),
       roster(RosterOptionsFor(settings.bounds)),
       load(kPeerReportMaxAge),
       placement(settings.domain, {}),
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -24,6 +24,7 @@
 #include "yuccapick/gateway_config.h"
 #include "yuccapick/latency_estimate.h"
 #include "yuccapick/load_shedder.h"
+#include "yuccapick/memory_budget.h"
 #include "yuccapick/part_directory.h"
 #include "yuccapick/part_messages.h"
 #include "yuccapick/peer_report.h"
@@ -87,6 +88,8 @@
   LogSink log;
   RequestMetrics metrics;
   HttpConnectionPool upstream_connections;
+  /// Shared with requests, which may outlive the state.
+  std::shared_ptr<MemoryBudget> request_memory;
   absl::BitGen random;
 
   GatewayConfigPtr config;  ///< Null before the first one.
--- a/src/gateway/http_connection.cc
+++ b/src/gateway/http_connection.cc
@@ -63,7 +63,7 @@
 
 HttpConnection::~HttpConnection() { Close(); }
 
-void HttpConnection::Start(std::string request, bool expect_no_body,
+void HttpConnection::Start(OutgoingRequest request, bool expect_no_body,
                            std::shared_ptr<ExchangeHandler> handler,
                            OnIdle on_idle) {
   request_ = std::move(request);
@@ -106,11 +106,17 @@
   Read();
 }
 
+std::array<asio::const_buffer, 2> HttpConnection::Unsent() const {
+  const asio::const_buffer head = asio::buffer(request_.head);
+  asio::const_buffer body;
+  if (request_.body != nullptr) body = asio::buffer(*request_.body);
+  return {head + sent_, body + (sent_ - std::min(sent_, head.size()))};
+}
+
 void HttpConnection::SendRemaining() {
   asio::error_code ec;
   while (sent_ < request_.size() && !ec) {
-    sent_ += socket_.write_some(
-        asio::buffer(request_.data() + sent_, request_.size() - sent_), ec);
+    sent_ += socket_.write_some(Unsent(), ec);
   }
   if (!ec) return;
   const auto self = shared_from_this();
@@ -219,7 +225,7 @@
   const bool request_sent = sent_ == request_.size();
   const bool reusable =
       keep_alive_ && request_sent && !stray_bytes_ && on_idle != nullptr;
-  request_.clear();
+  request_ = OutgoingRequest();
   if (reusable) {
     idle_since_ = std::chrono::steady_clock::now();
     on_idle(self);
@@ -235,6 +241,7 @@
   const std::string text(reason);
   if (sent_ == 0) end = ExchangeEnd::kNotSent;
   Close();
+  request_ = OutgoingRequest();
   const auto handler = std::exchange(handler_, nullptr);
   on_idle_ = nullptr;
   if (handler != nullptr) handler->OnExchangeEnd(end, text);
@@ -244,6 +251,7 @@
   const auto self = shared_from_this();
   handler_ = nullptr;
   on_idle_ = nullptr;
+  request_ = OutgoingRequest();
   Close();
 }
 
--- a/src/gateway/http_connection.h
+++ b/src/gateway/http_connection.h
@@ -41,6 +41,17 @@
   virtual void OnExchangeEnd(ExchangeEnd end, std::string_view reason) = 0;
 };
 
+/// A request as it is sent.
+struct OutgoingRequest {
+  std::string head;
+  /// Null if it has none. Shared by all attempts of a request.
+  std::shared_ptr<const std::string> body;
+
+  std::size_t size() const {
+    return head.size() + (body == nullptr ? 0 : body->size());
+  }
+};
+
 struct HttpConnectionOptions {
   std::chrono::milliseconds connect_timeout{400};
   std::size_t max_head_bytes = 65'536;
@@ -66,7 +77,7 @@
   /// @param handler called from the loop only, never before this returns; kept
   ///   until the exchange ends or `Abandon` is called
   /// @param on_idle null if the connection is to be closed after the exchange
-  void Start(std::string request, bool expect_no_body,
+  void Start(OutgoingRequest request, bool expect_no_body,
              std::shared_ptr<ExchangeHandler> handler, OnIdle on_idle);
   /// Closes the connection without any further call to the handler.
   void Abandon();
@@ -92,6 +103,8 @@
   void Connect();
   void OnConnected(const asio::error_code& ec);
   void SendRemaining();
+  /// What is left to send of head and body.
+  std::array<asio::const_buffer, 2> Unsent() const;
   void Read();
   void OnRead(const asio::error_code& ec, std::size_t n);
   void Consume(std::string_view bytes);
@@ -109,7 +122,7 @@
   asio::steady_timer connect_timer_;
   HttpReader reader_;
   std::array<char, 4096> buf_{};
-  std::string request_;
+  OutgoingRequest request_;
   std::size_t sent_ = 0;
   bool expect_no_body_ = false;
   std::shared_ptr<ExchangeHandler> handler_;
--- a/src/gateway/http_connection_pool.cc
+++ b/src/gateway/http_connection_pool.cc
@@ -46,7 +46,7 @@
 }
 
 Exchange HttpConnectionPool::Start(const std::string& endpoint,
-                                   std::string request,
+                                   OutgoingRequest request,
                                    const ExchangeOptions& options,
                                    std::shared_ptr<ExchangeHandler> handler) {
   std::shared_ptr<HttpConnection> connection;
--- a/src/gateway/http_connection_pool.h
+++ b/src/gateway/http_connection_pool.h
@@ -83,7 +83,7 @@
   /// Starts an exchange on an idle connection or a new one.
   /// @param handler called from the loop only, never before this returns; kept
   ///   until the exchange ends or is abandoned
-  Exchange Start(const std::string& endpoint, std::string request,
+  Exchange Start(const std::string& endpoint, OutgoingRequest request,
                  const ExchangeOptions& options,
                  std::shared_ptr<ExchangeHandler> handler);
   /// Abandons an exchange whose server has been silent for too long. Idle
--- a/src/gateway/ingress_session.cc
+++ b/src/gateway/ingress_session.cc
@@ -11,6 +11,8 @@
 namespace yuccapick {
 namespace {
 
+/// By then some of the requests that hold the memory have ended.
+constexpr std::string_view kMemoryRetryAfterSeconds = "0.3";
 /// Limit on buffered input, such as pipelined requests.
 constexpr std::size_t kMaxUnparsedBytes = 65'536;
 /// The connection is aborted if a slow caller leaves more unsent bytes.
@@ -85,6 +87,10 @@
     if (body_too_long_) {
       return Refuse(kHttpPayloadTooLarge, "body too large");
     }
+    if (out_of_memory_) {
+      return Refuse(kHttpUnavailable, "out of memory for requests",
+                    {{"Retry-After", std::string(kMemoryRetryAfterSeconds)}});
+    }
     unparsed_.erase(0, consumed);
     if (reader_.complete()) Dispatch();
   }
@@ -95,9 +101,13 @@
   if (head.content_length && *head.content_length > limit) {
     body_too_long_ = true;
   }
+  request_.memory = MemoryShare(handler_.request_memory());
+  if (head.content_length && !body_too_long_) {
+    ReserveBody(static_cast<std::size_t>(*head.content_length));
+  }
   const std::string* expect = head.Find("expect");
   if (expect != nullptr && EqualsIgnoreCase(*expect, "100-continue") &&
-      !body_too_long_) {
+      !body_too_long_ && !out_of_memory_) {
     output_ += fmt::format("HTTP/1.1 {} {}\r\n\r\n", kHttpContinue,
                            ReasonPhrase(kHttpContinue));
     Flush();
@@ -106,11 +116,24 @@
 }
 
 void IngressSession::OnHttpBody(std::string_view bytes) {
-  if (body_too_long_) return;
+  if (body_too_long_ || out_of_memory_) return;
+  const std::size_t size = request_.body.size() + bytes.size();
+  if (size > request_.body.capacity()) {
+    ReserveBody(std::max(size, request_.body.capacity() * 2));
+    if (out_of_memory_) return;
+  }
   request_.body.append(bytes);
   body_too_long_ = request_.body.size() > handler_.limits().max_body_bytes;
 }
 
+void IngressSession::ReserveBody(std::size_t bytes) {
+  if (request_.memory.Resize(bytes)) {
+    request_.body.reserve(bytes);
+  } else {
+    out_of_memory_ = true;
+  }
+}
+
 void IngressSession::OnHttpEnd() {}
 
 void IngressSession::Dispatch() {
@@ -125,11 +148,13 @@
   if (in_request_) pending_request_ = std::move(pending);
 }
 
-void IngressSession::Refuse(int status, std::string_view reason) {
+void IngressSession::Refuse(int status, std::string_view reason,
+                            const std::vector<HttpField>& fields) {
   const std::string body = handler_.OnBadRequest(status, reason);
   close_after_answer_ = true;
   in_request_ = true;
-  Respond(status, {}, body);
+  request_ = IngressRequest();
+  Respond(status, fields, body);
 }
 
 void IngressSession::WriteHead(int status, const std::vector<HttpField>& fields,
@@ -189,6 +214,7 @@
   chunked_ = false;
   streaming_ = false;
   body_too_long_ = false;
+  out_of_memory_ = false;
   last_active_ = std::chrono::steady_clock::now();
   reader_.Reset();
   Flush();
--- a/src/gateway/ingress_session.h
+++ b/src/gateway/ingress_session.h
@@ -15,6 +15,7 @@
 #include "gateway/http_reader.h"
 #include "yuccapick/gateway_config.h"
 #include "yuccapick/ids.h"
+#include "yuccapick/memory_budget.h"
 
 namespace yuccapick {
 
@@ -22,6 +23,7 @@
 struct IngressRequest {
   HttpHead head;
   std::string body;
+  MemoryShare memory;    ///< Held for the body.
   TimePoint arrived_at;  ///< When its first byte was read.
 };
 
@@ -49,6 +51,10 @@
   /// @return the body of the refusal
   virtual std::string OnBadRequest(int status, std::string_view reason) = 0;
   virtual CallerLimits limits() const = 0;
+  /// Bounds the memory of all requests' bodies; null if it isn't bounded.
+  virtual std::shared_ptr<MemoryBudget> request_memory() const {
+    return nullptr;
+  }
 };
 
 /// One caller's connection: reads requests and writes their answers in order.
@@ -103,7 +109,10 @@
   void OnRead(const asio::error_code& ec, std::size_t n);
   void ParseInput();
   void Dispatch();
-  void Refuse(int status, std::string_view reason);
+  void Refuse(int status, std::string_view reason,
+              const std::vector<HttpField>& fields = {});
+  /// Takes memory for the body that is being received.
+  void ReserveBody(std::size_t bytes);
   void WriteHead(int status, const std::vector<HttpField>& fields,
                  std::string_view framing);
   void FinishAnswer();
@@ -131,6 +140,7 @@
   bool streaming_ = false;
   bool chunked_ = false;
   bool body_too_long_ = false;
+  bool out_of_memory_ = false;  ///< There is no room for the body.
   bool close_after_answer_ = false;
   bool lingering_ = false;
   bool closed_ = false;
--- a/src/gateway/proxied_request.cc
+++ b/src/gateway/proxied_request.cc
@@ -67,6 +67,8 @@
     : state_(state),
       admitted_(std::move(admitted)),
       session_(std::move(session)),
+      body_(std::make_shared<const std::string>(
+          std::move(admitted_.request.body))),
       timer_(state.loop),
       splitter_(kMaxEventBytes) {}
 
@@ -84,7 +86,7 @@
   query_.prompt_tokens = caller.prompt_tokens;
   query_.output_tokens =
       caller.expected_output_tokens.value_or(caller.max_output_tokens);
-  query_.body_bytes = admitted_.request.body.size();
+  query_.body_bytes = body_->size();
   query_.random =
       XXH3_64bits(caller.attempt_id.data(), caller.attempt_id.size());
   const OriginSearch search = FindStreamOrigin(/*list_confirmed=*/false);
@@ -241,9 +243,10 @@
                           const UpstreamEntry& upstream) {
   const TimePoint now = state_.Now();
   const AttemptHeaders head = MakeAttemptHeaders(choice, upstream);
-  std::string request = platform::EncodeAttemptHead(
-      admitted_.request.head, head, admitted_.request.body.size());
-  request += admitted_.request.body;
+  OutgoingRequest request;
+  request.head =
+      platform::EncodeAttemptHead(admitted_.request.head, head, body_->size());
+  if (!body_->empty()) request.body = body_;
 
   if (state_.quarantine.OnSent(suspects_)) RecordTrial(upstream);
   Attempt attempt;
@@ -286,7 +289,7 @@
   expected_cached_tokens_ = choice.expected_cached_tokens;
   query_.tried.push_back(upstream.id);
   splitter_.DiscardPartialEvent();
-  body_.clear();
+  answer_body_.clear();
   answer_began_at_.reset();
   survival_recorded_ = false;
   named_limit_.reset();
--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -200,6 +200,7 @@
   GatewayState& state_;
   AdmittedProxyRequest admitted_;
   std::shared_ptr<IngressSession> session_;
+  std::shared_ptr<const std::string> body_;  ///< Of the request.
   ServiceId service_;
   /// The stream may continue only at upstreams of this software version.
   std::optional<SoftwareVersion> stream_software_;
@@ -243,7 +244,7 @@
   // Of the answer that was started.
   bool begun_stream_ = false;        ///< Its events may be continued.
   bool begun_event_stream_ = false;  ///< Its content type says so.
-  std::string body_;                 ///< Of an answer that is buffered.
+  std::string answer_body_;          ///< While it is buffered.
   TimePoint first_event_at_;
   TimePoint last_progress_;  ///< Last byte of an answer, or the last send.
 };
--- a/src/gateway/proxied_request_answers.cc
+++ b/src/gateway/proxied_request_answers.cc
@@ -119,10 +119,10 @@
   if (!streaming_) {
     if (attempt_->continues || attempt_->info.not_executed) return;
     if (answer_started_) return session_->StreamBody(bytes);
-    body_.append(bytes);
-    if (body_.size() > kMaxBufferedAnswerBytes) {
+    answer_body_.append(bytes);
+    if (answer_body_.size() > kMaxBufferedAnswerBytes) {
       BeginAnswer();
-      session_->StreamBody(std::exchange(body_, std::string()));
+      session_->StreamBody(std::exchange(answer_body_, std::string()));
     }
     return;
   }
@@ -278,7 +278,8 @@
   if (answer_started_) {
     session_->EndStream();
   } else {
-    session_->Respond(status, platform::ForwardedAnswerFields(head), body_);
+    session_->Respond(status, platform::ForwardedAnswerFields(head),
+                      answer_body_);
   }
   Finish(status < kHttpFirstServerError ? "complete" : "failed_status", status,
          "");
--- a/src/gateway/proxied_request_end.cc
+++ b/src/gateway/proxied_request_end.cc
@@ -56,7 +56,7 @@
   if (host != nullptr) identity.host = *host;
   identity.target = head.target;
   identity.caller = admitted_.caller.key;
-  identity.body = admitted_.request.body;
+  identity.body = *body_;
   std::vector<SuspectId> suspects{SuspectOf(identity)};
   for (const PartId part : SharedPartIds(admitted_.caller.parts)) {
     suspects.push_back(SuspectOf(part));
--- a/test/gateway/http_connection_test.cc
+++ b/test/gateway/http_connection_test.cc
@@ -11,7 +11,7 @@
 namespace yuccapick {
 namespace {
 
-constexpr char kRequest[] = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+const OutgoingRequest kRequest{"GET / HTTP/1.1\r\nHost: x\r\n\r\n", nullptr};
 constexpr char kAnswerHead[] = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n";
 
 /// Records the events of one exchange.
--- a/test/platform/messages_test.cc
+++ b/test/platform/messages_test.cc
@@ -35,7 +35,7 @@
 constexpr char kSettings[] = R"({"nodeName":"front-1","zone":"a",
  "ip":"10.1.0.30","listen":{"front":"10.1.0.30:8782",
  "ready":"10.1.0.30:8789","control":"10.1.0.30:8783"},
- "internalPorts":[7340,7355],"seeds":["10.2.0.22:8783"],"heartbeatMs":1200,
+ "limits":{"memoryMb":96},"internalPorts":[7340,7355],"seeds":["10.2.0.22:8783"],"heartbeatMs":1200,
  "bounds":{"graceS":8,"leaseMs":3000,"versionMs":9000,
  "retryBudgetRatio":0.2,"budgetSlack":108,"budgetWindowS":10},
  "platform":{"address":"10.200.1.7:8784"},"new":[1]})";
@@ -103,6 +103,7 @@
   CHECK(settings->bounds.stale_weights_limit == milliseconds(9'000));
   CHECK(settings->bounds.shutdown_grace == milliseconds(8'000));
   CHECK(settings->bounds.retry_reserve == 108);
+  CHECK(settings->memory_bytes == 100'663'296);
   const auto incomplete = platform::DecodeSettings(R"({"nodeName":"x"})");
   CHECK(incomplete.status().message().find("PLATFORM.md") !=
         absl::string_view::npos);
