--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -47,6 +47,10 @@
   void OnExchangeEnd(ExchangeEnd end, std::string_view reason) override;
 
  private:
+  /// While the gateway is stopping. Short, since another one can take the
+  /// request at once.
+  static constexpr std::chrono::milliseconds kStoppingRetryAfter{20};
+
   /// The current attempt.
   struct Attempt {
     UpstreamEntry upstream;
@@ -64,14 +68,15 @@
     bool first_in_queue = false;
   };
 
-  ServiceId PickService();
+  /// What is known of the software version that began a resumed stream.
   enum class OriginSearch : std::uint8_t {
     kFound,  ///< Or the request resumes no stream.
     /// The service has one software version, as far as this gateway has read.
     kUnconfirmed,
-    kUnknown,  ///< Or it is not on the route any more.
+    kUnknown,  ///< Or its service is not on the route any more.
   };
 
+  ServiceId PickService();
   /// Binds a stream that the caller resumes to the service and the software
   /// version that began it.
   /// @param list_confirmed all upstreams are known that are listed now
--- a/src/gateway/proxied_request_end.cc
+++ b/src/gateway/proxied_request_end.cc
@@ -11,10 +11,6 @@
 /// Range of the random delay that spreads the callers' retries.
 constexpr milliseconds kRetryAfterJitter{450};
 
-/// Shortest delay after which a caller should retry at another gateway, as this
-/// one ends.
-constexpr milliseconds kRetryAfterShutdown{20};
-
 /// How long a request waits for leave to be sent as a trial, and how often it
 /// looks. A datagram to the coordinator and back may be lost once.
 constexpr milliseconds kMaxTrialWait{400};
@@ -168,7 +164,7 @@
   const bool sent = attempt_.has_value();
   may_have_run_ = may_have_run_ || sent;
   AbandonAttempt();
-  retry_after_ = kRetryAfterShutdown;
+  retry_after_ = kStoppingRetryAfter;
   OnEnd(may_have_run_ ? AttemptEnd::kTimedOut : AttemptEnd::kNotSent,
         "gateway is stopping");
 }
