Log which rule lets an engine with overdue weights get a request

Cause: request_sent names the age of the weights, but not why they passed, nor what the gateway believes of the store's outages, so the hypotheses on old weights can't be told apart. Change: request_sent gets overdue_use and since_outage_ms; explain names the rule. The decision is the same as before. Measured: the tests of explain and of the contact with the store pass.

--- a/include/yuccapick/store_contact.h
+++ b/include/yuccapick/store_contact.h
@@ -40,6 +40,9 @@
   /// True if the store answers and is known to have had no outage for
   /// `duration`.
   bool InTouchFor(std::chrono::milliseconds duration, TimePoint now) const;
+  /// @return time since the end of the last outage, zero in an outage; nullopt
+  ///   if there was none
+  std::optional<std::chrono::milliseconds> TimeSinceOutage(TimePoint now) const;
 
  private:
   bool InOutage(TimePoint now) const;
--- a/src/gateway/proxied_request.cc
+++ b/src/gateway/proxied_request.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "gateway/boot_clock.h"
 #include "gateway/http_status.h"
 #include "platform/header_fields.h"
 
@@ -191,6 +192,8 @@
     store->second.unreported_tokens += choice.store_tokens;
   }
   const milliseconds replaced_for = WeightsReplacedFor(upstream);
+  const std::optional<milliseconds> since_outage =
+      state_.store_contact.TimeSinceOutage(BootTimeNow());
   const auto rate = state_.prefill_rates.find(service_);
   if (replaced_for >= state_.settings.bounds.stale_weights_limit) {
     ++state_.attempts_on_overdue_weights;
@@ -212,7 +215,8 @@
       "prefix={:x} hit_tokens={} missing_tokens={} known_tokens={} "
       "shared_tokens={} at_home={} asked_ms={} tokens_per_ms={:.0f} "
       "slowdown={:.2f} import_from={} export={} "
-      "weights={} replaced_ms={} left_ms={} config={}",
+      "weights={} replaced_ms={} overdue_use={} since_outage_ms={} left_ms={} "
+      "config={}",
       admitted_.caller.attempt_id, attempts_sent_, admitted_.route->name,
       upstream.id.value, upstream.software.value,
       admitted_.caller.resumes.empty() ? "-" : admitted_.caller.resumes,
@@ -223,7 +227,10 @@
       state_.speeds.SlowdownOf(upstream, now),
       choice.import_from.empty() ? "-" : choice.import_from,
       !choice.export_to.empty(), head.weights.value_or(0), replaced_for.count(),
-      head.time_left.count(), admitted_.config->version().value);
+      OverdueUseName(IsOverdue(upstream) ? UseOfOverdueWeights(*head.weights)
+                                         : OverdueUse::kNotOverdue),
+      since_outage ? since_outage->count() : -1, head.time_left.count(),
+      admitted_.config->version().value);
   ExchangeOptions options;
   options.expect_no_body = admitted_.request.head.method == "HEAD";
   options.excluded = used_connections_;
--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -30,6 +30,18 @@
   CallerHeaders caller;
 };
 
+/// Why a request may go to an upstream whose weights are, or are soon, too old.
+enum class OverdueUse : std::uint8_t {
+  kNotOverdue,
+  kForbidden,
+  kLastChoice,   ///< No other is left, and it can begin in time.
+  kStoreOutage,  ///< Nobody could roll out newer weights.
+  kUnknownTime,  ///< The store's time isn't known.
+};
+
+/// Returns the name of the rule for log lines.
+std::string_view OverdueUseName(OverdueUse use);
+
 /// Sends the request to one upstream after the other until it gets an answer or
 /// may not be retried. Its connection keeps it alive. Used on one event loop.
 class ProxiedRequest : public PendingRequest,
@@ -178,9 +190,9 @@
   void RecordTeamWork(const DirectPlacementDecision& choice, TimePoint now);
   /// How long before its weights become too old an upstream gets no requests.
   std::chrono::milliseconds StaleWeightsMargin() const;
-  /// True if an upstream with these weights may get the request if no other is
-  /// left.
-  bool MayUseOverdueWeights(WeightVersionNumber weights) const;
+  /// Which rule lets an upstream with these weights, which are or soon become
+  /// too old, get the request if no other is left.
+  OverdueUse UseOfOverdueWeights(WeightVersionNumber weights) const;
   /// How long the upstream may send nothing before the attempt is given up.
   std::chrono::milliseconds SilenceTimeout() const;
   /// When the current attempt is given up; nullopt if it may not be retried.
--- a/src/gateway/proxied_request_fleet.cc
+++ b/src/gateway/proxied_request_fleet.cc
@@ -107,7 +107,8 @@
     }
     if (!candidate.old_weights || !IsOverdue(*upstream)) {
       fleet.candidates.push_back(std::move(candidate));
-    } else if (MayUseOverdueWeights(*WeightsAt(*upstream))) {
+    } else if (UseOfOverdueWeights(*WeightsAt(*upstream)) !=
+               OverdueUse::kForbidden) {
       overdue.push_back(std::move(candidate));
     }
   }
--- a/src/gateway/proxied_request_timing.cc
+++ b/src/gateway/proxied_request_timing.cc
@@ -35,6 +35,22 @@
 
 }  // namespace
 
+std::string_view OverdueUseName(OverdueUse use) {
+  switch (use) {
+    case OverdueUse::kNotOverdue:
+      return "-";
+    case OverdueUse::kForbidden:
+      return "forbidden";
+    case OverdueUse::kLastChoice:
+      return "last_choice";
+    case OverdueUse::kStoreOutage:
+      return "store_outage";
+    case OverdueUse::kUnknownTime:
+      return "unknown_time";
+  }
+  return "-";
+}
+
 milliseconds ProxiedRequest::StaleWeightsMargin() const {
   const milliseconds longest = state_.settings.bounds.stale_weights_limit / 2;
   const auto it = state_.stream_loads.find(admitted_.route->name);
@@ -47,15 +63,19 @@
   return std::min(margin, longest);
 }
 
-bool ProxiedRequest::MayUseOverdueWeights(WeightVersionNumber weights) const {
+OverdueUse ProxiedRequest::UseOfOverdueWeights(
+    WeightVersionNumber weights) const {
   const milliseconds limit = state_.settings.bounds.stale_weights_limit;
   // Without the store nobody can roll out newer weights: an answer on old ones
   // is better than none.
-  if (!state_.store_contact.InTouchFor(limit, BootTimeNow())) return true;
+  if (!state_.store_contact.InTouchFor(limit, BootTimeNow())) {
+    return OverdueUse::kStoreOutage;
+  }
   const std::optional<StoreTime> now = state_.StoreNow();
-  if (!now) return true;
-  return !state_.target_weights.IsOverdue(admitted_.caller.model, weights,
-                                          limit - kMinStaleWeightsMargin, *now);
+  if (!now) return OverdueUse::kUnknownTime;
+  const bool too_old = state_.target_weights.IsOverdue(
+      admitted_.caller.model, weights, limit - kMinStaleWeightsMargin, *now);
+  return too_old ? OverdueUse::kForbidden : OverdueUse::kLastChoice;
 }
 
 bool ProxiedRequest::WaitsToBegin() const {
--- a/src/request_explanation.cc
+++ b/src/request_explanation.cc
@@ -129,14 +129,21 @@
 /// Describes the age of the weights at the last attempt. Returns an empty
 /// string if they had not been replaced.
 std::string WeightsAge(const std::vector<LogLine>& request_lines) {
-  std::int64_t replaced_ms = 0;
+  const LogLine* sent = nullptr;
   for (const LogLine& line : request_lines) {
-    if (line.Field("event") == "request_sent") {
-      replaced_ms = IntegerField(line, "replaced_ms");
-    }
+    if (line.Field("event") == "request_sent") sent = &line;
+  }
+  if (sent == nullptr || IntegerField(*sent, "replaced_ms") <= 0) return {};
+  std::string age = fmt::format("; sent on weights replaced {} ms before",
+                                sent->Field("replaced_ms"));
+  const std::string_view use = sent->Field("overdue_use");
+  if (use == "last_choice") age += ", since no other upstream was left";
+  if (use == "unknown_time") age += ", at an unknown time of the store";
+  if (use == "store_outage") {
+    age += fmt::format(", {} ms after an outage of the store",
+                       sent->Field("since_outage_ms"));
   }
-  if (replaced_ms <= 0) return {};
-  return fmt::format("; sent on weights replaced {} ms before", replaced_ms);
+  return age;
 }
 
 /// Describes how long the process was paused in total.
--- a/src/store_contact.cc
+++ b/src/store_contact.cc
@@ -32,4 +32,12 @@
   return !outage_ended_at_ || now - *outage_ended_at_ >= duration;
 }
 
+std::optional<std::chrono::milliseconds> StoreContact::TimeSinceOutage(
+    TimePoint now) const {
+  if (!answered_ || InOutage(now)) return std::chrono::milliseconds(0);
+  if (!outage_ended_at_) return std::nullopt;
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+      now - *outage_ended_at_);
+}
+
 }  // namespace yuccapick
--- a/test/request_explanation_test.cc
+++ b/test/request_explanation_test.cc
@@ -219,6 +219,29 @@
         "Ended as complete with status 200 after 41 ms.");
 }
 
+TEST_CASE("The rule that lets old weights pass is named") {
+  const std::string done =
+      "time=3 event=request_done id=4 outcome=complete status=200 total_ms=41 "
+      "reason=\"\"";
+  const auto summary = [&done](const std::string& use) {
+    const std::string sent =
+        "time=1 event=request_sent id=4 attempt=1 upstream=i-1 "
+        "replaced_ms=8600 overdue_use=" +
+        use + " since_outage_ms=2100";
+    return ExplainRequest(Parse({sent, done}), "4").summary;
+  };
+  const std::string start =
+      "Ended as complete with status 200 after 41 ms; sent on weights replaced "
+      "8600 ms before";
+  CHECK(summary("-") == start + ".");
+  CHECK(summary("last_choice") ==
+        start + ", since no other upstream was left.");
+  CHECK(summary("store_outage") ==
+        start + ", 2100 ms after an outage of the store.");
+  CHECK(summary("unknown_time") ==
+        start + ", at an unknown time of the store.");
+}
+
 TEST_CASE("All attempts at one stream are shown with any of them") {
   const std::string done =
       "gw-2 time=21 event=request_done id=b outcome=complete status=200 "
--- a/test/store_contact_test.cc
+++ b/test/store_contact_test.cc
@@ -16,6 +16,20 @@
   CHECK_FALSE(contact.InTouchFor(milliseconds(0), kStart));
 }
 
+TEST_CASE("The time since an outage is told") {
+  StoreContact contact;
+  CHECK(contact.TimeSinceOutage(kStart) == milliseconds(0));
+  contact.OnAnswer(kStart);
+  CHECK_FALSE(contact.TimeSinceOutage(kStart));
+  contact.OnFailure(kStart + milliseconds(1'000));
+  contact.OnFailure(kStart + milliseconds(2'500));
+  CHECK(contact.TimeSinceOutage(kStart + milliseconds(2'500)) ==
+        milliseconds(0));
+  contact.OnAnswer(kStart + milliseconds(3'000));
+  CHECK(contact.TimeSinceOutage(kStart + milliseconds(3'700)) ==
+        milliseconds(700));
+}
+
 TEST_CASE("A store that answers a new process at once is in touch") {
   StoreContact contact;
   contact.OnFailure(kStart);
