Add failing tests of a gateway that alone loses the store

Cause: one gateway's failing calls count as an outage of the store, in which nobody can roll out weights, so it sends to overdue engines while its peers are in touch. Peers' confirmations don't end that while its copies are behind, which they always are while upstreams write their rows.

--- a/test/gateway/fake_store.cc
+++ b/test/gateway/fake_store.cc
@@ -14,6 +14,13 @@
 
 using Json = nlohmann::json;
 
+bool IsFrom(const ScriptedServer& server,
+            const ScriptedServer::Connection& connection) {
+  return std::any_of(
+      server.connections.begin(), server.connections.end(),
+      [&connection](const auto& it) { return it.get() == &connection; });
+}
+
 std::string Parameter(const std::string& target, const std::string& name) {
   const std::size_t at = target.find(name + "=");
   if (at == std::string::npos) return {};
@@ -25,6 +32,8 @@
 
 FakeStore::FakeStore(asio::io_context& loop)
     : server_(loop, [this](ScriptedServer::Connection& c) { OnInput(c); }),
+      other_server_(loop,
+                    [this](ScriptedServer::Connection& c) { OnInput(c); }),
       slow_writer_(loop, kSlowLinkBytesPerSecond),
       slow_server_(loop,
                    [this](ScriptedServer::Connection& c) { OnInput(c); }) {}
@@ -33,14 +42,20 @@
   return LoopbackEndpoint(server_.port());
 }
 
+std::string FakeStore::other_endpoint() const {
+  return LoopbackEndpoint(other_server_.port());
+}
+
 std::string FakeStore::slow_endpoint() const {
   return LoopbackEndpoint(slow_server_.port());
 }
 
 bool FakeStore::IsSlow(const ScriptedServer::Connection& connection) const {
-  return std::any_of(
-      slow_server_.connections.begin(), slow_server_.connections.end(),
-      [&connection](const auto& slow) { return slow.get() == &connection; });
+  return IsFrom(slow_server_, connection);
+}
+
+bool FakeStore::IsUp(const ScriptedServer::Connection& connection) const {
+  return up_ && (other_up_ || !IsFrom(other_server_, connection));
 }
 
 void FakeStore::Put(const std::string& table, const std::string& key,
@@ -94,6 +109,16 @@
       [&table](const Watcher& watcher) { return watcher.table == table; });
 }
 
+void FakeStore::set_other_up(bool up) {
+  other_up_ = up;
+  if (up) return;
+  std::erase_if(watchers_, [this](const Watcher& watcher) {
+    const bool lost = IsFrom(other_server_, *watcher.connection);
+    if (lost) watcher.connection->Close();
+    return lost;
+  });
+}
+
 void FakeStore::set_silent(bool silent) {
   silent_ = silent;
   if (silent) watchers_.clear();
@@ -178,7 +203,7 @@
 void FakeStore::OnInput(ScriptedServer::Connection& connection) {
   while (const auto request = TakeRequest(connection.input)) {
     if (silent_) continue;
-    if (!up_) {
+    if (!IsUp(connection)) {
       Reply(connection, 503, "");
       continue;
     }
--- a/test/gateway/fake_store.h
+++ b/test/gateway/fake_store.h
@@ -71,11 +71,16 @@
   void set_silent(bool silent);
   /// While false, every call is answered 503.
   void set_up(bool up) { up_ = up; }
+  /// While false, every call to `other_endpoint` is answered 503. Its long
+  /// polls lose their connections.
+  void set_other_up(bool up);
   /// Reads of changes that asked for an answer at once.
   std::size_t checks() const { return checks_; }
   /// True if a long poll of `table` waits for an answer.
   bool HasPoll(const std::string& table) const;
   std::string endpoint() const;
+  /// The same store at another address, which can be unavailable by itself.
+  std::string other_endpoint() const;
   /// The same store behind a link of `kSlowLinkBytesPerSecond`.
   std::string slow_endpoint() const;
 
@@ -88,6 +93,7 @@
 
   void OnInput(ScriptedServer::Connection& connection);
   bool IsSlow(const ScriptedServer::Connection& connection) const;
+  bool IsUp(const ScriptedServer::Connection& connection) const;
   void Reply(ScriptedServer::Connection& connection, int status,
              const std::string& body);
   bool HasRowsAfter(const std::string& table, std::uint64_t after) const;
@@ -109,10 +115,12 @@
   std::chrono::milliseconds time_{1'000};
   std::optional<std::chrono::steady_clock::time_point> clock_runs_since_;
   bool up_ = true;
+  bool other_up_ = true;
   bool silent_ = false;
   std::size_t checks_ = 0;
   std::vector<Watcher> watchers_;
   ScriptedServer server_;
+  ScriptedServer other_server_;
   PacedWriter slow_writer_;
   ScriptedServer slow_server_;
 };
--- a/test/gateway/stale_weights_test.cc
+++ b/test/gateway/stale_weights_test.cc
@@ -19,6 +19,10 @@
   "service":"engines","maxAttempts":2,"resumable":true}])";
 
 constexpr milliseconds kStaleWeightsLimit{8'000};
+/// Shorter than `kOutage`, which is longer than what counts as an outage.
+constexpr milliseconds kShortWeightsLimit{2'000};
+constexpr milliseconds kOutage{3'500};
+constexpr milliseconds kHeartbeatInterval{100};
 constexpr char kSetTimesTable[] = "yuccapick-weights";
 
 /// A gateway with one engine that has the weights 1 and one with the weights 2,
@@ -105,11 +109,39 @@
   }));
 }
 
+const std::string kStreamRequest =
+    CallerRequest("POST", "/tell/", "X-Model: m\r\nX-Token-Count: 10,10\r\n");
+
 std::string AskForStream(GatewayFixture& fixture) {
-  return fixture.Ask(CallerRequest("POST", "/tell/",
-                                   "X-Model: m\r\nX-Token-Count: 10,10\r\n"));
+  return fixture.Ask(kStreamRequest);
 }
 
+/// Two gateways that reach the store at different addresses. Their only engine
+/// has the weights 1, the target is 2.
+struct OldEngineOfTwoGateways {
+  OldEngineOfTwoGateways()
+      : old(fixture.loop, "old",
+            [this](Connection& c, const ReceivedRequest& r) {
+              old.Answer(c, r, 200, "", "Content-Type: text/event-stream\r\n");
+            }) {
+    fixture.settings.bounds.stale_weights_limit = kShortWeightsLimit;
+    fixture.store.RunClock();
+    fixture.PutConfig(1, kRoutes);
+    fixture.RegisterEngine(old, 1);
+    const std::string store = fixture.settings.table_endpoint;
+    fixture.settings.table_endpoint = fixture.store.other_endpoint();
+    fixture.Start();
+    fixture.settings.table_endpoint = store;
+    fixture.StartPeer();
+    REQUIRE(fixture.AwaitListed(1));
+    fixture.PutTargetWeights(2);
+    AwaitNewConfig(fixture);
+  }
+
+  GatewayFixture fixture;
+  FakeUpstream old;
+};
+
 TEST_CASE(
     "Engines get requests until their weights were replaced too long ago") {
   OldAndFullEngine engines;
@@ -210,6 +242,44 @@
   CHECK(silent.server().connections.front()->closed_by_peer);
 }
 
+/// Lets an upstream of another service write its row again and again.
+void RunWithHeartbeats(GatewayFixture& fixture, milliseconds duration) {
+  for (auto left = duration; left.count() > 0; left -= kHeartbeatInterval) {
+    fixture.store.Put("servers", "heartbeat", std::to_string(left.count()));
+    fixture.Run(kHeartbeatInterval);
+  }
+}
+
+TEST_CASE("A gateway that alone lost the store sends to no overdue engine") {
+  OldEngineOfTwoGateways engine;
+  GatewayFixture& fixture = engine.fixture;
+  fixture.store.set_other_up(false);
+  RunWithHeartbeats(fixture, kOutage);
+  CHECK(IsRefusal(AskForStream(fixture)));
+  CHECK(engine.old.received().empty());
+}
+
+TEST_CASE("A gateway that alone had an outage sends to no overdue engine") {
+  OldEngineOfTwoGateways engine;
+  GatewayFixture& fixture = engine.fixture;
+  fixture.store.set_other_up(false);
+  RunWithHeartbeats(fixture, kOutage);
+  fixture.store.set_other_up(true);
+  REQUIRE(fixture.RunUntilTrue([&fixture] {
+    return fixture.HasMetric(fixture.settings, "yuccapick_store_in_touch 1");
+  }));
+  CHECK(IsRefusal(AskForStream(fixture)));
+  CHECK(engine.old.received().empty());
+}
+
+TEST_CASE("Gateways that all lost the store send to overdue engines") {
+  OldEngineOfTwoGateways engine;
+  engine.fixture.store.set_up(false);
+  engine.fixture.Run(kOutage);
+  CHECK(AskForStream(engine.fixture).starts_with("HTTP/1.1 200"));
+  CHECK(engine.fixture.AskPeer(kStreamRequest).starts_with("HTTP/1.1 200"));
+}
+
 TEST_CASE("Row times that can't be read count as none") {
   EngineWithoutGateway engine;
   engine.fixture.store.Put("yuccapick-lease", "rollout-row-times",
