Take only what no gateway reaches for an outage of the store

Cause: "without the store nobody can roll out weights" holds for the fleet, but was decided from one gateway's own calls. If these failed for a second, for whatever reason, the bound on old weights was off at this gateway for the whole limit. A peer's confirmation ended that only while the own copies were current, which they are not while upstreams write their rows, and it began the limit anew. Change: StoreContact counts answers to any gateway. Each confirmation counts, current or not, and reports name the store's time of the last answer that their sender knows, so that knowledge passes on and a lost datagram costs little; it is the store's clock, so it doesn't grow newer on its way. A gateway that hears no peer takes its own links for the cause. Its state is a few times. Without peers all is as before. With peers an outage begins after 2 s instead of 1 s, and outages shorter than that count as none. The store's time is also corrected by peers' times. Excluded: the record's causes (time of receipt for time of the event), which earlier tests hold.

--- a/include/yuccapick/peer_report.h
+++ b/include/yuccapick/peer_report.h
@@ -17,6 +17,7 @@
 #include "yuccapick/overload/team_usage.h"
 #include "yuccapick/part_directory.h"
 #include "yuccapick/speed/upstream_speed.h"
+#include "yuccapick/store_clock.h"
 #include "yuccapick/store_generation.h"
 #include "yuccapick/upstream_limits.h"
 #include "yuccapick/upstream_load.h"
@@ -96,6 +97,9 @@
   std::vector<SpeedReport> speeds;
   /// New since the previous report.
   std::vector<UnreachableReport> unreachable;
+  /// When the store is known to have answered any gateway last, by its clock,
+  /// so that the time doesn't grow newer from one gateway to the next.
+  std::optional<StoreTime> store_answered_at;
 };
 
 /// How new the tables and the configuration of a gateway are.
@@ -142,6 +146,8 @@
   /// @return where the peer receives reports; empty if it is not live
   std::string EndpointOf(const InstanceId& peer, TimePoint now) const;
   std::size_t LiveCount(TimePoint now) const;
+  /// True if a peer has reported within the time for which peers are kept.
+  bool KnowsPeers() const { return !peers_.empty(); }
   /// @return the number of live peers whose last report has this
   ///   `PeerReport::members`
   std::size_t CountWithMembers(std::uint64_t members, TimePoint now) const;
--- a/src/gateway/freshness_sync.cc
+++ b/src/gateway/freshness_sync.cc
@@ -29,10 +29,11 @@
 
 }  // namespace
 
-FreshnessSync::FreshnessSync(
-    GatewayState& state, PeerExchange& exchange, const PeerRegistry& peers,
-    TableWatch& operator_watch, TableWatch& upstream_watch,
-    std::function<void(TimePoint::duration age)> on_confirmed)
+FreshnessSync::FreshnessSync(GatewayState& state, PeerExchange& exchange,
+                             const PeerRegistry& peers,
+                             TableWatch& operator_watch,
+                             TableWatch& upstream_watch,
+                             std::function<void()> on_confirmed)
     : state_(state),
       exchange_(exchange),
       peers_(peers),
@@ -159,8 +160,11 @@
   // Versions of different generations can't be compared.
   const StoreGeneration own = operator_watch_.mirror().generation();
   if (!InOneGeneration() || confirmation.generation != own) return;
+  // Whether or not the own copies are current, the store answers gateways.
+  const bool own_calls_work = state_.OnPeerAnswer(confirmation.as_of);
   const std::optional<TimePoint> at = state_.LocalTime(confirmation.as_of, now);
-  if (!at || !freshness_.OnConfirmation(confirmation, *at, now)) return;
+  if (!at) return;
+  if (!freshness_.OnConfirmation(confirmation, *at, now)) return;
   bool all_current = true;
   for (const WatchedTable table : kWatchedTables) {
     TableWatch& watch = WatchOf(table);
@@ -174,7 +178,7 @@
     if (current) watch.OnConfirmed();
     all_current = all_current && current;
   }
-  if (all_current) on_confirmed_(now - *at);
+  if (all_current && own_calls_work) on_confirmed_();
   Schedule();
 }
 
--- a/src/gateway/freshness_sync.h
+++ b/src/gateway/freshness_sync.h
@@ -30,11 +30,10 @@
   };
 
   /// @param on_confirmed called when a peer has confirmed that the copies of
-  ///   all tables are current
+  ///   all tables are current, since when no own call has failed
   FreshnessSync(GatewayState& state, PeerExchange& exchange,
                 const PeerRegistry& peers, TableWatch& operator_watch,
-                TableWatch& upstream_watch,
-                std::function<void(TimePoint::duration age)> on_confirmed);
+                TableWatch& upstream_watch, std::function<void()> on_confirmed);
 
   void OnTick(TimePoint now);
   /// The machine was suspended, which the steady clock doesn't count.
@@ -97,7 +96,7 @@
   const PeerRegistry& peers_;
   TableWatch& operator_watch_;
   TableWatch& upstream_watch_;
-  std::function<void(TimePoint::duration age)> on_confirmed_;
+  std::function<void()> on_confirmed_;
   TableFreshness freshness_;
   asio::steady_timer timer_;
   std::array<bool, kWatchedTables.size()> believed_confirmed_{};
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -143,7 +143,7 @@
       loop, *store_, state_.store_times, options, watch_handler);
   freshness_sync_ = std::make_unique<FreshnessSync>(
       state_, exchange_, peers_, *operator_watch_, *upstream_watch_,
-      [this](TimePoint::duration age) { OnTablesConfirmed(age); });
+      [this] { OnTablesConfirmed(); });
   status_pages_ = std::make_unique<StatusPages>(loop, *this);
   IngressOptions ingress_options;
   ingress_options.max_sessions = CallerConnectionLimit(state_.settings);
@@ -279,6 +279,7 @@
 void GatewayProcess::Tick() {
   const TimePoint now = state_.Now();
   CheckPause(now);
+  TrackStoreOutage();
   CheckListGap(now);
   RemoveUnconfirmed(now);
   RepeatStreamOrigins(now);
--- a/src/gateway/gateway_process.h
+++ b/src/gateway/gateway_process.h
@@ -157,6 +157,10 @@
   /// True if something was learned that spares peers failed requests.
   bool HasUrgentNews() const;
   void ExchangeWithPeers(TimePoint now);
+  /// Learns whether the store answers others.
+  void RecordPeerContact(const PeerReport& report);
+  /// Logs when an outage of the store begins or ends.
+  void TrackStoreOutage();
   /// Tells peers of the streams that began lately.
   void SendStreamOrigins();
   /// Tells again what was sent since the previous tick: datagrams may be lost.
@@ -166,7 +170,7 @@
   /// not followed for a while.
   void CheckListGap(TimePoint now);
   /// A peer has confirmed that all tables are current.
-  void OnTablesConfirmed(TimePoint::duration age);
+  void OnTablesConfirmed();
   void ApplyOperatorRow(const MirrorRow& row);
   void ApplyTargetWeights(const MirrorRow& row);
   void ApplyUpstreamRows(const std::vector<MirrorRow>& changes,
@@ -234,6 +238,7 @@
   TimePoint drain_started_at_;
   std::function<void()> on_drained_;
   std::optional<TimePoint> store_failing_since_;
+  bool in_store_outage_ = false;
   bool store_lost_ = false;
   std::uint64_t tables_from_peers_ = 0;
   std::uint64_t peer_table_bytes_received_ = 0;
--- a/src/gateway/gateway_process_metrics.cc
+++ b/src/gateway/gateway_process_metrics.cc
@@ -33,6 +33,10 @@
   gauge("yuccapick_config_age_ms",
         Milliseconds(now - operator_watch_->answered_at()));
   gauge("yuccapick_store_in_touch", operator_watch_->reachable() ? 1 : 0);
+  const StoreTime store_now = state_.StoreNow().value_or(StoreTime());
+  gauge("yuccapick_store_time_ms",
+        static_cast<std::uint64_t>(store_now.time_since_epoch().count()));
+  gauge("yuccapick_store_outage", in_store_outage_ ? 1 : 0);
   gauge("yuccapick_tables_confirmation_age_ms",
         static_cast<std::uint64_t>(freshness_sync_->Age(now).count()));
   const auto behind_since =
--- a/src/gateway/gateway_process_peers.cc
+++ b/src/gateway/gateway_process_peers.cc
@@ -35,6 +35,7 @@
   const TimePoint now = state_.Now();
   if (report.instance == state_.settings.instance) return;
   if (!peers_.OnReport(report, now)) return;
+  RecordPeerContact(report);
   OnPeerGeneration(report.store_generation);
   quota_sync_->OnGatewayCount(report.gateways);
   state_.load.OnPeerReport(report.instance, report.work, now);
@@ -63,6 +64,11 @@
   }
 }
 
+void GatewayProcess::RecordPeerContact(const PeerReport& report) {
+  state_.store_contact.OnPeerHeard(BootTimeNow());
+  if (report.store_answered_at) state_.OnPeerAnswer(*report.store_answered_at);
+}
+
 void GatewayProcess::OnStreamOrigins(
     const std::vector<StreamOriginReport>& origins) {
   const TimePoint now = state_.Now();
--- a/src/gateway/gateway_process_reports.cc
+++ b/src/gateway/gateway_process_reports.cc
@@ -47,6 +47,7 @@
   report.endpoint = exchange_.endpoint();
   report.store_reachable =
       freshness_sync_->Confirmed(WatchedTable::kOperator, state_.Now());
+  report.store_answered_at = state_.store_times.answered_at;
   if (state_.config != nullptr) report.config = state_.config->version();
   report.store_generation = OwnProgress().generation;
   report.operator_rows = operator_watch_->mirror().newest_change();
--- a/src/gateway/gateway_process_tables.cc
+++ b/src/gateway/gateway_process_tables.cc
@@ -20,6 +20,11 @@
 
 std::int64_t Count(StoreTime time) { return time.time_since_epoch().count(); }
 
+/// Returns -1 for none, for log lines.
+std::int64_t CountOrNone(std::optional<std::chrono::milliseconds> time) {
+  return time ? time->count() : -1;
+}
+
 }  // namespace
 
 void GatewayProcess::OnTableRows(const std::string& table,
@@ -77,8 +82,25 @@
   if (!store_failing_since_) store_failing_since_ = now;
   if (store_lost_ || now - *store_failing_since_ < kStoreLostAfter) return;
   store_lost_ = true;
-  state_.log.Write(LogKind::kLifecycle, now,
-                   "event=store_lost table={} reason=\"{}\"", table, reason);
+  state_.log.Write(
+      LogKind::kLifecycle, now,
+      "event=store_lost table={} others_answered_ms_ago={} reason=\"{}\"",
+      table, CountOrNone(state_.store_contact.TimeSinceAnswer(BootTimeNow())),
+      reason);
+}
+
+void GatewayProcess::TrackStoreOutage() {
+  const TimePoint now = BootTimeNow();
+  state_.store_contact.SetPeersKnown(peers_.KnowsPeers());
+  const bool in_outage = state_.store_contact.InOutage(now);
+  if (in_outage == in_store_outage_) return;
+  in_store_outage_ = in_outage;
+  state_.log.Write(
+      LogKind::kLifecycle, state_.Now(),
+      "event=store_outage state={} answered_ms_ago={} peers_live={}",
+      in_outage ? "began" : "ended",
+      CountOrNone(state_.store_contact.TimeSinceAnswer(now)),
+      state_.live_peers.size());
 }
 
 void GatewayProcess::OnTableAnswered(const std::string& table) {
@@ -114,10 +136,8 @@
   software_record_->Load();
 }
 
-void GatewayProcess::OnTablesConfirmed(TimePoint::duration age) {
+void GatewayProcess::OnTablesConfirmed() {
   CheckListGap(state_.Now());
-  const TimePoint now = BootTimeNow();
-  if (!state_.store_contact.OnPeerAnswer(now - age, now)) return;
   state_.roster.OnListAvailable(state_.Now());
 }
 
--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -159,6 +159,16 @@
   }
 }
 
+bool GatewayState::OnPeerAnswer(StoreTime at) {
+  const TimePoint now = Now();
+  const TimePoint boot_now = BootTimeNow();
+  // A peer's time may be long past, so that it can't begin the estimate.
+  if (!StoreNow()) return false;
+  store_times.OnPeerAnswer(at, boot_now);
+  const TimePoint local = LocalTime(at, now).value_or(now);
+  return store_contact.OnPeerAnswer(boot_now - (now - local), boot_now);
+}
+
 std::optional<TimePoint> GatewayState::LocalTime(StoreTime time,
                                                  TimePoint now) const {
   const std::optional<StoreTime> store_now = StoreNow();
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -81,6 +81,10 @@
   /// @return the local time of a time of the store, at most `now`; nullopt if
   ///   the store's clock isn't known
   std::optional<TimePoint> LocalTime(StoreTime time, TimePoint now) const;
+  /// The store has answered a peer.
+  /// @param at by the store's clock
+  /// @return false if an own call to the store failed later
+  bool OnPeerAnswer(StoreTime at);
   TimePoint Now() const { return std::chrono::steady_clock::now(); }
   /// @return nullopt before the store's time is known
   std::optional<StoreTime> StoreNow() const;
--- a/src/gateway/peer_message_types.h
+++ b/src/gateway/peer_message_types.h
@@ -61,7 +61,7 @@
       v.leaving, v.kv_store_lost, v.work, v.loading, v.weights, v.exported,
       v.parts, v.kv_store_tokens, v.rollout_lease.fence, v.rollout_lease.write,
       v.limits, v.leaving_upstreams, v.store_generation, v.kv_stores, v.members,
-      v.gateways, v.team_work, v.speeds, v.unreachable);
+      v.gateways, v.team_work, v.speeds, v.unreachable, v.store_answered_at);
 }
 inline auto PackedFields(KvStoreReport& v) {
   return msgpack::type::make_define_array(v.endpoint, v.incarnation, v.lost,
--- a/src/gateway/store_times.h
+++ b/src/gateway/store_times.h
@@ -4,6 +4,9 @@
 /// @file
 /// Times of the store, from its answers.
 
+#include <algorithm>
+#include <optional>
+
 #include "platform/table_calls.h"
 #include "yuccapick/row_version_times.h"
 #include "yuccapick/store_clock.h"
@@ -17,10 +20,21 @@
                 TimePoint received_at) {
     clock.OnAnswer(answer.store_time, received_at);
     rows.OnAnswer({generation, answer.as_of}, answer.store_time);
+    OnAnswerTime(answer.store_time);
+  }
+  /// The store has answered a gateway at `at`, so its time now is not before.
+  void OnPeerAnswer(StoreTime at, TimePoint received_at) {
+    clock.OnAnswer(at, received_at);
+    OnAnswerTime(at);
+  }
+  void OnAnswerTime(StoreTime at) {
+    answered_at = std::max(answered_at.value_or(at), at);
   }
 
   StoreClockEstimate clock;
   RowVersionTimes rows;
+  /// When the store answered any gateway last, as far as known.
+  std::optional<StoreTime> answered_at;
 };
 
 }  // namespace yuccapick
--- a/test/store_contact_test.cc
+++ b/test/store_contact_test.cc
@@ -126,5 +126,88 @@
   CHECK_FALSE(contact.InTouchFor(kDuration, kStart + milliseconds(2'050)));
 }
 
+/// A gateway with peers, whose own calls fail every 300 ms.
+struct FailingAlone {
+  FailingAlone() {
+    contact.SetPeersKnown(true);
+    contact.OnAnswer(now);
+    contact.OnPeerHeard(now);
+  }
+
+  /// @param on_step called every 100 ms with the time that has passed
+  template <typename Step>
+  void Pass(milliseconds time, Step on_step) {
+    for (milliseconds passed{100}; passed <= time; passed += step) {
+      now += step;
+      if (passed.count() % 300 == 0) contact.OnFailure(now);
+      on_step(passed);
+    }
+  }
+
+  static constexpr milliseconds step{100};
+  StoreContact contact;
+  TimePoint now = kStart;
+};
+
+TEST_CASE("Calls that fail while peers are answered are no outage") {
+  FailingAlone gateway;
+  gateway.Pass(milliseconds(6'000), [&](milliseconds passed) {
+    const TimePoint now = gateway.now;
+    if (passed.count() % 500 == 0) {
+      gateway.contact.OnPeerAnswer(now - milliseconds(60), now);
+    }
+    CHECK_FALSE(gateway.contact.InOutage(now));
+  });
+  gateway.contact.OnAnswer(gateway.now);
+  CHECK(gateway.contact.InTouchFor(kDuration, gateway.now));
+}
+
+TEST_CASE("Some lost messages of peers are no outage") {
+  FailingAlone gateway;
+  gateway.Pass(milliseconds(6'000), [&](milliseconds passed) {
+    gateway.contact.OnPeerHeard(gateway.now);
+    if (passed.count() % 1'500 == 0) {
+      gateway.contact.OnPeerAnswer(gateway.now, gateway.now);
+    }
+    CHECK_FALSE(gateway.contact.InOutage(gateway.now));
+  });
+}
+
+TEST_CASE("A store that answers no gateway has an outage") {
+  FailingAlone gateway;
+  gateway.Pass(milliseconds(2'400),
+               [&](milliseconds) { gateway.contact.OnPeerHeard(gateway.now); });
+  CHECK(gateway.contact.InOutage(gateway.now));
+  gateway.now += milliseconds(200);
+  CHECK(gateway.contact.OnPeerAnswer(gateway.now, gateway.now));
+  CHECK_FALSE(gateway.contact.InOutage(gateway.now));
+  CHECK_FALSE(gateway.contact.InTouchFor(kDuration, gateway.now));
+  CHECK(gateway.contact.InTouchFor(kDuration, gateway.now + kDuration));
+}
+
+TEST_CASE("A gateway that hears neither store nor peers knows of no outage") {
+  FailingAlone gateway;
+  gateway.Pass(milliseconds(6'000), [&](milliseconds) {
+    CHECK_FALSE(gateway.contact.InOutage(gateway.now));
+  });
+  // From now on its links work, so that what fails tells of the store.
+  gateway.Pass(milliseconds(1'900), [&](milliseconds) {
+    gateway.contact.OnPeerHeard(gateway.now);
+    CHECK_FALSE(gateway.contact.InOutage(gateway.now));
+  });
+  gateway.Pass(milliseconds(600),
+               [&](milliseconds) { gateway.contact.OnPeerHeard(gateway.now); });
+  CHECK(gateway.contact.InOutage(gateway.now));
+}
+
+TEST_CASE("A process that only peers reach knows that the store answers") {
+  StoreContact contact;
+  contact.SetPeersKnown(true);
+  contact.OnFailure(kStart);
+  contact.OnPeerAnswer(kStart - milliseconds(20), kStart);
+  CHECK(contact.InTouchFor(kDuration, kStart));
+  CHECK(contact.TimeSinceAnswer(kStart) == milliseconds(20));
+}
+
 }  // namespace
 }  // namespace yuccapick
