Let requests wait for engines that are full

The time until an engine has room was then taken for 3 s, longer than any request waits, so the waiting room was never used: requests were refused at once, and told to come back after 3 s. Change: engines with overdue weights replace the others only if there are no others, or if one of them can be used. Evidence: "A request waits until its only engine has room" failed before (503 at once) and passes.

--- a/src/gateway/proxied_request_fleet.cc
+++ b/src/gateway/proxied_request_fleet.cc
@@ -15,6 +15,12 @@
 /// In cache scopes; versions of weights begin at 1.
 constexpr WeightVersionNumber kUnknownWeights = 0;
 
+bool AnyUsable(const std::vector<PlacementCandidate>& candidates) {
+  return std::any_of(
+      candidates.begin(), candidates.end(),
+      [](const PlacementCandidate& it) { return !it.held_back; });
+}
+
 }  // namespace
 
 std::optional<WeightVersionNumber> ProxiedRequest::WeightsAt(
@@ -112,10 +118,11 @@
       overdue.push_back(std::move(candidate));
     }
   }
-  const bool any_usable =
-      std::any_of(fleet.candidates.begin(), fleet.candidates.end(),
-                  [](const PlacementCandidate& it) { return !it.held_back; });
-  if (!any_usable) fleet.candidates = std::move(overdue);
+  // Without any usable engine, the others tell when one will have room.
+  const bool only_overdue = fleet.candidates.empty() || AnyUsable(overdue);
+  if (!AnyUsable(fleet.candidates) && only_overdue) {
+    fleet.candidates = std::move(overdue);
+  }
   return fleet;
 }
 
