Bound what a faulty upstream's bytes without end take

Seen by another operator: a faulty server sent bytes without end, and the process that had called it ran out of memory. Cause: an event that doesn't end was kept up to 1 MB a stream, outside the budget of memory; the answer to each of the gateway's own calls could be 32 MB, for a report as for a table; fields of few bytes take more memory than their bytes. Change: the bytes of an incomplete event count as memory of their request, up to 256 KB; answers to calls of upstreams have limits of their kind (orders 64 KB, reports 1 MB, cache events 4 MB) and together an eighth of the process's memory; an answer may have 500 fields and 16 interim answers; the fields of an unfinished head count. The store and peers keep the limit of 32 MB a call, since their tables may be that large.

--- a/include/yuccapick/event_splitter.h
+++ b/include/yuccapick/event_splitter.h
@@ -28,10 +28,12 @@
   absl::StatusOr<std::string> Feed(std::string_view bytes);
 
   /// Discards the bytes of an event that will not be completed.
-  void DiscardPartialEvent() { partial_.clear(); }
+  void DiscardPartialEvent() { partial_ = std::string(); }
 
   /// True if no event is incomplete.
   bool AtEventBoundary() const { return partial_.empty(); }
+  /// Memory that the bytes of an incomplete event take.
+  std::size_t buffered_bytes() const { return partial_.capacity(); }
   /// Id of the last event that was passed on.
   std::optional<std::uint64_t> last_id() const { return last_id_; }
   /// Sets the id up to which events count as passed on.
--- a/src/event_splitter.cc
+++ b/src/event_splitter.cc
@@ -8,6 +8,9 @@
 namespace yuccapick {
 namespace {
 
+/// A larger buffer is released when the event in it is complete.
+constexpr std::size_t kMaxKeptBytes = 4'096;
+
 /// Returns the number of bytes up to the end of the first event, which is an
 /// empty line, or 0 if no event is complete.
 /// @param from position from which line ends are searched
@@ -64,7 +67,11 @@
     end = FindEventEnd(rest, 0);
   }
   partial_.erase(0, partial_.size() - rest.size());
+  if (partial_.empty() && partial_.capacity() > kMaxKeptBytes) {
+    DiscardPartialEvent();
+  }
   if (partial_.size() > max_event_bytes_) {
+    DiscardPartialEvent();
     return absl::ResourceExhaustedError(
         "server-sent event is longer than the limit");
   }
--- a/src/gateway/cache_watch.cc
+++ b/src/gateway/cache_watch.cc
@@ -13,6 +13,8 @@
 
 constexpr milliseconds kLongPollWait{1'000};
 constexpr milliseconds kCallTimeout{1'300};
+/// Of some ten thousand events.
+constexpr std::size_t kMaxEventsBytes = 4'194'304;
 /// After a failure a short poll shows soon whether the cache answers.
 constexpr milliseconds kShortPollWait{200};
 constexpr milliseconds kShortCallTimeout{400};
@@ -143,7 +145,8 @@
       [this, name, generation](const absl::StatusOr<CallAnswer>& it,
                                const CallProgress& /*progress*/) {
         OnAnswer(name, generation, it);
-      });
+      },
+      {ConnectionUse::kShared, kMaxEventsBytes, /*within_budget=*/true});
 }
 
 void CacheWatch::OnAnswer(const std::string& name, std::uint64_t generation,
--- a/src/gateway/call_client.cc
+++ b/src/gateway/call_client.cc
@@ -18,13 +18,18 @@
                     public std::enable_shared_from_this<PendingCall> {
  public:
   PendingCall(asio::io_context& loop, CallClientOptions options,
+              const CallOptions& call_options,
               std::shared_ptr<HttpConnectionPool> connections,
               CallClient::Done done)
-      : options_(options),
+      : options_(std::move(options)),
         timer_(loop),
         connections_(std::move(connections)),
         done_(std::move(done)) {
     progress_->began_at = std::chrono::steady_clock::now();
+    if (call_options.within_budget) memory_ = MemoryShare(options_.memory);
+    if (call_options.max_body_bytes > 0) {
+      options_.max_body_bytes = call_options.max_body_bytes;
+    }
   }
 
   /// @param timeout until the answer begins to arrive
@@ -55,6 +60,9 @@
       return GiveUp(absl::ResourceExhaustedError(fmt::format(
           "answer is longer than {} bytes", options_.max_body_bytes)));
     }
+    if (!Reserve(answer_.body.size() + bytes.size())) {
+      return GiveUp(absl::ResourceExhaustedError("no memory for the answer"));
+    }
     answer_.body.append(bytes);
   }
 
@@ -72,6 +80,19 @@
   }
 
  private:
+  /// Makes room for a body of `size` bytes, and for as much again to come.
+  bool Reserve(std::size_t size) {
+    const std::size_t old = answer_.body.capacity();
+    if (size <= old) return true;
+    const std::size_t wanted =
+        std::min(std::max(size, old * 2), options_.max_body_bytes);
+    // While the body moves to a larger buffer, both are held.
+    if (!memory_.Resize(old + wanted)) return false;
+    answer_.body.reserve(wanted);
+    memory_.Set(answer_.body.capacity());
+    return true;
+  }
+
   void RecordArrival(std::size_t body_bytes) {
     const TimePoint now = std::chrono::steady_clock::now();
     if (!progress_->first_byte_at) progress_->first_byte_at = now;
@@ -125,18 +146,19 @@
   Exchange exchange_;
   std::shared_ptr<CallProgress> progress_ = std::make_shared<CallProgress>();
   CallAnswer answer_;
+  MemoryShare memory_;  ///< Of the answer's body, if it is limited.
 };
 
 }  // namespace
 
 CallHandle CallClient::Call(const std::string& endpoint, std::string request,
                             std::chrono::milliseconds timeout, Done done,
-                            ConnectionUse use) {
-  auto call = std::make_shared<PendingCall>(loop_, options_, connections_,
-                                            std::move(done));
+                            const CallOptions& call_options) {
+  auto call = std::make_shared<PendingCall>(loop_, options_, call_options,
+                                            connections_, std::move(done));
   call->StartTimer(timeout);
   ExchangeOptions options;
-  options.own_connection = use == ConnectionUse::kOwn;
+  options.own_connection = call_options.use == ConnectionUse::kOwn;
   call->set_exchange(connections_->Start(
       endpoint, {std::move(request), nullptr}, options, call));
   return {call->progress(), call};
--- a/src/gateway/call_client.h
+++ b/src/gateway/call_client.h
@@ -15,6 +15,7 @@
 
 #include "absl/status/statusor.h"
 #include "gateway/http_connection_pool.h"
+#include "yuccapick/memory_budget.h"
 
 namespace yuccapick {
 
@@ -45,6 +46,16 @@
   kOwn,
 };
 
+/// What a call allows.
+struct CallOptions {
+  ConnectionUse use = ConnectionUse::kShared;
+  /// Longest body that is accepted; 0 for the client's default.
+  std::size_t max_body_bytes = 0;
+  /// The server isn't trusted to end its answers: all such calls together take
+  /// memory of the client's budget, and are given up if it has no room.
+  bool within_budget = false;
+};
+
 /// Shared by a call and its maker; null if no call was made.
 using CallProgressPtr = std::shared_ptr<const CallProgress>;
 
@@ -62,6 +73,8 @@
   /// An answer that arrives for longer, or has a larger body, has no end.
   std::chrono::milliseconds max_receiving_time{30'000};
   std::size_t max_body_bytes = 33'554'432;
+  /// For the answers of calls `within_budget`; null if there is no limit.
+  std::shared_ptr<MemoryBudget> memory;
 };
 
 /// Ends a call whose answer is no longer wanted.
@@ -105,12 +118,13 @@
             std::make_shared<HttpConnectionPool>(loop, options.connection)) {}
 
   /// @param timeout until the answer begins to arrive
-  /// @param done called exactly once, asynchronously, on the loop; Unavailable
-  ///   if nothing was sent, ResourceExhausted for an answer without an end,
+  /// @param done called exactly once,
+  /// asynchronously, on the loop; Unavailable
+  ///   if nothing was sent, ResourceExhausted for an answer that is too long,
   ///   DeadlineExceeded or Unknown if the call may have taken effect
   CallHandle Call(const std::string& endpoint, std::string request,
                   std::chrono::milliseconds timeout, Done done,
-                  ConnectionUse use = ConnectionUse::kShared);
+                  const CallOptions& call_options = {});
   void DropExpired(TimePoint now) { connections_->DropExpired(now); }
 
  private:
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -35,6 +35,16 @@
 /// shutdown grace is over.
 constexpr milliseconds kLeaseReleaseMargin{900};
 
+/// Share of the process's memory that answers of upstreams to calls may take.
+constexpr std::size_t kCallMemoryPart = 8;
+
+CallClientOptions CallOptionsFor(const GatewaySettings& settings) {
+  CallClientOptions options;
+  options.memory =
+      std::make_shared<MemoryBudget>(settings.memory_bytes / kCallMemoryPart);
+  return options;
+}
+
 constexpr std::string_view kRetryAfterSeconds = "0.5";
 /// Short, since another gateway can take the request at once.
 constexpr std::string_view kDrainRetryAfterSeconds = "0.02";
@@ -87,7 +97,7 @@
                                Incarnation incarnation)
     : loop_(loop),
       state_(loop, std::move(settings)),
-      table_calls_(loop, {}),
+      table_calls_(loop, CallOptionsFor(state_.settings)),
       store_(std::make_shared<StoreClient>(table_calls_, state_.log)),
       incarnation_(incarnation),
       exchange_(
--- a/src/gateway/http_connection.cc
+++ b/src/gateway/http_connection.cc
@@ -15,6 +15,9 @@
 /// Interim answers (1xx), which a final answer follows.
 bool IsInformational(int status) { return status >= 100 && status < 200; }
 
+/// A server that sends more of them to one request sends them without end.
+constexpr int kMaxInterimAnswers = 16;
+
 /// Share of the server's keep-alive timeout after which an idle connection is
 /// no longer used, since the server might be closing it.
 constexpr double kUsableKeepAliveShare = 0.6;
@@ -73,6 +76,7 @@
   on_idle_ = std::move(on_idle);
   ++exchanges_;
   active_at_ = std::chrono::steady_clock::now();
+  interim_answers_ = 0;
   skipping_ = false;
   rejected_ = false;
   reader_.Reset(expect_no_body_);
@@ -193,6 +197,7 @@
 void HttpConnection::OnHttpHead(HttpHead head) {
   if (IsInformational(head.status)) {
     skipping_ = true;
+    rejected_ = ++interim_answers_ > kMaxInterimAnswers;
     return;
   }
   // The handler may abandon the exchange.
--- a/src/gateway/http_connection.h
+++ b/src/gateway/http_connection.h
@@ -136,7 +136,8 @@
   bool closed_ = false;
   bool reading_ = false;
   bool reading_paused_ = false;
-  bool skipping_ = false;  ///< The current answer is not for this request.
+  int interim_answers_ = 0;  ///< To the current request.
+  bool skipping_ = false;    ///< The current answer is not for this request.
   bool rejected_ = false;
   bool keep_alive_ = false;
   bool stray_bytes_ = false;
--- a/src/gateway/http_reader.cc
+++ b/src/gateway/http_reader.cc
@@ -13,6 +13,10 @@
 constexpr int kSkipBody = 1;
 constexpr int kStop = -1;
 
+/// Fields take more memory than their bytes. Requests are limited by the memory
+/// that callers may take, answers by this.
+constexpr std::size_t kMaxAnswerFields = 500;
+
 constexpr std::uint64_t kNoLength = std::numeric_limits<std::uint64_t>::max();
 
 bool IsTokenChar(char c) {
@@ -137,6 +141,10 @@
   return head_bytes_ <= max_head_bytes_;
 }
 
+bool HttpReader::HasTooManyFields() const {
+  return kind_ == Kind::kResponse && head_.fields.size() > kMaxAnswerFields;
+}
+
 int HttpReader::OnTarget(http_parser* parser, const char* at, std::size_t n) {
   HttpReader& reader = ReaderOf(parser);
   reader.head_.target.append(at, n);
@@ -151,7 +159,8 @@
   if (reader.in_value_ || fields.empty()) fields.emplace_back();
   reader.in_value_ = false;
   fields.back().name.append(at, n);
-  reader.head_too_long_ = !reader.CountHeadBytes(n);
+  reader.head_too_long_ =
+      !reader.CountHeadBytes(n) || reader.HasTooManyFields();
   return reader.head_too_long_ ? kStop : kContinue;
 }
 
--- a/src/gateway/http_reader.h
+++ b/src/gateway/http_reader.h
@@ -81,6 +81,10 @@
   bool head_done() const { return head_done_; }
   /// Bytes of the current message's head that were parsed.
   std::size_t head_bytes() const { return head_bytes_; }
+  /// Memory that the head takes until it is complete.
+  std::size_t head_memory() const {
+    return head_bytes_ + head_.fields.capacity() * sizeof(HttpField);
+  }
   void set_max_head_bytes(std::size_t bytes) { max_head_bytes_ = bytes; }
 
  private:
@@ -93,6 +97,7 @@
   static int OnMessageComplete(http_parser* parser);
 
   bool CountHeadBytes(std::size_t n);
+  bool HasTooManyFields() const;
   int FinishHead();
   absl::Status ParseError() const;
 
--- a/src/gateway/ingress_session_limits.cc
+++ b/src/gateway/ingress_session_limits.cc
@@ -26,7 +26,7 @@
 }  // namespace
 
 std::size_t IngressSession::ConnectionBytes() const {
-  const std::size_t head = reader_.head_done() ? 0 : reader_.head_bytes();
+  const std::size_t head = reader_.head_done() ? 0 : reader_.head_memory();
   return unparsed_.capacity() + output_.capacity() + head;
 }
 
--- a/src/gateway/proxied_request.cc
+++ b/src/gateway/proxied_request.cc
@@ -15,7 +15,7 @@
 
 using std::chrono::milliseconds;
 
-constexpr std::size_t kMaxEventBytes = 1'048'576;
+constexpr std::size_t kMaxEventBytes = 262'144;
 
 /// Shortest delay after which a caller that found no upstream should retry.
 constexpr milliseconds kRetryAfter{150};
@@ -201,7 +201,7 @@
   ++attempts_sent_;
   expected_cached_tokens_ = choice.expected_cached_tokens;
   query_.tried.push_back(upstream.id);
-  splitter_.DiscardPartialEvent();
+  DiscardPartialEvent();
   answer_body_.clear();
   answer_began_at_.reset();
   survival_recorded_ = false;
--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -217,6 +217,12 @@
   void Forward(std::string_view bytes);
   /// The time in which the answer waited for the caller does not count.
   void ExtendDeadline(TimePoint now);
+  /// Counts the bytes of an incomplete event as memory of the request.
+  /// @return false if there is no room for them
+  bool CountPartialEvent();
+  void DiscardPartialEvent();
+  /// Ends the attempt since its answer is malformed or too long.
+  void RejectAnswer(std::string_view reason);
   /// Collects the answer; begins to send it if it becomes too long to hold.
   void BufferAnswer(std::string_view bytes);
   void HandleFirstEvent();
@@ -306,6 +312,7 @@
   bool done_ = false;
 
   EventSplitter splitter_;
+  std::size_t event_bytes_ = 0;  ///< Counted for an incomplete event.
   bool streaming_ = false;       ///< The answer is an event stream.
   bool answer_started_ = false;  ///< The head was sent to the caller.
   // Of the answer that was started.
--- a/src/gateway/proxied_request_answers.cc
+++ b/src/gateway/proxied_request_answers.cc
@@ -122,11 +122,9 @@
     return BufferAnswer(bytes);
   }
   const absl::StatusOr<std::string> events = splitter_.Feed(bytes);
-  if (!events.ok()) {
-    attempt_->exchange.Abandon();
-    return OnExchangeEnd(ExchangeEnd::kInvalid,
-                         events.status().message().data());
-  }
+  const bool has_room = CountPartialEvent();
+  if (!events.ok()) return RejectAnswer(events.status().message().data());
+  if (!has_room) return RejectAnswer("no memory for an incomplete event");
   if (events->empty()) return;
   if (!attempt_->has_first_event) HandleFirstEvent();
   if (now - *answer_began_at_ >= kCrashWindow) RecordSurvival(now);
@@ -134,6 +132,25 @@
   Forward(*events);
 }
 
+void ProxiedRequest::RejectAnswer(std::string_view reason) {
+  DiscardPartialEvent();
+  attempt_->exchange.Abandon();
+  OnExchangeEnd(ExchangeEnd::kInvalid, reason);
+}
+
+bool ProxiedRequest::CountPartialEvent() {
+  MemoryShare& memory = admitted_.request.memory;
+  const std::size_t bytes = splitter_.buffered_bytes();
+  if (!memory.Resize(memory.bytes() - event_bytes_ + bytes)) return false;
+  event_bytes_ = bytes;
+  return true;
+}
+
+void ProxiedRequest::DiscardPartialEvent() {
+  splitter_.DiscardPartialEvent();
+  CountPartialEvent();
+}
+
 void ProxiedRequest::BufferAnswer(std::string_view bytes) {
   answer_body_.append(bytes);
   MemoryShare& memory = admitted_.request.memory;
--- a/src/gateway/rollout_controller.cc
+++ b/src/gateway/rollout_controller.cc
@@ -23,6 +23,9 @@
 constexpr milliseconds kTableTimeout{600};
 constexpr milliseconds kOrderTimeout{400};
 constexpr milliseconds kReportTimeout{300};
+/// An order is answered by a status. A report lists an engine's requests.
+constexpr std::size_t kMaxOrderAnswerBytes = 65'536;
+constexpr std::size_t kMaxReportBytes = 1'048'576;
 /// A new holder waits this much longer than the configured handover gap.
 constexpr milliseconds kLeaseGapMargin{200};
 
@@ -290,7 +293,7 @@
           const CallProgress& /*progress*/) {
         self->OnRolloutOrderResult(order, answer);
       },
-      ConnectionUse::kOwn);
+      {ConnectionUse::kOwn, kMaxOrderAnswerBytes, /*within_budget=*/true});
 }
 
 void RolloutController::OnRolloutOrderResult(
@@ -312,15 +315,14 @@
   if (upstream == nullptr || IsPaused(*upstream)) {
     return planner_.OnReport(query.upstream, std::nullopt, state_.Now());
   }
-  calls_.Call(
-      upstream->endpoint, platform::EncodeReportRequest(*upstream),
-      kReportTimeout,
-      [self = shared_from_this(), id = upstream->id](
-          const absl::StatusOr<CallAnswer>& answer,
-          const CallProgress& /*progress*/) {
-        self->OnReportAnswer(id, answer);
-      },
-      ConnectionUse::kOwn);
+  calls_.Call(upstream->endpoint, platform::EncodeReportRequest(*upstream),
+              kReportTimeout,
+              [self = shared_from_this(), id = upstream->id](
+                  const absl::StatusOr<CallAnswer>& answer,
+                  const CallProgress& /*progress*/) {
+                self->OnReportAnswer(id, answer);
+              },
+              {ConnectionUse::kOwn, kMaxReportBytes, /*within_budget=*/true});
 }
 
 void RolloutController::OnReportAnswer(
--- a/test/gateway/call_client_test.cc
+++ b/test/gateway/call_client_test.cc
@@ -125,7 +125,7 @@
         [&body](const absl::StatusOr<CallAnswer>& answer, const CallProgress&) {
           body = answer.ok() ? answer->body : "";
         },
-        use);
+        {use});
     REQUIRE(RunUntil(loop, [&body] { return body.has_value(); }));
     return *body;
   }
