--- a/include/yuccapick/peer_report.h
+++ b/include/yuccapick/peer_report.h
@@ -146,8 +146,8 @@
   /// @return where the peer receives reports; empty if it is not live
   std::string EndpointOf(const InstanceId& peer, TimePoint now) const;
   std::size_t LiveCount(TimePoint now) const;
-  /// True if a peer has reported within the time for which peers are kept.
-  bool KnowsPeers() const { return !peers_.empty(); }
+  /// Peers that are kept, live or not.
+  std::size_t KnownCount() const { return peers_.size(); }
   /// @return the number of live peers whose last report has this
   ///   `PeerReport::members`
   std::size_t CountWithMembers(std::uint64_t members, TimePoint now) const;
--- a/include/yuccapick/store_contact.h
+++ b/include/yuccapick/store_contact.h
@@ -5,6 +5,7 @@
 /// Since when the store is known to have answered the gateways.
 
 #include <chrono>
+#include <cstddef>
 #include <optional>
 
 #include "yuccapick/ids.h"
@@ -14,7 +15,7 @@
 /// Tells outages of the store from failures of this gateway's own calls. An
 /// outage is a time in which the store answered no gateway, as far as known.
 /// While a gateway has peers, what it fails to reach alone is no outage: peers'
-/// answers count as much as its own, and failures count only while peers are
+/// answers count as much as its own, and an outage begins only while peers are
 /// heard, since otherwise its own links may be the cause.
 ///
 /// Short failures, such as a single call without an answer, are no outage. The
@@ -29,8 +30,10 @@
     /// The same for a gateway with peers: long enough for several of their
     /// messages to be lost.
     std::chrono::milliseconds min_outage_with_peers{2'000};
-    /// Longer than a call's time limit and the delay before the next one.
+    /// Longer than a call's time limit and the delay before the next one, which
+    /// grows with the number of gateways.
     std::chrono::milliseconds max_failure_gap{2'000};
+    std::chrono::milliseconds max_failure_gap_per_peer{8};
     /// Without any message of a peer for this long, the gateway is cut off.
     std::chrono::milliseconds max_peer_silence{1'000};
   };
@@ -48,8 +51,8 @@
   bool OnPeerAnswer(TimePoint answered_at, TimePoint now);
   /// A message of a peer arrived, whatever it says.
   void OnPeerHeard(TimePoint now);
-  /// @param known true if there are other gateways, heard lately or not
-  void SetPeersKnown(bool known) { peers_known_ = known; }
+  /// @param n other gateways that are known, heard lately or not
+  void SetPeers(std::size_t n) { peers_ = n; }
 
   // Queries.
 
@@ -67,16 +70,20 @@
 
  private:
   std::chrono::milliseconds MinOutage() const;
+  std::chrono::milliseconds MaxFailureGap() const;
+  void EndFailures(TimePoint now);
   /// True if peers are known, and none was heard lately.
   bool IsCutOff(TimePoint now) const;
 
   Options options_;
-  bool peers_known_ = false;
+  std::size_t peers_ = 0;
   std::optional<TimePoint> answered_at_;  ///< Last answer to any gateway.
   std::optional<TimePoint> outage_ended_at_;
   /// Since when the calls fail and the store is not known to have answered.
   std::optional<TimePoint> failing_since_;
   TimePoint failed_at_;  ///< Last failure.
+  /// An outage was seen to begin. It goes on if the gateway is cut off then.
+  bool outage_begun_ = false;
   std::optional<TimePoint> peer_heard_at_;
 };
 
--- a/src/gateway/gateway_process_peers.cc
+++ b/src/gateway/gateway_process_peers.cc
@@ -66,7 +66,10 @@
 
 void GatewayProcess::RecordPeerContact(const PeerReport& report) {
   state_.store_contact.OnPeerHeard(BootTimeNow());
-  if (report.store_answered_at) state_.OnPeerAnswer(*report.store_answered_at);
+  // Another generation's clock may differ.
+  const bool same = report.store_generation == OwnProgress().generation;
+  if (!same || !report.store_answered_at) return;
+  state_.OnPeerAnswer(*report.store_answered_at);
 }
 
 void GatewayProcess::OnStreamOrigins(
@@ -115,6 +118,7 @@
           .count());
   if (tables.store_time) {
     state_.store_times.clock.OnAnswer(*tables.store_time, BootTimeNow());
+    state_.OnStoreTimeKnown();
   }
   ++tables_from_peers_;
   operator_watch_->OnPeerSnapshot(tables.operator_rows);
@@ -170,6 +174,7 @@
 }
 
 void GatewayProcess::OnStoreGeneration(StoreGeneration generation) {
+  state_.store_times.answered_at.reset();
   rollout_->OnGeneration(generation);
   if (store_->generations().changes() == 0) return;
   store_catch_up_.OnGeneration(generation, state_.LiveGateways(), RandomShare(),
@@ -292,6 +297,7 @@
   if (now < next_report_ && !loading_changed && !news_due) return;
   reported_loading_ = std::move(loading);
   peers_.OnTick(now);
+  state_.store_contact.SetPeers(peers_.KnownCount());
   const std::size_t live = peers_.LiveCount(now);
   state_.SetGatewayCount(live + 1);
   const milliseconds batch_window = std::min(
--- a/src/gateway/gateway_process_tables.cc
+++ b/src/gateway/gateway_process_tables.cc
@@ -84,14 +84,12 @@
   store_lost_ = true;
   state_.log.Write(
       LogKind::kLifecycle, now,
-      "event=store_lost table={} others_answered_ms_ago={} reason=\"{}\"",
-      table, CountOrNone(state_.store_contact.TimeSinceAnswer(BootTimeNow())),
-      reason);
+      "event=store_lost table={} answered_ms_ago={} reason=\"{}\"", table,
+      CountOrNone(state_.store_contact.TimeSinceAnswer(BootTimeNow())), reason);
 }
 
 void GatewayProcess::TrackStoreOutage() {
   const TimePoint now = BootTimeNow();
-  state_.store_contact.SetPeersKnown(peers_.KnowsPeers());
   const bool in_outage = state_.store_contact.InOutage(now);
   if (in_outage == in_store_outage_) return;
   in_store_outage_ = in_outage;
@@ -107,6 +105,7 @@
   if (table == platform::kServers) state_.roster.OnListAvailable(state_.Now());
   if (!operator_watch_->reachable() || !upstream_watch_->reachable()) return;
   state_.store_contact.OnAnswer(BootTimeNow());
+  state_.store_times.OnContact();
   store_failing_since_.reset();
   if (!store_lost_) return;
   store_lost_ = false;
--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -169,6 +169,10 @@
   return store_contact.OnPeerAnswer(boot_now - (now - local), boot_now);
 }
 
+void GatewayState::OnStoreTimeKnown() {
+  if (store_times.answered_at) OnPeerAnswer(*store_times.answered_at);
+}
+
 std::optional<TimePoint> GatewayState::LocalTime(StoreTime time,
                                                  TimePoint now) const {
   const std::optional<StoreTime> store_now = StoreNow();
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -85,6 +85,8 @@
   /// @param at by the store's clock
   /// @return false if an own call to the store failed later
   bool OnPeerAnswer(StoreTime at);
+  /// Peers' answers that were told before the store's time was known count.
+  void OnStoreTimeKnown();
   TimePoint Now() const { return std::chrono::steady_clock::now(); }
   /// @return nullopt before the store's time is known
   std::optional<StoreTime> StoreNow() const;
--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -34,9 +34,10 @@
 enum class OverdueUse : std::uint8_t {
   kNotOverdue,
   kForbidden,
-  kLastChoice,   ///< No other is left, and it can begin in time.
-  kStoreOutage,  ///< Nobody could roll out newer weights.
-  kUnknownTime,  ///< The store's time isn't known.
+  kLastChoice,    ///< No other is left, and it can begin in time.
+  kNeverInTouch,  ///< The store isn't known to have answered any gateway.
+  kStoreOutage,   ///< Nobody could roll out newer weights.
+  kUnknownTime,   ///< The store's time isn't known.
 };
 
 /// Returns the name of the rule for log lines.
--- a/src/gateway/proxied_request_timing.cc
+++ b/src/gateway/proxied_request_timing.cc
@@ -43,6 +43,8 @@
       return "forbidden";
     case OverdueUse::kLastChoice:
       return "last_choice";
+    case OverdueUse::kNeverInTouch:
+      return "never_in_touch";
     case OverdueUse::kStoreOutage:
       return "store_outage";
     case OverdueUse::kUnknownTime:
@@ -68,7 +70,11 @@
   const milliseconds limit = state_.settings.bounds.stale_weights_limit;
   // Without the store nobody can roll out newer weights: an answer on old ones
   // is better than none.
-  if (!state_.store_contact.InTouchFor(limit, BootTimeNow())) {
+  const TimePoint boot_now = BootTimeNow();
+  if (!state_.store_contact.TimeSinceAnswer(boot_now)) {
+    return OverdueUse::kNeverInTouch;
+  }
+  if (!state_.store_contact.InTouchFor(limit, boot_now)) {
     return OverdueUse::kStoreOutage;
   }
   const std::optional<StoreTime> now = state_.StoreNow();
--- a/src/gateway/store_times.h
+++ b/src/gateway/store_times.h
@@ -20,10 +20,14 @@
                 TimePoint received_at) {
     clock.OnAnswer(answer.store_time, received_at);
     rows.OnAnswer({generation, answer.as_of}, answer.store_time);
-    OnAnswerTime(answer.store_time);
+    newest_own = std::max(newest_own, answer.store_time);
   }
-  /// The store has answered a gateway at `at`, so its time now is not before.
+  /// The last own answer shows that the store is reachable.
+  void OnContact() { OnAnswerTime(newest_own); }
+  /// The store has answered a peer at `at`, so its time now is not before. The
+  /// same answer is told again and again.
   void OnPeerAnswer(StoreTime at, TimePoint received_at) {
+    if (answered_at && at <= *answered_at) return;
     clock.OnAnswer(at, received_at);
     OnAnswerTime(at);
   }
@@ -35,6 +39,7 @@
   RowVersionTimes rows;
   /// When the store answered any gateway last, as far as known.
   std::optional<StoreTime> answered_at;
+  StoreTime newest_own;  ///< Of the answers to this gateway.
 };
 
 }  // namespace yuccapick
--- a/src/request_explanation.cc
+++ b/src/request_explanation.cc
@@ -139,6 +139,7 @@
   const std::string_view use = sent->Field("overdue_use");
   if (use == "last_choice") age += ", since no other upstream was left";
   if (use == "unknown_time") age += ", at an unknown time of the store";
+  if (use == "never_in_touch") age += ", before the store was in touch";
   if (use == "store_outage") {
     age += fmt::format(", {} ms after an outage of the store",
                        sent->Field("since_outage_ms"));
--- a/test/request_explanation_test.cc
+++ b/test/request_explanation_test.cc
@@ -238,6 +238,8 @@
         start + ", since no other upstream was left.");
   CHECK(summary("store_outage") ==
         start + ", 2100 ms after an outage of the store.");
+  CHECK(summary("never_in_touch") ==
+        start + ", before the store was in touch.");
   CHECK(summary("unknown_time") ==
         start + ", at an unknown time of the store.");
 }
