Take the memory of calls out of that for callers

Cause: with 32 MB in the settings, 16 MB for callers, 16 MB of the gateway's own and 4 MB for its calls are more than the whole; a peak of 34.55 MB of 33.55 MB was seen once with large chunks without an end, which was not traced. Parsing of a long report or of cache events takes several times its bytes. Change: the eighth for calls comes out of the memory for callers where that reaches the reserve of 16 MB; limits of 256 KB for reports and 1 MB for cache events.

--- a/src/gateway/cache_watch.cc
+++ b/src/gateway/cache_watch.cc
@@ -13,8 +13,8 @@
 
 constexpr milliseconds kLongPollWait{1'000};
 constexpr milliseconds kCallTimeout{1'300};
-/// Of some ten thousand events.
-constexpr std::size_t kMaxEventsBytes = 4'194'304;
+/// Of some ten thousand events. To parse them takes several times as much.
+constexpr std::size_t kMaxEventsBytes = 1'048'576;
 /// After a failure a short poll shows soon whether the cache answers.
 constexpr milliseconds kShortPollWait{200};
 constexpr milliseconds kShortCallTimeout{400};
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -35,13 +35,9 @@
 /// shutdown grace is over.
 constexpr milliseconds kLeaseReleaseMargin{900};
 
-/// Share of the process's memory that answers of upstreams to calls may take.
-constexpr std::size_t kCallMemoryPart = 8;
-
 CallClientOptions CallOptionsFor(const GatewaySettings& settings) {
   CallClientOptions options;
-  options.memory =
-      std::make_shared<MemoryBudget>(settings.memory_bytes / kCallMemoryPart);
+  options.memory = std::make_shared<MemoryBudget>(CallMemoryLimit(settings));
   return options;
 }
 
--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -27,12 +27,16 @@
 constexpr std::size_t kFdsPerCaller = 2;
 constexpr std::size_t kMinCallerConnections = 16;
 
+/// Part of the memory that answers to the gateway's own calls may take.
+constexpr std::size_t kCallMemoryPart = 8;
+
 std::size_t RequestMemoryLimit(const GatewaySettings& settings) {
   const std::size_t memory = settings.memory_bytes;
   const auto share = static_cast<std::size_t>(static_cast<double>(memory) *
                                               kRequestMemoryShare);
   if (memory < 2 * kOwnMemoryBytes) return share;
-  return std::min(share, memory - kOwnMemoryBytes);
+  const std::size_t calls = CallMemoryLimit(settings);
+  return std::min(share, memory - kOwnMemoryBytes - calls);
 }
 
 std::size_t DescriptorLimit(const GatewaySettings& settings) {
@@ -56,6 +60,10 @@
 
 }  // namespace
 
+std::size_t CallMemoryLimit(const GatewaySettings& settings) {
+  return settings.memory_bytes / kCallMemoryPart;
+}
+
 RosterOptions RosterOptionsFor(const GatewayBounds& bounds) {
   RosterOptions options;
   options.drain_timeout = bounds.drain_timeout;
@@ -162,8 +170,11 @@
 bool GatewayState::OnPeerAnswer(StoreTime at) {
   const TimePoint now = Now();
   const TimePoint boot_now = BootTimeNow();
-  // A peer's time may be long past, so that it can't begin the estimate.
-  if (!StoreNow()) return false;
+  if (!StoreNow()) {
+    // The time may be long past, so that it can't begin the clock's estimate.
+    store_times.OnAnswerTime(at);
+    return false;
+  }
   store_times.OnPeerAnswer(at, boot_now);
   const TimePoint local = LocalTime(at, now).value_or(now);
   return store_contact.OnPeerAnswer(boot_now - (now - local), boot_now);
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -52,6 +52,10 @@
 ///   and within a part of its memory
 std::size_t CallerConnectionLimit(const GatewaySettings& settings);
 
+/// @return bytes that answers of upstreams to the gateway's own calls may take
+///   together; 0 if there is no limit
+std::size_t CallMemoryLimit(const GatewaySettings& settings);
+
 /// State of one gateway process; used on its event loop only.
 struct GatewayState {
   GatewayState(asio::io_context& io, GatewaySettings process_settings);
--- a/src/gateway/rollout_controller.cc
+++ b/src/gateway/rollout_controller.cc
@@ -25,7 +25,7 @@
 constexpr milliseconds kReportTimeout{300};
 /// An order is answered by a status. A report lists an engine's requests.
 constexpr std::size_t kMaxOrderAnswerBytes = 65'536;
-constexpr std::size_t kMaxReportBytes = 1'048'576;
+constexpr std::size_t kMaxReportBytes = 262'144;
 /// A new holder waits this much longer than the configured handover gap.
 constexpr milliseconds kLeaseGapMargin{200};
 
--- a/test/gateway/room_wait_test.cc
+++ b/test/gateway/room_wait_test.cc
@@ -79,6 +79,8 @@
   first.Send(LargeRequest("id-1"));
   REQUIRE(fixture.RunUntilTrue([&] { return one.connection != nullptr; }));
   CHECK(IsRefusal(fixture.Ask(LargeRequest("id-2"))));
+  CHECK(fixture.HasMetric(fixture.settings,
+                          "yuccapick_requests_waited_for_room 1"));
   CHECK(one.engine.received().size() == 1);
   one.FinishFirst();
   REQUIRE(fixture.RunUntilTrue([&] { return !first.input().empty(); }));
