Call no timer's handler after its owner is gone

Cause: by reading. A handler of an asio timer that is queued when the timer is cancelled or destroyed is called all the same, without an error. Seven objects of a gateway (tick, quotas, room, checks of tables, confirmations of the list, listeners, peers) capture themselves in such handlers, and calls in flight call back into objects of a gateway that was destroyed. "Two gateways keep a quota together, also if one is restarted" destroys one while the loop runs, and had a segmentation fault once. A process ends with its gateway, so that callers see nothing of it.

--- a/src/gateway/call_client.cc
+++ b/src/gateway/call_client.cc
@@ -38,6 +38,9 @@
     ArmTimer();
   }
 
+  /// Makes `Done` depend on the client's life.
+  void set_client(std::weak_ptr<bool> alive) { client_ = std::move(alive); }
+
   void set_exchange(Exchange exchange) { exchange_ = std::move(exchange); }
 
   CallProgressPtr progress() const { return progress_; }
@@ -135,7 +138,8 @@
     timer_.cancel();
     progress_->ended = true;
     const CallClient::Done done = std::exchange(done_, nullptr);
-    if (done != nullptr) done(std::move(result), *progress_);
+    if (done == nullptr || client_.expired()) return;
+    done(std::move(result), *progress_);
   }
 
   CallClientOptions options_;
@@ -143,6 +147,7 @@
   TimePoint begins_until_;
   std::shared_ptr<HttpConnectionPool> connections_;
   CallClient::Done done_;
+  std::weak_ptr<bool> client_;
   Exchange exchange_;
   std::shared_ptr<CallProgress> progress_ = std::make_shared<CallProgress>();
   CallAnswer answer_;
@@ -156,6 +161,7 @@
                             const CallOptions& call_options) {
   auto call = std::make_shared<PendingCall>(loop_, options_, call_options,
                                             connections_, std::move(done));
+  call->set_client(alive_);
   call->StartTimer(timeout);
   ExchangeOptions options;
   options.own_connection = call_options.use == ConnectionUse::kOwn;
--- a/src/gateway/call_client.h
+++ b/src/gateway/call_client.h
@@ -118,7 +118,7 @@
             std::make_shared<HttpConnectionPool>(loop, options.connection)) {}
 
   /// @param timeout until the answer begins to arrive
-  /// @param done called exactly once,
+  /// @param done called exactly once, unless the client is destroyed before,
   /// asynchronously, on the loop; Unavailable
   ///   if nothing was sent, ResourceExhausted for an answer that is too long,
   ///   DeadlineExceeded or Unknown if the call may have taken effect
@@ -132,6 +132,8 @@
   CallClientOptions options_;
   std::shared_ptr<HttpConnectionPool>
       connections_;  ///< Shared by calls in flight.
+  /// Expires with this object. Calls in flight outlive it.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 }  // namespace yuccapick
--- a/src/gateway/freshness_sync.cc
+++ b/src/gateway/freshness_sync.cc
@@ -89,10 +89,7 @@
 }
 
 void FreshnessSync::Schedule() {
-  timer_.expires_at(freshness_.NextDue());
-  timer_.async_wait([this](const asio::error_code& ec) {
-    if (!ec) Act(state_.Now());
-  });
+  timer_.StartAt(freshness_.NextDue(), [this] { Act(state_.Now()); });
 }
 
 void FreshnessSync::RequestCheck() {
--- a/src/gateway/freshness_sync.h
+++ b/src/gateway/freshness_sync.h
@@ -12,6 +12,7 @@
 #include <string>
 
 #include "gateway/gateway_state.h"
+#include "gateway/owned_timer.h"
 #include "gateway/peer_exchange.h"
 #include "gateway/table_watch.h"
 #include "yuccapick/table_freshness.h"
@@ -40,7 +41,7 @@
   void OnSuspended(std::chrono::milliseconds duration) {
     freshness_.OnSuspended(duration);
   }
-  void Stop() { timer_.cancel(); }
+  void Stop() { timer_.Cancel(); }
   /// Checks the tables as soon as the store's capacity allows.
   void RequestCheck();
   void OnPollOpened(const std::string& table);
@@ -98,7 +99,7 @@
   TableWatch& upstream_watch_;
   std::function<void()> on_confirmed_;
   TableFreshness freshness_;
-  asio::steady_timer timer_;
+  OwnedTimer timer_;
   std::array<bool, kWatchedTables.size()> believed_confirmed_{};
   std::array<Lag, kWatchedTables.size()> lags_;
   Counters counters_;
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -320,10 +320,7 @@
   }
   if (draining_) CheckDrained(now);
   if (ticks_ % kTicksBetweenFlushes == 0) state_.log.Flush(now);
-  tick_timer_.expires_after(kTickInterval);
-  tick_timer_.async_wait([this](const asio::error_code& ec) {
-    if (!ec) Tick();
-  });
+  tick_timer_.StartAfter(kTickInterval, [this] { Tick(); });
 }
 
 void GatewayProcess::Drain(std::function<void()> done) {
--- a/src/gateway/gateway_process.h
+++ b/src/gateway/gateway_process.h
@@ -22,6 +22,7 @@
 #include "gateway/ingress_server.h"
 #include "gateway/limit_sync.h"
 #include "gateway/list_confirmation.h"
+#include "gateway/owned_timer.h"
 #include "gateway/part_sharing.h"
 #include "gateway/peer_exchange.h"
 #include "gateway/quarantine_sync.h"
@@ -231,7 +232,7 @@
   std::unique_ptr<IngressServer> ingress_server_;
   PauseDetector pause_detector_;
   std::uint64_t pauses_ = 0;
-  asio::steady_timer tick_timer_;
+  OwnedTimer tick_timer_;
   std::uint64_t ticks_ = 0;
   std::uint64_t not_admitted_ = 0;
   bool draining_ = false;
--- a/src/gateway/ingress_server.cc
+++ b/src/gateway/ingress_server.cc
@@ -50,8 +50,9 @@
   }
   if (sessions_.size() >= options_.max_sessions) return AcceptAfterDelay();
   acceptor_.async_accept(
-      [this](const asio::error_code& ec, asio::ip::tcp::socket socket) {
-        if (!acceptor_.is_open()) return;
+      [this, alive = std::weak_ptr<bool>(alive_)](
+          const asio::error_code& ec, asio::ip::tcp::socket socket) {
+        if (alive.expired() || !acceptor_.is_open()) return;
         // For example, the process has no file descriptors left.
         if (ec) return AcceptAfterDelay();
         auto session = std::make_shared<IngressSession>(
@@ -64,9 +65,8 @@
 }
 
 void IngressServer::AcceptAfterDelay() {
-  accept_retry_timer_.expires_after(kAcceptRetryDelay);
-  accept_retry_timer_.async_wait([this](const asio::error_code& ec) {
-    if (ec || !acceptor_.is_open()) return;
+  accept_retry_timer_.StartAfter(kAcceptRetryDelay, [this] {
+    if (!acceptor_.is_open()) return;
     DropClosedSessions();
     Accept();
   });
--- a/src/gateway/ingress_server.h
+++ b/src/gateway/ingress_server.h
@@ -13,6 +13,7 @@
 #include "absl/status/status.h"
 #include "gateway/caller_stream.h"
 #include "gateway/ingress_session.h"
+#include "gateway/owned_timer.h"
 
 namespace yuccapick {
 
@@ -63,7 +64,9 @@
   IngressHandler& handler_;
   IngressOptions options_;
   asio::ip::tcp::acceptor acceptor_;
-  asio::steady_timer accept_retry_timer_;
+  OwnedTimer accept_retry_timer_;
+  /// Expires with this object, which queued handlers outlive.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   std::vector<std::shared_ptr<IngressSession>> sessions_;
   bool announce_close_ = false;
 };
--- a/src/gateway/list_confirmation.cc
+++ b/src/gateway/list_confirmation.cc
@@ -46,22 +46,16 @@
 }
 
 void ListConfirmation::ArmTimer() {
-  if (waiters_.empty()) {
-    timer_.cancel();
-    return;
-  }
+  if (waiters_.empty()) return timer_.Cancel();
   const auto first = std::min_element(
       waiters_.begin(), waiters_.end(),
       [](const Waiter& a, const Waiter& b) { return a.until < b.until; });
-  timer_.expires_at(first->until);
-  timer_.async_wait([this](const asio::error_code& ec) {
-    if (!ec) Resolve();
-  });
+  timer_.StartAt(first->until, [this] { Resolve(); });
 }
 
 void ListConfirmation::Stop() {
   waiters_.clear();
-  timer_.cancel();
+  timer_.Cancel();
 }
 
 }  // namespace yuccapick
--- a/src/gateway/list_confirmation.h
+++ b/src/gateway/list_confirmation.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <vector>
 
+#include "gateway/owned_timer.h"
 #include "yuccapick/ids.h"
 
 namespace yuccapick {
@@ -54,7 +55,7 @@
   void Resolve();
   void ArmTimer();
 
-  asio::steady_timer timer_;
+  OwnedTimer timer_;
   std::function<void()> read_list_;
   std::function<bool()> history_known_;
   TimePoint read_sent_at_ = TimePoint::min();
--- a/src/gateway/overload_control.cc
+++ b/src/gateway/overload_control.cc
@@ -54,10 +54,8 @@
 void OverloadControl::ArmTimer() {
   if (timer_armed_ || waiting_.size() == 0) return;
   timer_armed_ = true;
-  timer_.expires_after(kTryInterval);
-  timer_.async_wait([this](const asio::error_code& ec) {
+  timer_.StartAfter(kTryInterval, [this] {
     timer_armed_ = false;
-    if (ec) return;
     TryNow();
     ArmTimer();
   });
--- a/src/gateway/overload_control.h
+++ b/src/gateway/overload_control.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <vector>
 
+#include "gateway/owned_timer.h"
 #include "yuccapick/gateway_config.h"
 #include "yuccapick/ids.h"
 #include "yuccapick/overload/room.h"
@@ -41,7 +42,7 @@
   /// A request of this rank was sent without waiting.
   void OnRoomFound(const ServiceId& service, std::uint32_t rank);
   void OnTick(const GatewayConfig* config, TimePoint now);
-  void Stop() { timer_.cancel(); }
+  void Stop() { timer_.Cancel(); }
 
   // Queries.
 
@@ -73,7 +74,7 @@
   std::uint64_t ids_ = 0;
   std::uint64_t waited_ = 0;
   std::uint64_t refused_ = 0;
-  asio::steady_timer timer_;
+  OwnedTimer timer_;
   bool timer_armed_ = false;
   bool trying_ = false;
 };
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -143,6 +143,8 @@
   std::uint64_t table_requests_refused_ = 0;
   std::uint64_t datagrams_unsent_ = 0;
   std::uint64_t datagrams_unreadable_ = 0;
+  /// Expires with this object, which queued handlers outlive.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 }  // namespace yuccapick
--- a/src/gateway/quota_sync.cc
+++ b/src/gateway/quota_sync.cc
@@ -230,9 +230,7 @@
   if (!deadline) return;
   const auto wait =
       std::max(*deadline - BootTimeNow(), TimePoint::duration(milliseconds(1)));
-  timer_.expires_after(wait);
-  timer_.async_wait([this](const asio::error_code& ec) {
-    if (ec) return;
+  timer_.StartAfter(wait, [this] {
     Deliver(client_.OnTick(BootTimeNow()));
     Pump();
   });
--- a/src/gateway/quota_sync.h
+++ b/src/gateway/quota_sync.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "gateway/gateway_state.h"
+#include "gateway/owned_timer.h"
 #include "gateway/peer_exchange.h"
 #include "gateway/team_quotas.h"
 #include "yuccapick/part_owners.h"
@@ -35,7 +36,7 @@
   void Cancel(std::uint64_t request) override;
   void OnNotSent(const TeamId& team, std::uint64_t cost) override;
 
-  void Stop() { timer_.cancel(); }
+  void Stop() { timer_.Cancel(); }
   /// The bounds of the settings have changed.
   void OnSettingsChanged();
   void OnTick(TimePoint now);
@@ -101,7 +102,7 @@
   std::uint64_t queries_sent_ = 0;
   std::uint64_t admitted_alone_ = 0;
   std::uint64_t refused_ = 0;
-  asio::steady_timer timer_;
+  OwnedTimer timer_;
 };
 
 }  // namespace yuccapick
