--- a/src/gateway/call_client.h
+++ b/src/gateway/call_client.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "absl/status/statusor.h"
@@ -113,9 +114,9 @@
 
   CallClient(asio::io_context& loop, CallClientOptions options)
       : loop_(loop),
-        options_(options),
+        options_(std::move(options)),
         connections_(
-            std::make_shared<HttpConnectionPool>(loop, options.connection)) {}
+            std::make_shared<HttpConnectionPool>(loop, options_.connection)) {}
 
   /// @param timeout until the answer begins to arrive
   /// @param done called exactly once, unless the client is destroyed before,
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -62,15 +62,15 @@
 }
 
 void PeerExchange::Receive() {
-  socket_.async_receive_from(asio::buffer(buf_), sender_,
-                             [this, alive = std::weak_ptr<bool>(alive_)](
-                                 const asio::error_code& ec, std::size_t n) {
-                               if (alive.expired() || !socket_.is_open())
-                                 return;
-                               if (ec == asio::error::operation_aborted) return;
-                               if (!ec) OnDatagram({buf_.data(), n});
-                               Receive();
-                             });
+  const std::weak_ptr<bool> alive = alive_;
+  socket_.async_receive_from(
+      asio::buffer(buf_), sender_,
+      [this, alive](const asio::error_code& ec, std::size_t n) {
+        if (alive.expired() || !socket_.is_open()) return;
+        if (ec == asio::error::operation_aborted) return;
+        if (!ec) OnDatagram({buf_.data(), n});
+        Receive();
+      });
 }
 
 void PeerExchange::OnDatagram(std::string_view bytes) {
--- a/test/store_contact_test.cc
+++ b/test/store_contact_test.cc
@@ -136,14 +136,14 @@
   /// @param on_step called every 100 ms with the time that has passed
   template <typename Step>
   void Pass(milliseconds time, Step on_step) {
-    for (milliseconds passed{100}; passed <= time; passed += step) {
-      now += step;
+    for (milliseconds passed{100}; passed <= time; passed += kStep) {
+      now += kStep;
       if (passed.count() % 300 == 0) contact.OnFailure(now);
       on_step(passed);
     }
   }
 
-  static constexpr milliseconds step{100};
+  static constexpr milliseconds kStep{100};
   StoreContact contact;
   TimePoint now = kStart;
 };
