Send nothing to loading engines while others only lack room

Cause: engines that load weights, or are paused after failures, are a last resort with a penalty. Engines without room are left out, so that the last resort was chosen before any waiting, rejected the request, and the request was refused at once. Change: while a sound engine only lacks room, the last resorts get nothing. If there is no sound engine, all is as before. Evidence: "A request waits for room rather than go to a broken engine" fails without the change (two requests at the full engine) and passes with it.

--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -116,6 +116,9 @@
   void Place();
   PlacementFleet Fleet() const;
   PlacementFleet FleetWithoutCandidates() const;
+  /// Keeps the request from engines that load weights or are paused after
+  /// failures, while sound ones only lack room: they would reject it.
+  void HoldBackLastResorts(std::vector<PlacementCandidate>& candidates) const;
   PlacementCandidate CandidateFor(const UpstreamEntry& upstream) const;
   /// True if the upstream's weights are, or are soon, too old for requests.
   bool IsOverdue(const UpstreamEntry& upstream) const;
--- a/src/gateway/proxied_request_fleet.cc
+++ b/src/gateway/proxied_request_fleet.cc
@@ -118,6 +118,7 @@
       overdue.push_back(std::move(candidate));
     }
   }
+  if (lacks_room_) HoldBackLastResorts(fleet.candidates);
   // Without any usable engine, the others tell when one will have room.
   const bool only_overdue = fleet.candidates.empty() || AnyUsable(overdue);
   if (!AnyUsable(fleet.candidates) && only_overdue) {
@@ -126,6 +127,15 @@
   return fleet;
 }
 
+void ProxiedRequest::HoldBackLastResorts(
+    std::vector<PlacementCandidate>& candidates) const {
+  const TimePoint now = state_.Now();
+  for (PlacementCandidate& it : candidates) {
+    const bool paused = state_.health.Paused(it.upstream->id, now);
+    if (it.loading || paused) it.held_back = true;
+  }
+}
+
 bool ProxiedRequest::HasUntriedUpstream() const {
   for (const PlacementCandidate& candidate : Fleet().candidates) {
     if (candidate.held_back) continue;
--- a/test/gateway/room_wait_test.cc
+++ b/test/gateway/room_wait_test.cc
@@ -72,6 +72,38 @@
   CHECK(one.engine.received().size() == 2);
 }
 
+TEST_CASE("A request waits for room rather than go to a broken engine") {
+  OneBusyEngine one;
+  GatewayFixture& fixture = one.fixture;
+  std::unique_ptr<FakeUpstream> broken = std::make_unique<FakeUpstream>(
+      fixture.loop, "broken",
+      [](Connection& c, const ReceivedRequest&) { c.Close(); });
+  fixture.store.Remove("servers", one.engine.id());
+  fixture.RegisterEngine(*broken, 1);
+  REQUIRE(fixture.AwaitListed(1));
+  broken->server().Stop();
+  // Each failure doubles the time for which the engine is paused.
+  for (int i = 0; i < 5; ++i) {
+    fixture.Ask(LargeRequest("broken-" + std::to_string(i)));
+  }
+  fixture.RegisterEngine(one.engine, 1);
+  REQUIRE(fixture.AwaitListed(2));
+  FakeCaller first(fixture.loop, fixture.settings.caller_endpoint);
+  first.Send(LargeRequest("id-1"));
+  REQUIRE(fixture.RunUntilTrue([&] { return one.connection != nullptr; }));
+  FakeCaller second(fixture.loop, fixture.settings.caller_endpoint);
+  second.Send(LargeRequest("id-2"));
+  REQUIRE(fixture.RunUntilTrue([&] {
+    return fixture.HasMetric(fixture.settings,
+                             "yuccapick_requests_waited_for_room 1") ||
+           one.engine.received().size() == 2;
+  }));
+  CHECK(one.engine.received().size() == 1);
+  one.FinishFirst();
+  REQUIRE(fixture.RunUntilTrue([&] { return !second.input().empty(); }));
+  CHECK(second.input().starts_with("HTTP/1.1 200"));
+}
+
 TEST_CASE("A request that can't get room in time is refused") {
   OneBusyEngine one;
   GatewayFixture& fixture = one.fixture;
