--- a/review/lib-2/stand_ins.cc
+++ b/review/lib-2/stand_ins.cc
@@ -220,8 +220,13 @@
   std::fflush(file_);
 }
 
-std::unique_ptr<Connection> Connection::To(std::uint16_t port) {
+std::unique_ptr<Connection> Connection::To(std::uint16_t port,
+                                           int receive_bytes) {
   const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (receive_bytes > 0) {
+    ::setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes,
+                 sizeof(receive_bytes));
+  }
   const sockaddr_in address = LoopbackAddress(port);
   if (::connect(fd, reinterpret_cast<const sockaddr*>(&address),
                 sizeof(address)) != 0) {
@@ -244,11 +249,12 @@
   return true;
 }
 
-bool Connection::Receive(std::string& bytes, milliseconds timeout) {
+bool Connection::Receive(std::string& bytes, milliseconds timeout,
+                         std::size_t most) {
   pollfd ready{fd_, POLLIN, 0};
   if (::poll(&ready, 1, static_cast<int>(timeout.count())) <= 0) return false;
   std::array<char, 65'536> buf{};
-  const ssize_t n = ::recv(fd_, buf.data(), buf.size(), 0);
+  const ssize_t n = ::recv(fd_, buf.data(), std::min(most, buf.size()), 0);
   if (n <= 0) return false;
   bytes.append(buf.data(), static_cast<std::size_t>(n));
   return true;
--- a/review/lib-2/stand_ins.h
+++ b/review/lib-2/stand_ins.h
@@ -57,13 +57,17 @@
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
 
+  /// @param receive_bytes size of the receive buffer; 0 for the usual one
   /// @return null if the port doesn't accept
-  static std::unique_ptr<Connection> To(std::uint16_t port);
+  static std::unique_ptr<Connection> To(std::uint16_t port,
+                                        int receive_bytes = 0);
 
   bool Send(const std::string& bytes);
   /// Receives some bytes and appends them to `bytes`.
   /// @return false at the end of the connection, or after `timeout`
-  bool Receive(std::string& bytes, milliseconds timeout);
+  /// @param most bytes to receive at most
+  bool Receive(std::string& bytes, milliseconds timeout,
+               std::size_t most = 65'536);
   /// True if the peer has closed the connection.
   bool PeerClosed() const;
   void Close();
