--- a/src/gateway/http_connection.cc
+++ b/src/gateway/http_connection.cc
@@ -62,7 +62,7 @@
       number_(number),
       socket_(loop),
       connect_timer_(loop),
-      reader_(HttpReader::Kind::kResponse, options.max_head_bytes, *this) {}
+      reader_(HttpReader::Kind::kResponse, options.max_head_bytes) {}
 
 HttpConnection::~HttpConnection() { Close(); }
 
@@ -165,14 +165,15 @@
       stray_bytes_ = true;
       return Close();
     }
-    std::size_t consumed = 0;
-    const absl::Status status = reader_.Feed(bytes, consumed);
+    HttpParts parts;
+    const absl::Status status = reader_.Feed(bytes, parts);
+    Deliver(parts);
     if (closed_) return;
     if (!status.ok()) {
       return Fail(status.message().data(), ExchangeEnd::kInvalid);
     }
     if (rejected_) return Fail("answer rejected", ExchangeEnd::kInvalid);
-    bytes.remove_prefix(std::min(consumed, bytes.size()));
+    bytes.remove_prefix(std::min(parts.consumed, bytes.size()));
     if (!reader_.complete()) continue;
     if (skipping_) {
       skipping_ = false;
@@ -185,6 +186,16 @@
   }
 }
 
+void HttpConnection::Deliver(const HttpParts& parts) {
+  const auto self = shared_from_this();
+  if (parts.head) OnHead(*parts.head);
+  for (const std::string_view bytes : parts.body) {
+    if (closed_ || skipping_ || rejected_) return;
+    const auto handler = handler_;
+    handler->OnAnswerBody(bytes);
+  }
+}
+
 void HttpConnection::OnPeerClosed(const asio::error_code& ec) {
   if (handler_ == nullptr) return Close();
   if (ec == asio::error::eof && !skipping_ && reader_.FeedEof().ok()) {
@@ -194,7 +205,7 @@
   Fail(ec.message());
 }
 
-void HttpConnection::OnHttpHead(HttpHead head) {
+void HttpConnection::OnHead(const HttpHead& head) {
   if (IsInformational(head.status)) {
     skipping_ = true;
     rejected_ = ++interim_answers_ > kMaxInterimAnswers;
@@ -220,14 +231,6 @@
   }
 }
 
-void HttpConnection::OnHttpBody(std::string_view bytes) {
-  if (skipping_ || rejected_ || handler_ == nullptr) return;
-  const auto handler = handler_;
-  handler->OnAnswerBody(bytes);
-}
-
-void HttpConnection::OnHttpEnd() {}
-
 void HttpConnection::FinishAnswer() {
   const auto self = shared_from_this();
   const auto handler = std::exchange(handler_, nullptr);
--- a/src/gateway/http_connection.h
+++ b/src/gateway/http_connection.h
@@ -62,8 +62,7 @@
 
 /// One connection with one exchange at a time. Pending operations keep it
 /// alive. Used on one event loop.
-class HttpConnection : public std::enable_shared_from_this<HttpConnection>,
-                       private HttpReaderHandler {
+class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
  public:
   /// Called when the connection is idle and can be reused.
   using OnIdle = std::function<void(std::shared_ptr<HttpConnection>)>;
@@ -71,7 +70,7 @@
   /// @param number identifies the connection in logs
   HttpConnection(asio::io_context& loop, std::string endpoint,
                  HttpConnectionOptions options, std::uint64_t number);
-  ~HttpConnection() override;
+  ~HttpConnection();
 
   /// Sends `request`; connects first if needed.
   /// @param handler called from the loop only, never before this returns; kept
@@ -100,10 +99,6 @@
   std::uint32_t exchanges() const { return exchanges_; }
 
  private:
-  void OnHttpHead(HttpHead head) override;
-  void OnHttpBody(std::string_view bytes) override;
-  void OnHttpEnd() override;
-
   void Connect();
   void OnConnected(const asio::error_code& ec);
   void SendRemaining();
@@ -112,6 +107,9 @@
   void Read();
   void OnRead(const asio::error_code& ec, std::size_t n);
   void Consume(std::string_view bytes);
+  /// Passes the parts of an answer on until the handler abandons the exchange.
+  void Deliver(const HttpParts& parts);
+  void OnHead(const HttpHead& head);
   void OnPeerClosed(const asio::error_code& ec);
   void FinishAnswer();
   /// Closes the connection and reports `end`, or that nothing was sent.
--- a/src/gateway/http_reader.cc
+++ b/src/gateway/http_reader.cc
@@ -71,9 +71,8 @@
       [name](const HttpField& f) { return EqualsIgnoreCase(f.name, name); }));
 }
 
-HttpReader::HttpReader(Kind kind, std::size_t max_head_bytes,
-                       HttpReaderHandler& handler)
-    : kind_(kind), max_head_bytes_(max_head_bytes), handler_(handler) {
+HttpReader::HttpReader(Kind kind, std::size_t max_head_bytes)
+    : kind_(kind), max_head_bytes_(max_head_bytes) {
   Reset();
 }
 
@@ -107,12 +106,14 @@
   return settings;
 }
 
-absl::Status HttpReader::Feed(std::string_view bytes, std::size_t& consumed) {
-  consumed = 0;
+absl::Status HttpReader::Feed(std::string_view bytes, HttpParts& parts) {
+  parts = HttpParts();
   if (bytes.empty() || complete_) return absl::OkStatus();
   started_ = true;
-  consumed =
+  parts_ = &parts;
+  parts.consumed =
       http_parser_execute(&parser_, &Callbacks(), bytes.data(), bytes.size());
+  parts_ = nullptr;
   if (!head_done_ && !CountHeadBytes(0)) head_too_long_ = true;
   const auto error = static_cast<http_errno>(parser_.http_errno);
   if (error == HPE_OK || error == HPE_PAUSED) return absl::OkStatus();
@@ -195,7 +196,7 @@
   head_.has_body = chunked || head_.content_length.has_value();
   // Upgrades are not supported: the message is parsed as an ordinary one.
   parser_.upgrade = 0;
-  handler_.OnHttpHead(std::move(head_));
+  parts_->head = std::move(head_);
   return expect_no_body_ ? kSkipBody : kContinue;
 }
 
@@ -204,7 +205,7 @@
 }
 
 int HttpReader::OnBody(http_parser* parser, const char* at, std::size_t n) {
-  ReaderOf(parser).handler_.OnHttpBody({at, n});
+  ReaderOf(parser).parts_->body.emplace_back(at, n);
   return kContinue;
 }
 
@@ -212,7 +213,6 @@
   HttpReader& reader = ReaderOf(parser);
   reader.complete_ = true;
   http_parser_pause(parser, 1);
-  reader.handler_.OnHttpEnd();
   return kContinue;
 }
 
--- a/src/gateway/http_reader.h
+++ b/src/gateway/http_reader.h
@@ -41,32 +41,32 @@
 /// Compares ASCII text, such as field names, ignoring case.
 bool EqualsIgnoreCase(std::string_view a, std::string_view b);
 
-/// Receives the parts of a message, in order.
-class HttpReaderHandler {
- public:
-  virtual ~HttpReaderHandler() = default;
-  virtual void OnHttpHead(HttpHead head) = 0;
-  virtual void OnHttpBody(std::string_view bytes) = 0;
-  virtual void OnHttpEnd() = 0;
+/// What `HttpReader::Feed` found in the bytes that it was given, in this order.
+struct HttpParts {
+  std::optional<HttpHead> head;        ///< Set if the head ended in them.
+  std::vector<std::string_view> body;  ///< Views of the bytes; may be empty.
+  std::size_t consumed = 0;            ///< Number of bytes parsed.
 };
 
-/// Parses one message at a time; call `Reset` before the next one.
+/// Parses one message at a time; call `Reset` before the next one. It returns
+/// the parts of a message instead of reporting them by callbacks: whoever acts
+/// on a part may free the bytes or end the connection that they came from, and
+/// must not do so while they are being parsed.
 class HttpReader {
  public:
   enum class Kind : std::uint8_t { kRequest, kResponse };
 
   /// @param max_head_bytes longest head that is accepted
-  /// @param handler must outlive the reader
-  HttpReader(Kind kind, std::size_t max_head_bytes, HttpReaderHandler& handler);
+  HttpReader(Kind kind, std::size_t max_head_bytes);
 
   HttpReader(const HttpReader&) = delete;
   HttpReader& operator=(const HttpReader&) = delete;
 
   /// Parses bytes up to the end of the message.
-  /// @param consumed receives the number of bytes parsed
+  /// @param parts receives what was found, also before an error
   /// @return ResourceExhausted for a head over the limit, InvalidArgument for
   ///   a malformed message
-  absl::Status Feed(std::string_view bytes, std::size_t& consumed);
+  absl::Status Feed(std::string_view bytes, HttpParts& parts);
   /// Handles the end of the input, which ends a message without a length.
   /// @return InvalidArgument if the message is incomplete
   absl::Status FeedEof();
@@ -103,8 +103,8 @@
 
   Kind kind_;
   std::size_t max_head_bytes_;
-  HttpReaderHandler& handler_;
   http_parser parser_;
+  HttpParts* parts_ = nullptr;  ///< Of the call of `Feed` in progress.
   HttpHead head_;
   std::size_t head_bytes_ = 0;
   bool in_value_ = false;
--- a/src/gateway/ingress_session.cc
+++ b/src/gateway/ingress_session.cc
@@ -24,6 +24,14 @@
   return http_status_str(static_cast<http_status>(status));
 }
 
+/// True if the caller waits for an interim answer before it sends its body.
+/// Callers of HTTP/1.0 don't know interim answers.
+bool ExpectsContinue(const HttpHead& head) {
+  const std::string* expect = head.Find("expect");
+  return expect != nullptr && head.minor_version > 0 &&
+         EqualsIgnoreCase(*expect, "100-continue");
+}
+
 bool AllowsBody(int status) {
   return status != kHttpNoContent && status != kHttpNotModified;
 }
@@ -34,8 +42,7 @@
                                IngressHandler& handler)
     : stream_(std::move(stream)),
       handler_(handler),
-      reader_(HttpReader::Kind::kRequest, handler.limits().max_header_bytes,
-              *this),
+      reader_(HttpReader::Kind::kRequest, handler.limits().max_header_bytes),
       held_(handler.request_memory()),
       last_active_(std::chrono::steady_clock::now()) {}
 
@@ -83,8 +90,11 @@
       received_.Start(last_active_);
       reader_.set_max_head_bytes(handler_.limits().max_header_bytes);
     }
-    std::size_t consumed = 0;
-    const absl::Status status = reader_.Feed(unparsed_, consumed);
+    HttpParts parts;
+    const absl::Status status = reader_.Feed(unparsed_, parts);
+    const bool expects_continue = parts.head && ExpectsContinue(*parts.head);
+    if (parts.head) ReceiveHead(*std::move(parts.head));
+    for (const std::string_view bytes : parts.body) ReceiveBody(bytes);
     if (absl::IsResourceExhausted(status)) {
       return Refuse(kHttpRequestHeaderFieldsTooLarge, "header too large");
     }
@@ -96,12 +106,17 @@
       return Refuse(kHttpUnavailable, "out of memory for requests",
                     {{"Retry-After", std::string(kMemoryRetryAfter)}});
     }
-    unparsed_.erase(0, consumed);
-    if (reader_.complete()) Dispatch();
+    unparsed_.erase(0, parts.consumed);
+    // Whoever has sent the whole body doesn't wait for an interim answer.
+    if (reader_.complete()) {
+      Dispatch();
+    } else if (expects_continue) {
+      SendContinue();
+    }
   }
 }
 
-void IngressSession::OnHttpHead(HttpHead head) {
+void IngressSession::ReceiveHead(HttpHead head) {
   const std::size_t limit = handler_.limits().max_body_bytes;
   if (head.content_length && *head.content_length > limit) {
     body_too_long_ = true;
@@ -111,17 +126,16 @@
   if (head.content_length && !body_too_long_ && !out_of_memory_) {
     ReserveBody(static_cast<std::size_t>(*head.content_length));
   }
-  const std::string* expect = head.Find("expect");
-  if (expect != nullptr && EqualsIgnoreCase(*expect, "100-continue") &&
-      !body_too_long_ && !out_of_memory_) {
-    output_ += fmt::format("HTTP/1.1 {} {}\r\n\r\n", kHttpContinue,
-                           ReasonPhrase(kHttpContinue));
-    Flush();
-  }
   request_.head = std::move(head);
 }
 
-void IngressSession::OnHttpBody(std::string_view bytes) {
+void IngressSession::SendContinue() {
+  output_ += fmt::format("HTTP/1.1 {} {}\r\n\r\n", kHttpContinue,
+                         ReasonPhrase(kHttpContinue));
+  Flush();
+}
+
+void IngressSession::ReceiveBody(std::string_view bytes) {
   if (body_too_long_ || out_of_memory_) return;
   const std::size_t size = request_.body.size() + bytes.size();
   if (size > request_.body.capacity()) {
@@ -145,8 +159,6 @@
   request_.memory.Set(head + bytes);
 }
 
-void IngressSession::OnHttpEnd() {}
-
 void IngressSession::Dispatch() {
   in_request_ = true;
   is_head_request_ = request_.head.method == "HEAD";
@@ -156,7 +168,12 @@
   IngressRequest request = std::exchange(request_, IngressRequest());
   std::shared_ptr<PendingRequest> pending =
       handler_.OnRequest(std::move(request), shared_from_this());
-  if (in_request_) pending_request_ = std::move(pending);
+  if (in_request_) {
+    pending_request_ = std::move(pending);
+  } else if (closed_ && pending != nullptr) {
+    // The connection failed while the request was handed over.
+    pending->OnCallerDisconnected();
+  }
 }
 
 void IngressSession::Refuse(int status, std::string_view reason,
@@ -337,6 +354,7 @@
   output_sent_ = 0;
   DropRequest();
   std::string().swap(unparsed_);
+  reader_.Reset();
   held_.Release();
   stream_->Close();
 }
--- a/src/gateway/ingress_session.h
+++ b/src/gateway/ingress_session.h
@@ -69,8 +69,7 @@
 
 /// One caller's connection: reads requests and writes their answers in order.
 /// Pending operations keep it alive. Used on one event loop.
-class IngressSession : public std::enable_shared_from_this<IngressSession>,
-                       private HttpReaderHandler {
+class IngressSession : public std::enable_shared_from_this<IngressSession> {
  public:
   IngressSession(std::shared_ptr<CallerStream> stream, IngressHandler& handler);
 
@@ -135,13 +134,12 @@
   /// In seconds. By then some of the requests that hold memory have ended.
   static constexpr std::string_view kMemoryRetryAfter = "0.3";
 
-  void OnHttpHead(HttpHead head) override;
-  void OnHttpBody(std::string_view bytes) override;
-  void OnHttpEnd() override;
-
   void Read();
   void OnRead(const asio::error_code& ec, std::size_t n);
   void ParseInput();
+  void ReceiveHead(HttpHead head);
+  void ReceiveBody(std::string_view bytes);
+  void SendContinue();
   void Dispatch();
   void Refuse(int status, std::string_view reason,
               const std::vector<HttpField>& fields = {});
--- a/test/gateway/http_connection_test.cc
+++ b/test/gateway/http_connection_test.cc
@@ -147,5 +147,43 @@
   CHECK(pool.idle_count() == 2);
 }
 
+/// Drops its exchange within the head, or within the first part of the body.
+struct DroppingHandler : RecordingHandler {
+  explicit DroppingHandler(bool in_head) : drops_in_head(in_head) {}
+
+  HeadDecision OnAnswerHead(const HttpHead& head) override {
+    RecordingHandler::OnAnswerHead(head);
+    if (drops_in_head) exchange.Abandon();
+    return HeadDecision::kAccept;
+  }
+  void OnAnswerBody(std::string_view bytes) override {
+    RecordingHandler::OnAnswerBody(bytes);
+    exchange.Abandon();
+  }
+
+  bool drops_in_head;
+  Exchange exchange;
+};
+
+/// Guards against parts of an answer that reach whoever has dropped it.
+TEST_CASE("An exchange dropped within an answer hears no more of it") {
+  const bool in_head = GENERATE(true, false);
+  AnsweringServer answering;
+  answering.answers = false;
+  HttpConnectionPool pool(answering.loop, {});
+  const auto handler = std::make_shared<DroppingHandler>(in_head);
+  handler->exchange = pool.Start(answering.endpoint(), kRequest, {}, handler);
+  REQUIRE(answering.RunUntilRequests(1));
+  answering.last().Write(
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "3\r\none\r\n3\r\ntwo\r\n0\r\n\r\n");
+  REQUIRE(RunUntil(answering.loop,
+                   [&] { return answering.last().closed_by_peer; }));
+  CHECK(handler->heads == 1);
+  CHECK(handler->body == (in_head ? "" : "one"));
+  CHECK(handler->ends.empty());
+  CHECK(pool.idle_count() == 0);
+}
+
 }  // namespace
 }  // namespace yuccapick
--- a/test/gateway/http_reader_test.cc
+++ b/test/gateway/http_reader_test.cc
@@ -9,26 +9,27 @@
 
 constexpr std::size_t kMaxHead = 1'000;
 
-/// Records the parts of one message.
-class Recorder : public HttpReaderHandler {
- public:
-  void OnHttpHead(HttpHead h) override { head = std::move(h); }
-  void OnHttpBody(std::string_view bytes) override { body += bytes; }
-  void OnHttpEnd() override { ended = true; }
-
+/// Collects the parts of one message.
+struct Message {
   HttpHead head;
   std::string body;
-  bool ended = false;
+
+  void Add(HttpParts parts) {
+    if (parts.head) head = *std::move(parts.head);
+    for (const std::string_view bytes : parts.body) body += bytes;
+  }
 };
 
-absl::Status FeedAll(HttpReader& reader, std::string_view bytes) {
-  std::size_t consumed = 0;
-  return reader.Feed(bytes, consumed);
+absl::Status FeedAll(HttpReader& reader, std::string_view bytes,
+                     Message* message = nullptr) {
+  HttpParts parts;
+  const absl::Status status = reader.Feed(bytes, parts);
+  if (message != nullptr) message->Add(std::move(parts));
+  return status;
 }
 
 absl::Status ReadRequest(const std::string& text) {
-  Recorder recorder;
-  HttpReader reader(HttpReader::Kind::kRequest, kMaxHead, recorder);
+  HttpReader reader(HttpReader::Kind::kRequest, kMaxHead);
   return FeedAll(reader, text);
 }
 
@@ -37,32 +38,31 @@
     const std::string text =
         "POST /a/b?x=1 HTTP/1.1\r\nHost: h\r\nX-Key:  v \r\n"
         "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n3\r\nyou\r\n0\r\n\r\n";
-    Recorder recorder;
-    HttpReader reader(HttpReader::Kind::kRequest, kMaxHead, recorder);
+    Message message;
+    HttpReader reader(HttpReader::Kind::kRequest, kMaxHead);
     std::size_t at = 0;
     while (at < text.size()) {
       const auto n = *rc::gen::inRange<std::size_t>(1, 30);
-      std::size_t consumed = 0;
-      RC_ASSERT(
-          reader.Feed(std::string_view(text).substr(at, n), consumed).ok());
-      RC_ASSERT(consumed > 0U);
-      at += consumed;
+      HttpParts parts;
+      RC_ASSERT(reader.Feed(std::string_view(text).substr(at, n), parts).ok());
+      RC_ASSERT(parts.consumed > 0U);
+      at += parts.consumed;
+      message.Add(std::move(parts));
     }
-    RC_ASSERT(recorder.ended);
-    RC_ASSERT(recorder.head.method == "POST");
-    RC_ASSERT(recorder.head.target == "/a/b?x=1");
-    RC_ASSERT(*recorder.head.Find("x-key") == "v");
-    RC_ASSERT(recorder.body == "helloyou");
+    RC_ASSERT(reader.complete());
+    RC_ASSERT(message.head.method == "POST");
+    RC_ASSERT(message.head.target == "/a/b?x=1");
+    RC_ASSERT(*message.head.Find("x-key") == "v");
+    RC_ASSERT(message.body == "helloyou");
   });
 }
 
 TEST_CASE("Parsing stops at the end of a message") {
-  Recorder recorder;
-  HttpReader reader(HttpReader::Kind::kRequest, kMaxHead, recorder);
+  HttpReader reader(HttpReader::Kind::kRequest, kMaxHead);
   const std::string first = "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n";
-  std::size_t consumed = 0;
-  REQUIRE(reader.Feed(first + "GET /2", consumed).ok());
-  CHECK(consumed == first.size());
+  HttpParts parts;
+  REQUIRE(reader.Feed(first + "GET /2", parts).ok());
+  CHECK(parts.consumed == first.size());
   CHECK(reader.complete());
   reader.Reset();
   CHECK(reader.at_start());
@@ -102,17 +102,16 @@
 }
 
 TEST_CASE("An answer without a length is complete at the end of input") {
-  Recorder recorder;
-  HttpReader reader(HttpReader::Kind::kResponse, kMaxHead, recorder);
-  REQUIRE(FeedAll(reader, "HTTP/1.1 200 OK\r\n\r\npart").ok());
+  Message message;
+  HttpReader reader(HttpReader::Kind::kResponse, kMaxHead);
+  REQUIRE(FeedAll(reader, "HTTP/1.1 200 OK\r\n\r\npart", &message).ok());
   CHECK_FALSE(reader.complete());
   CHECK(reader.FeedEof().ok());
-  CHECK(recorder.body == "part");
+  CHECK(message.body == "part");
 }
 
 TEST_CASE("An answer shorter than its length is an error at the end of input") {
-  Recorder recorder;
-  HttpReader reader(HttpReader::Kind::kResponse, kMaxHead, recorder);
+  HttpReader reader(HttpReader::Kind::kResponse, kMaxHead);
   REQUIRE(
       FeedAll(reader, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart").ok());
   CHECK_FALSE(reader.FeedEof().ok());
