--- a/src/gateway/http_status.h
+++ b/src/gateway/http_status.h
@@ -28,6 +28,13 @@
 inline constexpr int kHttpUnavailable = 503;
 inline constexpr int kHttpGatewayTimeout = 504;
 
+/// Statuses from which a caller concludes that its request has not run and will
+/// not: it may send it again, even if the request is not idempotent.
+constexpr bool ImpliesNotExecuted(int status) {
+  return status == kHttpRequestTimeout || status == kHttpMisdirectedRequest ||
+         status == kHttpTooManyRequests || status == kHttpUnavailable;
+}
+
 }  // namespace yuccapick
 
 #endif  // YUCCAPICK_GATEWAY_HTTP_STATUS_H_
--- a/src/gateway/proxied_request.cc
+++ b/src/gateway/proxied_request.cc
@@ -29,12 +29,6 @@
 
 constexpr int kLowestUrgency = 9;
 
-/// Statuses from which a caller concludes that its request has not run.
-bool ImpliesNotExecuted(int status) {
-  return status == kHttpRequestTimeout || status == kHttpMisdirectedRequest ||
-         status == kHttpTooManyRequests || status == kHttpUnavailable;
-}
-
 std::int64_t Milliseconds(std::chrono::steady_clock::duration d) {
   return std::chrono::duration_cast<milliseconds>(d).count();
 }
@@ -206,6 +200,7 @@
   answer_began_at_.reset();
   survival_recorded_ = false;
   named_limit_.reset();
+  upstream_status_ = 0;
   attempt_ = std::move(attempt);
   paused_since_.reset();
   state_.log.Write(
@@ -312,11 +307,6 @@
       attempt_.reset();
       return TrySend();
     case RetryDecision::kPassOn:
-      if (!admitted_.route->IsSafeToRetry() &&
-          ImpliesNotExecuted(attempt_->head->status)) {
-        session_->Respond(kHttpBadGateway, {}, "outcome unknown\n");
-        return Finish("outcome_unknown", kHttpBadGateway, reason);
-      }
       return DeliverAnswer();
     case RetryDecision::kRefuse:
       return Refuse(reason, retry_after_.value_or(kRetryAfter));
--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -262,6 +262,10 @@
   /// @param retry_after delay before the caller should retry
   void Refuse(std::string_view reason, std::chrono::milliseconds retry_after,
               int status = kHttpUnavailable);
+  /// True if the answer's status would tell the caller that its request has not
+  /// run, though the upstream does not say so and the request may run only
+  /// once.
+  bool IsFalseRefusal() const;
   void DeliverAnswer();
   void Finish(std::string_view outcome, int status, std::string_view reason);
   void RecordMetrics(std::string_view outcome, int status, TimePoint now);
@@ -312,6 +316,7 @@
   std::uint32_t connection_exchanges_ = 0;
   std::uint32_t delivered_attempts_ = 0;
   std::uint32_t expected_cached_tokens_ = 0;
+  int upstream_status_ = 0;  ///< 0 if no answer has begun.
   bool may_have_run_ = false;
   bool done_ = false;
 
--- a/src/gateway/proxied_request_answers.cc
+++ b/src/gateway/proxied_request_answers.cc
@@ -60,6 +60,7 @@
                admitted_.route->kind == RouteKind::kStreaming;
   attempt_->info = std::move(info);
   attempt_->head = head;
+  upstream_status_ = head.status;
   return HeadDecision::kAccept;
 }
 
@@ -118,6 +119,8 @@
   state_.health.OnBytesReceived(attempt_->upstream.id, now);
   if (!streaming_) {
     if (attempt_->continues || attempt_->info.not_executed) return;
+    // The caller gets another answer, however long this one is.
+    if (IsFalseRefusal()) return;
     if (answer_started_) return Forward(bytes);
     return BufferAnswer(bytes);
   }
@@ -327,7 +330,17 @@
   DeliverAnswer();
 }
 
+bool ProxiedRequest::IsFalseRefusal() const {
+  return !admitted_.route->IsSafeToRetry() && !attempt_->info.not_executed &&
+         ImpliesNotExecuted(attempt_->head->status);
+}
+
 void ProxiedRequest::DeliverAnswer() {
+  if (IsFalseRefusal()) {
+    session_->Respond(kHttpBadGateway, {}, "outcome unknown\n");
+    return Finish("outcome_unknown", kHttpBadGateway,
+                  "upstream refused a request that it may have run");
+  }
   const HttpHead& head = *attempt_->head;
   const int status = head.status;
   if (answer_started_) {
--- a/src/gateway/proxied_request_end.cc
+++ b/src/gateway/proxied_request_end.cc
@@ -123,10 +123,12 @@
   const TimePoint arrived_at = admitted_.request.arrived_at;
   state_.log.Write(
       complete ? LogKind::kRequest : LogKind::kFailure, now,
-      "event=request_done id={} outcome={} status={} route={} team={} "
+      "event=request_done id={} outcome={} status={} upstream_status={} "
+      "route={} team={} "
       "attempts={} upstream={} first_ms={} total_ms={} silent_ms={} events={} "
       "limit={:.2f} reason=\"{}\"",
-      admitted_.caller.attempt_id, outcome, status, admitted_.route->name,
+      admitted_.caller.attempt_id, outcome, status, upstream_status_,
+      admitted_.route->name,
       admitted_.team == nullptr ? "-" : admitted_.team->id.value,
       attempts_sent_, query_.tried.empty() ? "-" : query_.tried.back().value,
       first_event_at_ == TimePoint() ? -1 : Count(first_event_at_ - arrived_at),
