--- a/src/gateway/http_connection.cc
+++ b/src/gateway/http_connection.cc
@@ -8,6 +8,7 @@
 #include "absl/strings/ascii.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/string_view.h"
+#include "shell/socket_state.h"
 
 namespace yuccapick {
 namespace {
@@ -71,6 +72,7 @@
                            OnIdle on_idle) {
   request_ = std::move(request);
   sent_ = 0;
+  write_failed_ = false;
   expect_no_body_ = expect_no_body;
   handler_ = std::move(handler);
   on_idle_ = std::move(on_idle);
@@ -125,6 +127,7 @@
   if (!ec) return;
   const auto self = shared_from_this();
   if (ec != asio::error::would_block) {
+    write_failed_ = true;
     // `Start` must return before its handler is called.
     return asio::post(loop_, [self, ec] { self->Fail(ec.message()); });
   }
@@ -196,13 +199,20 @@
   }
 }
 
+bool HttpConnection::RequestArrived() {
+  if (write_failed_ || sent_ < request_.size()) return false;
+  return PeerHasReceivedAll(socket_.native_handle());
+}
+
 void HttpConnection::OnPeerClosed(const asio::error_code& ec) {
   if (handler_ == nullptr) return Close();
-  if (ec == asio::error::eof && !skipping_ && reader_.FeedEof().ok()) {
-    keep_alive_ = false;
-    return FinishAnswer();
-  }
-  Fail(ec.message());
+  const bool ends_answer =
+      ec == asio::error::eof && !skipping_ && reader_.FeedEof().ok();
+  if (!ends_answer) return Fail(ec.message());
+  // Nothing else tells where the answer ends, and servers that fail end, too.
+  if (!RequestArrived()) return Fail("ended before it had the whole request");
+  keep_alive_ = false;
+  FinishAnswer();
 }
 
 void HttpConnection::OnHead(const HttpHead& head) {
--- a/src/gateway/http_connection.h
+++ b/src/gateway/http_connection.h
@@ -111,6 +111,9 @@
   void Deliver(const HttpParts& parts);
   void OnHead(const HttpHead& head);
   void OnPeerClosed(const asio::error_code& ec);
+  /// False if the server is known not to have the whole request, or to have
+  /// reset the connection.
+  bool RequestArrived();
   void FinishAnswer();
   /// Closes the connection and reports `end`, or that nothing was sent.
   void Fail(std::string_view reason, ExchangeEnd end = ExchangeEnd::kBroken);
@@ -126,6 +129,7 @@
   std::array<char, 4096> buf_{};
   OutgoingRequest request_;
   std::size_t sent_ = 0;
+  bool write_failed_ = false;
   bool expect_no_body_ = false;
   std::shared_ptr<ExchangeHandler> handler_;
   OnIdle on_idle_;
--- a/src/shell/http_client.cc
+++ b/src/shell/http_client.cc
@@ -45,8 +45,8 @@
 
   RequestHandle Start(HttpRequest request, HttpCallbacks callbacks) {
     const auto id = static_cast<RequestHandle>(++last_id_);
-    transfers_[id] = std::make_unique<HttpTransfer>(id, std::move(request),
-                                                    std::move(callbacks));
+    transfers_[id] = std::make_unique<HttpTransfer>(
+        id, std::move(request), std::move(callbacks), unreceived_);
     Post([id](Impl& impl) { impl.StartTransfer(id); });
     return id;
   }
@@ -230,6 +230,7 @@
   asio::steady_timer timer_;
   CURLM* multi_;
   std::uint64_t last_id_ = 0;
+  UnreceivedPorts unreceived_;
   std::unordered_map<RequestHandle, std::unique_ptr<HttpTransfer>> transfers_;
   std::unordered_map<curl_socket_t, SocketWatchPtr> watches_;
 };
--- a/src/shell/http_transfer.cc
+++ b/src/shell/http_transfer.cc
@@ -1,6 +1,9 @@
 #include "shell/http_transfer.h"
 
 #include <fmt/format.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <cctype>
@@ -8,6 +11,8 @@
 #include <chrono>
 #include <utility>
 
+#include "shell/socket_state.h"
+
 namespace yuccapick {
 namespace {
 
@@ -47,6 +52,17 @@
   return status;
 }
 
+/// @return the local port of an IPv4 or IPv6 socket; 0 if it has none
+int LocalPort(int fd) {
+  sockaddr_in6 address{};
+  socklen_t size = sizeof(address);
+  if (::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size) != 0) {
+    return 0;
+  }
+  // The port stands at the same place in both kinds of address.
+  return ntohs(address.sin6_port);
+}
+
 absl::Status StatusFromCurl(CURLcode code, const std::string& url) {
   if (code == CURLE_OK) return absl::OkStatus();
   const std::string message = fmt::format(
@@ -61,11 +77,12 @@
 }  // namespace
 
 HttpTransfer::HttpTransfer(RequestHandle id, HttpRequest request,
-                           HttpCallbacks callbacks)
+                           HttpCallbacks callbacks, UnreceivedPorts& unreceived)
     : id_(id),
       request_(std::move(request)),
       callbacks_(std::move(callbacks)),
-      easy_(curl_easy_init()) {}
+      easy_(curl_easy_init()),
+      unreceived_(unreceived) {}
 
 HttpTransfer::~HttpTransfer() {
   curl_easy_cleanup(easy_);
@@ -100,6 +117,8 @@
   curl_easy_setopt(easy_, CURLOPT_PRIVATE, this);
   curl_easy_setopt(easy_, CURLOPT_PREREQFUNCTION, &OnBeforeRequest);
   curl_easy_setopt(easy_, CURLOPT_PREREQDATA, this);
+  curl_easy_setopt(easy_, CURLOPT_CLOSESOCKETFUNCTION, &OnCloseSocket);
+  curl_easy_setopt(easy_, CURLOPT_CLOSESOCKETDATA, &unreceived_);
   curl_easy_setopt(easy_, CURLOPT_HEADERFUNCTION, &OnHeader);
   curl_easy_setopt(easy_, CURLOPT_HEADERDATA, this);
   curl_easy_setopt(easy_, CURLOPT_WRITEFUNCTION, &OnBodyData);
@@ -156,9 +175,17 @@
 }
 
 absl::Status HttpTransfer::Outcome(CURLcode code) const {
-  // libcurl takes a response that ends within its head for complete.
-  if (code != CURLE_OK || head_complete_) {
-    return StatusFromCurl(code, request_.url);
+  if (code != CURLE_OK) return StatusFromCurl(code, request_.url);
+  // libcurl takes a response that ends within its head for complete, and one
+  // without a length whose server ends while it is still sent the request.
+  if (head_complete_ && (!IsUnbounded() || RequestArrived())) {
+    return absl::OkStatus();
+  }
+  if (head_complete_) {
+    return absl::UnavailableError(fmt::format(
+        "{}: the connection ended before the peer had the whole request; check "
+        "that the peer is running",
+        request_.url));
   }
   return absl::UnavailableError(fmt::format(
       "{}: the response ended within its head; check that the peer is running "
@@ -166,6 +193,27 @@
       request_.url));
 }
 
+bool HttpTransfer::IsUnbounded() const {
+  return std::none_of(response_headers_.begin(), response_headers_.end(),
+                      [](const Header& header) {
+                        return header.name == "content-length" ||
+                               header.name == "transfer-encoding";
+                      });
+}
+
+bool HttpTransfer::RequestArrived() const {
+  curl_off_t sent = 0;
+  curl_easy_getinfo(easy_, CURLINFO_SIZE_UPLOAD_T, &sent);
+  return sent >= static_cast<curl_off_t>(request_.body.size()) &&
+         !unreceived_.contains(local_port_);
+}
+
+int HttpTransfer::OnCloseSocket(void* unreceived, curl_socket_t fd) {
+  auto& ports = *static_cast<UnreceivedPorts*>(unreceived);
+  if (!PeerHasReceivedAll(fd)) ports.insert(LocalPort(fd));
+  return ::close(fd);
+}
+
 void HttpTransfer::FailUnsent(const absl::Status& status) {
   if (cancelled_) return;
   cancelled_ = true;
@@ -228,8 +276,10 @@
 }
 
 int HttpTransfer::OnBeforeRequest(void* self, char* /*peer*/, char* /*local*/,
-                                  int /*peer_port*/, int /*local_port*/) {
+                                  int /*peer_port*/, int local_port) {
   auto& transfer = *static_cast<HttpTransfer*>(self);
+  transfer.local_port_ = local_port;
+  transfer.unreceived_.erase(local_port);
   // libcurl resends a request itself if its pooled connection was closed.
   if (transfer.times_sent_ > 0 && !transfer.request_.repeatable) {
     return CURL_PREREQFUNC_ABORT;
--- a/test/gateway/failing_socket.cc
+++ b/test/gateway/failing_socket.cc
@@ -23,16 +23,25 @@
   return ntohs(peer.sin_port);
 }
 
-}  // namespace
-
-std::size_t FailWritesTo(const std::string& endpoint) {
+/// Shuts down one or both directions of all connections to `endpoint`.
+std::size_t ShutDownAll(const std::string& endpoint, int how) {
   const std::uint16_t port = ParseEndpoint(endpoint).port();
   std::size_t n = 0;
   for (int descriptor = 0; descriptor < kMaxDescriptor; ++descriptor) {
     if (PeerPort(descriptor) != port) continue;
-    if (::shutdown(descriptor, SHUT_WR) == 0) ++n;
+    if (::shutdown(descriptor, how) == 0) ++n;
   }
   return n;
 }
 
+}  // namespace
+
+std::size_t FailWritesTo(const std::string& endpoint) {
+  return ShutDownAll(endpoint, SHUT_WR);
+}
+
+std::size_t ShutDown(const std::string& endpoint) {
+  return ShutDownAll(endpoint, SHUT_RDWR);
+}
+
 }  // namespace yuccapick
--- a/test/gateway/gateway_fixture.cc
+++ b/test/gateway/gateway_fixture.cc
@@ -47,6 +47,13 @@
   asio::write(connection_->socket, asio::buffer(bytes), ec);
 }
 
+void FakeCaller::SendWhileRunning(std::string bytes) {
+  const auto text = std::make_shared<const std::string>(std::move(bytes));
+  asio::async_write(
+      connection_->socket, asio::buffer(*text),
+      [text, self = connection_](const asio::error_code&, std::size_t) {});
+}
+
 void FakeCaller::Close() {
   asio::error_code ec;
   connection_->socket.close(ec);
@@ -211,7 +218,7 @@
 std::string GatewayFixture::AskAt(const std::string& endpoint,
                                   const std::string& request) {
   FakeCaller caller(loop, endpoint);
-  caller.Send(request);
+  caller.SendWhileRunning(request);
   const bool ended = RunUntil(loop, [&caller] {
     if (caller.closed()) return true;
     const std::size_t head = caller.input().find("\r\n\r\n");
--- a/test/gateway/gateway_fixture.h
+++ b/test/gateway/gateway_fixture.h
@@ -28,6 +28,8 @@
   FakeCaller& operator=(const FakeCaller&) = delete;
 
   void Send(const std::string& bytes);
+  /// Sends bytes of any number while the loop runs.
+  void SendWhileRunning(std::string bytes);
   void Close();
 
   const std::string& input() const { return connection_->input; }
