--- a/src/gateway/caller_stream.cc
+++ b/src/gateway/caller_stream.cc
@@ -18,9 +18,9 @@
   socket.shutdown(Tcp::socket::shutdown_send, ignored);
 }
 
-void ResetOnCloseOf(Tcp::socket& socket) {
+void SetResetOnCloseOf(Tcp::socket& socket, bool reset) {
   asio::error_code ignored;  // On failure the connection is closed normally.
-  socket.set_option(asio::socket_base::linger(true, 0), ignored);
+  socket.set_option(asio::socket_base::linger(reset, 0), ignored);
 }
 
 void CloseOf(Tcp::socket& socket) {
@@ -67,7 +67,9 @@
   }
 
   void ShutdownSend() override { ShutdownSendOf(socket_); }
-  void ResetOnClose() override { ResetOnCloseOf(socket_); }
+  void SetResetOnClose(bool reset) override {
+    SetResetOnCloseOf(socket_, reset);
+  }
   void Close() override { CloseOf(socket_); }
   asio::any_io_executor executor() override { return socket_.get_executor(); }
 
@@ -119,7 +121,9 @@
     if (sending_.empty()) ShutdownSendOf(stream_.next_layer());
   }
 
-  void ResetOnClose() override { ResetOnCloseOf(stream_.next_layer()); }
+  void SetResetOnClose(bool reset) override {
+    SetResetOnCloseOf(stream_.next_layer(), reset);
+  }
   void Close() override { CloseOf(stream_.next_layer()); }
   asio::any_io_executor executor() override { return stream_.get_executor(); }
 
--- a/src/gateway/caller_stream.h
+++ b/src/gateway/caller_stream.h
@@ -33,8 +33,9 @@
   virtual void WaitWritable(OnWritable done) = 0;
   /// Shuts down the sending side; the caller may still send.
   virtual void ShutdownSend() = 0;
-  /// Makes `Close` reset the connection.
-  virtual void ResetOnClose() = 0;
+  /// Whether the connection is reset when it is closed, also by the end of the
+  /// process.
+  virtual void SetResetOnClose(bool reset) = 0;
   virtual void Close() = 0;
   virtual asio::any_io_executor executor() = 0;
 };
--- a/src/gateway/ingress_session.cc
+++ b/src/gateway/ingress_session.cc
@@ -220,7 +220,12 @@
   if (closed_ || !in_request_) return;
   streaming_ = true;
   chunked_ = caller_supports_chunked_;
-  if (!chunked_) close_after_answer_ = true;
+  if (!chunked_) {
+    close_after_answer_ = true;
+    // Only a reset tells the caller that such an answer is incomplete, however
+    // it is cut: its end in order is the end of the connection.
+    stream_->SetResetOnClose(true);
+  }
   WriteHead(status, fields, chunked_ ? "Transfer-Encoding: chunked\r\n" : "");
 }
 
@@ -333,15 +338,13 @@
   last_active_ = std::chrono::steady_clock::now();
   message_started_at_ = last_active_;
   unparsed_.clear();
+  stream_->SetResetOnClose(false);
   stream_->ShutdownSend();
   Read();
 }
 
 void IngressSession::Abort() {
   const auto pending = std::exchange(pending_request_, nullptr);
-  // Without a length or chunked coding, only a reset tells the caller that the
-  // answer is incomplete.
-  if (streaming_ && !chunked_) stream_->ResetOnClose();
   Close();
   if (pending != nullptr) pending->OnCallerDisconnected();
 }
--- a/test/gateway/fake_caller_stream.h
+++ b/test/gateway/fake_caller_stream.h
@@ -45,7 +45,7 @@
   std::size_t WriteSome(std::string_view bytes, asio::error_code& ec) override;
   void WaitWritable(OnWritable done) override { on_writable_ = done; }
   void ShutdownSend() override {}
-  void ResetOnClose() override { reset_on_close_ = true; }
+  void SetResetOnClose(bool reset) override { reset_on_close_ = reset; }
   void Close() override;
   asio::any_io_executor executor() override { return loop_.get_executor(); }
 
