--- a/src/gateway/http_connection.cc
+++ b/src/gateway/http_connection.cc
@@ -8,6 +8,7 @@
 #include "absl/strings/ascii.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/string_view.h"
+#include "gateway/http_status.h"
 #include "shell/socket_state.h"
 
 namespace yuccapick {
@@ -218,7 +219,9 @@
 void HttpConnection::OnHead(const HttpHead& head) {
   if (IsInformational(head.status)) {
     skipping_ = true;
-    rejected_ = ++interim_answers_ > kMaxInterimAnswers;
+    // No request asks for another protocol, so no answer follows the switch.
+    rejected_ = head.status == kHttpSwitchingProtocols ||
+                ++interim_answers_ > kMaxInterimAnswers;
     return;
   }
   // The handler may abandon the exchange.
--- a/src/gateway/http_reader.cc
+++ b/src/gateway/http_reader.cc
@@ -1,10 +1,14 @@
 #include "gateway/http_reader.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <cctype>
 #include <limits>
 #include <utility>
 
+#include "gateway/http_status.h"
+
 namespace yuccapick {
 namespace {
 
@@ -86,6 +90,7 @@
   head_done_ = false;
   head_too_long_ = false;
   invalid_ = false;
+  status_out_of_range_ = false;
   expect_no_body_ = expect_no_body;
   started_ = false;
   complete_ = false;
@@ -133,6 +138,11 @@
     return absl::ResourceExhaustedError("head longer than the limit");
   }
   if (invalid_) return absl::InvalidArgumentError("malformed header field");
+  if (status_out_of_range_) {
+    return absl::InvalidArgumentError(fmt::format(
+        "status {} is not within {} to {}",
+        static_cast<int>(parser_.status_code), kHttpMinStatus, kHttpMaxStatus));
+  }
   return absl::InvalidArgumentError(
       http_errno_description(static_cast<http_errno>(parser_.http_errno)));
 }
@@ -186,6 +196,8 @@
     head_.method = http_method_str(static_cast<http_method>(parser_.method));
   } else {
     head_.status = static_cast<int>(parser_.status_code);
+    status_out_of_range_ = !IsHttpStatus(head_.status);
+    if (status_out_of_range_) return kStop;
   }
   head_.minor_version = parser_.http_minor;
   head_.keep_alive = http_should_keep_alive(&parser_) != 0;
--- a/src/gateway/http_reader.h
+++ b/src/gateway/http_reader.h
@@ -111,6 +111,7 @@
   bool head_done_ = false;
   bool head_too_long_ = false;
   bool invalid_ = false;
+  bool status_out_of_range_ = false;
   bool expect_no_body_ = false;
   bool started_ = false;
   bool complete_ = false;
--- a/src/gateway/http_status.h
+++ b/src/gateway/http_status.h
@@ -6,7 +6,12 @@
 
 namespace yuccapick {
 
+/// All statuses that HTTP has (RFC 9110, 15).
+inline constexpr int kHttpMinStatus = 100;
+inline constexpr int kHttpMaxStatus = 599;
+
 inline constexpr int kHttpContinue = 100;
+inline constexpr int kHttpSwitchingProtocols = 101;
 inline constexpr int kHttpOk = 200;
 inline constexpr int kHttpAccepted = 202;
 inline constexpr int kHttpNoContent = 204;
@@ -28,6 +33,12 @@
 inline constexpr int kHttpUnavailable = 503;
 inline constexpr int kHttpGatewayTimeout = 504;
 
+/// False for a number that a faulty server sends as a status: its answer is
+/// none. Unknown statuses within the range count as the first of their class.
+constexpr bool IsHttpStatus(long status) {
+  return status >= kHttpMinStatus && status <= kHttpMaxStatus;
+}
+
 /// Statuses from which a caller concludes that its request has not run and will
 /// not: it may send it again, even if the request is not idempotent.
 constexpr bool ImpliesNotExecuted(int status) {
--- a/src/shell/http_transfer.cc
+++ b/src/shell/http_transfer.cc
@@ -11,6 +11,7 @@
 #include <chrono>
 #include <utility>
 
+#include "gateway/http_status.h"
 #include "shell/socket_state.h"
 
 namespace yuccapick {
@@ -18,7 +19,6 @@
 
 constexpr std::size_t kMaxResponseHeaderBytes = 64 << 10;
 constexpr long kMinFinalStatus = 200;
-constexpr long kSwitchingProtocols = 101;
 /// Once a response has begun, it fails if nothing more arrives for this long,
 /// or it has been arriving for longer than the second time.
 constexpr std::chrono::milliseconds kStallTimeout{1'000};
@@ -236,7 +236,8 @@
     http_status_ = ParseStatusLine(text);
     response_headers_.clear();
     head_complete_ = false;
-    return http_status_ != kSwitchingProtocols;
+    return IsHttpStatus(http_status_) &&
+           http_status_ != kHttpSwitchingProtocols;
   }
   if (!text.empty()) {
     const std::size_t colon = text.find(':');
--- a/test/shell/odd_response_test.cc
+++ b/test/shell/odd_response_test.cc
@@ -66,4 +66,20 @@
   CHECK(response.body.size() == kPartBytes);
 }
 
+/// Guards against a call that counts as done, or as known to be refused.
+TEST_CASE("A response whose status HTTP doesn't have fails") {
+  const std::string status =
+      GENERATE("000", "099", "600", "999", "1000", "2000", "101");
+  CAPTURE(status);
+  asio::io_context loop;
+  AbruptServer server(loop, AbruptServer::kWholeRequest, ConnectionEnd::kNone,
+                      [&status](const ReceivedRequest&) {
+                        return "HTTP/1.1 " + status +
+                               " X\r\nContent-Length: 3\r\n\r\nodd";
+                      });
+  const HttpResponse response = Put(loop, server.endpoint(), 10);
+  CHECK_FALSE(response.result.status.ok());
+  CHECK(response.result.sent);
+}
+
 }  // namespace yuccapick
