--- a/src/gateway/ingress_session.cc
+++ b/src/gateway/ingress_session.cc
@@ -53,7 +53,8 @@
 
 void IngressSession::Read() {
   if (reading_ || closed_) return;
-  if (!lingering_ && unparsed_.size() >= kMaxUnparsedBytes) return;
+  const std::size_t unused = unparsed_.size() + discarded_bytes_;
+  if (!lingering_ && unused >= kMaxUnparsedBytes) return;
   reading_ = true;
   auto self = shared_from_this();
   stream_->ReadSome(asio::buffer(buf_),
@@ -71,19 +72,21 @@
     if (pending != nullptr) pending->OnCallerDisconnected();
     return;
   }
-  last_active_ = std::chrono::steady_clock::now();
-  if (!lingering_) {
-    unparsed_.append(buf_.data(), n);
-    received_.OnBytes(n);
-    ParseInput();
-    CheckHeadMemory();
-    CountMemory();
+  if (input_ended_) {
+    discarded_bytes_ += n;
+    return Read();
   }
+  last_active_ = std::chrono::steady_clock::now();
+  unparsed_.append(buf_.data(), n);
+  received_.OnBytes(n);
+  ParseInput();
+  CheckHeadMemory();
+  CountMemory();
   Read();
 }
 
 void IngressSession::ParseInput() {
-  while (!unparsed_.empty() && !in_request_ && !closed_ && !lingering_ &&
+  while (!unparsed_.empty() && !in_request_ && !closed_ && !input_ended_ &&
          unsent_bytes() < kMinUnsentBytes) {
     if (reader_.at_start()) {
       message_started_at_ = last_active_;
@@ -179,6 +182,8 @@
 void IngressSession::Refuse(int status, std::string_view reason,
                             const std::vector<HttpField>& fields) {
   const std::string body = handler_.OnBadRequest(status, reason);
+  // Where the next request would begin isn't known.
+  EndInput();
   close_after_answer_ = true;
   in_request_ = true;
   DropRequest();
@@ -198,7 +203,10 @@
   for (const HttpField& field : fields) {
     fmt::format_to(out, "{}: {}\r\n", field.name, field.value);
   }
-  if (close_after_answer_) output_ += "Connection: close\r\n";
+  if (close_after_answer_) {
+    output_ += "Connection: close\r\n";
+    EndInput();
+  }
   output_ += framing;
   output_ += "\r\n";
 }
@@ -256,6 +264,7 @@
   out_of_memory_ = false;
   last_active_ = std::chrono::steady_clock::now();
   reader_.Reset();
+  if (close_after_answer_) EndInput();
   Flush();
   if (closed_) return;
   if (close_after_answer_) {
@@ -337,12 +346,18 @@
   lingering_ = true;
   last_active_ = std::chrono::steady_clock::now();
   message_started_at_ = last_active_;
-  unparsed_.clear();
+  EndInput();
   stream_->SetResetOnClose(false);
   stream_->ShutdownSend();
   Read();
 }
 
+void IngressSession::EndInput() {
+  input_ended_ = true;
+  std::string().swap(unparsed_);
+  reader_.Reset();
+}
+
 void IngressSession::Abort() {
   const auto pending = std::exchange(pending_request_, nullptr);
   Close();
@@ -356,8 +371,7 @@
   std::string().swap(output_);
   output_sent_ = 0;
   DropRequest();
-  std::string().swap(unparsed_);
-  reader_.Reset();
+  EndInput();
   held_.Release();
   stream_->Close();
 }
--- a/src/gateway/ingress_session.h
+++ b/src/gateway/ingress_session.h
@@ -161,6 +161,8 @@
   void WaitToWrite();
   void OnFlushed();
   void BeginLingeringClose();
+  /// No byte that the caller has sent, or sends from now on, is a request.
+  void EndInput();
   void Close();
 
   std::shared_ptr<CallerStream> stream_;
@@ -186,6 +188,8 @@
   bool body_too_long_ = false;
   bool out_of_memory_ = false;  ///< There is no room for the body.
   bool close_after_answer_ = false;
+  bool input_ended_ = false;
+  std::size_t discarded_bytes_ = 0;  ///< Read after the input has ended.
   bool lingering_ = false;
   bool closed_ = false;
   TimePoint last_active_;
