Hold a silent attempt until another upstream has taken its request (LOST)

Cause: an attempt was given up for silence before it was certain that anything better could follow. One cause, two ways: DecideRetry would only cut the answer, or the next upstream rejects the request and the attempts are used up.

Change: DecideSilence, pure and beside DecideRetry, waits unless DecideRetry would send the request elsewhere.

--- a/include/yuccapick/attempt_policy.h
+++ b/include/yuccapick/attempt_policy.h
@@ -29,6 +29,14 @@
   kCutOff,   ///< Close the caller's connection: its answer has begun.
 };
 
+/// What happens to an attempt whose upstream has been silent for long.
+enum class SilenceDecision : std::uint8_t {
+  kWait,
+  /// Send the request elsewhere, and end the attempt when another upstream has
+  /// taken it: until then the attempt may still go on.
+  kHandOver,
+};
+
 /// State of a request when an attempt ends.
 struct RetryContext {
   bool may_repeat = false;      ///< Safe to run more than once.
@@ -44,6 +52,11 @@
 /// Has no side effects; the caller carries out the decision.
 RetryDecision DecideRetry(const RetryContext& context, AttemptEnd end);
 
+/// Has no side effects. A silent upstream may be sound: an attempt is not left
+/// unless `DecideRetry` would send the request elsewhere.
+/// @param context while the attempt is under way
+SilenceDecision DecideSilence(const RetryContext& context);
+
 std::string_view AttemptEndName(AttemptEnd end);
 std::string_view RetryDecisionName(RetryDecision decision);
 
--- a/src/attempt_policy.cc
+++ b/src/attempt_policy.cc
@@ -34,6 +34,15 @@
              : RetryDecision::kTimeOut;
 }
 
+SilenceDecision DecideSilence(const RetryContext& context) {
+  RetryContext left = context;
+  ++left.delivered_attempts;
+  left.may_have_run = true;
+  return DecideRetry(left, AttemptEnd::kBroken) == RetryDecision::kSendElsewhere
+             ? SilenceDecision::kHandOver
+             : SilenceDecision::kWait;
+}
+
 std::string_view AttemptEndName(AttemptEnd end) {
   switch (end) {
     case AttemptEnd::kNotSent:
--- a/src/gateway/http_connection.h
+++ b/src/gateway/http_connection.h
@@ -93,6 +93,7 @@
   const std::string& endpoint() const { return endpoint_; }
   /// When the last answer ended, if the connection is idle.
   TimePoint idle_since() const { return idle_since_; }
+  bool connected() const { return connected_; }
   bool reused() const { return exchanges_ > 1; }
   std::uint64_t number() const { return number_; }
   /// Exchanges started so far.
--- a/src/gateway/http_connection_pool.h
+++ b/src/gateway/http_connection_pool.h
@@ -37,6 +37,9 @@
   void OnAnswerBody(std::string_view bytes) override;
   void OnExchangeEnd(ExchangeEnd end, std::string_view reason) override;
 
+  void set_handler(std::shared_ptr<ExchangeHandler> handler) {
+    handler_ = std::move(handler);
+  }
   /// The handler is not called any more.
   void Release() { handler_ = nullptr; }
   bool bound() const { return handler_ != nullptr; }
@@ -62,6 +65,11 @@
   /// Closes the connection without any further call to the handler, unless the
   /// exchange has ended.
   void Abandon();
+  /// Passes further events on to another handler, unless the exchange has
+  /// ended.
+  void SetHandler(std::shared_ptr<ExchangeHandler> handler) {
+    if (active()) binding_->set_handler(std::move(handler));
+  }
   /// True if it was started and has neither ended nor been abandoned.
   bool active() const { return binding_ != nullptr && binding_->bound(); }
   /// @return null if no exchange was started
--- a/src/gateway/proxied_request.cc
+++ b/src/gateway/proxied_request.cc
@@ -242,26 +242,25 @@
   if (!attempt_) return;
   state_.load.End(attempt_->upstream.id, attempt_->amount);
   state_.quarantine.OnGivenUp(suspects_);
-  CloseConnection();
+  CloseConnection(*attempt_);
   attempt_.reset();
 }
 
-void ProxiedRequest::CloseConnection() {
-  Exchange& exchange = attempt_->exchange;
+void ProxiedRequest::CloseConnection(Attempt& attempt) {
+  Exchange& exchange = attempt.exchange;
   if (!exchange.active()) return;
   const TimePoint now = state_.Now();
   const auto silence = now - exchange.connection()->active_at();
-  if (silence < SilenceTimeout()) return exchange.Abandon();
+  if (silence < SilenceTimeout(attempt)) return exchange.Abandon();
   const std::size_t idle = state_.upstream_connections.GiveUp(exchange);
   state_.log.Write(LogKind::kFailure, now,
                    "event=connection_silent id={} attempt={} upstream={} "
                    "silent_ms={} idle_closed={}",
                    admitted_.caller.attempt_id, attempts_sent_,
-                   attempt_->upstream.id.value, Milliseconds(silence), idle);
+                   attempt.upstream.id.value, Milliseconds(silence), idle);
 }
 
-RetryDecision ProxiedRequest::NextDecision(AttemptEnd end) {
-  if (!HasUntriedUpstream()) ReadmitSilentUpstreams();
+RetryContext ProxiedRequest::MakeRetryContext() const {
   RetryContext context;
   context.may_repeat = admitted_.route->IsSafeToRetry();
   context.answer_started = answer_started_;
@@ -272,6 +271,12 @@
   context.max_attempts = admitted_.route->max_attempts;
   // Only an event stream can be continued at another upstream.
   if (answer_started_ && !begun_stream_) context.may_repeat = false;
+  return context;
+}
+
+RetryDecision ProxiedRequest::NextDecision(AttemptEnd end) {
+  if (!HasUntriedUpstream()) ReadmitSilentUpstreams();
+  RetryContext context = MakeRetryContext();
   const RetryDecision decision = DecideRetry(context, end);
   const bool spends =
       decision == RetryDecision::kSendElsewhere && end != AttemptEnd::kNotSent;
@@ -283,6 +288,7 @@
 void ProxiedRequest::OnEnd(AttemptEnd end, std::string_view reason) {
   paused_since_.reset();
   if (done_) return;
+  if (held_ && end != AttemptEnd::kTimedOut) return ReturnToHeld(reason);
   const RetryDecision decision = NextDecision(end);
   const TimePoint now = state_.Now();
   state_.log.Write(
--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -62,6 +62,8 @@
   void OnExchangeEnd(ExchangeEnd end, std::string_view reason) override;
 
  private:
+  friend class HeldExchangeHandler;
+
   /// While the gateway is stopping. Short, since another one can take the
   /// request at once.
   static constexpr std::chrono::milliseconds kStoppingRetryAfter{20};
@@ -87,6 +89,22 @@
     std::uint64_t tokens_ahead = 0;
   };
 
+  /// An attempt whose upstream is silent, and what was read of its answer. It
+  /// is kept until another upstream has taken the request, since it may still
+  /// go on.
+  struct HeldAttempt {
+    Attempt attempt;
+    EventSplitter splitter;
+    std::string answer_body;
+    std::optional<TimePoint> answer_began_at;
+    std::optional<double> named_limit;
+    int upstream_status = 0;
+    bool survival_recorded = false;
+    bool streaming = false;
+    /// By then an upstream that is full has rejected the request.
+    TimePoint until;
+  };
+
   /// What is known of the software version that began a resumed stream.
   enum class OriginSearch : std::uint8_t {
     kFound,  ///< Or the request resumes no stream.
@@ -197,10 +215,12 @@
   /// Which rule lets an upstream with these weights, which are or soon become
   /// too old, get the request if no other is left.
   OverdueUse UseOfOverdueWeights(WeightVersionNumber weights) const;
-  /// How long the upstream may send nothing before the attempt is given up.
-  std::chrono::milliseconds SilenceTimeout() const;
-  /// When the current attempt is given up; nullopt if it may not be retried.
-  std::optional<TimePoint> GiveUpAt() const;
+  /// How long an attempt's upstream may send nothing before it counts as
+  /// silent.
+  std::chrono::milliseconds SilenceTimeout(const Attempt& attempt) const;
+  /// When the current attempt's upstream counts as silent; nullopt if the
+  /// request may not be repeated.
+  std::optional<TimePoint> SilentAt() const;
   /// True if the upstream may not have begun with the attempt.
   bool WaitsToBegin() const;
   /// How long an attempt waits until it looks for new target weights.
@@ -209,6 +229,19 @@
   /// if they don't or it has begun.
   std::optional<TimePoint> WeightsExpireAt() const;
   void GiveUpOldWeights();
+  /// Sends the request elsewhere while the silent attempt is held.
+  /// @return false if it must wait for its upstream
+  bool TryHandOver(TimePoint now);
+  void HoldAttempt(TimePoint now);
+  /// Ends the current attempt, if there is one, and goes on with the held one.
+  void ReturnToHeld(std::string_view reason);
+  /// The other upstream has had the time to reject the request.
+  void OnHeldTimeout(TimePoint now);
+  /// The connection of the held attempt has ended.
+  void OnHeldBroken(std::string_view reason);
+  /// Another upstream has taken the request.
+  void GiveUpHeld();
+  void DropHeld();
   void RecordFirstEventTime(TimePoint now);
   void RecordPrefillRate(TimePoint now);
   /// The first event of a prompt's answer arrived.
@@ -245,7 +278,9 @@
   /// The request is sent to learn whether upstreams still crash on it.
   void RecordTrial(const UpstreamEntry& upstream);
   /// The upstream may have crashed on the request or a part of its prompt.
-  void RecordCrash(TimePoint now);
+  /// @param began_at first event of the answer
+  void RecordCrash(const UpstreamEntry& upstream,
+                   std::optional<TimePoint> began_at, TimePoint now);
   /// The upstream did not crash on the request.
   void RecordSurvival(TimePoint now);
   void RecordCachedParts(TimePoint now);
@@ -254,9 +289,10 @@
   void AbandonAttempt();
   /// Closes the attempt's connection. If the upstream has been silent on it,
   /// no idle connection that may be as silent is used again.
-  void CloseConnection();
+  void CloseConnection(Attempt& attempt);
   /// Retries or finishes the request after an attempt has ended.
   void OnEnd(AttemptEnd end, std::string_view reason);
+  RetryContext MakeRetryContext() const;
   RetryDecision NextDecision(AttemptEnd end);
   void Execute(RetryDecision decision, std::string_view reason);
   /// @param retry_after delay before the caller should retry
@@ -300,6 +336,8 @@
   std::optional<std::chrono::milliseconds> retry_after_;
 
   std::optional<Attempt> attempt_;
+  std::optional<HeldAttempt> held_;
+  bool handed_back_ = false;  ///< An attempt was held and is under way again.
   /// First event of the last attempt's answer.
   std::optional<TimePoint> answer_began_at_;
   bool survival_recorded_ = false;  ///< Of the last attempt.
--- a/src/gateway/proxied_request_answers.cc
+++ b/src/gateway/proxied_request_answers.cc
@@ -61,6 +61,7 @@
   attempt_->info = std::move(info);
   attempt_->head = head;
   upstream_status_ = head.status;
+  if (held_ && success) GiveUpHeld();
   return HeadDecision::kAccept;
 }
 
@@ -207,11 +208,12 @@
   RecordCachedParts(now);
 }
 
-void ProxiedRequest::RecordCrash(TimePoint now) {
+void ProxiedRequest::RecordCrash(const UpstreamEntry& upstream,
+                                 std::optional<TimePoint> began_at,
+                                 TimePoint now) {
   const std::optional<StoreTime> store_now = state_.StoreNow();
   if (!store_now) return;
-  if (answer_began_at_ && now - *answer_began_at_ >= kCrashWindow) return;
-  const UpstreamEntry& upstream = attempt_->upstream;
+  if (began_at && now - *began_at >= kCrashWindow) return;
   state_.quarantine.OnCrash(suspects_,
                             UpstreamRunIdOf(upstream.id, upstream.incarnation),
                             *store_now);
@@ -279,7 +281,9 @@
   if (end != ExchangeEnd::kComplete) {
     // Upstreams cut answers that are not read for long; that is no failure.
     if (!attempt_->held_back) {
-      if (end == ExchangeEnd::kBroken) RecordCrash(now);
+      if (end == ExchangeEnd::kBroken) {
+        RecordCrash(attempt_->upstream, answer_began_at_, now);
+      }
       state_.health.OnFailure(upstream, now);
     }
     state_.quarantine.OnGivenUp(suspects_);
@@ -306,7 +310,7 @@
   may_have_run_ = true;
   const int status = attempt_->head->status;
   if (streaming_ && !splitter_.AtEventBoundary()) {
-    RecordCrash(now);
+    RecordCrash(attempt_->upstream, answer_began_at_, now);
     state_.health.OnFailure(upstream, now);
     attempt_.reset();
     return OnEnd(AttemptEnd::kBroken, "stream ended within an event");
--- a/src/gateway/proxied_request_timing.cc
+++ b/src/gateway/proxied_request_timing.cc
@@ -8,9 +8,9 @@
 
 using std::chrono::milliseconds;
 
-/// An attempt that may be retried is given up when its upstream has sent
-/// nothing for this long on any connection, or for `kServingOthersFactor` times
-/// as long if it still serves other requests.
+/// The upstream of an attempt that may be repeated counts as silent when it has
+/// sent nothing for this long on any connection, or for `kServingOthersFactor`
+/// times as long if it still serves other requests.
 constexpr milliseconds kMinSilenceTimeout{350};
 constexpr milliseconds kMinEventGapTimeout{700};
 constexpr double kEventGapFactor = 1.75;
@@ -114,8 +114,8 @@
       state_.settings.bounds.stale_weights_limit / kWeightsChecksPerLimit);
 }
 
-milliseconds ProxiedRequest::SilenceTimeout() const {
-  if (attempt_->has_first_event) {
+milliseconds ProxiedRequest::SilenceTimeout(const Attempt& attempt) const {
+  if (attempt.has_first_event) {
     return std::max(kMinEventGapTimeout,
                     std::chrono::duration_cast<milliseconds>(
                         admitted_.route->target_event_gap * kEventGapFactor));
@@ -124,15 +124,15 @@
       std::max(kMinSilenceTimeout, admitted_.route->target_latency);
   // Half of the time is kept for another upstream.
   const auto most = std::chrono::duration_cast<milliseconds>(
-      (deadline_ - attempt_->sent_at) / 2);
+      (deadline_ - attempt.sent_at) / 2);
   const auto it = state_.stream_loads.find(admitted_.route->name);
   if (it == state_.stream_loads.end()) return least;
   return std::max(least, std::min(most, it->second.first_event.UpperBound()));
 }
 
-std::optional<TimePoint> ProxiedRequest::GiveUpAt() const {
+std::optional<TimePoint> ProxiedRequest::SilentAt() const {
   if (!attempt_ || !admitted_.route->IsSafeToRetry()) return std::nullopt;
-  const milliseconds timeout = SilenceTimeout();
+  const milliseconds timeout = SilenceTimeout(*attempt_);
   const TimePoint since = attempt_->last_progress;
   const bool silent = state_.health.SilentSince(attempt_->upstream.id, since);
   const TimePoint first = since + timeout;
@@ -143,7 +143,8 @@
 void ProxiedRequest::ArmTimer() {
   if (done_) return;
   TimePoint when = deadline_;
-  if (const auto give_up_at = GiveUpAt()) when = std::min(when, *give_up_at);
+  if (const auto silent_at = SilentAt()) when = std::min(when, *silent_at);
+  if (held_) when = std::min(when, held_->until);
   if (const auto expire_at = WeightsExpireAt()) {
     when = std::min(when, *expire_at);
   }
@@ -168,32 +169,18 @@
   }
   if (now >= deadline_) {
     may_have_run_ = may_have_run_ || attempt_.has_value();
+    DropHeld();
     AbandonAttempt();
     return OnEnd(AttemptEnd::kTimedOut, "time limit reached");
   }
+  if (held_ && now >= held_->until) OnHeldTimeout(now);
   const auto expire_at = WeightsExpireAt();
   if (expire_at && now >= *expire_at) return GiveUpOldWeights();
-  const auto give_up_at = GiveUpAt();
-  if (!give_up_at || now < *give_up_at) return ArmTimer();
-  // The attempt is given up only if another upstream can be tried.
-  if (delivered_attempts_ + 1 >= admitted_.route->max_attempts ||
-      !HasUntriedUpstream() || StopsBeforeAnswer(now) ||
-      !state_.RetryBudgetOf(service_).CanAcquire()) {
-    attempt_->last_progress = now;
-    return ArmTimer();
-  }
-  const UpstreamId upstream = attempt_->upstream.id;
-  if (state_.health.SilentSince(upstream, attempt_->last_progress)) {
-    state_.health.OnUnreachable(upstream, now);
-  } else {
-    state_.health.OnFailure(upstream, now);
-  }
-  if (!attempt_->has_first_event) RecordFirstEventTime(now);
-  ++delivered_attempts_;
-  may_have_run_ = true;
-  silent_upstreams_.push_back(upstream);
-  AbandonAttempt();
-  OnEnd(AttemptEnd::kBroken, "upstream is silent");
+  const auto silent_at = SilentAt();
+  if (!silent_at || now < *silent_at) return ArmTimer();
+  if (TryHandOver(now)) return;
+  attempt_->last_progress = now;
+  ArmTimer();
 }
 
 void ProxiedRequest::GiveUpOldWeights() {
--- a/test/attempt_policy_test.cc
+++ b/test/attempt_policy_test.cc
@@ -108,5 +108,25 @@
   });
 }
 
+/// Guards against an answer that is cut, or a request that fails, though its
+/// upstream may still go on.
+TEST_CASE("A silent upstream is left only for a retry that will be made") {
+  rc::prop("in every context", [] {
+    const RetryContext context = ArbitraryContext();
+    RetryContext left = context;
+    ++left.delivered_attempts;
+    left.may_have_run = true;
+    const bool retried =
+        DecideRetry(left, AttemptEnd::kBroken) == RetryDecision::kSendElsewhere;
+    const SilenceDecision decision = DecideSilence(context);
+    RC_ASSERT((decision == SilenceDecision::kHandOver) == retried);
+    if (decision == SilenceDecision::kHandOver) {
+      RC_ASSERT(context.may_repeat);
+      RC_ASSERT(context.has_upstream && context.budget_left);
+      RC_ASSERT(context.delivered_attempts + 1 < context.max_attempts);
+    }
+  });
+}
+
 }  // namespace
 }  // namespace yuccapick
