Bring a change over the store's link once, not also as a check's answer (CONFIG)

A large configuration behind a slow link was late on a busy machine.

Cause: a check that is under way when a change is made is answered with the change, like the long poll, and both share the link. A check isn't sent while the poll's answer arrives, but one sent just before went on.

Change: once the answer to the poll arrives, a check that is under way is cancelled and the arriving answer serves as the check's.

Measured: the test of a check that crosses a change of 300 KB fails without the cancel (645,348 bytes cross the link) and passes with it.

--- a/src/gateway/freshness_sync.cc
+++ b/src/gateway/freshness_sync.cc
@@ -52,6 +52,8 @@
   freshness_.SetGatewayCount(state_.gateway_count);
   operator_watch_.SetGatewayCount(state_.gateway_count);
   upstream_watch_.SetGatewayCount(state_.gateway_count);
+  operator_watch_.DropRedundantCheck();
+  upstream_watch_.DropRedundantCheck();
   LogBelief(now);
   for (const WatchedTable table : kWatchedTables) TrackBehind(table, now);
   Act(now);
--- a/src/gateway/table_watch.cc
+++ b/src/gateway/table_watch.cc
@@ -67,10 +67,18 @@
     check_awaits_answer_ = true;
     return;
   }
-  CallForChanges([self = shared_from_this(), after = mirror_.position(),
-                  sent_at = Now()](const absl::StatusOr<StoreAnswer>& answer) {
-    if (!self->stopped_) self->OnCheckAnswer(after, answer, sent_at);
-  });
+  check_ = CallForChanges(
+      [self = shared_from_this(), after = mirror_.position(),
+       sent_at = Now()](const absl::StatusOr<StoreAnswer>& answer) {
+        if (!self->stopped_) self->OnCheckAnswer(after, answer, sent_at);
+      });
+}
+
+void TableWatch::DropRedundantCheck() {
+  const bool under_way = check_.progress != nullptr && !check_.progress->ended;
+  if (!under_way || !call_.IsArriving()) return;
+  check_.Cancel();
+  check_awaits_answer_ = true;
 }
 
 bool TableWatch::Renew() {
--- a/src/gateway/table_watch.h
+++ b/src/gateway/table_watch.h
@@ -93,6 +93,10 @@
   /// Reads the changes at once, beside the open long poll. An answer that is
   /// arriving serves as the check's.
   void Check();
+  /// Cancels a check that is under way if the answer to another call has begun
+  /// to arrive since: it serves as the check's, and both would bring the same
+  /// changes over the same link. To be called now and then.
+  void DropRedundantCheck();
   /// Gives up the open long poll, reads the changes at once, and opens another
   /// one. A poll whose answer is arriving goes on.
   /// @return false if nothing was done
@@ -186,7 +190,8 @@
   TimePoint answered_at_;
   std::size_t gateway_count_ = 1;
   absl::InsecureBitGen random_;
-  CallHandle call_;  ///< Poll, renewal or read under way, or the last one.
+  CallHandle call_;   ///< Poll, renewal or read under way, or the last one.
+  CallHandle check_;  ///< The last one that was sent.
   bool check_awaits_answer_ = false;  ///< Of `call_`.
   bool poll_open_ = false;
   bool backing_off_ = false;  ///< Waits after a failure.
--- a/test/gateway/fake_store.h
+++ b/test/gateway/fake_store.h
@@ -83,6 +83,8 @@
   std::string other_endpoint() const;
   /// The same store behind a link of `kSlowLinkBytesPerSecond`.
   std::string slow_endpoint() const;
+  /// Bytes that the slow link has carried.
+  std::size_t slow_bytes() const { return slow_writer_.written(); }
 
  private:
   struct Watcher {
--- a/test/gateway/slow_table_read_test.cc
+++ b/test/gateway/slow_table_read_test.cc
@@ -2,11 +2,14 @@
 
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
 
 #include "gateway/table_watch.h"
+#include "platform/names.h"
+#include "test/gateway/fake_store.h"
 #include "test/gateway/received_request.h"
 #include "test/shell/scripted_server.h"
 
@@ -116,5 +119,70 @@
   CHECK(fixture.watch->mirror().as_of() == 20);
 }
 
+/// A watch of a table behind a slow link.
+struct SlowLinkFixture : TableWatchHandler {
+  SlowLinkFixture() : client(std::make_shared<StoreClient>(calls, log)) {
+    store.Put(platform::kOperator, "config", "small");
+    TableWatchOptions options;
+    options.endpoint = store.slow_endpoint();
+    options.table = platform::kOperator;
+    watch = std::make_shared<TableWatch>(loop, *client, times, options, *this);
+    watch->Start();
+  }
+  ~SlowLinkFixture() override { watch->Stop(); }
+
+  void OnTableRows(const std::string& /*table*/,
+                   const std::vector<MirrorRow>& changes) override {
+    rows += changes.size();
+  }
+  void OnTableRestored(const std::string& /*table*/,
+                       const std::vector<MirrorRow>& /*changes*/) override {}
+  void OnTableUnavailable(const std::string& /*table*/, TimePoint /*sent_at*/,
+                          std::string_view /*reason*/) override {}
+  void OnTableAnswered(const std::string& /*table*/) override {}
+  void OnTableChecked(const std::string& /*table*/,
+                      const std::optional<TableAnswer>& answer) override {
+    ++(answer ? checked : failed_checks);
+  }
+
+  asio::io_context loop;
+  FakeStore store{loop};
+  StoreTimes times;
+  CallClient calls{loop, {}};
+  LogSink log;
+  std::shared_ptr<StoreClient> client;
+  std::shared_ptr<TableWatch> watch;
+  std::size_t rows = 0;
+  int checked = 0;
+  int failed_checks = 0;
+};
+
+/// Guards against a change that crosses a slow link twice at the same time, and
+/// is late for that.
+TEST_CASE("A check that crosses a large change doesn't bring it again") {
+  constexpr std::size_t kChangeBytes = 300'000;
+  SlowLinkFixture slow;
+  REQUIRE(RunUntil(slow.loop,
+                   [&] { return slow.store.HasPoll(platform::kOperator); }));
+  const std::size_t before = slow.store.slow_bytes();
+  slow.store.Put(platform::kOperator, "config", std::string(kChangeBytes, 'x'));
+  // Nothing of the poll's answer has arrived yet.
+  slow.watch->Check();
+  asio::steady_timer timer(slow.loop);
+  const std::function<void()> tick = [&] {
+    slow.watch->DropRedundantCheck();
+    timer.expires_after(milliseconds(20));
+    timer.async_wait([&tick](const asio::error_code& ec) {
+      if (!ec) tick();
+    });
+  };
+  tick();
+  REQUIRE(RunUntil(slow.loop, [&] { return slow.checked > 0; }));
+  CHECK(slow.rows == 2);
+  CHECK(slow.failed_checks == 0);
+  // The value is sent in base64.
+  CHECK(slow.store.slow_bytes() - before < kChangeBytes * 3 / 2);
+}
+
 }  // namespace
 }  // namespace yuccapick
