Call a silent attempt parked, and name the attempt under way after its return

After a parked attempt goes on, logs name its upstream and connection again, and an abandoned second attempt counts as one that may have run.

--- a/src/gateway/proxied_request.cc
+++ b/src/gateway/proxied_request.cc
@@ -193,8 +193,6 @@
     ++state_.attempts_on_overdue_weights;
   }
   ++attempts_sent_;
-  expected_cached_tokens_ = choice.expected_cached_tokens;
-  query_.tried.push_back(upstream.id);
   DiscardPartialEvent();
   answer_body_.clear();
   answer_began_at_.reset();
@@ -231,10 +229,8 @@
   options.excluded = used_connections_;
   attempt_->exchange = state_.upstream_connections.Start(
       upstream.endpoint, std::move(request), options, shared_from_this());
-  const auto& connection = attempt_->exchange.connection();
-  used_connections_.push_back(connection);
-  connection_number_ = connection->number();
-  connection_exchanges_ = connection->exchanges();
+  used_connections_.push_back(attempt_->exchange.connection());
+  NameCurrentAttempt();
   ArmTimer();
 }
 
@@ -288,7 +284,7 @@
 void ProxiedRequest::OnEnd(AttemptEnd end, std::string_view reason) {
   paused_since_.reset();
   if (done_) return;
-  if (held_ && end != AttemptEnd::kTimedOut) return ReturnToHeld(reason);
+  if (parked_ && end != AttemptEnd::kTimedOut) return ResumeParked(reason);
   const RetryDecision decision = NextDecision(end);
   const TimePoint now = state_.Now();
   state_.log.Write(
--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -62,7 +62,7 @@
   void OnExchangeEnd(ExchangeEnd end, std::string_view reason) override;
 
  private:
-  friend class HeldExchangeHandler;
+  friend class ParkedExchangeHandler;
 
   /// While the gateway is stopping. Short, since another one can take the
   /// request at once.
@@ -92,7 +92,7 @@
   /// An attempt whose upstream is silent, and what was read of its answer. It
   /// is kept until another upstream has taken the request, since it may still
   /// go on.
-  struct HeldAttempt {
+  struct ParkedAttempt {
     Attempt attempt;
     EventSplitter splitter;
     std::string answer_body;
@@ -229,19 +229,22 @@
   /// if they don't or it has begun.
   std::optional<TimePoint> WeightsExpireAt() const;
   void GiveUpOldWeights();
-  /// Sends the request elsewhere while the silent attempt is held.
+  /// Sends the request elsewhere while the silent attempt is parked.
   /// @return false if it must wait for its upstream
   bool TryHandOver(TimePoint now);
-  void HoldAttempt(TimePoint now);
-  /// Ends the current attempt, if there is one, and goes on with the held one.
-  void ReturnToHeld(std::string_view reason);
+  void ParkAttempt(TimePoint now);
+  /// Lets logs and placement know what attempt is under way.
+  void NameCurrentAttempt();
+  /// Ends the current attempt, if there is one, and goes on with the parked
+  /// one.
+  void ResumeParked(std::string_view reason);
   /// The other upstream has had the time to reject the request.
-  void OnHeldTimeout(TimePoint now);
-  /// The connection of the held attempt has ended.
-  void OnHeldBroken(std::string_view reason);
+  void OnParkedTimeout(TimePoint now);
+  /// The connection of the parked attempt has ended.
+  void OnParkedBroken(std::string_view reason);
   /// Another upstream has taken the request.
-  void GiveUpHeld();
-  void DropHeld();
+  void GiveUpParked();
+  void DropParked();
   void RecordFirstEventTime(TimePoint now);
   void RecordPrefillRate(TimePoint now);
   /// The first event of a prompt's answer arrived.
@@ -336,8 +339,9 @@
   std::optional<std::chrono::milliseconds> retry_after_;
 
   std::optional<Attempt> attempt_;
-  std::optional<HeldAttempt> held_;
-  bool handed_back_ = false;  ///< An attempt was held and is under way again.
+  std::optional<ParkedAttempt> parked_;
+  bool has_resumed_ =
+      false;  ///< No other upstream took a parked attempt's request.
   /// First event of the last attempt's answer.
   std::optional<TimePoint> answer_began_at_;
   bool survival_recorded_ = false;  ///< Of the last attempt.
--- a/src/gateway/proxied_request_answers.cc
+++ b/src/gateway/proxied_request_answers.cc
@@ -61,7 +61,7 @@
   attempt_->info = std::move(info);
   attempt_->head = head;
   upstream_status_ = head.status;
-  if (held_ && success) GiveUpHeld();
+  if (parked_ && success) GiveUpParked();
   return HeadDecision::kAccept;
 }
 
--- a/src/gateway/proxied_request_end.cc
+++ b/src/gateway/proxied_request_end.cc
@@ -116,7 +116,7 @@
   if (done_) return;
   done_ = true;
   timer_.cancel();
-  DropHeld();
+  DropParked();
   ReturnQuota();
   if (room_id_ != 0) state_.overload.Remove(std::exchange(room_id_, 0));
   const TimePoint now = state_.Now();
@@ -167,9 +167,9 @@
 void ProxiedRequest::OnShutdown() {
   if (done_) return;
   const auto self = shared_from_this();
-  const bool sent = attempt_.has_value() || held_.has_value();
+  const bool sent = attempt_.has_value() || parked_.has_value();
   may_have_run_ = may_have_run_ || sent;
-  DropHeld();
+  DropParked();
   AbandonAttempt();
   retry_after_ = kStoppingRetryAfter;
   OnEnd(may_have_run_ ? AttemptEnd::kTimedOut : AttemptEnd::kNotSent,
--- a/src/gateway/proxied_request_handover.cc
+++ b/src/gateway/proxied_request_handover.cc
@@ -14,10 +14,10 @@
 
 }  // namespace
 
-/// Hears the exchange of an attempt that is held.
-class HeldExchangeHandler : public ExchangeHandler {
+/// Hears the exchange of an attempt that is parked.
+class ParkedExchangeHandler : public ExchangeHandler {
  public:
-  explicit HeldExchangeHandler(std::weak_ptr<ProxiedRequest> request)
+  explicit ParkedExchangeHandler(std::weak_ptr<ProxiedRequest> request)
       : request_(std::move(request)) {}
 
   HeadDecision OnAnswerHead(const HttpHead& head) override {
@@ -30,9 +30,9 @@
   }
   void OnExchangeEnd(ExchangeEnd end, std::string_view reason) override {
     const auto request = request_.lock();
-    if (request == nullptr || !request->held_) return;
-    if (end != ExchangeEnd::kComplete) return request->OnHeldBroken(reason);
-    request->ReturnToHeld("its answer has ended");
+    if (request == nullptr || !request->parked_) return;
+    if (end != ExchangeEnd::kComplete) return request->OnParkedBroken(reason);
+    request->ResumeParked("its answer has ended");
     request->OnExchangeEnd(end, reason);
   }
 
@@ -41,8 +41,8 @@
   ///   ended
   std::shared_ptr<ProxiedRequest> Return() {
     const auto request = request_.lock();
-    if (request == nullptr || !request->held_) return nullptr;
-    request->ReturnToHeld("its upstream goes on");
+    if (request == nullptr || !request->parked_) return nullptr;
+    request->ResumeParked("its upstream goes on");
     return request;
   }
 
@@ -50,12 +50,12 @@
 };
 
 bool ProxiedRequest::TryHandOver(TimePoint now) {
-  if (held_ || StopsBeforeAnswer(now)) return false;
+  if (parked_ || StopsBeforeAnswer(now)) return false;
   RetryContext context = MakeRetryContext();
   context.budget_left = state_.RetryBudgetOf(service_).CanAcquire();
   // If the others rejected it, a new exchange with the same upstream may be
   // heard.
-  const bool same_again = handed_back_ && !context.has_upstream;
+  const bool same_again = has_resumed_ && !context.has_upstream;
   context.has_upstream = context.has_upstream || same_again;
   if (DecideSilence(context) == SilenceDecision::kWait) return false;
   if (same_again) {
@@ -71,12 +71,12 @@
       query_, Fleet(), state_.parts, state_.load, state_.health, now);
   if (!choice || !state_.RetryBudgetOf(service_).TryAcquire()) return false;
   const UpstreamEntry upstream = *state_.roster.FindUsable(choice->upstream);
-  HoldAttempt(now);
+  ParkAttempt(now);
   Send(*choice, upstream);
   return true;
 }
 
-void ProxiedRequest::HoldAttempt(TimePoint now) {
+void ProxiedRequest::ParkAttempt(TimePoint now) {
   const UpstreamId& upstream = attempt_->upstream.id;
   if (state_.health.SilentSince(upstream, attempt_->last_progress)) {
     state_.health.OnUnreachable(upstream, now);
@@ -86,41 +86,45 @@
   if (!attempt_->has_first_event) RecordFirstEventTime(now);
   state_.log.Write(
       LogKind::kFailure, now,
-      "event=attempt_held id={} attempt={} upstream={} "
+      "event=attempt_parked id={} attempt={} upstream={} "
       "silent_ms={} begun={}",
       admitted_.caller.attempt_id, attempts_sent_, upstream.value,
       std::chrono::duration_cast<milliseconds>(now - attempt_->last_progress)
           .count(),
       answer_started_);
-  held_.emplace(HeldAttempt{*std::move(attempt_), splitter_,
-                            std::exchange(answer_body_, std::string()),
-                            answer_began_at_, named_limit_, upstream_status_,
-                            survival_recorded_, streaming_,
-                            now + kRejectionTime});
+  parked_.emplace(ParkedAttempt{*std::move(attempt_), splitter_,
+                                std::exchange(answer_body_, std::string()),
+                                answer_began_at_, named_limit_,
+                                upstream_status_, survival_recorded_,
+                                streaming_, now + kRejectionTime});
   attempt_.reset();
-  held_->attempt.exchange.SetHandler(
-      std::make_shared<HeldExchangeHandler>(weak_from_this()));
+  parked_->attempt.exchange.SetHandler(
+      std::make_shared<ParkedExchangeHandler>(weak_from_this()));
 }
 
-void ProxiedRequest::ReturnToHeld(std::string_view reason) {
+void ProxiedRequest::ResumeParked(std::string_view reason) {
   const TimePoint now = state_.Now();
-  handed_back_ = true;
+  has_resumed_ = true;
   if (attempt_ && attempt_->exchange.active()) {
-    if (attempt_->exchange.connection()->connected()) ++delivered_attempts_;
+    if (attempt_->exchange.connection()->connected()) {
+      ++delivered_attempts_;
+      may_have_run_ = true;
+    }
     AbandonAttempt();
   }
-  HeldAttempt held = *std::move(held_);
-  held_.reset();
-  attempt_ = std::move(held.attempt);
+  ParkedAttempt parked = *std::move(parked_);
+  parked_.reset();
+  attempt_ = std::move(parked.attempt);
   attempt_->exchange.SetHandler(shared_from_this());
   attempt_->last_progress = now;
-  splitter_ = std::move(held.splitter);
-  answer_body_ = std::move(held.answer_body);
-  answer_began_at_ = held.answer_began_at;
-  named_limit_ = held.named_limit;
-  upstream_status_ = held.upstream_status;
-  survival_recorded_ = held.survival_recorded;
-  streaming_ = held.streaming;
+  NameCurrentAttempt();
+  splitter_ = std::move(parked.splitter);
+  answer_body_ = std::move(parked.answer_body);
+  answer_began_at_ = parked.answer_began_at;
+  named_limit_ = parked.named_limit;
+  upstream_status_ = parked.upstream_status;
+  survival_recorded_ = parked.survival_recorded;
+  streaming_ = parked.streaming;
   paused_since_.reset();
   state_.log.Write(LogKind::kFailure, now,
                    "event=attempt_resumed id={} upstream={} left_ms={} "
@@ -133,38 +137,48 @@
   ArmTimer();
 }
 
-void ProxiedRequest::OnHeldTimeout(TimePoint now) {
+void ProxiedRequest::NameCurrentAttempt() {
+  const UpstreamId upstream = attempt_->upstream.id;
+  std::erase(query_.tried, upstream);
+  query_.tried.push_back(upstream);
+  expected_cached_tokens_ = attempt_->choice.expected_cached_tokens;
+  const auto& connection = attempt_->exchange.connection();
+  connection_number_ = connection->number();
+  connection_exchanges_ = connection->exchanges();
+}
+
+void ProxiedRequest::OnParkedTimeout(TimePoint now) {
   const auto& connection = attempt_->exchange.connection();
   if (connection != nullptr && !connection->connected()) {
     // The other upstream can't have taken a request that isn't sent.
-    held_->until = now + kRejectionTime;
+    parked_->until = now + kRejectionTime;
     return;
   }
-  GiveUpHeld();
+  GiveUpParked();
 }
 
-void ProxiedRequest::GiveUpHeld() {
+void ProxiedRequest::GiveUpParked() {
   ++delivered_attempts_;
   may_have_run_ = true;
-  silent_upstreams_.push_back(held_->attempt.upstream.id);
-  DropHeld();
+  silent_upstreams_.push_back(parked_->attempt.upstream.id);
+  DropParked();
 }
 
-void ProxiedRequest::OnHeldBroken(std::string_view reason) {
+void ProxiedRequest::OnParkedBroken(std::string_view reason) {
   const TimePoint now = state_.Now();
   state_.log.Write(LogKind::kFailure, now,
-                   "event=held_attempt_ended id={} upstream={} reason=\"{}\"",
+                   "event=parked_attempt_ended id={} upstream={} reason=\"{}\"",
                    admitted_.caller.attempt_id,
-                   held_->attempt.upstream.id.value, reason);
-  RecordCrash(held_->attempt.upstream, held_->answer_began_at, now);
-  GiveUpHeld();
+                   parked_->attempt.upstream.id.value, reason);
+  RecordCrash(parked_->attempt.upstream, parked_->answer_began_at, now);
+  GiveUpParked();
 }
 
-void ProxiedRequest::DropHeld() {
-  if (!held_) return;
-  state_.load.End(held_->attempt.upstream.id, held_->attempt.amount);
-  CloseConnection(held_->attempt);
-  held_.reset();
+void ProxiedRequest::DropParked() {
+  if (!parked_) return;
+  state_.load.End(parked_->attempt.upstream.id, parked_->attempt.amount);
+  CloseConnection(parked_->attempt);
+  parked_.reset();
 }
 
 }  // namespace yuccapick
--- a/src/gateway/proxied_request_timing.cc
+++ b/src/gateway/proxied_request_timing.cc
@@ -144,7 +144,7 @@
   if (done_) return;
   TimePoint when = deadline_;
   if (const auto silent_at = SilentAt()) when = std::min(when, *silent_at);
-  if (held_) when = std::min(when, held_->until);
+  if (parked_) when = std::min(when, parked_->until);
   if (const auto expire_at = WeightsExpireAt()) {
     when = std::min(when, *expire_at);
   }
@@ -169,11 +169,11 @@
   }
   if (now >= deadline_) {
     may_have_run_ = may_have_run_ || attempt_.has_value();
-    DropHeld();
+    DropParked();
     AbandonAttempt();
     return OnEnd(AttemptEnd::kTimedOut, "time limit reached");
   }
-  if (held_ && now >= held_->until) OnHeldTimeout(now);
+  if (parked_ && now >= parked_->until) OnParkedTimeout(now);
   const auto expire_at = WeightsExpireAt();
   if (expire_at && now >= *expire_at) return GiveUpOldWeights();
   const auto silent_at = SilentAt();
