Test that a request which another upstream had isn't refused as not run

Cause: the attempt that was abandoned on the way back didn't count as one that may have run.

Four tests of proper cases say what they guard against; no check is changed.

--- a/test/gateway/cut_answer_test.cc
+++ b/test/gateway/cut_answer_test.cc
@@ -54,6 +54,7 @@
   CHECK(caller.SeesCut());
 }
 
+/// Guards against a whole answer that its caller takes for cut.
 TEST_CASE("An answer that was taken whole ends in order") {
   StreamReader caller("1.0");
   caller.session->EndStream();
--- a/test/gateway/false_refusal_test.cc
+++ b/test/gateway/false_refusal_test.cc
@@ -114,12 +114,14 @@
                                    "yuccapick_limited_upstreams 1"));
 }
 
+/// Guards against a true refusal that becomes an unknown outcome.
 TEST_CASE("A refusal that says that nothing ran is told to the caller") {
   RefusingUpstream refusing;
   refusing.fields = "X-Not-Executed: full\r\n";
   CHECK(IsRefusal(refusing.Ask("POST", "/book/1")));
 }
 
+/// Guards against an answer that is withheld though it promises nothing.
 TEST_CASE("A refusal of what may be repeated is passed on as it is") {
   RefusingUpstream refusing;
   const std::string answer = refusing.Ask("GET", "/look/1");
--- a/test/gateway/handed_over_attempt_test.cc
+++ b/test/gateway/handed_over_attempt_test.cc
@@ -253,4 +253,22 @@
   }));
 }
 
+/// Guards against a refusal that says "not run" though another upstream was
+/// sent the request while the attempt was parked.
+TEST_CASE("A request that another upstream had isn't refused as not run") {
+  std::function<void()> reject;
+  SilentAndOther gateway(
+      [&](FakeUpstream& upstream, Connection& c, const ReceivedRequest& r) {
+        reject = [&upstream, r, self = c.shared_from_this()] {
+          RejectAsFull(upstream, *self, r);
+        };
+      },
+      [&](FakeUpstream& /*upstream*/, Connection& /*c*/,
+          const ReceivedRequest& /*r*/) { reject(); });
+  const std::string answer =
+      gateway.fixture.Ask(CallerRequest("GET", "/look/1"));
+  CHECK(answer.starts_with("HTTP/1.1 502"));
+  CHECK(gateway.Received() == 2);
+}
+
 }  // namespace yuccapick
--- a/test/gateway/left_caller_test.cc
+++ b/test/gateway/left_caller_test.cc
@@ -98,6 +98,7 @@
   CHECK(caller.handler.held.front()->cancelled == 1);
 }
 
+/// Guards against an interim answer that a caller takes for the final one.
 TEST_CASE("An interim answer is sent to who waits for it only") {
   SessionOnFakeStream waiting;
   waiting.Deliver(Head(kLengthField));
--- a/test/shell/odd_response_test.cc
+++ b/test/shell/odd_response_test.cc
@@ -55,6 +55,7 @@
   CHECK(response.result.sent);
 }
 
+/// Guards against whole responses that are taken for failures.
 TEST_CASE(
     "A response without a length is whole if its server has the request") {
   const std::size_t upload = GENERATE(std::size_t{10}, kShortUpload);
