--- a/review/lib-3/engine.cc
+++ b/review/lib-3/engine.cc
@@ -9,6 +9,7 @@
 
 constexpr int kOk = 200;
 constexpr int kMisdirected = 421;
+constexpr int kUnavailable = 503;
 constexpr char kModel[] = "m0";
 
 std::int64_t UnixMs() {
@@ -102,6 +103,10 @@
   }).detach();
 }
 
+void Engine::AwaitEndOfSilence() const {
+  while (!stopped_ && NowMs() < silent_until_) SleepMs(2);
+}
+
 bool Engine::Handle(const Message& request, Connection& connection) {
   const std::string expected = request.Find("X-Expect-Instance");
   if (!expected.empty() && expected != id()) {
@@ -139,6 +144,13 @@
 
 bool Engine::HandleStream(const Message& request, Connection& connection) {
   const std::string attempt = request.Find("X-Attempt-Id");
+  AwaitEndOfSilence();
+  if (full_) {
+    record_.Write("reject " + attempt + " at " + id());
+    return connection.Write(
+        MakeResponse(kUnavailable,
+                     {{"X-Attempt-Id", attempt}, {"X-Not-Executed", "1"}}, ""));
+  }
   record_.Write("run " + attempt + " at " + id() + " software " +
                 options_.software + " after " + request.Find("Last-Event-Id"));
   SleepMs(options_.first_event_ms);
@@ -162,6 +174,7 @@
       std::strtol(request.Find("Last-Event-Id").c_str(), nullptr, 10));
   for (int n = last + 1; n <= options_.events; ++n) {
     if (n > last + 1) SleepMs(options_.event_gap_ms);
+    AwaitEndOfSilence();
     const std::string event =
         "id: " + std::to_string(n) + "\ndata: " + options_.software + "\n\n";
     if (!connection.WriteChunk(event)) return false;
--- a/review/lib-3/engine.h
+++ b/review/lib-3/engine.h
@@ -46,6 +46,10 @@
   void Stop();
   /// Writes the entry to the store.
   void Register();
+  /// Sends nothing and reads nothing for a while, and goes on.
+  void FallSilent(std::int64_t ms) { silent_until_ = NowMs() + ms; }
+  /// Rejects all new requests.
+  void SetFull(bool full) { full_ = full; }
   int crashes() const { return crashes_; }
   std::vector<std::int64_t> crash_times() const;
 
@@ -54,6 +58,7 @@
   bool Handle(const Message& request, Connection& connection);
   bool HandleStream(const Message& request, Connection& connection);
   bool WriteStream(const Message& request, Connection& connection) const;
+  void AwaitEndOfSilence() const;
   void Crash();
   std::string id() const;
 
@@ -70,6 +75,8 @@
   std::atomic<bool> crashing_{false};
   std::atomic<bool> stopped_{false};
   std::atomic<int> restarts_pending_{0};
+  std::atomic<std::int64_t> silent_until_{0};
+  std::atomic<bool> full_{false};
 };
 
 /// Manifest with one route to one model service.
