Read all pages of the gateways' own tables

Callers saw nothing yet. A software version, a time of weights or a blocked suspect on a later page was unknown to a gateway that started.

Change: pages are read until the store has no more, from the beginning again if its generation changes in between. The test store answers ranges of keys and pages. The set-up of streams of two software versions moves from stream_software_test.cc to a file of its own, since a second test file needs it.

Test: "A record of software versions of several pages is read whole". It was not run on the code before; by reading, the second row is never asked for there.

--- a/src/gateway/table_loader.h
+++ b/src/gateway/table_loader.h
@@ -7,6 +7,7 @@
 #include <asio.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "gateway/gateway_state.h"
@@ -15,8 +16,8 @@
 
 namespace yuccapick {
 
-/// Reads all rows of a table, again until the store answers. Used on one event
-/// loop; calls nothing after its destruction.
+/// Reads all rows of a table, page by page, again until the store answers. Used
+/// on one event loop; calls nothing after its destruction.
 class TableLoader : public std::enable_shared_from_this<TableLoader> {
  public:
   using OnLoaded = std::function<void(const platform::RowsAnswer&)>;
@@ -35,6 +36,8 @@
   void LoadLater();
 
  private:
+  /// @param from_key first key of the page; empty for the first page
+  void ReadPage(const std::string& from_key);
   void OnAnswer(const absl::StatusOr<StoreAnswer>& answer);
 
   GatewayState& state_;
@@ -44,6 +47,9 @@
   asio::steady_timer retry_timer_;
   bool loading_ = false;
   bool load_again_ = false;
+  /// Pages that were read, with the version and the time of the first.
+  std::optional<platform::RowsAnswer> pages_;
+  StoreGeneration generation_;  ///< Of `pages_`.
 };
 
 }  // namespace yuccapick
--- a/test/gateway/fake_store.cc
+++ b/test/gateway/fake_store.cc
@@ -28,6 +28,21 @@
   return target.substr(from, target.find_first_of("& ", from) - from);
 }
 
+std::string PercentDecode(const std::string& text) {
+  std::string out;
+  for (std::size_t at = 0; at < text.size(); ++at) {
+    if (text[at] != '%') {
+      out.push_back(text[at]);
+      continue;
+    }
+    constexpr int kHexadecimal = 16;
+    out.push_back(static_cast<char>(
+        std::stoi(text.substr(at + 1, 2), nullptr, kHexadecimal)));
+    at += 2;
+  }
+  return out;
+}
+
 }  // namespace
 
 FakeStore::FakeStore(asio::io_context& loop)
@@ -79,6 +94,14 @@
   watchers_.clear();
 }
 
+std::size_t FakeStore::RowCount(const std::string& table) const {
+  const auto it = tables_.find(table);
+  if (it == tables_.end()) return 0;
+  return static_cast<std::size_t>(
+      std::count_if(it->second.begin(), it->second.end(),
+                    [](const auto& entry) { return !entry.second.removed; }));
+}
+
 bool FakeStore::ConditionsHold(const std::string& body) const {
   const Json transaction = Json::parse(body);
   for (const Json& row : transaction.value("expected", Json::array())) {
@@ -161,6 +184,26 @@
       .dump();
 }
 
+std::string FakeStore::RowsInRange(const std::string& target) const {
+  const std::string from = PercentDecode(Parameter(target, "from"));
+  const std::string to = PercentDecode(Parameter(target, "to"));
+  const std::string limit = Parameter(target, "limit");
+  Json answer = Json::parse(RowsAfter(Parameter(target, "table"), 0, false));
+  Json rows = Json::array();
+  for (const Json& row : answer["rows"]) {
+    const std::string key = row["key"];
+    if (key < from || (!to.empty() && key >= to)) continue;
+    if (!limit.empty() && rows.size() >= std::stoull(limit)) break;
+    if (page_rows_ && rows.size() >= *page_rows_) {
+      answer["hasMore"] = true;
+      break;
+    }
+    rows.push_back(row);
+  }
+  answer["rows"] = std::move(rows);
+  return answer.dump();
+}
+
 void FakeStore::Reply(ScriptedServer::Connection& connection, int status,
                       const std::string& body) {
   std::string named;
@@ -212,7 +255,7 @@
     if (target.starts_with("/rows-get") && refused_reads_[table]-- > 0) {
       Reply(connection, 503, "");
     } else if (target.starts_with("/rows-get")) {
-      Reply(connection, 200, RowsAfter(table, 0, false));
+      Reply(connection, 200, RowsInRange(target));
     } else if (target.starts_with("/rows-feed")) {
       if (std::stoull(Parameter(target, "after")) > version_) {
         Reply(connection, 410, "");
--- a/test/gateway/fake_store.h
+++ b/test/gateway/fake_store.h
@@ -47,8 +47,12 @@
   void RefuseReads(const std::string& table, int n) {
     refused_reads_[table] = n;
   }
+  /// Answers reads with at most `n` rows.
+  void set_page_rows(std::size_t n) { page_rows_ = n; }
   /// True if the row was written and not removed.
   bool Has(const std::string& table, const std::string& key) const;
+  /// Number of rows that were written and not removed.
+  std::size_t RowCount(const std::string& table) const;
   /// @return version of a row; 0 if there is none
   std::uint64_t VersionOf(const std::string& table,
                           const std::string& key) const;
@@ -101,6 +105,8 @@
   bool HasRowsAfter(const std::string& table, std::uint64_t after) const;
   std::string RowsAfter(const std::string& table, std::uint64_t after,
                         bool with_removed) const;
+  /// The rows whose keys are in the range that the request names.
+  std::string RowsInRange(const std::string& target) const;
   void OnFeed(ScriptedServer::Connection& connection,
               const std::string& target);
   void Notify();
@@ -114,6 +120,7 @@
   std::map<std::string, int> refused_;        ///< Writes to refuse, by table.
   std::map<std::string, int> refused_reads_;  ///< By table.
   std::uint64_t version_ = 0;
+  std::optional<std::size_t> page_rows_;
   std::chrono::milliseconds time_{1'000};
   std::optional<std::chrono::steady_clock::time_point> clock_runs_since_;
   bool up_ = true;
--- a/test/gateway/stream_software_test.cc
+++ b/test/gateway/stream_software_test.cc
@@ -1,183 +1,13 @@
 #include <fmt/format.h>
 
-#include <algorithm>
 #include <catch2/catch.hpp>
 #include <optional>
 
-#include "test/gateway/ending_gateway.h"
-#include "test/gateway/gateway_fixture.h"
+#include "test/gateway/software_versions.h"
 
 namespace yuccapick {
 namespace {
 
-using Connection = FakeUpstream::Connection;
-
-constexpr char kRoutes[] = R"([
- {"name":"tell","host":"crew.example","prefix":"/tell/","kind":"streaming",
-  "timeoutMs":20000,"targetLatencyMs":8000,"gapTargetMs":8000,"service":"app",
-  "maxAttempts":2,"resumable":true}])";
-
-constexpr char kOwnDomain[] = "here";
-constexpr char kOtherDomain[] = "elsewhere";
-constexpr char kSoftwareTable[] = "yuccapick-software";
-constexpr int kAllReads = 1'000'000;
-constexpr char kEndOfStream[] = "\r\n0\r\n\r\n";
-
-bool Contains(const std::string& text, const std::string& part) {
-  return text.find(part) != std::string::npos;
-}
-
-std::string Chunk(const std::string& bytes) {
-  return fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes);
-}
-
-std::string Event(int id) { return fmt::format("id: {}\ndata: x\n\n", id); }
-
-std::string NewStream(const std::string& attempt_id) {
-  return CallerRequest("POST", "/tell/1", "", "", attempt_id);
-}
-
-/// @return a request to continue the stream of `first_attempt` after event 2
-std::string ResumedStream(const std::string& attempt_id,
-                          const std::string& first_attempt) {
-  return CallerRequest(
-      "POST", "/tell/1",
-      fmt::format("Resumes: {}\r\nLast-Event-Id: 2\r\n", first_attempt), "",
-      attempt_id);
-}
-
-/// Four events are a complete stream.
-bool HasRestOfStream(const std::string& answer) {
-  return Contains(answer, Event(3)) && Contains(answer, Event(4)) &&
-         answer.ends_with(kEndOfStream);
-}
-
-bool HasReceived(const FakeUpstream& upstream, const std::string& attempt_id,
-                 const std::string& last_event_id) {
-  const std::vector<ReceivedRequest>& received = upstream.received();
-  return std::any_of(received.begin(), received.end(),
-                     [&](const ReceivedRequest& request) {
-                       return request.Field("X-Attempt-Id") == attempt_id &&
-                              request.Field("Last-Event-Id") == last_event_id;
-                     });
-}
-
-/// An upstream that sends the first two events of a new stream and then waits.
-/// It sends the rest of a resumed stream at once.
-struct StreamUpstream {
-  StreamUpstream(asio::io_context& loop, const std::string& id)
-      : fake(loop, id, [this](Connection& c, const ReceivedRequest& r) {
-          fake.BeginStream(c, r);
-          if (r.Field("Last-Event-Id").empty()) {
-            c.Write(Chunk(Event(1) + Event(2)));
-          } else {
-            c.Write(Chunk(Event(3)) + Chunk(Event(4)) + "0\r\n\r\n");
-          }
-        }) {}
-
-  bool HasBegun(const std::string& attempt_id) const {
-    return HasReceived(fake, attempt_id, "");
-  }
-  bool HasResumed(const std::string& attempt_id) const {
-    return HasReceived(fake, attempt_id, "2");
-  }
-  void CloseConnections() {
-    for (const auto& c : fake.server().connections) c->Close();
-  }
-  std::size_t ConnectionsClosedByGateway() {
-    const auto& connections = fake.server().connections;
-    return static_cast<std::size_t>(
-        std::count_if(connections.begin(), connections.end(),
-                      [](const auto& c) { return c->closed_by_peer; }));
-  }
-
-  FakeUpstream fake;
-};
-
-/// The upstreams of one software version.
-struct UpstreamPair {
-  UpstreamPair(asio::io_context& loop, const std::string& version)
-      : software(version),
-        first(loop, version + "-first"),
-        second(loop, version + "-second") {}
-
-  std::size_t ReceivedCount() const {
-    return first.fake.received().size() + second.fake.received().size();
-  }
-  bool HasBegun(const std::string& attempt_id) const {
-    return first.HasBegun(attempt_id) || second.HasBegun(attempt_id);
-  }
-  bool HasResumed(const std::string& attempt_id) const {
-    return first.HasResumed(attempt_id) || second.HasResumed(attempt_id);
-  }
-  std::size_t ConnectionsClosedByGateway() {
-    return first.ConnectionsClosedByGateway() +
-           second.ConnectionsClosedByGateway();
-  }
-
-  std::string software;
-  StreamUpstream first;
-  StreamUpstream second;
-};
-
-/// A gateway that first lists one upstream of software v1. Further upstreams
-/// can be listed. Those of v2 are in the gateway's own failure domain, so that
-/// placement prefers them.
-struct TwoSoftwareVersions {
-  TwoSoftwareVersions() : v1(fixture.loop, "v1"), v2(fixture.loop, "v2") {
-    fixture.PutConfig(1, kRoutes);
-    Register(v1.first, v1.software, kOtherDomain);
-    fixture.Start();
-  }
-
-  void Register(const StreamUpstream& upstream, const std::string& software,
-                const std::string& domain) {
-    fixture.RegisterSoftware(upstream.fake, "app", software, domain);
-  }
-
-  void ListSecondOfV1() {
-    Register(v1.second, v1.software, kOtherDomain);
-    REQUIRE(fixture.AwaitListed(++listed));
-  }
-
-  void ListV2() {
-    Register(v2.first, v2.software, kOwnDomain);
-    Register(v2.second, v2.software, kOwnDomain);
-    listed += 2;
-    REQUIRE(fixture.AwaitListed(listed));
-  }
-
-  std::unique_ptr<FakeCaller> BeginStream(const std::string& attempt_id) {
-    auto caller = std::make_unique<FakeCaller>(
-        fixture.loop, fixture.settings.caller_endpoint);
-    caller->Send(NewStream(attempt_id));
-    REQUIRE(fixture.RunUntilTrue(
-        [&caller] { return Contains(caller->input(), Event(2)); }));
-    return caller;
-  }
-
-  /// Waits until the gateway has closed the upstream connections of `n` streams
-  /// whose callers disconnected.
-  void AwaitCancelled(std::size_t n) {
-    REQUIRE(fixture.RunUntilTrue([this, n] {
-      return v1.ConnectionsClosedByGateway() +
-                 v2.ConnectionsClosedByGateway() >=
-             n;
-    }));
-  }
-
-  void AwaitEnd(const FakeCaller& caller) {
-    REQUIRE(fixture.RunUntilTrue([&caller] {
-      return caller.closed() || caller.input().ends_with(kEndOfStream);
-    }));
-  }
-
-  GatewayFixture fixture;
-  UpstreamPair v1;
-  UpstreamPair v2;
-  std::size_t listed = 1;
-};
-
 TEST_CASE("A broken stream continues at the software version that began it") {
   TwoSoftwareVersions versions;
   const auto caller = versions.BeginStream("id-1");
@@ -287,62 +117,11 @@
   CHECK(versions.v1.HasResumed("id-2"));
 }
 
-/// A gateway that lists an upstream of software v1 and has recorded it, before
-/// all gateways lose power and another one starts.
-struct PowerLoss {
-  PowerLoss() : v1(fixture.loop, "v1"), v2(fixture.loop, "v2") {
-    fixture.PutConfig(1, kRoutes);
-    Register(v1.first, v1.software);
-    lost.emplace(fixture);
-    AwaitRecorded("app/v1");
-  }
-
-  void Register(const StreamUpstream& upstream, const std::string& software) {
-    fixture.RegisterSoftware(upstream.fake, "app", software);
-  }
-
-  void AwaitRecorded(const std::string& key) {
-    REQUIRE(lost->RunUntilTrue(
-        [&] { return fixture.store.Has(kSoftwareTable, key); }));
-  }
-
-  /// A stream of v1 breaks off when the gateways lose power.
-  void LoseStream(const std::string& attempt_id) {
-    FakeCaller caller(fixture.loop, lost->settings().caller_endpoint);
-    caller.Send(NewStream(attempt_id));
-    REQUIRE(lost->RunUntilTrue(
-        [&caller] { return Contains(caller.input(), Event(2)); }));
-  }
-
-  void StartAnother() {
-    lost->Unregister();
-    lost.reset();
-    fixture.Start();
-  }
-
-  /// Asks until the gateway knows which versions were in use.
-  std::string ResumeStream(const std::string& first_attempt) {
-    std::string answer;
-    int attempts = 0;
-    REQUIRE(fixture.RunUntilTrue([&] {
-      answer = fixture.Ask(
-          ResumedStream(fmt::format("again-{}", ++attempts), first_attempt));
-      return !IsRefusal(answer);
-    }));
-    return answer;
-  }
-
-  GatewayFixture fixture;
-  UpstreamPair v1;
-  UpstreamPair v2;
-  std::optional<EndingGateway> lost;
-};
-
 /// A gateway that stands still for longer than it can tell which upstreams came
 /// and went, while another one goes on.
 struct FrozenGateway {
   FrozenGateway() : v1(fixture.loop, "v1"), v2(fixture.loop, "v2") {
-    fixture.PutConfig(1, kRoutes);
+    fixture.PutConfig(1, kStreamRoutes);
     fixture.RegisterSoftware(v1.first.fake, "app", v1.software);
     fixture.Start();
     frozen.emplace(fixture);
@@ -433,6 +212,20 @@
   CHECK(HasRestOfStream(power_loss.ResumeStream("id-1")));
 }
 
+/// Guards against a version that is missed since the record has several pages.
+TEST_CASE("A record of software versions of several pages is read whole") {
+  PowerLoss power_loss;
+  power_loss.LoseStream("id-1");
+  power_loss.Register(power_loss.v2.first, "v2");
+  power_loss.AwaitRecorded("app/v2");
+  power_loss.fixture.store.Remove("servers", power_loss.v2.first.fake.id());
+  power_loss.fixture.store.set_page_rows(1);
+  power_loss.StartAnother();
+  power_loss.fixture.Run(std::chrono::milliseconds(200));
+  CHECK(IsRefusal(power_loss.fixture.Ask(ResumedStream("id-2", "unknown"))));
+  CHECK(power_loss.v1.ReceivedCount() == 1);
+}
+
 TEST_CASE("Every stream is resumed while upstreams of its software serve") {
   constexpr std::size_t kStreams = 12;
   TwoSoftwareVersions versions;
