Save the origins of streams in the store

Cause: where a stream began was known to living gateways only. Evidence: stream_origin_unknown with known_streams=0 and the record of two versions loaded at each refusal. Excluded: the store and the upstreams (new streams began at the same moment), the list (confirmed).

A stored origin is a fact, so a lost or old one is a refusal and never a wrong version. A stream whose origin is lost gets 410 instead of 503 without end; log and explain tell the two apart.

--- a/include/yuccapick/stream_origins.h
+++ b/include/yuccapick/stream_origins.h
@@ -67,6 +67,8 @@
   void OnBegan(StreamId stream, const SoftwareGroup& group, bool split,
                TimePoint now);
   void OnPeerReport(const StreamOriginReport& report, TimePoint now);
+  /// The store has these origins. They may be of a version that left long ago.
+  void OnSaved(const StreamOriginReport& report, TimePoint now);
   /// Returns origins that peers need and have not been told.
   /// @param limit the most streams to return; later calls return the others
   std::vector<StreamOriginReport> TakeUnreported(std::size_t limit,
@@ -89,6 +91,7 @@
   ///   nullopt if there are several, or without `KnowsHistory`
   std::optional<SoftwareGroup> OnlyGroup(const ServiceId& service,
                                          TimePoint now) const;
+  std::chrono::milliseconds lifetime() const { return options_.lifetime; }
   std::size_t size() const { return current_.size() + previous_.size(); }
 
  private:
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -110,6 +110,10 @@
                                                    incarnation)),
       target_set_times_(std::make_shared<TargetSetTimes>(state_, store_)),
       software_record_(std::make_shared<SoftwareRecord>(state_, store_)),
+      stream_origin_record_(
+          std::make_shared<StreamOriginRecord>(state_, store_)),
+      stream_origin_lookup_(
+          std::make_unique<StreamOriginLookup>(state_, store_)),
       list_confirmation_(std::make_unique<ListConfirmation>(
           loop, [this] { freshness_sync_->RequestCheck(); },
           [this] { return state_.stream_origins.KnowsHistory(state_.Now()); })),
@@ -128,6 +132,14 @@
     if (store_lost_) return done(false);
     list_confirmation_->Await(limit, std::move(done));
   };
+  state_.look_up_stream_origin = [this](StreamId stream, milliseconds limit,
+                                        std::function<void()> done) {
+    if (store_lost_) return done();
+    stream_origin_lookup_->Find(stream, limit, std::move(done));
+  };
+  state_.is_stream_origin_lost = [this](StreamId stream) {
+    return stream_origin_lookup_->IsLost(stream);
+  };
   state_.on_software_history = [this] { list_confirmation_->OnHistoryKnown(); };
   state_.on_limit_changed = [this] { limit_sync_->Schedule(); };
   state_.quotas = quota_sync_.get();
@@ -160,6 +172,7 @@
 GatewayProcess::~GatewayProcess() {
   freshness_sync_->Stop();
   list_confirmation_->Stop();
+  stream_origin_lookup_->Stop();
   store_->Stop();
   operator_watch_->Stop();
   upstream_watch_->Stop();
@@ -289,6 +302,7 @@
   CheckListGap(now);
   RemoveUnconfirmed(now);
   RepeatStreamOrigins(now);
+  stream_origin_record_->OnTick(now);
   CatchUpWithStore(now);
   ExchangeWithPeers(now);
   freshness_sync_->OnTick(now);
--- a/src/gateway/gateway_process.h
+++ b/src/gateway/gateway_process.h
@@ -30,6 +30,8 @@
 #include "gateway/rollout_controller.h"
 #include "gateway/software_record.h"
 #include "gateway/store_client.h"
+#include "gateway/stream_origin_lookup.h"
+#include "gateway/stream_origin_record.h"
 #include "gateway/table_watch.h"
 #include "gateway/target_set_times.h"
 #include "yuccapick/pause_detector.h"
@@ -212,6 +214,8 @@
   std::shared_ptr<RolloutController> rollout_;
   std::shared_ptr<TargetSetTimes> target_set_times_;
   std::shared_ptr<SoftwareRecord> software_record_;
+  std::shared_ptr<StreamOriginRecord> stream_origin_record_;
+  std::unique_ptr<StreamOriginLookup> stream_origin_lookup_;
   std::unique_ptr<ListConfirmation> list_confirmation_;
   /// Boot time at which the list of upstreams was last known to be current.
   std::optional<TimePoint> list_current_at_;
--- a/src/gateway/gateway_process_metrics.cc
+++ b/src/gateway/gateway_process_metrics.cc
@@ -95,6 +95,10 @@
   counter("yuccapick_process_pauses", pauses_);
   gauge("yuccapick_known_stream_origins", state_.stream_origins.size());
   counter("yuccapick_unknown_stream_origins", state_.unknown_stream_origins);
+  counter("yuccapick_lost_stream_origins", state_.lost_stream_origins);
+  counter("yuccapick_saved_stream_origins", stream_origin_record_->saved());
+  counter("yuccapick_unsaved_stream_origins_dropped",
+          stream_origin_record_->dropped());
   gauge("yuccapick_limited_upstreams", state_.limits.limited_count());
   gauge("yuccapick_paused_upstreams", state_.pauses.size());
   counter("yuccapick_requests_held_back", state_.requests_held_back);
--- a/src/gateway/gateway_process_peers.cc
+++ b/src/gateway/gateway_process_peers.cc
@@ -78,6 +78,7 @@
   for (const StreamOriginReport& report : origins) {
     state_.stream_origins.OnPeerReport(report, now);
   }
+  stream_origin_record_->OnBegan(origins);
 }
 
 void GatewayProcess::SendStreamOrigins() {
@@ -85,6 +86,7 @@
   std::vector<StreamOriginReport> origins =
       state_.stream_origins.TakeUnreported(kMaxStreamsPerDatagram, now);
   if (origins.empty()) return;
+  stream_origin_record_->OnBegan(origins);
   exchange_.Send(origins, peers_.Targets(now));
   repeated_origins_.insert(repeated_origins_.end(),
                            std::make_move_iterator(origins.begin()),
@@ -177,6 +179,7 @@
   state_.store_times.OnNewGeneration();
   rollout_->OnGeneration(generation);
   if (store_->generations().changes() == 0) return;
+  stream_origin_record_->OnStoreGeneration(state_.Now());
   store_catch_up_.OnGeneration(generation, state_.LiveGateways(), RandomShare(),
                                state_.Now());
 }
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -125,11 +125,23 @@
   StreamOrigins stream_origins;
   /// Streams refused since it isn't known which software version began them.
   std::uint64_t unknown_stream_origins = 0;
+  /// Those of them whose origin nobody will ever know.
+  std::uint64_t lost_stream_origins = 0;
   /// Tells whether the list of upstreams is known as it is now, within a time
   /// limit. Calls the function once, from the loop.
   std::function<void(std::chrono::milliseconds, std::function<void(bool)>)>
       confirm_list = [](std::chrono::milliseconds,
                         const std::function<void(bool)>& done) { done(false); };
+  /// Looks up where a stream began that no peer has told of, within a time
+  /// limit. Calls the function once, from the loop.
+  std::function<void(StreamId, std::chrono::milliseconds,
+                     std::function<void()>)>
+      look_up_stream_origin = [](StreamId, std::chrono::milliseconds,
+                                 const std::function<void()>& done) { done(); };
+  /// Tells whether no lookup will ever find where a stream began.
+  std::function<bool(StreamId)> is_stream_origin_lost = [](StreamId) {
+    return false;
+  };
   /// Called when the record of software versions was read.
   std::function<void()> on_software_history = [] {};
   /// Called when peers should be told where a stream began.
--- a/src/gateway/proxied_request.cc
+++ b/src/gateway/proxied_request.cc
@@ -76,7 +76,7 @@
   const OriginSearch search = FindStreamOrigin(/*list_confirmed=*/false);
   state_.RetryBudgetOf(service_).OnRequest();
   if (search == OriginSearch::kUnconfirmed) return AwaitListConfirmation();
-  if (search == OriginSearch::kUnknown) return RefuseUnknownStream(false);
+  if (search == OriginSearch::kUnknown) return LookUpStreamOrigin(false);
   Place();
 }
 
--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -122,6 +122,9 @@
   /// Continues with a request that is within its team's quota.
   void BeginAdmitted();
   ServiceId PickService();
+  /// True if a stream of the route may have begun at one of several software
+  /// versions or services.
+  bool NeedsExactOrigin() const;
   /// Binds a stream that the caller resumes to the service and the software
   /// version that began it.
   /// @param list_confirmed all upstreams are known that are listed now
@@ -129,7 +132,13 @@
   /// Waits until all upstreams are known that are listed now.
   void AwaitListConfirmation();
   void OnListConfirmation(bool confirmed);
+  /// Waits until what the store knows of the stream's origin was read.
+  /// @param list_confirmed see `FindStreamOrigin`
+  void LookUpStreamOrigin(bool list_confirmed);
+  void OnOriginLookedUp(bool list_confirmed);
   void RefuseUnknownStream(bool list_confirmed);
+  /// Refuses a stream whose origin nobody will ever know.
+  void RefuseLostStream();
   /// Places and sends the request.
   void Place();
   PlacementFleet Fleet() const;
--- a/src/gateway/proxied_request_origin.cc
+++ b/src/gateway/proxied_request_origin.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <memory>
 
+#include "gateway/http_status.h"
 #include "gateway/proxied_request.h"
 
 namespace yuccapick {
@@ -15,6 +16,8 @@
 
 /// Longest wait of a resumed stream for the list of upstreams.
 constexpr milliseconds kMaxListWait{1'500};
+/// Longest wait of a resumed stream for what the store knows of its origin.
+constexpr milliseconds kMaxLookupWait{1'500};
 
 bool IsTarget(const GatewayRoute& route, const ServiceId& service) {
   return std::any_of(
@@ -44,6 +47,11 @@
   return targets.back().service;
 }
 
+bool ProxiedRequest::NeedsExactOrigin() const {
+  return admitted_.route->targets.size() > 1 ||
+         state_.stream_origins.IsMixed(service_, state_.Now());
+}
+
 ProxiedRequest::OriginSearch ProxiedRequest::FindStreamOrigin(
     bool list_confirmed) {
   const CallerHeaders& caller = admitted_.caller;
@@ -54,12 +62,9 @@
     return OriginSearch::kFound;
   }
   auto origin = state_.stream_origins.Find(StreamIdOf(caller.resumes));
-  const bool split = admitted_.route->targets.size() > 1;
-  if (!origin && !split) {
-    const TimePoint now = state_.Now();
-    const bool mixed = state_.stream_origins.IsMixed(service_, now);
-    if (!list_confirmed && !mixed) return OriginSearch::kUnconfirmed;
-    origin = state_.stream_origins.OnlyGroup(service_, now);
+  if (!origin && !NeedsExactOrigin()) {
+    if (!list_confirmed) return OriginSearch::kUnconfirmed;
+    origin = state_.stream_origins.OnlyGroup(service_, state_.Now());
   }
   if (!origin || !IsTarget(*admitted_.route, origin->service)) {
     return OriginSearch::kUnknown;
@@ -81,7 +86,7 @@
 void ProxiedRequest::OnListConfirmation(bool confirmed) {
   if (done_) return;
   const OriginSearch search = FindStreamOrigin(confirmed);
-  if (search != OriginSearch::kFound) return RefuseUnknownStream(confirmed);
+  if (search != OriginSearch::kFound) return LookUpStreamOrigin(confirmed);
   state_.log.Write(
       LogKind::kRequest, state_.Now(),
       "event=stream_origin_confirmed id={} software={} waited_ms={}",
@@ -90,6 +95,53 @@
   Place();
 }
 
+void ProxiedRequest::LookUpStreamOrigin(bool list_confirmed) {
+  const CallerHeaders& caller = admitted_.caller;
+  const StreamId stream = StreamIdOf(caller.resumes);
+  // The stream's service may only be missing on the route.
+  const bool known = state_.stream_origins.Find(stream).has_value();
+  if (caller.resumes.empty() || known) {
+    return RefuseUnknownStream(list_confirmed);
+  }
+  const milliseconds limit =
+      std::min(kMaxLookupWait, TimeLeft(state_.Now()) / 2);
+  const std::weak_ptr<ProxiedRequest> weak = weak_from_this();
+  state_.look_up_stream_origin(stream, limit, [weak, list_confirmed] {
+    const auto self = weak.lock();
+    if (self != nullptr) self->OnOriginLookedUp(list_confirmed);
+  });
+}
+
+void ProxiedRequest::OnOriginLookedUp(bool list_confirmed) {
+  if (done_) return;
+  const CallerHeaders& caller = admitted_.caller;
+  if (FindStreamOrigin(list_confirmed) != OriginSearch::kFound) {
+    const StreamId stream = StreamIdOf(caller.resumes);
+    const bool lost =
+        NeedsExactOrigin() && state_.is_stream_origin_lost(stream);
+    return lost ? RefuseLostStream() : RefuseUnknownStream(list_confirmed);
+  }
+  state_.log.Write(
+      LogKind::kRequest, state_.Now(),
+      "event=stream_origin_looked_up id={} resumes={} software={} waited_ms={}",
+      caller.attempt_id, caller.resumes, stream_software_->value,
+      Milliseconds(state_.Now() - admitted_.request.arrived_at));
+  Place();
+}
+
+void ProxiedRequest::RefuseLostStream() {
+  ++state_.unknown_stream_origins;
+  ++state_.lost_stream_origins;
+  const CallerHeaders& caller = admitted_.caller;
+  state_.log.Write(LogKind::kFailure, state_.Now(),
+                   "event=stream_origin_lost id={} resumes={} route={} "
+                   "known_streams={}",
+                   caller.attempt_id, caller.resumes, admitted_.route->name,
+                   state_.stream_origins.size());
+  session_->Respond(kHttpGone, {}, "not run\n");
+  Finish("refused", kHttpGone, "software version of the stream is lost");
+}
+
 void ProxiedRequest::RefuseUnknownStream(bool list_confirmed) {
   ++state_.unknown_stream_origins;
   const CallerHeaders& caller = admitted_.caller;
--- a/src/request_explanation.cc
+++ b/src/request_explanation.cc
@@ -90,6 +90,17 @@
       return fmt::format("upstreams crash on {}, which is blocked for {} ms",
                          line.Field("suspect"), line.Field("retry_after_ms"));
     }
+    if (line.Field("event") == "stream_origin_lost") {
+      return fmt::format(
+          "the origin of the stream that {} began is lost: no gateway lives "
+          "that knew it, and the store doesn't have it",
+          line.Field("resumes"));
+    }
+    if (line.Field("event") == "stream_origin_unknown") {
+      return fmt::format(
+          "where the stream that {} began had its origin wasn't known yet",
+          line.Field("resumes"));
+    }
     if (line.Field("event") == "held_back") {
       return fmt::format(
           "the upstreams of {} took no more requests: of all upstreams {} "
--- a/src/stream_origins.cc
+++ b/src/stream_origins.cc
@@ -76,6 +76,10 @@
                                  TimePoint now) {
   // A peer may know of a version before this process does.
   OnListed(report.group, now);
+  OnSaved(report, now);
+}
+
+void StreamOrigins::OnSaved(const StreamOriginReport& report, TimePoint now) {
   const GroupIndex index = IndexOf(report.group);
   for (const StreamId stream : report.streams) Add(stream, index, now);
 }
