Send a request as a trial only if its other suspects are free

Cause: both parts were blocked and both blocks ended. Admit obtained the trial of the shared part, which made Judge refuse the guilty one, and the loop passed over refused suspects; the guilty part's crash counted as the shared part's. Evidence: suspect_tried for a request with both, then suspect_blocked of the shared part with blocks=2. Excluded: the coordinators' evidence, which doesn't count for blocked suspects.

Change: a request is sent only if all its suspects are free or tried by it. Several suspects are tried together only 4 s after their blocks, so that requests with one of them tell which is sound.

--- a/include/yuccapick/crash_quarantine.h
+++ b/include/yuccapick/crash_quarantine.h
@@ -125,6 +125,11 @@
 ///
 /// A suspect is blocked for a short time at first: sound ones that are always
 /// under way look guilty, too, if several upstreams crash together.
+///
+/// A request is a trial only if all its suspects are free or tried by it. While
+/// several are to be tried, a request with only one of them goes first: its
+/// outcome tells which is sound. If none comes for a while, a request tries all
+/// its suspects together, so that those that always come together are cleared.
 class CrashQuarantine {
  public:
   struct Options {
@@ -140,6 +145,8 @@
     std::chrono::milliseconds trial_timeout{30'000};
     /// A trial that is not begun within this time is given back.
     std::chrono::milliseconds trial_begin_timeout{1'000};
+    /// For this time after their blocks, suspects are tried one by one only.
+    std::chrono::milliseconds lone_trial_time{4'000};
     /// Delay after which a caller should come back while a trial decides.
     std::chrono::milliseconds trial_retry_after{500};
     /// Suspects of which evidence is kept, and suspects that are blocked.
@@ -221,10 +228,24 @@
 
   const BlockPolicy& PolicyOf(const SuspectId& suspect) const;
   bool IsFirstCoordinator(const SuspectId& suspect) const;
-  Verdict Judge(const SuspectId& suspect, StoreTime now) const;
+  /// @param asking the gateway that would try the suspect: its trials of other
+  ///   suspects of the same request don't hinder it
+  Verdict Judge(const SuspectId& suspect, const InstanceId& asking,
+                StoreTime now) const;
+  /// Returns the suspects that are blocked or to be tried.
+  std::vector<SuspectId> NotFree(const std::vector<SuspectId>& suspects,
+                                 StoreTime now) const;
+  /// Refuses a request that may not be sent whatever the coordinators say.
+  /// @param suspects those that are not free
+  std::optional<SuspectRefusal> RefuseUntried(
+      const std::vector<SuspectId>& suspects, StoreTime now) const;
+  /// True if this gateway has sent a trial of another suspect lately.
+  bool IsOtherTrialSent(const std::vector<SuspectId>& suspects,
+                        StoreTime now) const;
   SuspectRefusal RefusalOf(const SuspectId& suspect, StoreTime now) const;
-  /// True if a trial of any suspect may be under way.
-  bool IsTrialRunning(StoreTime now) const;
+  /// True if a trial of any suspect may be under way at another gateway.
+  bool IsTrialRunningElsewhere(const InstanceId& asking, StoreTime now) const;
+  bool IsTrialRecent(const Block& block, StoreTime now) const;
   /// True if this gateway may send one request with the suspect.
   bool HoldsTrial(const Block& block) const;
   void WantTrial(const SuspectId& suspect, StoreTime now);
--- a/src/crash_quarantine_trials.cc
+++ b/src/crash_quarantine_trials.cc
@@ -16,6 +16,7 @@
 }
 
 CrashQuarantine::Verdict CrashQuarantine::Judge(const SuspectId& suspect,
+                                                const InstanceId& asking,
                                                 StoreTime now) const {
   const auto it = blocks_.find(suspect);
   if (it == blocks_.end() || !it->second.decision.blocked) {
@@ -26,14 +27,34 @@
     return HoldsTrial(it->second) ? Verdict::kTrial : Verdict::kRefused;
   }
   const bool overdue = !decision.trial_by.value.empty();
-  return overdue || IsTrialRunning(now) ? Verdict::kRefused : Verdict::kOpen;
+  return overdue || IsTrialRunningElsewhere(asking, now) ? Verdict::kRefused
+                                                         : Verdict::kOpen;
 }
 
-bool CrashQuarantine::IsTrialRunning(StoreTime now) const {
+bool CrashQuarantine::IsTrialRecent(const Block& block, StoreTime now) const {
+  const SuspectDecision& it = block.decision;
+  return !it.trial_by.value.empty() &&
+         now < it.decided_at + options_.trial_begin_timeout;
+}
+
+bool CrashQuarantine::IsTrialRunningElsewhere(const InstanceId& asking,
+                                              StoreTime now) const {
+  return std::any_of(blocks_.begin(), blocks_.end(), [&](const auto& entry) {
+    const Block& block = entry.second;
+    return block.decision.trial_by != asking && IsTrialRecent(block, now);
+  });
+}
+
+bool CrashQuarantine::IsOtherTrialSent(const std::vector<SuspectId>& suspects,
+                                       StoreTime now) const {
   return std::any_of(blocks_.begin(), blocks_.end(), [&](const auto& entry) {
-    const SuspectDecision& it = entry.second.decision;
-    return !it.trial_by.value.empty() &&
-           now < it.decided_at + options_.trial_begin_timeout;
+    const auto& [suspect, block] = entry;
+    if (block.decision.trial_by != gateways_.own()) return false;
+    if (block.trial == TrialState::kNotSent || !IsTrialRecent(block, now)) {
+      return false;
+    }
+    return std::find(suspects.begin(), suspects.end(), suspect) ==
+           suspects.end();
   });
 }
 
@@ -45,18 +66,47 @@
           in_force ? decision.until - now : options_.trial_retry_after};
 }
 
+std::vector<SuspectId> CrashQuarantine::NotFree(
+    const std::vector<SuspectId>& suspects, StoreTime now) const {
+  std::vector<SuspectId> not_free;
+  for (const SuspectId& it : suspects) {
+    if (Judge(it, gateways_.own(), now) == Verdict::kFree) continue;
+    not_free.push_back(it);
+  }
+  return not_free;
+}
+
+std::optional<SuspectRefusal> CrashQuarantine::RefuseUntried(
+    const std::vector<SuspectId>& suspects, StoreTime now) const {
+  StoreTime together_from;
+  for (const SuspectId& it : suspects) {
+    if (Judge(it, gateways_.own(), now) == Verdict::kRefused) {
+      return RefusalOf(it, now);
+    }
+    const SuspectDecision& decision = blocks_.at(it).decision;
+    const bool held = !decision.trial_by.value.empty();
+    if (held) continue;
+    together_from =
+        std::max(together_from, decision.until + options_.lone_trial_time);
+  }
+  if (IsOtherTrialSent(suspects, now)) return RefusalOf(suspects.front(), now);
+  if (suspects.size() == 1 || now >= together_from) return std::nullopt;
+  return SuspectRefusal{suspects.front(), together_from - now};
+}
+
 std::optional<SuspectRefusal> CrashQuarantine::Admit(
     const std::vector<SuspectId>& suspects, StoreTime now) {
   if (blocks_.empty()) return std::nullopt;
-  for (const SuspectId& suspect : suspects) {
-    if (Judge(suspect, now) == Verdict::kRefused) {
-      return RefusalOf(suspect, now);
+  const std::vector<SuspectId> untried = NotFree(suspects, now);
+  if (untried.empty()) return std::nullopt;
+  if (auto refusal = RefuseUntried(untried, now)) return refusal;
+  for (const SuspectId& suspect : untried) {
+    if (Judge(suspect, gateways_.own(), now) == Verdict::kOpen) {
+      WantTrial(suspect, now);
     }
   }
-  for (const SuspectId& suspect : suspects) {
-    if (Judge(suspect, now) != Verdict::kOpen) continue;
-    WantTrial(suspect, now);
-    if (Judge(suspect, now) == Verdict::kTrial) continue;
+  for (const SuspectId& suspect : untried) {
+    if (Judge(suspect, gateways_.own(), now) == Verdict::kTrial) continue;
     SuspectRefusal refusal = RefusalOf(suspect, now);
     refusal.trial_wanted = true;
     return refusal;
@@ -77,7 +127,7 @@
 void CrashQuarantine::GrantTrial(const SuspectId& suspect, const InstanceId& to,
                                  StoreTime now) {
   if (!IsFirstCoordinator(suspect)) return;
-  if (Judge(suspect, now) != Verdict::kOpen) return;
+  if (Judge(suspect, to, now) != Verdict::kOpen) return;
   const SuspectDecision last = blocks_.at(suspect).decision;
   const StoreTime at = NextDecisionTime(last, now);
   Decide({suspect, true, at, at + options_.trial_timeout, last.blocks, to});
