Trust the record of versions only after upstreams registered again

Cause: a gateway that starts took the record and the list for complete as soon as each was read once, though both came from the copy. A process that runs waits for entries that are written again; one that starts couldn't know of the return.

Change: a row holds the store's generation and since when a gateway has known it. Until 2.5 s after that time a gateway that starts refuses unknown streams, as not run. Starts in a generation that was noted earlier don't wait.

--- a/src/gateway/software_record.cc
+++ b/src/gateway/software_record.cc
@@ -2,9 +2,14 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <chrono>
 #include <optional>
+#include <string>
+#include <vector>
 
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_split.h"
 #include "gateway/http_status.h"
 #include "gateway/store_rows.h"
 #include "gateway/store_writers.h"
@@ -16,6 +21,11 @@
 
 constexpr char kTable[] = "yuccapick-software";
 constexpr milliseconds kCallTimeout{800};
+/// Key of the row about the store's generation.
+constexpr char kGenerationKey[] = "generation";
+/// Upstreams have registered again by then, and the others have read it, after
+/// the store came back from an older copy.
+constexpr milliseconds kReregistrationTime{2'500};
 
 std::string KeyOf(const SoftwareGroup& group) {
   return fmt::format("{}/{}", group.service.value, group.software.value);
@@ -29,6 +39,25 @@
                        SoftwareVersion(key.substr(slash + 1))};
 }
 
+std::string FormatGeneration(const GenerationSeen& seen) {
+  return fmt::format("{} {}", seen.generation.value,
+                     seen.at.time_since_epoch().count());
+}
+
+/// Parses a value that `FormatGeneration` has made.
+std::optional<GenerationSeen> ParseGeneration(const std::string& value) {
+  const std::vector<std::string> words = absl::StrSplit(value, ' ');
+  GenerationSeen seen;
+  std::int64_t at_ms = 0;
+  if (words.size() != 2 ||
+      !absl::SimpleAtoi(words[0], &seen.generation.value) ||
+      !absl::SimpleAtoi(words[1], &at_ms)) {
+    return std::nullopt;
+  }
+  seen.at = StoreTime(milliseconds(at_ms));
+  return seen;
+}
+
 }  // namespace
 
 SoftwareRecord::SoftwareRecord(GatewayState& state,
@@ -37,7 +66,8 @@
       store_(store),
       loader_(std::make_shared<TableLoader>(
           state, std::move(store), kTable,
-          [this](const platform::RowsAnswer& rows) { OnLoaded(rows); })) {}
+          [this](const platform::RowsAnswer& rows) { OnLoaded(rows); })),
+      reload_timer_(state.loop) {}
 
 void SoftwareRecord::OnLoaded(const platform::RowsAnswer& rows) {
   keys_.clear();
@@ -49,10 +79,56 @@
     recorded.push_back(*group);
   }
   loaded_ = true;
-  state_.stream_origins.OnHistory(recorded, state_.Now());
+  const TimePoint now = state_.Now();
+  const std::optional<StoreTime> seen_at = GenerationSeenAt(rows);
+  const milliseconds left =
+      seen_at ? *seen_at + kReregistrationTime - rows.store_time
+              : milliseconds(0);
+  // A gateway that has followed the list knows more than the copy.
+  const bool complete =
+      left <= milliseconds(0) || state_.stream_origins.KnowsHistory(now);
+  state_.log.Write(LogKind::kStateChange, now,
+                   "event=software_record_loaded versions={} generation={} "
+                   "complete={} incomplete_ms={}",
+                   recorded.size(), store_->generations().current().value,
+                   complete, complete ? 0 : left.count());
+  if (!complete) {
+    for (const SoftwareGroup& it : recorded) {
+      state_.stream_origins.OnListed(it, now);
+    }
+    return LoadAfter(left);
+  }
+  state_.stream_origins.OnHistory(recorded, now);
   state_.on_software_history();
-  state_.log.Write(LogKind::kStateChange, state_.Now(),
-                   "event=software_record_loaded versions={}", recorded.size());
+}
+
+std::optional<StoreTime> SoftwareRecord::GenerationSeenAt(
+    const platform::RowsAnswer& rows) {
+  const StoreGeneration current = store_->generations().current();
+  if (current == StoreGeneration()) return std::nullopt;
+  if (own_seen_.generation != current) own_seen_ = {current, rows.store_time};
+  const auto row = std::find_if(
+      rows.rows.begin(), rows.rows.end(),
+      [](const MirrorRow& it) { return it.key == kGenerationKey; });
+  const auto recorded =
+      row == rows.rows.end() ? std::nullopt : ParseGeneration(row->value);
+  if (recorded && recorded->generation == current) {
+    return std::min(recorded->at, own_seen_.at);
+  }
+  if (IsChosenWriter(state_)) WriteGeneration(own_seen_);
+  return own_seen_.at;
+}
+
+void SoftwareRecord::LoadAfter(milliseconds delay) {
+  reload_timer_.StartAfter(delay, [this] { Load(); });
+}
+
+void SoftwareRecord::WriteGeneration(const GenerationSeen& seen) {
+  platform::RowWrite write;
+  write.table = kTable;
+  write.key = kGenerationKey;
+  write.value = FormatGeneration(seen);
+  Call(write);
 }
 
 void SoftwareRecord::OnTick(TimePoint now) {
--- a/src/gateway/software_record.h
+++ b/src/gateway/software_record.h
@@ -5,13 +5,16 @@
 /// Stores which software versions services had lately, for gateways that start
 /// after a version has left.
 
+#include <chrono>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "gateway/gateway_state.h"
+#include "gateway/owned_timer.h"
 #include "gateway/store_client.h"
 #include "gateway/table_loader.h"
 #include "platform/table_calls.h"
@@ -19,10 +22,21 @@
 
 namespace yuccapick {
 
+/// When a gateway first knew of a generation of the store.
+struct GenerationSeen {
+  StoreGeneration generation;
+  StoreTime at;
+};
+
 /// Keeps one row in the store for each software version that a service had
 /// within the lifetime of streams. Without it, gateways that all lost power
 /// could take the version that they find for the only one, and continue streams
 /// of another at it. Used on one event loop.
+///
+/// A store that has come back from an older copy lacks the latest rows, and the
+/// upstreams take some time to register again. Another row holds the store's
+/// generation and since when a gateway has known it, so that one that starts
+/// later can tell whether that time has passed.
 class SoftwareRecord : public std::enable_shared_from_this<SoftwareRecord> {
  public:
   SoftwareRecord(GatewayState& state, std::shared_ptr<StoreClient> store);
@@ -36,6 +50,13 @@
 
  private:
   void OnLoaded(const platform::RowsAnswer& rows);
+  /// @return since when the store's generation is known to have begun; nullopt
+  ///   if the store names none
+  std::optional<StoreTime> GenerationSeenAt(const platform::RowsAnswer& rows);
+  /// The record, or the list of upstreams, may lack what it had before the
+  /// store's generation began.
+  void LoadAfter(std::chrono::milliseconds delay);
+  void WriteGeneration(const GenerationSeen& seen);
   void WriteMissing(const std::vector<SoftwareGroup>& listed);
   void RemoveForgotten(const std::vector<SoftwareGroup>& listed);
   /// Removes the row unless it was written since it was read here.
@@ -51,6 +72,8 @@
   std::shared_ptr<StoreClient> store_;
   std::shared_ptr<TableLoader> loader_;
   bool loaded_ = false;
+  GenerationSeen own_seen_;  ///< By this gateway.
+  OwnedTimer reload_timer_;
   /// Keys of the record's rows, as far as this gateway knows.
   std::set<std::string> keys_;
 };
--- a/test/gateway/stream_software_test.cc
+++ b/test/gateway/stream_software_test.cc
@@ -226,6 +226,57 @@
   CHECK(power_loss.v1.ReceivedCount() == 1);
 }
 
+/// Guards against streams that go on at another version since the store, which
+/// has come back from an older copy, lacks the one that began them.
+TEST_CASE("After a power loss a copy that lacks a version misleads nobody") {
+  PowerLoss power_loss;
+  FakeStore& store = power_loss.fixture.store;
+  store.RunClock();
+  store.set_generation(1);
+  const FakeStore::Copy copy = store.MakeCopy();
+  power_loss.Register(power_loss.v2.first, "v2");
+  power_loss.AwaitRecorded("app/v2");
+  store.Restore(copy);
+  power_loss.StartAnother();
+  CHECK(IsRefusal(power_loss.fixture.Ask(ResumedStream("id-2", "id-1"))));
+  power_loss.Register(power_loss.v2.first, "v2");
+  power_loss.fixture.Run(std::chrono::milliseconds(3'000));
+  const std::string answer =
+      power_loss.fixture.Ask(ResumedStream("id-3", "id-1"));
+  CHECK_FALSE(answer.starts_with("HTTP/1.1 200"));
+  CHECK(power_loss.v1.ReceivedCount() == 0);
+  CHECK(power_loss.v2.ReceivedCount() == 0);
+}
+
+/// Guards against streams that are refused for long for that reason.
+TEST_CASE("After a power loss and a copy the only version goes on soon") {
+  PowerLoss power_loss;
+  FakeStore& store = power_loss.fixture.store;
+  store.RunClock();
+  store.Restore(store.MakeCopy());
+  power_loss.StartAnother();
+  const auto started_at = std::chrono::steady_clock::now();
+  CHECK(HasRestOfStream(power_loss.ResumeStream("id-1")));
+  CHECK(std::chrono::steady_clock::now() - started_at <
+        std::chrono::seconds(4));
+}
+
+/// Guards against a wait at each start, long after the store came back.
+TEST_CASE("A gateway that starts later trusts the record at once") {
+  PowerLoss power_loss;
+  FakeStore& store = power_loss.fixture.store;
+  store.RunClock();
+  store.Restore(store.MakeCopy());
+  REQUIRE(power_loss.lost->RunUntilTrue(
+      [&] { return store.Has(kSoftwareTable, "generation"); }));
+  const auto settled_at =
+      std::chrono::steady_clock::now() + std::chrono::milliseconds(2'600);
+  REQUIRE(power_loss.lost->RunUntilTrue(
+      [&] { return std::chrono::steady_clock::now() >= settled_at; }));
+  power_loss.StartAnother();
+  CHECK(HasRestOfStream(power_loss.fixture.Ask(ResumedStream("id-2", "id-1"))));
+}
+
 TEST_CASE("Every stream is resumed while upstreams of its software serve") {
   constexpr std::size_t kStreams = 12;
   TwoSoftwareVersions versions;
