Return to a silent upstream if the one after it rejects the request late

Excluded: keeping the first attempt until the other one answers. If that one has begun, both work on the stream for longer than the 400 ms that are allowed.

--- a/include/yuccapick/attempt_policy.h
+++ b/include/yuccapick/attempt_policy.h
@@ -46,7 +46,11 @@
   bool budget_left = true;   ///< The service's retry budget is not spent.
   bool has_upstream = true;  ///< An upstream that was not tried is usable.
   std::uint32_t delivered_attempts = 0;  ///< Attempts that reached an upstream.
+  /// Upstreams that the request may be sent to.
   std::uint32_t max_attempts = 1;
+  /// The usable upstreams were sent the request before, and were given up only
+  /// since they were silent: another attempt there adds no upstream.
+  bool returns_only = false;
 };
 
 /// Has no side effects; the caller carries out the decision.
--- a/src/attempt_policy.cc
+++ b/src/attempt_policy.cc
@@ -16,7 +16,10 @@
   if (end == AttemptEnd::kNotSent) return true;
   if (!context.budget_left) return false;
   if (end == AttemptEnd::kWrongUpstream) return true;
-  if (context.delivered_attempts >= context.max_attempts) return false;
+  const bool adds_upstream = !context.returns_only;
+  if (adds_upstream && context.delivered_attempts >= context.max_attempts) {
+    return false;
+  }
   return DidNotRun(end) || context.may_repeat;
 }
 
--- a/src/gateway/proxied_request.cc
+++ b/src/gateway/proxied_request.cc
@@ -271,8 +271,12 @@
 }
 
 RetryDecision ProxiedRequest::NextDecision(AttemptEnd end) {
+  const bool spent = delivered_attempts_ >= admitted_.route->max_attempts;
+  returns_only_ = spent && !silent_upstreams_.empty();
+  if (returns_only_) ExcludeAllButSilentUpstreams();
   if (!HasUntriedUpstream()) ReadmitSilentUpstreams();
   RetryContext context = MakeRetryContext();
+  context.returns_only = returns_only_;
   const RetryDecision decision = DecideRetry(context, end);
   const bool spends =
       decision == RetryDecision::kSendElsewhere && end != AttemptEnd::kNotSent;
@@ -285,6 +289,9 @@
   paused_since_.reset();
   if (done_) return;
   if (parked_ && end != AttemptEnd::kTimedOut) return ResumeParked(reason);
+  // The decision may change which upstreams count as tried.
+  const std::string upstream =
+      query_.tried.empty() ? "-" : query_.tried.back().value;
   const RetryDecision decision = NextDecision(end);
   const TimePoint now = state_.Now();
   state_.log.Write(
@@ -293,9 +300,8 @@
       "exchange={} end={} reason=\"{}\" step={} delivered_attempts={} "
       "max_attempts={} left_ms={} begun_ms={} "
       "suspects={}",
-      admitted_.caller.attempt_id, attempts_sent_,
-      query_.tried.empty() ? "-" : query_.tried.back().value,
-      connection_number_, connection_exchanges_, AttemptEndName(end), reason,
+      admitted_.caller.attempt_id, attempts_sent_, upstream, connection_number_,
+      connection_exchanges_, AttemptEndName(end), reason,
       RetryDecisionName(decision), delivered_attempts_,
       admitted_.route->max_attempts, TimeLeft(now).count(),
       answer_began_at_ ? Milliseconds(now - *answer_began_at_) : -1,
--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -165,6 +165,8 @@
   /// Learns whether the upstream asks for a pause.
   void RecordPause(const AnswerInfo& info);
   bool HasUntriedUpstream() const;
+  /// Keeps the request from upstreams that it wasn't sent to.
+  void ExcludeAllButSilentUpstreams();
   /// Lets the request return to upstreams that were given up for silence, since
   /// they may be sound.
   void ReadmitSilentUpstreams();
@@ -361,6 +363,8 @@
   std::vector<std::weak_ptr<HttpConnection>> used_connections_;
   /// Given up for silence, in the order of the attempts.
   std::vector<UpstreamId> silent_upstreams_;
+  /// Only these are left for the next attempt, whether or not they have room.
+  bool returns_only_ = false;
   std::uint32_t attempts_sent_ = 0;
   // Of the last attempt, for logs.
   std::uint64_t connection_number_ = 0;
--- a/src/gateway/proxied_request_fleet.cc
+++ b/src/gateway/proxied_request_fleet.cc
@@ -93,7 +93,7 @@
   PlacementFleet fleet = FleetWithoutCandidates();
   const GatewayService* service = admitted_.config->FindService(service_);
   const bool engines = service != nullptr && service->engine.has_value();
-  const bool needs_room = NeedsRoom(fleet);
+  const bool needs_room = !returns_only_ && NeedsRoom(fleet);
   RoomDemand demand;
   if (needs_room) demand = MakeRoomDemand();
   const TimePoint now = state_.Now();
@@ -148,6 +148,13 @@
   return false;
 }
 
+void ProxiedRequest::ExcludeAllButSilentUpstreams() {
+  for (const UpstreamEntry* it : state_.roster.All()) {
+    std::erase(query_.tried, it->id);
+    query_.tried.push_back(it->id);
+  }
+}
+
 void ProxiedRequest::ReadmitSilentUpstreams() {
   for (const UpstreamId& upstream : std::exchange(silent_upstreams_, {})) {
     std::erase(query_.tried, upstream);
--- a/test/gateway/handed_over_attempt_test.cc
+++ b/test/gateway/handed_over_attempt_test.cc
@@ -183,6 +183,29 @@
   CHECK(gateway.Received() == 2);
 }
 
+/// Guards against a stream that is cut since another upstream, which had seemed
+/// to take it, rejects it late.
+TEST_CASE(
+    "A stream returns to its silent upstream if another rejects it late") {
+  constexpr milliseconds kRejectAfter{700};
+  SilentAndOther gateway(BeginStream, [&](FakeUpstream& upstream, Connection& c,
+                                          const ReceivedRequest& r) {
+    if (gateway.Received() > 2) {
+      CHECK(r.Field("Last-Event-Id") == "1");
+      upstream.BeginStream(c, r);
+      return c.Write(Rest(2));
+    }
+    gateway.After(kRejectAfter, [&upstream, r, self = c.shared_from_this()] {
+      RejectAsFull(upstream, *self, r);
+    });
+  });
+  const std::string answer =
+      gateway.fixture.Ask(CallerRequest("POST", "/tell/1", "", "x"));
+  CHECK(IsWholeStream(answer));
+  CHECK(gateway.Received() == 3);
+  CHECK(gateway.silent->closed_by_peer);
+}
+
 /// Guards against pieces of two runs in one stream.
 TEST_CASE("A silent upstream that goes on in time keeps its stream") {
   SilentAndOther gateway(BeginStream, [&](FakeUpstream& /*upstream*/,
@@ -269,6 +292,8 @@
       gateway.fixture.Ask(CallerRequest("GET", "/look/1"));
   CHECK(answer.starts_with("HTTP/1.1 502"));
   CHECK(gateway.Received() == 2);
+  // The connection that it holds must not outlive the loop.
+  reject = nullptr;
 }
 
 }  // namespace yuccapick
