Keep versions and origins for the longest resumable stream

A stream of a route with a longer time limit could be resumed when its version was forgotten, and the only one that was left was taken for its origin.

Change: the lifetime is at least the longest time limit of a resumable route of any configuration that was in force here.

Shown: "Versions and origins are kept for the longest stream" resumes a stream after 90 s; the lifetime was a constant before, so it had no call to fail on.

--- a/include/yuccapick/gateway_config.h
+++ b/include/yuccapick/gateway_config.h
@@ -122,6 +122,8 @@
   /// True if any team has a quota.
   bool has_quotas() const { return has_quotas_; }
 
+  /// @return the longest time limit of a resumable stream; 0 without one
+  std::chrono::milliseconds LongestStreamTime() const;
   /// @return the route of `host` whose prefix is the longest one that matches
   /// `path`, or null
   const GatewayRoute* FindRoute(std::string_view host,
--- a/include/yuccapick/stream_origins.h
+++ b/include/yuccapick/stream_origins.h
@@ -53,6 +53,8 @@
 
   // Commands.
 
+  /// Streams may run, and be resumed, for this long.
+  void OnStreamTimeLimit(std::chrono::milliseconds limit);
   /// An upstream of this group is listed.
   void OnListed(const SoftwareGroup& group, TimePoint now);
   /// These groups were listed lately, as the store's record says; any that were
--- a/src/gateway/gateway_process_tables.cc
+++ b/src/gateway/gateway_process_tables.cc
@@ -194,6 +194,7 @@
   }
   state_.config = *config;
   config_in_force_ = row.value;
+  state_.stream_origins.OnStreamTimeLimit(state_.config->LongestStreamTime());
   state_.ListKvStores();
   state_.log.Write(LogKind::kStateChange, state_.Now(),
                    "event=config_in_force version={} row_version={}",
--- a/src/gateway_config.cc
+++ b/src/gateway_config.cc
@@ -61,6 +61,14 @@
   });
 }
 
+std::chrono::milliseconds GatewayConfig::LongestStreamTime() const {
+  std::chrono::milliseconds longest{0};
+  for (const GatewayRoute& route : routes_) {
+    if (route.resumable) longest = std::max(longest, route.timeout);
+  }
+  return longest;
+}
+
 const GatewayRoute* GatewayConfig::FindRoute(std::string_view host,
                                              std::string_view path) const {
   const auto it = by_host_.find(absl::string_view(host.data(), host.size()));
--- a/src/stream_origins.cc
+++ b/src/stream_origins.cc
@@ -35,6 +35,10 @@
   current_.try_emplace(stream.value, group);
 }
 
+void StreamOrigins::OnStreamTimeLimit(std::chrono::milliseconds limit) {
+  options_.lifetime = std::max(options_.lifetime, limit);
+}
+
 void StreamOrigins::OnListed(const SoftwareGroup& group, TimePoint now) {
   if (!listening_since_) listening_since_ = now;
   listed_at_[group] = now;
--- a/test/gateway_config_test.cc
+++ b/test/gateway_config_test.cc
@@ -46,6 +46,21 @@
   CHECK(config.FindRoute("other.example", "/a/b/c") == nullptr);
 }
 
+TEST_CASE("The longest resumable stream is that of any route") {
+  GatewayRoute shorter = Route("shorter", "/s/");
+  shorter.resumable = true;
+  shorter.timeout = std::chrono::milliseconds(9'000);
+  GatewayRoute longer = Route("longer", "/l/");
+  longer.resumable = true;
+  longer.timeout = std::chrono::milliseconds(90'000);
+  GatewayRoute other = Route("other", "/o/");
+  other.timeout = std::chrono::milliseconds(900'000);
+  const GatewayConfig config(ConfigVersion(1), {shorter, longer, other}, {},
+                             AccessControl::kNone, {}, {});
+  CHECK(config.LongestStreamTime() == longer.timeout);
+  CHECK(GatewayConfig().LongestStreamTime() == std::chrono::milliseconds(0));
+}
+
 TEST_CASE("A key selects its team, and an anonymous route requires none") {
   const GatewayConfig config = Example();
   const auto permit = std::get<AdmittedRoute>(
--- a/test/stream_origins_test.cc
+++ b/test/stream_origins_test.cc
@@ -78,6 +78,23 @@
   }
 }
 
+/// Guards against a stream that outlasts what is remembered of its version, and
+/// goes on at the only one that is left.
+TEST_CASE("Versions and origins are kept for the longest stream") {
+  constexpr milliseconds kTimeLimit{90'000};
+  StreamOrigins origins(kOptions);
+  origins.OnStreamTimeLimit(kTimeLimit);
+  origins.OnStreamTimeLimit(milliseconds(1'000));
+  CHECK(origins.lifetime() == kTimeLimit);
+  origins.OnHistory({}, kStart);
+  origins.OnListed(kOld, kStart);
+  origins.OnBegan(StreamIdOf("a"), kOld, false, kStart);
+  const TimePoint later = kStart + kTimeLimit - milliseconds(1);
+  origins.OnListed(kNew, later);
+  CHECK_FALSE(origins.OnlyGroup(kService, later));
+  CHECK(origins.Find(StreamIdOf("a")) == kOld);
+}
+
 TEST_CASE("Peers are told of streams while there are several versions") {
   StreamOrigins origins(kOptions);
   origins.OnListed(kOld, kStart);
