Return to a silent upstream only with a request that may be repeated

Callers saw nothing: requests that may not be repeated are never handed over, so none has an upstream to return to. The decision by itself allowed it.

Cause: with returns_only a rejection elsewhere let DecideRetry send a request again to an upstream that may have run it. The property of attempt_policy_test.cc didn't see it, since its contexts never had returns_only set.

Change: a return needs may_repeat; a hand-over is never a return.

Shown: with the contexts corrected, "The guarantees of the retry decision hold in every context" fails on the code before (returns_only, may_repeat false) and passes, 1,000 contexts.

--- a/src/attempt_policy.cc
+++ b/src/attempt_policy.cc
@@ -16,10 +16,9 @@
   if (end == AttemptEnd::kNotSent) return true;
   if (!context.budget_left) return false;
   if (end == AttemptEnd::kWrongUpstream) return true;
-  const bool adds_upstream = !context.returns_only;
-  if (adds_upstream && context.delivered_attempts >= context.max_attempts) {
-    return false;
-  }
+  // The upstream to return to may have run the request.
+  if (context.returns_only) return context.may_repeat;
+  if (context.delivered_attempts >= context.max_attempts) return false;
   return DidNotRun(end) || context.may_repeat;
 }
 
@@ -41,6 +40,7 @@
   RetryContext left = context;
   ++left.delivered_attempts;
   left.may_have_run = true;
+  left.returns_only = false;
   return DecideRetry(left, AttemptEnd::kBroken) == RetryDecision::kSendElsewhere
              ? SilenceDecision::kHandOver
              : SilenceDecision::kWait;
--- a/test/attempt_policy_test.cc
+++ b/test/attempt_policy_test.cc
@@ -76,6 +76,7 @@
   context.has_upstream = *rc::gen::arbitrary<bool>();
   context.delivered_attempts = *rc::gen::inRange(0U, 4U);
   context.max_attempts = *rc::gen::inRange(1U, 4U);
+  context.returns_only = *rc::gen::arbitrary<bool>();
   return context;
 }
 
@@ -102,6 +103,10 @@
       if (adds_upstream) {
         RC_ASSERT(context.delivered_attempts < context.max_attempts);
       }
+      // The upstream to return to may have run the request.
+      if (counts && context.returns_only) {
+        RC_ASSERT(context.may_repeat && context.budget_left);
+      }
     }
     if (context.answer_started) {
       // The caller already has a head; a second one cannot be sent.
@@ -136,6 +141,7 @@
     RetryContext left = context;
     ++left.delivered_attempts;
     left.may_have_run = true;
+    left.returns_only = false;
     const bool retried =
         DecideRetry(left, AttemptEnd::kBroken) == RetryDecision::kSendElsewhere;
     const SilenceDecision decision = DecideSilence(context);
@@ -143,8 +149,7 @@
     if (decision == SilenceDecision::kHandOver) {
       RC_ASSERT(context.may_repeat);
       RC_ASSERT(context.has_upstream && context.budget_left);
-      RC_ASSERT(context.delivered_attempts + 1 < context.max_attempts ||
-                context.returns_only);
+      RC_ASSERT(context.delivered_attempts + 1 < context.max_attempts);
     }
   });
 }
