Read all pages of the list of gateways

The list of gateways was read up to its first page, 500 rows or 1 MB: beyond that, gateways didn't know each other, and the count by which a team's quota is divided among gateways that decide alone was too small.

Change: pages are read until the store has no more; the count is taken over only then.

Shown: "A gateway that starts reads all pages of the list of gateways" fails with only the first page read (one live peer of two) and passes. 500 gateways were not started.

--- a/src/gateway/gateway_process.h
+++ b/src/gateway/gateway_process.h
@@ -152,7 +152,17 @@
   void RegisterEndpointIfMissing();
   void OnOwnEndpointRead(const std::string& key,
                          const absl::StatusOr<StoreAnswer>& answer);
+  /// What the pages of the list of gateways held that were read so far.
+  struct PeerListRead {
+    bool after_registration = false;
+    std::size_t gateways = 0;
+  };
+
   void FetchPeerList();
+  /// @param from_key first key of the page; empty for the first page
+  void FetchPeerListPage(const PeerListRead& read, const std::string& from_key);
+  void OnPeerListPage(PeerListRead read,
+                      const absl::StatusOr<StoreAnswer>& answer);
   PeerReport MakeReport();
   static KvStoreReport MakeKvStoreReport(const std::string& endpoint,
                                          KvStoreState& store);
--- a/src/gateway/gateway_process_peers.cc
+++ b/src/gateway/gateway_process_peers.cc
@@ -262,27 +262,40 @@
 }
 
 void GatewayProcess::FetchPeerList() {
-  const std::string& store = state_.settings.table_endpoint;
   // Gateways that start together may all read the list before the others have
   // registered. A read that follows the own registration finds every gateway
   // that doesn't find this one.
-  const bool complete = registered_;
-  store_->Call(store, platform::EncodeReadRows(store, kGatewayTable, ""),
+  FetchPeerListPage({registered_}, "");
+}
+
+void GatewayProcess::FetchPeerListPage(const PeerListRead& read,
+                                       const std::string& from_key) {
+  const std::string& store = state_.settings.table_endpoint;
+  store_->Call(store, platform::EncodeReadRows(store, kGatewayTable, from_key),
                kPeerListRetryDelay,
-               [this, complete](const absl::StatusOr<StoreAnswer>& answer) {
-                 const auto rows = RowsOf(answer);
-                 if (!rows.ok()) return;
-                 if (complete) {
-                   next_peer_list_ = state_.Now() + kPeerListInterval;
-                 }
-                 quota_sync_->OnGatewayCount(rows->rows.size());
-                 for (const MirrorRow& row : rows->rows) {
-                   if (row.value == exchange_.endpoint()) continue;
-                   peers_.OnEndpoint(row.value, state_.Now());
-                 }
+               [this, read](const absl::StatusOr<StoreAnswer>& answer) {
+                 OnPeerListPage(read, answer);
                });
 }
 
+void GatewayProcess::OnPeerListPage(PeerListRead read,
+                                    const absl::StatusOr<StoreAnswer>& answer) {
+  const auto rows = RowsOf(answer);
+  if (!rows.ok()) return;
+  read.gateways += rows->rows.size();
+  for (const MirrorRow& row : rows->rows) {
+    if (row.value == exchange_.endpoint()) continue;
+    peers_.OnEndpoint(row.value, state_.Now());
+  }
+  if (rows->has_more && !rows->rows.empty()) {
+    return FetchPeerListPage(read, rows->rows.back().key + '\0');
+  }
+  if (read.after_registration) {
+    next_peer_list_ = state_.Now() + kPeerListInterval;
+  }
+  quota_sync_->OnGatewayCount(read.gateways);
+}
+
 bool GatewayProcess::HasUrgentNews() const {
   return state_.speeds.HasUrgentNews() || !state_.unreported_weights.empty() ||
          !state_.unreported_leaving.empty();
--- a/test/gateway/gateway_process_test.cc
+++ b/test/gateway/gateway_process_test.cc
@@ -366,5 +366,23 @@
   CHECK(Contains(caller.input(), "yuccapick_upstreams_listed 1\n"));
 }
 
+/// Guards against gateways that don't know each other since the list of them
+/// has several pages.
+TEST_CASE("A gateway that starts reads all pages of the list of gateways") {
+  GatewayFixture fixture;
+  FakeUpstream upstream(
+      fixture.loop, "up",
+      [](FakeUpstream::Connection& /*c*/, const ReceivedRequest& /*r*/) {});
+  fixture.PutConfig(1, "[]");
+  fixture.Register(upstream, "app");
+  fixture.Start();
+  fixture.StartPeer();
+  fixture.store.set_page_rows(1);
+  fixture.StartLate();
+  CHECK(fixture.RunUntilTrue([&fixture] {
+    return fixture.HasMetric(fixture.late_settings, "yuccapick_peers_live 2");
+  }));
+}
+
 }  // namespace
 }  // namespace yuccapick
