Call no stream lost while the record of versions may lack rows

Callers could be told 410 for a stream that another gateway knows: just after the store has come back from an older copy, survivors may not have saved their origins again.

Change: a stream is called lost only when the record of versions is complete. Besides, a metric shows how long origins are kept, since nothing tested that the configuration's time limits are taken over.

Shown: "No stream is lost just after the store came back from a copy" fails without the condition (9 of the answers were 410) and passes. "Origins are kept for the time limit of the longest stream" fails with the call in ApplyConfig taken out, and passes.

--- a/src/gateway/gateway_process_metrics.cc
+++ b/src/gateway/gateway_process_metrics.cc
@@ -94,6 +94,8 @@
           state_.request_memory->refused());
   counter("yuccapick_process_pauses", pauses_);
   gauge("yuccapick_known_stream_origins", state_.stream_origins.size());
+  gauge("yuccapick_stream_origin_lifetime_ms",
+        static_cast<std::uint64_t>(state_.stream_origins.lifetime().count()));
   counter("yuccapick_unknown_stream_origins", state_.unknown_stream_origins);
   counter("yuccapick_lost_stream_origins", state_.lost_stream_origins);
   counter("yuccapick_saved_stream_origins", stream_origin_record_->saved());
--- a/src/gateway/proxied_request_origin.cc
+++ b/src/gateway/proxied_request_origin.cc
@@ -116,9 +116,11 @@
   if (done_) return;
   const CallerHeaders& caller = admitted_.caller;
   if (FindStreamOrigin(list_confirmed) != OriginSearch::kFound) {
-    const StreamId stream = StreamIdOf(caller.resumes);
-    const bool lost =
-        NeedsExactOrigin() && state_.is_stream_origin_lost(stream);
+    // While the record may lack rows, gateways that know the origin may not
+    // have saved it again.
+    const bool complete = state_.stream_origins.KnowsHistory(state_.Now());
+    const bool lost = complete && NeedsExactOrigin() &&
+                      state_.is_stream_origin_lost(StreamIdOf(caller.resumes));
     return lost ? RefuseLostStream() : RefuseUnknownStream(list_confirmed);
   }
   state_.log.Write(
--- a/test/gateway/stream_origin_record_test.cc
+++ b/test/gateway/stream_origin_record_test.cc
@@ -236,6 +236,40 @@
   CHECK(versions.v2.ReceivedCount() == 0);
 }
 
+/// Guards against a stream that is called lost while the gateways that know it
+/// have not saved it again.
+TEST_CASE("No stream is lost just after the store came back from a copy") {
+  TwoVersionsUntilKill fleet;
+  fleet.ListV2();
+  FakeStore& store = fleet.fixture.store;
+  store.RunClock();
+  store.Restore(store.MakeCopy());
+  fleet.Kill();
+  fleet.fixture.Start();
+  const auto settled_at =
+      std::chrono::steady_clock::now() + milliseconds(1'900);
+  int attempts = 0;
+  while (std::chrono::steady_clock::now() < settled_at) {
+    const std::string attempt = fmt::format("again-{}", ++attempts);
+    CHECK(IsRefusal(fleet.fixture.Ask(ResumedStream(attempt, "unknown"))));
+    fleet.fixture.Run(milliseconds(100));
+  }
+  CHECK(attempts > 1);
+}
+
+/// Guards against a time limit of the configuration that isn't taken over.
+TEST_CASE("Origins are kept for the time limit of the longest stream") {
+  GatewayFixture fixture;
+  StreamUpstream upstream(fixture.loop, "up");
+  std::string routes = kStreamRoutes;
+  routes.replace(routes.find("20000"), 5, "90000");
+  fixture.PutConfig(1, routes);
+  fixture.RegisterSoftware(upstream.fake, "app", "v1");
+  fixture.Start();
+  CHECK(fixture.HasMetric(fixture.settings,
+                          "yuccapick_stream_origin_lifetime_ms 90000"));
+}
+
 /// Guards against writes where any gateway could tell the origin.
 TEST_CASE("Origins of a service with one version are not saved") {
   TwoVersionsUntilKill fleet;
