Let a version begin streams only once its record outlasts any copy

Callers saw: after the store came back from a copy and all gateways had started, streams of a version that the copy lacks went on at the version that was left, if the upstreams of the first stayed away or came late.

Cause: what is missing from the list, the record and the memory was taken for proof that there is one version only. After such a loss the two cases look the same, so no rule that is applied afterwards can keep apart what must go on and what must not. Excluded: a longer wait (the upstreams may never come back), refusing all for the longest stream (all streams of services with one version would be lost), saving all origins (those of the copy's age are still unknown).

Change: each version's row holds since when it has been in the store. A version with a younger row, beside a clearly older one, began no unknown stream. A service whose only version did not survive a return resumes no unknown stream until those of before have ended. A gateway logs for each resumed stream what it relied on (event=stream_origin).

--- a/include/yuccapick/stream_origins.h
+++ b/include/yuccapick/stream_origins.h
@@ -79,20 +79,18 @@
   // Queries.
 
   /// True if no group is unknown that was listed within `lifetime`, up to the
-  /// last change of the list that this process has read.
+  /// last change of the list that this process has read, but for what the
+  /// store lost when it came back from an older copy (see `VersionRecord`).
   bool KnowsHistory(TimePoint now) const;
   /// Returns the groups that were listed within `lifetime`.
   std::vector<SoftwareGroup> Listed(TimePoint now) const;
+  /// Returns those of one service.
+  std::vector<SoftwareGroup> ListedOf(const ServiceId& service,
+                                      TimePoint now) const;
   /// True if the service had several software versions within `lifetime`.
   bool IsMixed(const ServiceId& service, TimePoint now) const;
   /// @return nullopt if it is not known
   std::optional<SoftwareGroup> Find(StreamId stream) const;
-  /// Says nothing of upstreams that were listed after this process last read
-  /// the list.
-  /// @return the only software version that the service had within `lifetime`;
-  ///   nullopt if there are several, or without `KnowsHistory`
-  std::optional<SoftwareGroup> OnlyGroup(const ServiceId& service,
-                                         TimePoint now) const;
   std::chrono::milliseconds lifetime() const { return options_.lifetime; }
   std::size_t size() const { return current_.size() + previous_.size(); }
 
--- a/src/gateway/gateway_process_peers.cc
+++ b/src/gateway/gateway_process_peers.cc
@@ -176,6 +176,7 @@
 }
 
 void GatewayProcess::OnStoreGeneration(StoreGeneration generation) {
+  state_.version_record.OnNewGeneration(state_.StoreAnsweredAt());
   state_.store_times.OnNewGeneration();
   rollout_->OnGeneration(generation);
   if (store_->generations().changes() == 0) return;
--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -107,6 +107,27 @@
   return store_times.clock.Now(BootTimeNow());
 }
 
+std::optional<StoreTime> GatewayState::StoreAnsweredAt() const {
+  const StoreTime own = store_times.newest_own;
+  const StoreTime newest = std::max(own, store_times.answered_at.value_or(own));
+  if (newest == StoreTime()) return std::nullopt;
+  return newest;
+}
+
+std::vector<SoftwareGroup> GatewayState::PossibleOrigins(
+    const ServiceId& service) const {
+  return version_record.PossibleOrigins(stream_origins.ListedOf(service, Now()),
+                                        StoreAnsweredAt());
+}
+
+std::optional<SoftwareGroup> GatewayState::OnlyOrigin(
+    const ServiceId& service) const {
+  const TimePoint now = Now();
+  if (!stream_origins.KnowsHistory(now)) return std::nullopt;
+  return version_record.OnlyOrigin(stream_origins.ListedOf(service, now),
+                                   StoreAnsweredAt());
+}
+
 void GatewayState::ListKvStores() {
   std::map<std::string, KvStoreState> listed;
   for (const GatewayService* store : config->KvStores()) {
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -41,6 +41,7 @@
 #include "yuccapick/upstream_load.h"
 #include "yuccapick/upstream_pauses.h"
 #include "yuccapick/upstream_roster.h"
+#include "yuccapick/version_record.h"
 
 namespace yuccapick {
 
@@ -92,6 +93,15 @@
   /// Peers' answers that were told before the store's time was known count.
   void OnStoreTimeKnown();
   TimePoint Now() const { return std::chrono::steady_clock::now(); }
+  /// @return the store's time in its last answer of this generation to any
+  ///   gateway, as far as known
+  std::optional<StoreTime> StoreAnsweredAt() const;
+  /// Returns the known versions that may have begun a stream of which nothing
+  /// else is known.
+  std::vector<SoftwareGroup> PossibleOrigins(const ServiceId& service) const;
+  /// @return the only version that may have begun such a stream; nullopt if
+  ///   there are several, or if an unknown one may have
+  std::optional<SoftwareGroup> OnlyOrigin(const ServiceId& service) const;
   /// @return nullopt before the store's time is known
   std::optional<StoreTime> StoreNow() const;
   /// Takes over the KV stores of the configuration.
@@ -123,6 +133,7 @@
   PartDirectory parts;
   std::set<UpstreamId> loading;  ///< Upstreams that load new weights.
   StreamOrigins stream_origins;
+  VersionRecord version_record;
   /// Streams refused since it isn't known which software version began them.
   std::uint64_t unknown_stream_origins = 0;
   /// Those of them whose origin nobody will ever know.
--- a/src/gateway/proxied_request.cc
+++ b/src/gateway/proxied_request.cc
@@ -73,7 +73,7 @@
 }
 
 void ProxiedRequest::BeginAdmitted() {
-  const OriginSearch search = FindStreamOrigin(/*list_confirmed=*/false);
+  const OriginSearch search = FindStreamOrigin({});
   state_.RetryBudgetOf(service_).OnRequest();
   if (search == OriginSearch::kUnconfirmed) return AwaitListConfirmation();
   if (search == OriginSearch::kUnknown) return LookUpStreamOrigin(false);
--- a/src/gateway/proxied_request.h
+++ b/src/gateway/proxied_request.h
@@ -108,11 +108,17 @@
   /// What is known of the software version that began a resumed stream.
   enum class OriginSearch : std::uint8_t {
     kFound,  ///< Or the request resumes no stream.
-    /// The service has one software version, as far as this gateway has read.
+    /// One software version may have begun it, as far as this gateway has read.
     kUnconfirmed,
     kUnknown,  ///< Or its service is not on the route any more.
   };
 
+  /// What was read for a resumed stream.
+  struct OriginEvidence {
+    bool list_confirmed = false;  ///< All upstreams that are listed now.
+    bool looked_up = false;       ///< What the store knows of its origin.
+  };
+
   /// Refuses the request, or lets it wait, if its team's quota requires that.
   /// @return true if it may go on
   bool CheckQuota();
@@ -122,18 +128,21 @@
   /// Continues with a request that is within its team's quota.
   void BeginAdmitted();
   ServiceId PickService();
-  /// True if a stream of the route may have begun at one of several software
-  /// versions or services.
-  bool NeedsExactOrigin() const;
+  /// True if a stream of the route may have begun at one of several services.
+  bool IsSplit() const;
   /// Binds a stream that the caller resumes to the service and the software
   /// version that began it.
-  /// @param list_confirmed all upstreams are known that are listed now
-  OriginSearch FindStreamOrigin(bool list_confirmed);
+  OriginSearch FindStreamOrigin(const OriginEvidence& evidence);
+  /// @param source how the origin is known
+  void LogOrigin(const char* source);
+  /// @return the service's versions that were listed lately, with the ages of
+  ///   their rows in ms, -1 for unknown ones
+  std::string DescribeListed() const;
   /// Waits until all upstreams are known that are listed now.
   void AwaitListConfirmation();
   void OnListConfirmation(bool confirmed);
   /// Waits until what the store knows of the stream's origin was read.
-  /// @param list_confirmed see `FindStreamOrigin`
+  /// @param list_confirmed see `OriginEvidence`
   void LookUpStreamOrigin(bool list_confirmed);
   void OnOriginLookedUp(bool list_confirmed);
   void RefuseUnknownStream(bool list_confirmed);
@@ -142,6 +151,11 @@
   /// Places and sends the request.
   void Place();
   PlacementFleet Fleet() const;
+  /// True for a request that begins a stream which can be resumed.
+  bool BeginsResumableStream() const;
+  /// Returns the upstreams of the service to which the request may be sent by
+  /// their software version.
+  std::vector<const UpstreamEntry*> UsableBySoftware() const;
   PlacementFleet FleetWithoutCandidates() const;
   /// Keeps the request from engines that load weights or are paused after
   /// failures, while sound ones only lack room: they would reject it.
--- a/src/gateway/proxied_request_fleet.cc
+++ b/src/gateway/proxied_request_fleet.cc
@@ -1,5 +1,7 @@
 #include <algorithm>
+#include <map>
 #include <utility>
+#include <vector>
 
 #include "gateway/proxied_request.h"
 
@@ -89,6 +91,46 @@
                                          limit, *now);
 }
 
+bool ProxiedRequest::BeginsResumableStream() const {
+  return admitted_.route->kind == RouteKind::kStreaming &&
+         admitted_.route->resumable && !stream_software_;
+}
+
+std::vector<const UpstreamEntry*> ProxiedRequest::UsableBySoftware() const {
+  std::vector<const UpstreamEntry*> usable = state_.roster.Usable(service_);
+  if (stream_software_) {
+    std::erase_if(usable, [this](const UpstreamEntry* it) {
+      return it->software != *stream_software_;
+    });
+    return usable;
+  }
+  const bool one_version =
+      std::all_of(usable.begin(), usable.end(), [&](const UpstreamEntry* it) {
+        return it->software == usable.front()->software;
+      });
+  if (one_version || !BeginsResumableStream()) return usable;
+  const TimePoint now = state_.Now();
+  std::map<SoftwareGroup, Incarnation> oldest;
+  for (const UpstreamEntry* it : usable) {
+    if (state_.health.Paused(it->id, now)) continue;
+    const auto [known, added] =
+        oldest.try_emplace({service_, it->software}, it->incarnation);
+    if (!added) known->second = std::min(known->second, it->incarnation);
+  }
+  std::vector<ServingVersion> serving;
+  for (const auto& [group, incarnation] : oldest) {
+    serving.push_back({group, incarnation});
+  }
+  if (serving.size() < 2) return usable;
+  const std::vector<SoftwareGroup> starters =
+      state_.version_record.Starters(serving, state_.StoreAnsweredAt());
+  std::erase_if(usable, [&](const UpstreamEntry* it) {
+    return std::find(starters.begin(), starters.end(),
+                     SoftwareGroup{service_, it->software}) == starters.end();
+  });
+  return usable;
+}
+
 PlacementFleet ProxiedRequest::Fleet() const {
   PlacementFleet fleet = FleetWithoutCandidates();
   const GatewayService* service = admitted_.config->FindService(service_);
@@ -99,8 +141,7 @@
   const TimePoint now = state_.Now();
   lacks_room_ = false;
   std::vector<PlacementCandidate> overdue;
-  for (const UpstreamEntry* upstream : state_.roster.Usable(service_)) {
-    if (stream_software_ && upstream->software != *stream_software_) continue;
+  for (const UpstreamEntry* upstream : UsableBySoftware()) {
     if (engines && !WeightsAt(*upstream)) continue;
     PlacementCandidate candidate = CandidateFor(*upstream);
     candidate.slowdown = state_.speeds.SlowdownOf(*upstream, now);
--- a/src/gateway/proxied_request_origin.cc
+++ b/src/gateway/proxied_request_origin.cc
@@ -1,7 +1,9 @@
+#include <fmt/format.h>
 #include <xxhash.h>
 
 #include <algorithm>
 #include <memory>
+#include <string>
 
 #include "gateway/http_status.h"
 #include "gateway/proxied_request.h"
@@ -47,13 +49,12 @@
   return targets.back().service;
 }
 
-bool ProxiedRequest::NeedsExactOrigin() const {
-  return admitted_.route->targets.size() > 1 ||
-         state_.stream_origins.IsMixed(service_, state_.Now());
+bool ProxiedRequest::IsSplit() const {
+  return admitted_.route->targets.size() > 1;
 }
 
 ProxiedRequest::OriginSearch ProxiedRequest::FindStreamOrigin(
-    bool list_confirmed) {
+    const OriginEvidence& evidence) {
   const CallerHeaders& caller = admitted_.caller;
   if (admitted_.route->kind != RouteKind::kStreaming) {
     return OriginSearch::kFound;
@@ -62,18 +63,52 @@
     return OriginSearch::kFound;
   }
   auto origin = state_.stream_origins.Find(StreamIdOf(caller.resumes));
-  if (!origin && !NeedsExactOrigin()) {
-    if (!list_confirmed) return OriginSearch::kUnconfirmed;
-    origin = state_.stream_origins.OnlyGroup(service_, state_.Now());
+  const char* source = "known";
+  if (!origin && !IsSplit()) {
+    origin = state_.OnlyOrigin(service_);
+    source = "only_version";
+    const bool may_be_only = state_.PossibleOrigins(service_).size() <= 1;
+    if (may_be_only && !evidence.list_confirmed) {
+      return OriginSearch::kUnconfirmed;
+    }
+    // A version that began no streams by its age may have begun some while no
+    // other served. The store has their origins.
+    const bool mixed = state_.stream_origins.IsMixed(service_, state_.Now());
+    if (mixed && !evidence.looked_up) return OriginSearch::kUnknown;
   }
   if (!origin || !IsTarget(*admitted_.route, origin->service)) {
     return OriginSearch::kUnknown;
   }
   service_ = origin->service;
   stream_software_ = origin->software;
+  LogOrigin(source);
   return OriginSearch::kFound;
 }
 
+void ProxiedRequest::LogOrigin(const char* source) {
+  const CallerHeaders& caller = admitted_.caller;
+  state_.log.Write(
+      LogKind::kRequest, state_.Now(),
+      "event=stream_origin id={} resumes={} service={} software={} source={} "
+      "waited_ms={} listed={}",
+      caller.attempt_id, caller.resumes.empty() ? "-" : caller.resumes,
+      service_.value, stream_software_->value, source,
+      Milliseconds(state_.Now() - admitted_.request.arrived_at),
+      DescribeListed());
+}
+
+std::string ProxiedRequest::DescribeListed() const {
+  const std::optional<StoreTime> at = state_.StoreAnsweredAt();
+  std::string text;
+  for (const SoftwareGroup& it :
+       state_.stream_origins.ListedOf(service_, state_.Now())) {
+    const auto age = state_.version_record.AgeOf(it, at);
+    text += fmt::format("{}{}:{}", text.empty() ? "" : ",", it.software.value,
+                        age ? age->count() : -1);
+  }
+  return text.empty() ? "-" : text;
+}
+
 void ProxiedRequest::AwaitListConfirmation() {
   const milliseconds limit = std::min(kMaxListWait, TimeLeft(state_.Now()) / 2);
   const std::weak_ptr<ProxiedRequest> weak = weak_from_this();
@@ -85,13 +120,8 @@
 
 void ProxiedRequest::OnListConfirmation(bool confirmed) {
   if (done_) return;
-  const OriginSearch search = FindStreamOrigin(confirmed);
+  const OriginSearch search = FindStreamOrigin({confirmed, false});
   if (search != OriginSearch::kFound) return LookUpStreamOrigin(confirmed);
-  state_.log.Write(
-      LogKind::kRequest, state_.Now(),
-      "event=stream_origin_confirmed id={} software={} waited_ms={}",
-      admitted_.caller.attempt_id, stream_software_->value,
-      Milliseconds(state_.Now() - admitted_.request.arrived_at));
   Place();
 }
 
@@ -115,20 +145,17 @@
 void ProxiedRequest::OnOriginLookedUp(bool list_confirmed) {
   if (done_) return;
   const CallerHeaders& caller = admitted_.caller;
-  if (FindStreamOrigin(list_confirmed) != OriginSearch::kFound) {
-    // While the record may lack rows, gateways that know the origin may not
-    // have saved it again.
-    const bool complete = state_.stream_origins.KnowsHistory(state_.Now());
-    const bool lost = complete && NeedsExactOrigin() &&
-                      state_.is_stream_origin_lost(StreamIdOf(caller.resumes));
-    return lost ? RefuseLostStream() : RefuseUnknownStream(list_confirmed);
+  if (FindStreamOrigin({list_confirmed, true}) == OriginSearch::kFound) {
+    return Place();
   }
-  state_.log.Write(
-      LogKind::kRequest, state_.Now(),
-      "event=stream_origin_looked_up id={} resumes={} software={} waited_ms={}",
-      caller.attempt_id, caller.resumes, stream_software_->value,
-      Milliseconds(state_.Now() - admitted_.request.arrived_at));
-  Place();
+  // While the record may lack rows, gateways that know the origin may not have
+  // saved it again.
+  const TimePoint now = state_.Now();
+  const bool complete = state_.stream_origins.KnowsHistory(now);
+  const bool needs_exact = IsSplit() || !state_.OnlyOrigin(service_);
+  const bool lost = complete && needs_exact &&
+                    state_.is_stream_origin_lost(StreamIdOf(caller.resumes));
+  return lost ? RefuseLostStream() : RefuseUnknownStream(list_confirmed);
 }
 
 void ProxiedRequest::RefuseLostStream() {
@@ -137,9 +164,9 @@
   const CallerHeaders& caller = admitted_.caller;
   state_.log.Write(LogKind::kFailure, state_.Now(),
                    "event=stream_origin_lost id={} resumes={} route={} "
-                   "known_streams={}",
+                   "known_streams={} listed={}",
                    caller.attempt_id, caller.resumes, admitted_.route->name,
-                   state_.stream_origins.size());
+                   state_.stream_origins.size(), DescribeListed());
   session_->Respond(kHttpGone, {}, "not run\n");
   Finish("refused", kHttpGone, "software version of the stream is lost");
 }
@@ -150,10 +177,11 @@
   state_.log.Write(
       LogKind::kFailure, state_.Now(),
       "event=stream_origin_unknown id={} resumes={} route={} "
-      "known_streams={} list_confirmed={} waited_ms={}",
+      "known_streams={} list_confirmed={} waited_ms={} listed={}",
       caller.attempt_id, caller.resumes.empty() ? "-" : caller.resumes,
       admitted_.route->name, state_.stream_origins.size(), list_confirmed,
-      Milliseconds(state_.Now() - admitted_.request.arrived_at));
+      Milliseconds(state_.Now() - admitted_.request.arrived_at),
+      DescribeListed());
   Refuse("software version of the stream is unknown", kOriginRetryAfter);
 }
 
--- a/src/stream_origins.cc
+++ b/src/stream_origins.cc
@@ -109,12 +109,17 @@
   return reports;
 }
 
+std::vector<SoftwareGroup> StreamOrigins::ListedOf(const ServiceId& service,
+                                                   TimePoint now) const {
+  std::vector<SoftwareGroup> listed = Listed(now);
+  std::erase_if(listed, [&service](const SoftwareGroup& it) {
+    return it.service != service;
+  });
+  return listed;
+}
+
 bool StreamOrigins::IsMixed(const ServiceId& service, TimePoint now) const {
-  const std::vector<SoftwareGroup> listed = Listed(now);
-  return std::count_if(listed.begin(), listed.end(),
-                       [&service](const SoftwareGroup& group) {
-                         return group.service == service;
-                       }) > 1;
+  return ListedOf(service, now).size() > 1;
 }
 
 std::optional<SoftwareGroup> StreamOrigins::Find(StreamId stream) const {
@@ -125,16 +130,4 @@
   return std::nullopt;
 }
 
-std::optional<SoftwareGroup> StreamOrigins::OnlyGroup(const ServiceId& service,
-                                                      TimePoint now) const {
-  if (!KnowsHistory(now)) return std::nullopt;
-  std::optional<SoftwareGroup> only;
-  for (const SoftwareGroup& group : Listed(now)) {
-    if (group.service != service) continue;
-    if (only) return std::nullopt;
-    only = group;
-  }
-  return only;
-}
-
 }  // namespace yuccapick
--- a/test/gateway/fake_store.cc
+++ b/test/gateway/fake_store.cc
@@ -86,6 +86,11 @@
   return row != it->second.end() && !row->second.removed;
 }
 
+std::string FakeStore::ValueOf(const std::string& table,
+                               const std::string& key) const {
+  return Has(table, key) ? tables_.at(table).at(key).value : "";
+}
+
 void FakeStore::Restore(const Copy& copy) {
   tables_ = copy.tables;
   version_ = copy.version;
--- a/test/gateway/fake_store.h
+++ b/test/gateway/fake_store.h
@@ -51,6 +51,8 @@
   void set_page_rows(std::size_t n) { page_rows_ = n; }
   /// True if the row was written and not removed.
   bool Has(const std::string& table, const std::string& key) const;
+  /// @return empty if there is no such row
+  std::string ValueOf(const std::string& table, const std::string& key) const;
   /// Number of rows that were written and not removed.
   std::size_t RowCount(const std::string& table) const;
   /// @return version of a row; 0 if there is none
--- a/test/gateway/software_versions.h
+++ b/test/gateway/software_versions.h
@@ -4,11 +4,15 @@
 /// @file
 /// Streams of a service whose upstreams run several software versions.
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <chrono>
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "test/gateway/ending_gateway.h"
 #include "test/gateway/gateway_fixture.h"
@@ -24,6 +28,8 @@
 inline constexpr char kOwnDomain[] = "here";
 inline constexpr char kOtherDomain[] = "elsewhere";
 inline constexpr char kSoftwareTable[] = "yuccapick-software";
+/// Streams of one test.
+inline constexpr int kStreams = 12;
 inline constexpr int kAllReads = 1'000'000;
 inline constexpr char kEndOfStream[] = "\r\n0\r\n\r\n";
 
@@ -207,6 +213,82 @@
   std::optional<EndingGateway> lost;
 };
 
+inline std::string StreamName(int n) { return fmt::format("first-{}", n); }
+
+/// Gateways that end without notice while streams of two versions run.
+struct TwoVersionsUntilKill {
+  TwoVersionsUntilKill() : v1(fixture.loop, "v1"), v2(fixture.loop, "v2") {
+    fixture.PutConfig(1, kStreamRoutes);
+    Register(v1);
+    ending.emplace(fixture);
+    AwaitRecorded("app/v1");
+  }
+
+  void Register(const UpstreamPair& version) {
+    for (const StreamUpstream* it : {&version.first, &version.second}) {
+      fixture.RegisterSoftware(it->fake, "app", version.software);
+    }
+  }
+
+  void AwaitRecorded(const std::string& key) {
+    REQUIRE(ending->RunUntilTrue(
+        [&] { return fixture.store.Has(kSoftwareTable, key); }));
+  }
+
+  void ListV2() {
+    Register(v2);
+    AwaitRecorded("app/v2");
+  }
+
+  /// Streams that are cut off with their gateway.
+  void BeginStreams() {
+    for (int n = 0; n < kStreams; ++n) {
+      callers.push_back(std::make_unique<FakeCaller>(
+          fixture.loop, ending->settings().caller_endpoint));
+      FakeCaller& caller = *callers.back();
+      caller.Send(NewStream(StreamName(n)));
+      REQUIRE(ending->RunUntilTrue(
+          [&caller] { return Contains(caller.input(), Event(2)); }));
+    }
+  }
+
+  void RunEnding(std::chrono::milliseconds duration) {
+    const auto end = std::chrono::steady_clock::now() + duration;
+    REQUIRE(ending->RunUntilTrue(
+        [end] { return std::chrono::steady_clock::now() >= end; }));
+  }
+
+  void Kill() {
+    ending->Unregister();
+    ending.reset();
+  }
+
+  /// Resumes all streams at the fixture's gateway.
+  void CheckAllGoOn(const std::string& attempt_prefix = "again") {
+    for (int n = 0; n < kStreams; ++n) {
+      const std::string attempt = fmt::format("{}-{}", attempt_prefix, n);
+      const std::string answer =
+          fixture.Ask(ResumedStream(attempt, StreamName(n)));
+      CHECK(HasRestOfStream(answer));
+      CHECK(v1.HasResumed(attempt) == v1.HasBegun(StreamName(n)));
+      CHECK(v2.HasResumed(attempt) == v2.HasBegun(StreamName(n)));
+    }
+  }
+
+  /// Waits until the row of a version has its time.
+  void AwaitTimed(const std::string& key) {
+    REQUIRE(ending->RunUntilTrue([&] {
+      return fixture.store.ValueOf(kSoftwareTable, key).starts_with("listed ");
+    }));
+  }
+
+  GatewayFixture fixture;
+  UpstreamPair v1;
+  UpstreamPair v2;
+  std::optional<EndingGateway> ending;
+  std::vector<std::unique_ptr<FakeCaller>> callers;
+};
+
 }  // namespace yuccapick
 
 #endif  // YUCCAPICK_TEST_GATEWAY_SOFTWARE_VERSIONS_H_
